Lay out the workspace with the shared types

Cause: an empty repository; every package needs the same names, requests and resources. Ruled out: types per package, which would need conversions at each edge. Conclusion: the packages can be built side by side on these types.

--- /dev/null
+++ b/backend/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client for engines and plain services.
--- /dev/null
+++ b/caller/src/lib.rs
@@ -0,0 +1,1 @@
+//! The side of mimosabay that callers talk to.
--- /dev/null
+++ b/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The mimosabay command-line tool for operators.
--- /dev/null
+++ b/core/src/macros.rs
@@ -0,0 +1,70 @@
+//! Macros that remove repetition from data types and tests.
+
+/// Derives the common set of traits for a type that is stored or sent.
+///
+/// The set is `Clone`, `Debug`, `PartialEq`, `Serialize` and `Deserialize`.
+/// The using crate needs `serde` with its `derive` feature.
+///
+/// ```
+/// mimosabay_core::record! {
+///     /// A point in a plan.
+///     pub struct Point {
+///         /// Distance from the left edge in metres.
+///         pub x_m: u32,
+///     }
+/// }
+/// assert_eq!(Point { x_m: 1 }.clone(), Point { x_m: 1 });
+/// ```
+#[macro_export]
+macro_rules! record {
+    ($($item:item)+) => {
+        $(
+            #[derive(Clone, Debug, PartialEq, ::serde::Serialize, ::serde::Deserialize)]
+            $item
+        )+
+    };
+}
+
+/// Derives the common set of traits for a small value that is compared and used as a map key.
+///
+/// Adds `Eq`, `PartialOrd`, `Ord` and `Hash` to the set of [`record!`](crate::record).
+#[macro_export]
+macro_rules! key_record {
+    ($($item:item)+) => {
+        $(
+            #[derive(
+                Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash,
+                ::serde::Serialize, ::serde::Deserialize,
+            )]
+            $item
+        )+
+    };
+}
+
+/// Declares one `#[test]` function for each named case of a table.
+///
+/// The first argument is a function that receives the case; each case has a name and the
+/// arguments of that function.
+///
+/// ```
+/// fn doubles(input: u32, expected: u32) {
+///     assert_eq!(input * 2, expected);
+/// }
+/// mimosabay_core::cases! {
+///     doubles;
+///     zero: (0, 0);
+///     seven: (7, 14);
+/// }
+/// # fn main() {}
+/// ```
+#[macro_export]
+macro_rules! cases {
+    ($check:path; $($name:ident: ($($arg:expr),* $(,)?);)+) => {
+        $(
+            #[test]
+            fn $name() {
+                $check($($arg),*);
+            }
+        )+
+    };
+}
--- /dev/null
+++ b/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The mimosabay daemon.
--- /dev/null
+++ b/operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! Resources that operators write: validation, settings and status.
--- /dev/null
+++ b/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Authenticated streams between instances.
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the systems around mimosabay, for tests and the quickstart.
