Add the clients for platform, backend servers and peers

Cause: the path needs its outside systems met before the daemon can be put together. Ruled out: a second HTTP client per package; both sides share one small package over hyper-util. Change: http, platform, backend and peer packages; token bucket and server queue in core. Conclusion: stand-ins and daemon can be written against these protocols.

--- /dev/null
+++ b/core/src/bucket.rs
@@ -0,0 +1,94 @@
+//! A token bucket on a monotonic clock.
+
+/// A token bucket: refills at a rate up to a burst.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bucket {
+    rate_per_s: f64,
+    burst: f64,
+    /// Tokens that may be spent now. Invariant: at most `burst`; negative after a settlement that
+    /// cost more than was charged.
+    level: f64,
+    /// Time of the last refill in milliseconds. Invariant: never goes back.
+    refilled_ms: u64,
+}
+
+impl Bucket {
+    /// Builds an empty bucket.
+    pub fn empty(rate_per_s: f64, burst: f64, now_ms: u64) -> Self {
+        Self {
+            rate_per_s,
+            burst,
+            level: 0.0,
+            refilled_ms: now_ms,
+        }
+    }
+
+    /// Builds a full bucket.
+    pub fn full(rate_per_s: f64, burst: f64, now_ms: u64) -> Self {
+        Self {
+            level: burst,
+            ..Self::empty(rate_per_s, burst, now_ms)
+        }
+    }
+
+    /// Changes rate and burst; tokens above the new burst are lost.
+    pub fn reconfigure(&mut self, rate_per_s: f64, burst: f64, now_ms: u64) {
+        self.refill(now_ms);
+        self.rate_per_s = rate_per_s;
+        self.burst = burst;
+        self.level = self.level.min(burst);
+    }
+
+    /// Takes `tokens` if all of them are there.
+    pub fn take(&mut self, tokens: f64, now_ms: u64) -> bool {
+        self.refill(now_ms);
+        if self.level < tokens {
+            return false;
+        }
+        self.level -= tokens;
+        true
+    }
+
+    /// Takes `tokens` even if the level becomes negative.
+    pub fn force(&mut self, tokens: f64, now_ms: u64) {
+        self.refill(now_ms);
+        self.level -= tokens;
+    }
+
+    /// Gives `tokens` back; those above the burst are lost.
+    pub fn give(&mut self, tokens: f64, now_ms: u64) {
+        self.refill(now_ms);
+        self.level = (self.level + tokens).min(self.burst);
+    }
+
+    /// Tokens that may be spent now.
+    pub fn level(&mut self, now_ms: u64) -> f64 {
+        self.refill(now_ms);
+        self.level
+    }
+
+    /// Time until `tokens` are there, in milliseconds; `None` if they never will be.
+    pub fn wait_ms(&mut self, tokens: f64, now_ms: u64) -> Option<u64> {
+        self.refill(now_ms);
+        let missing = tokens - self.level;
+        if missing <= 0.0 {
+            return Some(0);
+        }
+        if tokens > self.burst || self.rate_per_s <= 0.0 {
+            return None;
+        }
+        Some(ceil_ms(missing / self.rate_per_s))
+    }
+
+    fn refill(&mut self, now_ms: u64) {
+        let passed_ms = now_ms.saturating_sub(self.refilled_ms);
+        let refilled = self.level + self.rate_per_s * passed_ms as f64 / 1_000.0;
+        self.level = refilled.min(self.burst);
+        self.refilled_ms = self.refilled_ms.max(now_ms);
+    }
+}
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn ceil_ms(seconds: f64) -> u64 {
+    (seconds * 1_000.0).ceil() as u64
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -13,9 +13,11 @@
 //! assert!(owner.is_some());
 //! ```
 
+pub mod bucket;
 pub mod config;
 pub mod macros;
 pub mod name;
+pub mod queue;
 pub mod rendezvous;
 pub mod request;
 pub mod resource;
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -116,6 +116,14 @@
         },
     }
 
+    /// The part of an answer that the caller already has.
+    pub struct Resume {
+        /// Number of its tokens. Invariant: the run continues after exactly these.
+        pub offset: u64,
+        /// Its text.
+        pub text: String,
+    }
+
     /// An admitted request.
     pub struct Request {
         /// Unique over all instances and processes.
@@ -134,8 +142,8 @@
         pub fingerprint: u64,
         /// Time left until the request is given up, in milliseconds at the moment of sending.
         pub timeout_ms: u64,
-        /// Tokens that the caller already has; a resumed stream continues after them.
-        pub resume_offset: u64,
+        /// What the caller already has, if an earlier run was cut off.
+        pub resume: Option<Resume>,
         /// What to do.
         pub work: Work,
     }
--- /dev/null
+++ b/http/src/client.rs
@@ -0,0 +1,105 @@
+//! The client with its connection pool.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client as PooledClient;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use tokio::time::timeout;
+
+use crate::call::{Answer, Call, StreamedAnswer};
+use crate::error::Error;
+
+/// Time to open a connection.
+const CONNECT_TIMEOUT_MS: u64 = 500;
+/// Time after which an idle connection is closed rather than used again.
+const IDLE_TIMEOUT_MS: u64 = 20_000;
+
+/// A client with pooled connections. Cloning it shares the pool.
+#[derive(Clone, Debug)]
+pub struct Client {
+    pool: PooledClient<HttpConnector, Full<Bytes>>,
+}
+
+impl Client {
+    /// Builds a client with an empty pool.
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
+        connector.set_nodelay(true);
+        let pool = PooledClient::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(Duration::from_millis(IDLE_TIMEOUT_MS))
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { pool }
+    }
+
+    /// Sends a call and reads the whole answer within the call's timeout.
+    ///
+    /// # Errors
+    ///
+    /// See [`Category`](crate::Category). An answer with an error status is not an error here.
+    pub async fn call(&self, call: Call) -> Result<Answer, Error> {
+        let limit = Duration::from_millis(call.timeout_ms);
+        timeout(limit, self.call_unbounded(call))
+            .await
+            .unwrap_or_else(|_| Err(Error::timeout()))
+    }
+
+    /// Sends a call and returns once the head of the answer is there.
+    ///
+    /// The call's timeout bounds the time to the head only; the reader of the body sets its own.
+    ///
+    /// # Errors
+    ///
+    /// See [`Category`](crate::Category).
+    pub async fn stream(&self, call: Call) -> Result<StreamedAnswer, Error> {
+        let limit = Duration::from_millis(call.timeout_ms);
+        let response = timeout(limit, self.send(call))
+            .await
+            .unwrap_or(Err(Error::timeout()))?;
+        let (parts, body) = response.into_parts();
+        Ok(StreamedAnswer {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+        })
+    }
+
+    async fn call_unbounded(&self, call: Call) -> Result<Answer, Error> {
+        let response = self.send(call).await?;
+        let (parts, body) = response.into_parts();
+        let body = body.collect().await.map_err(Error::interrupted)?.to_bytes();
+        Ok(Answer {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+        })
+    }
+
+    async fn send(&self, call: Call) -> Result<Response<Incoming>, Error> {
+        let request = build(call)?;
+        self.pool.request(request).await.map_err(Error::from_send)
+    }
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn build(call: Call) -> Result<Request<Full<Bytes>>, Error> {
+    let mut request = Request::builder()
+        .method(call.method)
+        .uri(call.url)
+        .body(Full::new(call.body))
+        .map_err(Error::malformed)?;
+    *request.headers_mut() = call.headers;
+    Ok(request)
+}
--- /dev/null
+++ b/http/src/error.rs
@@ -0,0 +1,84 @@
+//! The error of an HTTP call.
+
+use std::fmt;
+
+/// What kind of failure a call met.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Category {
+    /// No connection could be opened, so the call was not sent.
+    NotSent,
+    /// The connection broke after the call may have been sent.
+    Interrupted,
+    /// No answer arrived in time; the call may have taken effect.
+    Timeout,
+    /// The call or the answer is not well formed.
+    Malformed,
+}
+
+/// The error of an HTTP call.
+pub struct Error {
+    inner: Box<Inner>,
+}
+
+struct Inner {
+    category: Category,
+    message: String,
+}
+
+impl Error {
+    /// The kind of failure.
+    pub fn classify(&self) -> Category {
+        self.inner.category
+    }
+
+    /// Whether the call may have taken effect at the other side.
+    pub fn may_have_run(&self) -> bool {
+        self.classify() != Category::NotSent
+    }
+
+    pub(crate) fn timeout() -> Self {
+        Self::new(Category::Timeout, "no answer within the timeout")
+    }
+
+    pub(crate) fn interrupted(cause: impl fmt::Display) -> Self {
+        Self::new(Category::Interrupted, cause)
+    }
+
+    pub(crate) fn malformed(cause: impl fmt::Display) -> Self {
+        Self::new(Category::Malformed, cause)
+    }
+
+    pub(crate) fn from_send(cause: hyper_util::client::legacy::Error) -> Self {
+        let category = if cause.is_connect() {
+            Category::NotSent
+        } else {
+            Category::Interrupted
+        };
+        Self::new(category, cause)
+    }
+
+    fn new(category: Category, message: impl fmt::Display) -> Self {
+        let message = message.to_string();
+        Self {
+            inner: Box::new(Inner { category, message }),
+        }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.inner.message)
+    }
+}
+
+impl fmt::Debug for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "Error({:?}, {:?})",
+            self.inner.category, self.inner.message
+        )
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/peer/src/frame.rs
@@ -0,0 +1,137 @@
+//! Length-prefixed `bincode` messages on an HTTP/2 stream.
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use h2::{RecvStream, SendStream};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::error::Error;
+
+const LENGTH_BYTES: usize = 4;
+/// Largest message that is accepted.
+const MAX_MESSAGE_BYTES: usize = 16 << 20;
+
+/// Reads messages from a stream.
+pub(crate) struct Reader {
+    stream: RecvStream,
+    buffer: BytesMut,
+}
+
+impl Reader {
+    pub(crate) fn new(stream: RecvStream) -> Self {
+        Self {
+            stream,
+            buffer: BytesMut::new(),
+        }
+    }
+
+    /// The next message; `None` at the orderly end of the stream.
+    pub(crate) async fn read<T: DeserializeOwned>(&mut self) -> Result<Option<T>, Error> {
+        loop {
+            if let Some(message) = self.split()? {
+                return decode(&message).map(Some);
+            }
+            match self.stream.data().await {
+                Some(Ok(data)) => self.take(&data)?,
+                Some(Err(cause)) => return Err(Error::interrupted(cause)),
+                None if self.buffer.is_empty() => return Ok(None),
+                None => return Err(Error::interrupted("stream ended inside a message")),
+            }
+        }
+    }
+
+    fn take(&mut self, data: &Bytes) -> Result<(), Error> {
+        self.buffer.extend_from_slice(data);
+        self.stream
+            .flow_control()
+            .release_capacity(data.len())
+            .map_err(Error::interrupted)
+    }
+
+    fn split(&mut self) -> Result<Option<BytesMut>, Error> {
+        if self.buffer.len() < LENGTH_BYTES {
+            return Ok(None);
+        }
+        let length = (&self.buffer[..LENGTH_BYTES]).get_u32() as usize;
+        if length > MAX_MESSAGE_BYTES {
+            return Err(Error::malformed("message too large"));
+        }
+        if self.buffer.len() < LENGTH_BYTES + length {
+            return Ok(None);
+        }
+        self.buffer.advance(LENGTH_BYTES);
+        Ok(Some(self.buffer.split_to(length)))
+    }
+}
+
+/// Writes messages to a stream.
+pub(crate) struct Writer {
+    stream: SendStream<Bytes>,
+}
+
+impl Writer {
+    pub(crate) fn new(stream: SendStream<Bytes>) -> Self {
+        Self { stream }
+    }
+
+    /// Writes one message, waiting while the receiver's window is full.
+    pub(crate) async fn write(
+        &mut self,
+        message: &impl Serialize,
+        last: bool,
+    ) -> Result<(), Error> {
+        let mut data = encode(message)?;
+        while !data.is_empty() {
+            let part = data.split_to(self.window(data.len()).await?.min(data.len()));
+            let end = last && data.is_empty();
+            self.stream
+                .send_data(part, end)
+                .map_err(Error::interrupted)?;
+        }
+        Ok(())
+    }
+
+    /// Ends the stream without a further message.
+    pub(crate) fn end(&mut self) {
+        // The other side may have reset the stream already, which ends it as well.
+        let _ = self.stream.send_data(Bytes::new(), true);
+    }
+
+    /// Returns once the receiver has reset the stream.
+    pub(crate) async fn closed(&mut self) {
+        // An error here means that the stream is closed as well.
+        let _ = std::future::poll_fn(|cx| self.stream.poll_reset(cx)).await;
+    }
+
+    async fn window(&mut self, wanted: usize) -> Result<usize, Error> {
+        self.stream.reserve_capacity(wanted);
+        loop {
+            let free = self.stream.capacity();
+            if free > 0 {
+                return Ok(free);
+            }
+            let grown = std::future::poll_fn(|cx| self.stream.poll_capacity(cx)).await;
+            match grown {
+                Some(Ok(_)) => {}
+                Some(Err(cause)) => return Err(Error::interrupted(cause)),
+                None => return Err(Error::interrupted("stream closed by the receiver")),
+            }
+        }
+    }
+}
+
+fn encode(message: &impl Serialize) -> Result<Bytes, Error> {
+    let body = bincode::serde::encode_to_vec(message, bincode::config::standard())
+        .map_err(Error::malformed)?;
+    let length = u32::try_from(body.len()).map_err(Error::malformed)?;
+    let mut data = BytesMut::with_capacity(LENGTH_BYTES + body.len());
+    data.put_u32(length);
+    data.put_slice(&body);
+    Ok(data.freeze())
+}
+
+fn decode<T: DeserializeOwned>(message: &[u8]) -> Result<T, Error> {
+    let (value, _) = bincode::serde::decode_from_slice(message, bincode::config::standard())
+        .map_err(Error::malformed)?;
+    Ok(value)
+}
--- /dev/null
+++ b/peer/src/message.rs
@@ -0,0 +1,58 @@
+//! Messages between instances.
+
+use mimosabay_core::config::Accepted;
+use mimosabay_core::name::{InstanceId, Name};
+use mimosabay_core::request::{Request, RunEvent};
+
+mimosabay_core::record! {
+    /// A message and who sends it.
+    pub struct Envelope {
+        /// The sending process.
+        pub from: InstanceId,
+        /// The message.
+        pub message: Message,
+    }
+
+    /// What one instance asks of another.
+    pub enum Message {
+        /// Run a request on a backend server that the receiver owns. Answered by a sequence of
+        /// [`Reply::Run`], the last one final.
+        Run {
+            /// Name of the backend server.
+            server: Name,
+            /// The request.
+            request: Box<Request>,
+        },
+        /// I am alive. Answered by [`Reply::Heartbeat`].
+        Heartbeat {
+            /// Largest configuration revision of the sender.
+            config_revision: u64,
+            /// Whether the sender is about to stop.
+            leaving: bool,
+        },
+        /// Send the configuration above a revision. Answered by [`Reply::Config`].
+        PullConfig {
+            /// The revision.
+            above_revision: u64,
+        },
+    }
+
+    /// What an instance answers.
+    pub enum Reply {
+        /// A step of a run.
+        Run(RunEvent),
+        /// I am alive, too.
+        Heartbeat {
+            /// The answering process.
+            from: InstanceId,
+            /// Its largest configuration revision.
+            config_revision: u64,
+            /// Whether it is about to stop.
+            leaving: bool,
+        },
+        /// Entries of the configuration.
+        Config(Vec<Accepted>),
+        /// The message was taken; there is nothing to say.
+        Done,
+    }
+}
--- /dev/null
+++ b/peer/src/server.rs
@@ -0,0 +1,141 @@
+//! Calls from other instances.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use h2::server::SendResponse;
+use http::{Request, Response};
+use tokio::net::{TcpListener, TcpStream};
+use tracing::{debug, warn};
+
+use crate::auth::Secret;
+use crate::client::WINDOW_BYTES;
+use crate::error::Error;
+use crate::frame::{Reader, Writer};
+use crate::message::{Envelope, Reply};
+
+/// A message from another instance, with the way to answer it.
+pub struct Inbound {
+    /// The message and its sender.
+    pub envelope: Envelope,
+    /// The way to answer.
+    pub responder: Responder,
+}
+
+/// Sends the replies to one message. Dropping it ends the stream.
+pub struct Responder {
+    writer: Writer,
+}
+
+/// Accepts connections until the listener fails and hands each message to `handle`.
+///
+/// A connection that does not prove the shared secret is closed and logged.
+pub async fn serve<H, F>(listener: TcpListener, secret: Secret, handle: H)
+where
+    H: Fn(Inbound) -> F + Send + Sync + 'static,
+    F: Future<Output = ()> + Send + 'static,
+{
+    let handle = Arc::new(handle);
+    loop {
+        match listener.accept().await {
+            Ok((socket, _)) => {
+                tokio::spawn(serve_connection(socket, secret.clone(), handle.clone()));
+            }
+            Err(cause) => warn!(%cause, "cannot accept a connection from a peer"),
+        }
+    }
+}
+
+impl Responder {
+    /// Sends a reply that is not the last one.
+    ///
+    /// # Errors
+    ///
+    /// [`Category::Interrupted`](crate::Category::Interrupted) if the other side is gone.
+    pub async fn send(&mut self, reply: &Reply) -> Result<(), Error> {
+        self.writer.write(reply, false).await
+    }
+
+    /// Sends the last reply.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Responder::send`].
+    pub async fn finish(mut self, reply: &Reply) -> Result<(), Error> {
+        self.writer.write(reply, false).await
+    }
+
+    /// Returns once the other side has reset the stream.
+    pub async fn closed(&mut self) {
+        self.writer.closed().await;
+    }
+}
+
+impl Drop for Responder {
+    fn drop(&mut self) {
+        self.writer.end();
+    }
+}
+
+async fn serve_connection<H, F>(mut socket: TcpStream, secret: Secret, handle: Arc<H>)
+where
+    H: Fn(Inbound) -> F + Send + Sync + 'static,
+    F: Future<Output = ()> + Send + 'static,
+{
+    let address = socket
+        .peer_addr()
+        .map(|address| address.to_string())
+        .unwrap_or_default();
+    if let Err(cause) = secret.prove_as_server(&mut socket).await {
+        warn!(address, %cause, "refused a connection that is not from a peer");
+        return;
+    }
+    if let Err(cause) = serve_streams(socket, handle).await {
+        debug!(address, %cause, "connection from a peer ended");
+    }
+}
+
+async fn serve_streams<H, F>(socket: TcpStream, handle: Arc<H>) -> Result<(), Error>
+where
+    H: Fn(Inbound) -> F + Send + Sync + 'static,
+    F: Future<Output = ()> + Send + 'static,
+{
+    socket.set_nodelay(true).map_err(Error::interrupted)?;
+    let mut connection = h2::server::Builder::new()
+        .initial_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES * 16)
+        .handshake::<_, Bytes>(socket)
+        .await
+        .map_err(Error::interrupted)?;
+    while let Some(stream) = connection.accept().await {
+        let (request, respond) = stream.map_err(Error::interrupted)?;
+        let handle = handle.clone();
+        tokio::spawn(async move {
+            match open(request, respond).await {
+                Ok(inbound) => handle(inbound).await,
+                Err(cause) => debug!(%cause, "cannot read a message of a peer"),
+            }
+        });
+    }
+    Ok(())
+}
+
+async fn open(
+    request: Request<h2::RecvStream>,
+    mut respond: SendResponse<Bytes>,
+) -> Result<Inbound, Error> {
+    let mut reader = Reader::new(request.into_body());
+    let envelope = reader
+        .read()
+        .await?
+        .ok_or_else(|| Error::malformed("empty stream"))?;
+    let stream = respond
+        .send_response(Response::new(()), false)
+        .map_err(Error::interrupted)?;
+    Ok(Inbound {
+        envelope,
+        responder: Responder {
+            writer: Writer::new(stream),
+        },
+    })
+}
