Add stand-ins for platform, weight store, engine and plain service

Cause: the path cannot be run or tested without the systems around it. Change: four small HTTP servers, in process by serve() or as binaries, which speak the protocols of the platform and backend clients, take fault orders over HTTP and record what really ran. A silenced connection swallows what is written and never shows its end, as when a middle box has lost track of it. Ruled out: viz as their server; closing a connection without an answer and silencing it need the connection itself.

--- /dev/null
+++ b/standin/src/bin/mimosabay-standin-platform.rs
@@ -0,0 +1,29 @@
+//! The platform's stand-in as a process.
+
+use std::process::ExitCode;
+
+use mimosabay_standin::{command, platform};
+
+fn main() -> ExitCode {
+    let command = command::new(
+        "mimosabay-standin-platform",
+        "Object store and list of instances, for tests",
+    )
+    .arg(command::value(
+        "list-lag-ms",
+        0_u64,
+        "Time until the list of instances shows a change",
+    ))
+    .arg(command::value(
+        "probe-interval-ms",
+        0_u64,
+        "Time between probes of each instance's /healthz; 0 for none",
+    ));
+    command::run(command, |matches, listener| {
+        let options = platform::Options {
+            list_lag_ms: command::get(matches, "list-lag-ms")?,
+            probe_interval_ms: command::get(matches, "probe-interval-ms")?,
+        };
+        Ok(platform::serve(listener, options))
+    })
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,1 +1,31 @@
 //! Stand-ins for the systems around mimosabay, for tests and the quickstart.
+//!
+//! Each stand-in is a small HTTP server that runs either inside a test or as a process of its own.
+//! It takes fault orders at `/control/faults` and tells at `/control/record` or `/control/stats`
+//! what really happened, so that a test can compare this with what callers were told.
+//!
+//! ```no_run
+//! # async fn run() -> std::io::Result<()> {
+//! use mimosabay_standin::engine;
+//!
+//! let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+//! tokio::spawn(engine::serve(listener, engine::Options::default()));
+//! # Ok(())
+//! # }
+//! ```
+
+pub mod command;
+pub mod engine;
+pub mod plain;
+pub mod platform;
+pub mod text;
+pub mod weights;
+
+mod clock;
+mod generate;
+mod instances;
+mod reply;
+mod runs;
+mod server;
+mod store;
+mod wire;
--- /dev/null
+++ b/standin/src/platform.rs
@@ -0,0 +1,366 @@
+//! The platform: object store with versions, conditional updates and watches, and the list of
+//! instances.
+//!
+//! Control for tests:
+//!
+//! | call | effect |
+//! |---|---|
+//! | `PUT /control/faults` | sets the [`Faults`] |
+//! | `PUT /control/instances/{name}?lag_ms=` | registers an instance |
+//! | `DELETE /control/instances/{name}?lag_ms=` | removes an instance |
+//! | `GET /control/stats` | the [`Stats`] |
+
+use std::collections::BTreeMap;
+use std::future::pending;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use mimosabay_http::{Call as ClientCall, Client};
+use mimosabay_platform::{Instance, MAX_VALUE_BYTES, Object, Precondition};
+use serde_json::Value;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout_at};
+
+use crate::clock::unix_ms;
+use crate::instances::Instances;
+use crate::reply::{self, Closed, Reply};
+use crate::server::{self, Call, Network, Service};
+use crate::store::{Rejection, Store};
+
+/// Time that an instance has to answer its probe.
+const PROBE_TIMEOUT_MS: u64 = 500;
+/// Longest wait of a watch.
+const MAX_WATCH_MS: u64 = 60_000;
+
+/// How the platform behaves.
+#[derive(Clone, Debug, Default)]
+pub struct Options {
+    /// Time between a change of an instance and its being listed, in milliseconds.
+    pub list_lag_ms: u64,
+    /// Time between probes of `/healthz` of each instance, in milliseconds; 0 for none. A probed
+    /// instance is listed while it answers.
+    pub probe_interval_ms: u64,
+}
+
+mimosabay_core::record! {
+    /// Faults that tests ask for. Each order replaces all of them.
+    #[derive(Default)]
+    #[serde(default, deny_unknown_fields)]
+    #[expect(clippy::struct_excessive_bools, reason = "each fault is turned on by itself")]
+    pub struct Faults {
+        /// Answers every call with 503.
+        pub down: bool,
+        /// Leaves every connection open and unanswered.
+        pub silent: bool,
+        /// Makes the connections that are open now silent for good.
+        pub silence_open: bool,
+        /// Added to each call, in milliseconds.
+        pub slow_ms: u64,
+        /// Number of writes that are applied and not answered.
+        pub lose_answers: u32,
+        /// Number of watches that leave out the changes since the revision asked for.
+        pub skip_watches: u32,
+        /// Forgets the order of all changes so far: watches from earlier revisions get 410.
+        pub compact: bool,
+        /// Replaces the lag of the list of instances, in milliseconds.
+        pub list_lag_ms: Option<u64>,
+    }
+
+    /// What the platform was asked for.
+    #[derive(Default)]
+    pub struct Stats {
+        /// Calls by name of the call and kind of object, such as `put journal`.
+        pub calls: BTreeMap<String, u64>,
+        /// Writes applied, by second since the Unix epoch.
+        pub writes_by_second: BTreeMap<u64, u64>,
+        /// Reads, watches included, by second since the Unix epoch.
+        pub reads_by_second: BTreeMap<u64, u64>,
+        /// Revision of the last write.
+        pub revision: u64,
+    }
+}
+
+struct Platform {
+    options: Options,
+    network: Network,
+    /// Lock order: taken alone, never across an await.
+    state: Mutex<State>,
+    /// Revision of the last write, to wake watches.
+    revision: watch::Sender<u64>,
+}
+
+#[derive(Default)]
+struct State {
+    store: Store,
+    instances: Instances,
+    faults: Faults,
+    stats: Stats,
+}
+
+/// Serves the platform until the future is dropped.
+pub async fn serve(listener: TcpListener, options: Options) {
+    let platform = Arc::new(Platform {
+        options,
+        network: Network::default(),
+        state: Mutex::default(),
+        revision: watch::Sender::new(0),
+    });
+    tokio::select! {
+        () = server::run(listener, platform.clone()) => {}
+        () = platform.probe_instances() => {}
+    }
+}
+
+impl Service for Arc<Platform> {
+    fn network(&self) -> &Network {
+        &self.network
+    }
+
+    async fn answer(&self, call: Call) -> Reply {
+        let path = call.segments();
+        if path.first() == Some(&"control") {
+            return self.control(&call);
+        }
+        self.delay().await;
+        if self.state().faults.down {
+            return reply::error(StatusCode::SERVICE_UNAVAILABLE, "the platform is down");
+        }
+        match (&call.method, path.as_slice()) {
+            (&Method::GET, ["v1", "objects", kind]) => self.list(kind),
+            (&Method::GET, ["v1", "objects", kind, name]) => self.get(kind, name),
+            (&Method::PUT, ["v1", "objects", kind, name]) => self.put(&call, kind, name),
+            (&Method::DELETE, ["v1", "objects", kind, name]) => self.delete(&call, kind, name),
+            (&Method::GET, ["v1", "watch"]) => self.watch(&call).await,
+            (&Method::GET, ["v1", "instances"]) => self.instances(),
+            _ => reply::error(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+}
+
+impl Platform {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn delay(&self) {
+        let slow_ms = self.state().faults.slow_ms;
+        if slow_ms > 0 {
+            sleep(Duration::from_millis(slow_ms)).await;
+        }
+    }
+
+    fn list(&self, kind: &str) -> Reply {
+        let mut state = self.state();
+        state.stats.count_read("list", kind);
+        reply::ok(&state.store.list(kind))
+    }
+
+    fn get(&self, kind: &str, name: &str) -> Reply {
+        let mut state = self.state();
+        state.stats.count_read("get", kind);
+        match state.store.get(kind, name) {
+            Some(object) => reply::ok(object),
+            None => reply::error(StatusCode::NOT_FOUND, "no such object"),
+        }
+    }
+
+    fn put(&self, call: &Call, kind: &str, name: &str) -> Reply {
+        if call.body.len() > MAX_VALUE_BYTES {
+            return reject(Rejection::TooLarge);
+        }
+        let Some(precondition) = precondition(call) else {
+            return reply::error(StatusCode::PRECONDITION_REQUIRED, "no precondition");
+        };
+        let Some(value) = call.json::<Value>() else {
+            return reply::error(StatusCode::BAD_REQUEST, "the value is not JSON");
+        };
+        self.write("put", kind, |store| {
+            store.put(kind, name, value, precondition)
+        })
+    }
+
+    fn delete(&self, call: &Call, kind: &str, name: &str) -> Reply {
+        let Some(Precondition::Version(version)) = precondition(call) else {
+            return reply::error(StatusCode::PRECONDITION_REQUIRED, "no version");
+        };
+        self.write("delete", kind, |store| store.delete(kind, name, version))
+    }
+
+    fn write(
+        &self,
+        action: &str,
+        kind: &str,
+        apply: impl FnOnce(&mut Store) -> Result<Object, Rejection>,
+    ) -> Reply {
+        let mut state = self.state();
+        state.stats.count(action, kind);
+        let object = match apply(&mut state.store) {
+            Ok(object) => object,
+            Err(rejection) => return reject(rejection),
+        };
+        *state.stats.writes_by_second.entry(second()).or_default() += 1;
+        self.revision.send_replace(object.version);
+        if state.faults.lose_answers > 0 {
+            state.faults.lose_answers -= 1;
+            return Err(Closed);
+        }
+        reply::ok(&object)
+    }
+
+    async fn watch(&self, call: &Call) -> Reply {
+        let kinds: Vec<&str> = call.query("kinds").unwrap_or_default().split(',').collect();
+        let since = call.number("since").unwrap_or_default();
+        let wait_ms = call.number("timeout_ms").unwrap_or_default();
+        let deadline = Instant::now() + Duration::from_millis(wait_ms.min(MAX_WATCH_MS));
+        let mut revision = self.revision.subscribe();
+        self.state()
+            .stats
+            .count_read("watch", call.query("kinds").unwrap_or_default());
+        loop {
+            revision.mark_unchanged();
+            let Some(mut batch) = self.state().store.changes(&kinds, since) else {
+                return reply::error(StatusCode::GONE, "changes that old are no longer kept");
+            };
+            let is_over = Instant::now() >= deadline;
+            if is_over || !batch.events.is_empty() {
+                self.skip_events(&mut batch.events);
+                return reply::ok(&batch);
+            }
+            // An elapsed deadline is seen at the top of the loop.
+            let _ = timeout_at(deadline, revision.changed()).await;
+            if self.state().faults.down {
+                return Err(Closed);
+            }
+        }
+    }
+
+    fn skip_events(&self, events: &mut Vec<Object>) {
+        let mut state = self.state();
+        if state.faults.skip_watches > 0 && !events.is_empty() {
+            state.faults.skip_watches -= 1;
+            events.clear();
+        }
+    }
+
+    fn instances(&self) -> Reply {
+        let mut state = self.state();
+        state.stats.count_read("instances", "");
+        reply::ok(&state.instances.list())
+    }
+
+    fn control(&self, call: &Call) -> Reply {
+        match (&call.method, call.segments().as_slice()) {
+            (&Method::PUT, ["control", "faults"]) => self.set_faults(call),
+            (&Method::GET, ["control", "stats"]) => self.stats(),
+            (&Method::PUT, ["control", "instances", _]) => self.put_instance(call),
+            (&Method::DELETE, ["control", "instances", name]) => {
+                let lag_ms = self.lag_ms(call);
+                self.state().instances.delete(name, lag_ms);
+                reply::ok(&Value::Null)
+            }
+            _ => reply::error(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+
+    fn set_faults(&self, call: &Call) -> Reply {
+        let Some(faults) = call.json::<Faults>() else {
+            return reply::error(StatusCode::BAD_REQUEST, "no such faults");
+        };
+        self.network.set_silent(faults.silent);
+        if faults.silence_open {
+            self.network.silence_open();
+        }
+        let mut state = self.state();
+        if faults.compact {
+            state.store.compact();
+        }
+        state.faults = faults;
+        // Waiting watches look again whether the platform is down.
+        self.revision.send_modify(|_| {});
+        reply::ok(&Value::Null)
+    }
+
+    fn put_instance(&self, call: &Call) -> Reply {
+        let Some(instance) = call.json::<Instance>() else {
+            return reply::error(StatusCode::BAD_REQUEST, "no such instance");
+        };
+        let lag_ms = self.lag_ms(call);
+        self.state().instances.put(instance, lag_ms);
+        reply::ok(&Value::Null)
+    }
+
+    fn stats(&self) -> Reply {
+        let state = self.state();
+        let told = Stats {
+            revision: state.store.revision(),
+            ..state.stats.clone()
+        };
+        reply::ok(&told)
+    }
+
+    fn lag_ms(&self, call: &Call) -> u64 {
+        call.number("lag_ms").unwrap_or_else(|| self.list_lag_ms())
+    }
+
+    fn list_lag_ms(&self) -> u64 {
+        let fault = self.state().faults.list_lag_ms;
+        fault.unwrap_or(self.options.list_lag_ms)
+    }
+
+    async fn probe_instances(&self) {
+        if self.options.probe_interval_ms == 0 {
+            return pending().await;
+        }
+        let client = Client::new();
+        loop {
+            sleep(Duration::from_millis(self.options.probe_interval_ms)).await;
+            let instances = self.state().instances.registered();
+            for instance in instances {
+                let healthy = is_healthy(&client, &instance).await;
+                let lag_ms = self.list_lag_ms();
+                let mut state = self.state();
+                state.instances.take_probe(&instance.name, healthy, lag_ms);
+            }
+        }
+    }
+}
+
+impl Stats {
+    fn count(&mut self, action: &str, kind: &str) {
+        let name = format!("{action} {kind}");
+        *self.calls.entry(name.trim().to_owned()).or_default() += 1;
+    }
+
+    fn count_read(&mut self, action: &str, kind: &str) {
+        self.count(action, kind);
+        *self.reads_by_second.entry(second()).or_default() += 1;
+    }
+}
+
+async fn is_healthy(client: &Client, instance: &Instance) -> bool {
+    let call = ClientCall::get(format!("http://{}/healthz", instance.caller_address));
+    let answer = client.call(call.timeout_ms(PROBE_TIMEOUT_MS)).await;
+    answer.is_ok_and(|answer| answer.status.is_success())
+}
+
+fn precondition(call: &Call) -> Option<Precondition> {
+    if call.header("if-none-match") == "*" {
+        return Some(Precondition::Absent);
+    }
+    let version = call.header("if-match").trim_matches('"').parse().ok()?;
+    Some(Precondition::Version(version))
+}
+
+fn reject(rejection: Rejection) -> Reply {
+    match rejection {
+        Rejection::Conflict(current) => reply::json(StatusCode::PRECONDITION_FAILED, &current),
+        Rejection::NotFound => reply::error(StatusCode::NOT_FOUND, "no such object"),
+        Rejection::TooLarge => reply::error(StatusCode::PAYLOAD_TOO_LARGE, "value too large"),
+    }
+}
+
+fn second() -> u64 {
+    unix_ms() / 1_000
+}
