--- /dev/null
+++ b/core/src/admission.rs
@@ -0,0 +1,230 @@
+//! Whether a call may enter, and what exactly it asks for.
+
+use crate::config::ConfigTable;
+use crate::name::{AdapterVersion, Name};
+use crate::request::{Code, Refusal, Repeat};
+use crate::resource::{Adapter, Route, RouteTarget};
+
+/// Methods that HTTP defines as idempotent (RFC 9110, section 9.2.2).
+const IDEMPOTENT_METHODS: [&str; 6] = ["GET", "HEAD", "PUT", "DELETE", "OPTIONS", "TRACE"];
+/// Time until a call to an adapter without a route is given up.
+const MODEL_TIMEOUT_MS: u64 = 60_000;
+
+/// What a call asks for, as its caller wrote it.
+#[derive(Clone, Copy, Debug)]
+pub enum Ask<'a> {
+    /// Text generation: `adapter@version`, an adapter or a route.
+    Model(&'a str),
+    /// A plain call.
+    Plain {
+        /// HTTP method.
+        method: &'a str,
+        /// Path and query.
+        path: &'a str,
+    },
+}
+
+crate::record! {
+    /// A call that may enter.
+    pub struct Admitted {
+        /// The organisation it is charged to; empty on a route open to all without a key.
+        pub organisation: Name,
+        /// Name of its key; empty on a route open to all without a key.
+        pub key: Name,
+        /// Weight of the organisation.
+        pub weight: u32,
+        /// Pool of backend servers that may run it.
+        pub pool: Name,
+        /// Adapter and version, pinned now; `None` for a plain call.
+        pub model: Option<AdapterVersion>,
+        /// How it may be repeated.
+        pub repeat: Repeat,
+        /// Time until it is given up, in milliseconds.
+        pub timeout_ms: u64,
+    }
+}
+
+struct Identity {
+    organisation: Name,
+    key: Name,
+    weight: u32,
+}
+
+struct Target<'a> {
+    route: Option<&'a Route>,
+    pool: Name,
+    model: Option<AdapterVersion>,
+    adapter: Option<&'a Adapter>,
+}
+
+/// Decides whether a call may enter.
+///
+/// `key_sha256` is the hash of the key that came with it; `has_idempotency_key` tells whether it
+/// names its repeats.
+///
+/// # Errors
+///
+/// A refusal with [`Ran::No`](crate::request::Ran::No).
+pub fn admit(
+    config: &ConfigTable,
+    key_sha256: Option<&str>,
+    ask: Ask<'_>,
+    has_idempotency_key: bool,
+) -> Result<Admitted, Refusal> {
+    let target = match ask {
+        Ask::Model(model) => find_model(config, model),
+        Ask::Plain { path, .. } => find_plain(config, path),
+    };
+    let open = target
+        .as_ref()
+        .is_ok_and(|target| target.route.is_some_and(|route| route.open));
+    // The key is judged before the target, so that a stranger cannot probe for names.
+    let identity = identify(config, key_sha256, open)?;
+    let target = target?;
+    check_allowed(&target, &identity)?;
+    let idempotent = is_idempotent(&target, ask);
+    Ok(Admitted {
+        organisation: identity.organisation,
+        key: identity.key,
+        weight: identity.weight,
+        pool: target.pool,
+        model: target.model,
+        repeat: repeat(idempotent, has_idempotency_key),
+        timeout_ms: target
+            .route
+            .map_or(MODEL_TIMEOUT_MS, |route| route.timeout_ms),
+    })
+}
+
+/// Whether the key that a request came with still works.
+pub fn key_works(config: &ConfigTable, key: &str) -> bool {
+    key.is_empty() || config.key(key).is_some_and(|key| !key.withdrawn)
+}
+
+fn identify(
+    config: &ConfigTable,
+    key_sha256: Option<&str>,
+    open: bool,
+) -> Result<Identity, Refusal> {
+    let Some(sha256) = key_sha256 else {
+        return if open {
+            Ok(Identity::anonymous())
+        } else {
+            Err(unknown_key())
+        };
+    };
+    let (name, key) = config.key_by_sha256(sha256).ok_or_else(unknown_key)?;
+    if key.withdrawn {
+        return Err(Refusal::not_run(
+            Code::WithdrawnKey,
+            "the key has been withdrawn",
+        ));
+    }
+    let organisation = config
+        .organisation(&key.organisation)
+        .ok_or_else(unknown_key)?;
+    Ok(Identity {
+        organisation: key.organisation.clone(),
+        key: name.clone(),
+        weight: organisation.weight,
+    })
+}
+
+impl Identity {
+    fn anonymous() -> Self {
+        Self {
+            organisation: "".into(),
+            key: "".into(),
+            weight: 1,
+        }
+    }
+}
+
+fn find_model<'a>(config: &'a ConfigTable, model: &str) -> Result<Target<'a>, Refusal> {
+    if let Some((adapter, version)) = model.split_once('@') {
+        return find_adapter(config, None, adapter, Some(version));
+    }
+    match config.route(model) {
+        Some(route) => match &route.target {
+            RouteTarget::Model { adapter, version } => {
+                find_adapter(config, Some(route), adapter, version.as_deref())
+            }
+            RouteTarget::Plain { .. } => Err(unknown_model()),
+        },
+        None => find_adapter(config, None, model, None),
+    }
+}
+
+fn find_adapter<'a>(
+    config: &'a ConfigTable,
+    route: Option<&'a Route>,
+    adapter: &str,
+    version: Option<&str>,
+) -> Result<Target<'a>, Refusal> {
+    let (name, adapter) = config.adapter(adapter).ok_or_else(unknown_model)?;
+    let model = adapter
+        .pin(name, version)
+        .ok_or_else(|| Refusal::not_run(Code::UnknownVersion, "the adapter has no such version"))?;
+    Ok(Target {
+        route,
+        pool: adapter.pool.clone(),
+        model: Some(model),
+        adapter: Some(adapter),
+    })
+}
+
+fn find_plain<'a>(config: &'a ConfigTable, path: &str) -> Result<Target<'a>, Refusal> {
+    let (_, route) = config
+        .plain_route(path)
+        .ok_or_else(|| Refusal::not_run(Code::UnknownModel, "no route for this path"))?;
+    match &route.target {
+        RouteTarget::Plain { pool, .. } => Ok(Target {
+            route: Some(route),
+            pool: pool.clone(),
+            model: None,
+            adapter: None,
+        }),
+        RouteTarget::Model { .. } => Err(unknown_model()),
+    }
+}
+
+fn check_allowed(target: &Target<'_>, identity: &Identity) -> Result<(), Refusal> {
+    let by_route = target.route.map_or(&[][..], |route| &route.organisations);
+    let by_adapter = target
+        .adapter
+        .map_or(&[][..], |adapter| &adapter.organisations);
+    let allows = |list: &[Name]| list.is_empty() || list.contains(&identity.organisation);
+    if allows(by_route) && allows(by_adapter) {
+        return Ok(());
+    }
+    Err(Refusal::not_run(
+        Code::Forbidden,
+        "the organisation may not use this model or route",
+    ))
+}
+
+fn is_idempotent(target: &Target<'_>, ask: Ask<'_>) -> bool {
+    if let Some(idempotent) = target.route.and_then(|route| route.idempotent) {
+        return idempotent;
+    }
+    match ask {
+        Ask::Model(_) => target.adapter.is_none_or(|adapter| adapter.idempotent),
+        Ask::Plain { method, .. } => IDEMPOTENT_METHODS.contains(&method),
+    }
+}
+
+fn repeat(idempotent: bool, has_idempotency_key: bool) -> Repeat {
+    match (idempotent, has_idempotency_key) {
+        (true, _) => Repeat::Idempotent,
+        (false, true) => Repeat::Keyed,
+        (false, false) => Repeat::Once,
+    }
+}
+
+fn unknown_key() -> Refusal {
+    Refusal::not_run(Code::UnknownKey, "a valid key is needed")
+}
+
+fn unknown_model() -> Refusal {
+    Refusal::not_run(Code::UnknownModel, "no such model")
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -13,11 +13,16 @@
 //! assert!(owner.is_some());
 //! ```
 
+pub mod admission;
 pub mod bucket;
 pub mod config;
+pub mod date;
 pub mod macros;
+pub mod membership;
 pub mod name;
+pub mod ownership;
 pub mod queue;
 pub mod rendezvous;
 pub mod request;
 pub mod resource;
+pub mod retry;
