--- /dev/null
+++ b/daemon/src/clock.rs
@@ -0,0 +1,44 @@
+//! The monotonic clock of this process.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Bits of an incarnation that are random, below the start time.
+const RANDOM_BITS: u32 = 16;
+
+/// Milliseconds since the start of this process. Cloning it shares the start.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+}
+
+impl Clock {
+    /// Starts at zero.
+    pub fn start() -> Self {
+        Self { start: Instant::now() }
+    }
+
+    /// Milliseconds since the start. Never goes back.
+    pub fn now_ms(&self) -> u64 {
+        millis(self.start.elapsed())
+    }
+
+    /// The instant at `at_ms`, for timers.
+    pub fn instant(&self, at_ms: u64) -> tokio::time::Instant {
+        (self.start + Duration::from_millis(at_ms)).into()
+    }
+}
+
+/// Wall-clock time in milliseconds since 1970, for records that people read.
+pub fn unix_ms() -> u64 {
+    millis(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default())
+}
+
+/// A number for this process start, larger than those of earlier starts.
+pub fn new_incarnation() -> u64 {
+    let random: u16 = rand::random();
+    (unix_ms() << RANDOM_BITS) | u64::from(random)
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/daemon/src/config_sync.rs
@@ -0,0 +1,104 @@
+//! Keeping the configuration in force: a watch on the store, and pulls from peers that know more.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use mimosabay_core::config::{Accepted, ConfigTable};
+use mimosabay_core::name::Name;
+use mimosabay_operator::store::{ACCEPTED_KIND, accepted_from_object};
+use mimosabay_peer::{Message, Reply};
+use mimosabay_platform::{Category, Object};
+use tokio::time::sleep;
+use tracing::{info, warn};
+
+use crate::instance::Instance;
+
+/// Time to wait before the store is asked again after a failure.
+const RETRY_MS: u64 = 250;
+/// Entries that one pull brings.
+const PULL_LIMIT: usize = 1_000;
+/// Time that a pull may take.
+const PULL_TIMEOUT_MS: u64 = 1_000;
+
+/// Follows the store until the process ends.
+pub async fn run(instance: Arc<Instance>) {
+    let mut revision = None;
+    loop {
+        let followed = match revision {
+            None => list(&instance).await,
+            Some(revision) => watch(&instance, revision).await,
+        };
+        match followed {
+            Ok(at) => {
+                instance.mark_fresh();
+                revision = Some(at);
+            }
+            Err(cause) => {
+                warn!(%cause, "cannot follow the configuration in the store");
+                if cause.classify() == Category::Gone {
+                    revision = None;
+                }
+                sleep(Duration::from_millis(RETRY_MS)).await;
+            }
+        }
+    }
+}
+
+/// A peer has said which revision it knows: pulls what is missing here.
+pub async fn heard_revision(instance: &Arc<Instance>, address: &Name, revision: u64) {
+    let own = instance.with_config(ConfigTable::revision);
+    if revision <= own {
+        // The peer knows nothing newer, so what is in force here is as fresh as there.
+        instance.mark_fresh();
+        return;
+    }
+    let envelope = instance.envelope(Message::PullConfig { above_revision: own });
+    if let Ok(Reply::Config(entries)) =
+        instance.peer(address).ask(&envelope, PULL_TIMEOUT_MS).await
+    {
+        apply(instance, entries);
+    }
+}
+
+/// The entries that a peer asks for.
+pub fn entries_above(instance: &Instance, revision: u64) -> Vec<Accepted> {
+    instance.with_config(|config| config.newer_than(revision, PULL_LIMIT))
+}
+
+async fn list(instance: &Instance) -> Result<u64, mimosabay_platform::Error> {
+    let list = instance.platform.list(ACCEPTED_KIND).await?;
+    apply(instance, read(list.objects));
+    Ok(list.revision)
+}
+
+async fn watch(instance: &Instance, revision: u64) -> Result<u64, mimosabay_platform::Error> {
+    let wait_ms = instance.settings.timing.watch_wait_ms;
+    let batch = instance.platform.watch(&[ACCEPTED_KIND], revision, wait_ms).await?;
+    apply(instance, read(batch.events));
+    Ok(batch.revision)
+}
+
+fn read(objects: Vec<Object>) -> Vec<Accepted> {
+    let mut entries = Vec::with_capacity(objects.len());
+    for object in objects {
+        match accepted_from_object(&object) {
+            Ok(entry) => entries.push(entry),
+            Err(cause) => warn!(name = %object.name, %cause, "skipped an object in the store"),
+        }
+    }
+    entries
+}
+
+fn apply(instance: &Instance, entries: Vec<Accepted>) {
+    let mut config = instance.tables.config.write().expect("config lock");
+    let mut changed = 0;
+    for entry in entries {
+        changed += u64::from(config.apply(entry));
+    }
+    let revision = config.revision();
+    drop(config);
+    if changed > 0 {
+        info!(revision, changed, "configuration in force");
+        instance.config_changed.send_replace(revision);
+    }
+}
--- /dev/null
+++ b/daemon/src/workers.rs
@@ -0,0 +1,55 @@
+//! A pool of workers for orders to backend servers.
+
+use std::sync::{Arc, Weak};
+
+use tokio::sync::{Mutex, mpsc};
+
+use crate::instance::Instance;
+use crate::orders::{self, Order};
+
+/// Workers of the pool: an upper bound of the orders that are carried out at once.
+const WORKERS: usize = 64;
+
+/// The entrance to the pool. Cloning it shares the pool.
+#[derive(Clone)]
+pub struct Workers {
+    sender: mpsc::UnboundedSender<Order>,
+}
+
+/// The orders that wait for a worker.
+pub struct Waiting {
+    receiver: Arc<Mutex<mpsc::UnboundedReceiver<Order>>>,
+}
+
+impl Workers {
+    /// Builds a pool that runs nothing until [`Waiting::start`].
+    pub fn new() -> (Self, Waiting) {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        (Self { sender }, Waiting { receiver: Arc::new(Mutex::new(receiver)) })
+    }
+
+    /// Hands an order to the pool.
+    pub fn submit(&self, order: Order) {
+        // The receiver is gone only when the process ends.
+        let _ = self.sender.send(order);
+    }
+}
+
+impl Waiting {
+    /// Starts the workers.
+    pub fn start(self, instance: &Arc<Instance>) {
+        for _ in 0..WORKERS {
+            tokio::spawn(work(Arc::downgrade(instance), self.receiver.clone()));
+        }
+    }
+}
+
+async fn work(instance: Weak<Instance>, receiver: Arc<Mutex<mpsc::UnboundedReceiver<Order>>>) {
+    loop {
+        let order = receiver.lock().await.recv().await;
+        let (Some(order), Some(instance)) = (order, instance.upgrade()) else {
+            return;
+        };
+        orders::carry_out(&instance, order).await;
+    }
+}
--- a/peer/src/message.rs
+++ b/peer/src/message.rs
@@ -1,6 +1,7 @@
 //! Messages between instances.
 
 use mimosabay_core::config::Accepted;
+use mimosabay_core::membership::Rumour;
 use mimosabay_core::name::{InstanceId, Name};
 use mimosabay_core::request::{Request, RunEvent};
 
@@ -29,7 +30,11 @@
             config_revision: u64,
             /// Whether the sender is about to stop.
             leaving: bool,
+            /// What it learned of others.
+            rumours: Vec<Rumour>,
         },
+        /// I am about to end. Answered by [`Reply::Done`].
+        Goodbye,
         /// Send the configuration above a revision. Answered by [`Reply::Config`].
         PullConfig {
             /// The revision.
@@ -49,6 +54,8 @@
             config_revision: u64,
             /// Whether it is about to stop.
             leaving: bool,
+            /// What it learned of others.
+            rumours: Vec<Rumour>,
         },
         /// Entries of the configuration.
         Config(Vec<Accepted>),
