Add the settings of an instance and the validation of resources

Cause: the daemon needs typed settings, and the acceptor and the command-line tool need one check of resources. Ruled out: rust-ini alone for line numbers (it keeps none, so the reader indexes the lines itself); mapping serde messages without a path (an error inside a list would not name its field, so serde_path_to_error is added). Change: Settings::parse reports all errors at once; validate and validate_deletion return errors that name resource, field, value and what is allowed. A key cannot be deleted, only withdrawn, because a deleted one could be written anew.

--- /dev/null
+++ b/operator/src/field_error.rs
@@ -0,0 +1,66 @@
+//! An error in a resource.
+
+use std::fmt;
+
+use mimosabay_core::resource::Kind;
+use serde_json::Value;
+
+const MAX_VALUE_CHARS: usize = 80;
+
+/// An error in one field of a resource.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FieldError {
+    /// Kind and name of the resource, separated by `/`.
+    pub resource: String,
+    /// Path of the field, such as `versions[1].source`; `name` or `spec` for the whole.
+    pub field: String,
+    /// The value found, shortened; `absent` if there is none.
+    pub value: String,
+    /// What is allowed.
+    pub allowed: String,
+}
+
+impl FieldError {
+    pub(crate) fn new(
+        resource: &str,
+        field: impl Into<String>,
+        value: &Value,
+        allowed: impl Into<String>,
+    ) -> Self {
+        Self {
+            resource: resource.to_owned(),
+            field: field.into(),
+            value: shorten(value),
+            allowed: allowed.into(),
+        }
+    }
+}
+
+/// Names a resource in messages.
+pub(crate) fn resource_name(kind: Kind, name: &str) -> String {
+    format!("{}/{name}", kind.as_str())
+}
+
+fn shorten(value: &Value) -> String {
+    if value.is_null() {
+        return "absent".into();
+    }
+    let text = value.to_string();
+    if text.chars().count() <= MAX_VALUE_CHARS {
+        return text;
+    }
+    let head: String = text.chars().take(MAX_VALUE_CHARS).collect();
+    format!("{head}...")
+}
+
+impl fmt::Display for FieldError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{}: field `{}` is {}, allowed: {}",
+            self.resource, self.field, self.value, self.allowed
+        )
+    }
+}
+
+impl std::error::Error for FieldError {}
--- /dev/null
+++ b/operator/src/ini_reader.rs
@@ -0,0 +1,289 @@
+//! Reads typed values from an INI file and collects every error on the way.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+
+use ini::Ini;
+use mimosabay_core::name::Name;
+
+use crate::name_check::{self, NAME_RULE};
+use crate::secret::Secret;
+use crate::settings_error::SettingError;
+
+const ADDRESS_RULE: &str = "an IP number and a port from 1 to 65535, such as 127.0.0.1:8080";
+
+/// A whole number with its bounds.
+pub(crate) struct Number {
+    pub(crate) default: u64,
+    pub(crate) range: RangeInclusive<u64>,
+    pub(crate) unit: &'static str,
+}
+
+/// A parsed file, the keys that were asked for, and the errors found so far.
+pub(crate) struct IniReader {
+    ini: Ini,
+    /// Lines from 1 at which a section's header stands.
+    section_lines: BTreeMap<String, Vec<usize>>,
+    /// Lines from 1 at which a key of a section stands.
+    key_lines: BTreeMap<(String, String), Vec<usize>>,
+    known: BTreeMap<&'static str, BTreeSet<&'static str>>,
+    errors: Vec<SettingError>,
+}
+
+impl IniReader {
+    /// Parses the syntax of a file.
+    pub(crate) fn new(text: &str) -> Result<Self, SettingError> {
+        let ini = Ini::load_from_str_noescape(text).map_err(|error| SettingError {
+            line: Some(error.line),
+            section: String::new(),
+            key: String::new(),
+            problem: error.msg.to_string(),
+            allowed: "sections `[name]`, lines `key = value`, comment lines with `;` or `#`".into(),
+        })?;
+        let mut reader = Self {
+            ini,
+            section_lines: BTreeMap::new(),
+            key_lines: BTreeMap::new(),
+            known: BTreeMap::new(),
+            errors: Vec::new(),
+        };
+        reader.index_lines(text);
+        Ok(reader)
+    }
+
+    /// A text that must be there.
+    pub(crate) fn name(&mut self, section: &'static str, key: &'static str) -> Name {
+        let Some(value) = self.required(section, key, NAME_RULE) else {
+            return Name::default();
+        };
+        if !name_check::is_name(&value) {
+            self.wrong(section, key, &value, NAME_RULE);
+        }
+        value.into()
+    }
+
+    /// A prefix of metric names.
+    pub(crate) fn name_or(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        default: &str,
+    ) -> Name {
+        match self.take(section, key) {
+            Some(_) => self.name(section, key),
+            None => default.into(),
+        }
+    }
+
+    /// An address that must be there.
+    pub(crate) fn address(&mut self, section: &'static str, key: &'static str) -> SocketAddr {
+        match self.required(section, key, ADDRESS_RULE) {
+            Some(value) => self.parse_address(section, key, &value),
+            None => unspecified(),
+        }
+    }
+
+    /// An address that may be absent.
+    pub(crate) fn optional_address(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+    ) -> Option<SocketAddr> {
+        let value = self.take(section, key)?;
+        Some(self.parse_address(section, key, &value))
+    }
+
+    /// A secret that must be there. Errors never show it.
+    pub(crate) fn secret(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        min_chars: usize,
+    ) -> Secret {
+        let rule = format!("at least {min_chars} characters");
+        let value = self.required(section, key, &rule).unwrap_or_default();
+        let chars = value.chars().count();
+        if (1..min_chars).contains(&chars) {
+            self.error(section, key, format!("has {chars} characters"), &rule);
+        }
+        Secret::new(value)
+    }
+
+    /// A whole number.
+    pub(crate) fn number(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        number: &Number,
+    ) -> u64 {
+        let Some(value) = self.take(section, key) else {
+            return number.default;
+        };
+        match value.parse::<u64>() {
+            Ok(parsed) if number.range.contains(&parsed) => parsed,
+            _ => {
+                let (min, max) = (number.range.start(), number.range.end());
+                let rule = format!("a whole number of {} from {min} to {max}", number.unit);
+                self.wrong(section, key, &value, &rule);
+                number.default
+            }
+        }
+    }
+
+    /// One of a closed set of values.
+    pub(crate) fn choice<T: Copy>(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        names: &[(&str, T)],
+        default: T,
+    ) -> T {
+        let Some(value) = self.take(section, key) else {
+            return default;
+        };
+        if let Some((_, choice)) = names.iter().find(|(name, _)| *name == value) {
+            return *choice;
+        }
+        let allowed: Vec<_> = names.iter().map(|(name, _)| *name).collect();
+        self.wrong(section, key, &value, &allowed.join(", "));
+        default
+    }
+
+    /// Adds an error about a key.
+    pub(crate) fn error(&mut self, section: &str, key: &str, problem: String, allowed: &str) {
+        let id = (section.to_owned(), key.to_owned());
+        let line = self.key_lines.get(&id).and_then(|lines| lines.first());
+        self.errors.push(SettingError {
+            line: line.copied(),
+            section: id.0,
+            key: id.1,
+            problem,
+            allowed: allowed.to_owned(),
+        });
+    }
+
+    /// Checks that nothing but the keys asked for is in the file; returns all errors.
+    pub(crate) fn finish(mut self) -> Vec<SettingError> {
+        self.check_sections();
+        self.check_keys();
+        self.errors
+    }
+
+    fn take(&mut self, section: &'static str, key: &'static str) -> Option<String> {
+        self.known.entry(section).or_default().insert(key);
+        self.ini.get_from(Some(section), key).map(str::to_owned)
+    }
+
+    fn required(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        allowed: &str,
+    ) -> Option<String> {
+        let value = self.take(section, key).filter(|value| !value.is_empty());
+        if value.is_none() {
+            self.error(section, key, "is missing".into(), allowed);
+        }
+        value
+    }
+
+    fn wrong(&mut self, section: &str, key: &str, value: &str, allowed: &str) {
+        self.error(section, key, format!("`{value}` is wrong"), allowed);
+    }
+
+    fn parse_address(&mut self, section: &str, key: &str, value: &str) -> SocketAddr {
+        match value.parse::<SocketAddr>() {
+            Ok(address) if address.port() != 0 => address,
+            _ => {
+                self.wrong(section, key, value, ADDRESS_RULE);
+                unspecified()
+            }
+        }
+    }
+
+    fn index_lines(&mut self, text: &str) {
+        let mut section = String::new();
+        for (index, line) in text.lines().enumerate() {
+            let line = line.trim();
+            if let Some(name) = section_name(line) {
+                name.clone_into(&mut section);
+                let lines = self.section_lines.entry(section.clone()).or_default();
+                lines.push(index + 1);
+            } else if let Some(key) = key_name(line) {
+                let id = (section.clone(), key.to_owned());
+                self.key_lines.entry(id).or_default().push(index + 1);
+            }
+        }
+    }
+
+    fn check_sections(&mut self) {
+        let known: Vec<_> = self.known.keys().copied().collect();
+        for (section, lines) in &self.section_lines {
+            if !known.contains(&section.as_str()) {
+                self.errors.push(SettingError {
+                    line: lines.first().copied(),
+                    section: section.clone(),
+                    key: String::new(),
+                    problem: "is not a section".into(),
+                    allowed: known.join(", "),
+                });
+            }
+        }
+    }
+
+    fn check_keys(&mut self) {
+        for ((section, key), lines) in &self.key_lines {
+            let Some(known) = self.known.get(section.as_str()) else {
+                if section.is_empty() {
+                    self.errors.push(outside_section(key, lines));
+                }
+                continue;
+            };
+            let (line, problem, allowed) = if !known.contains(key.as_str()) {
+                let known: Vec<_> = known.iter().copied().collect();
+                (lines[0], "is not a key".to_owned(), known.join(", "))
+            } else if let Some(second) = lines.get(1) {
+                let problem = format!("stands on line {} already", lines[0]);
+                (*second, problem, "one line for each key".to_owned())
+            } else {
+                continue;
+            };
+            self.errors.push(SettingError {
+                line: Some(line),
+                section: section.clone(),
+                key: key.clone(),
+                problem,
+                allowed,
+            });
+        }
+    }
+}
+
+fn outside_section(key: &str, lines: &[usize]) -> SettingError {
+    SettingError {
+        line: lines.first().copied(),
+        section: String::new(),
+        key: key.to_owned(),
+        problem: "stands before the first section".into(),
+        allowed: "keys below a `[section]` line".into(),
+    }
+}
+
+fn section_name(line: &str) -> Option<&str> {
+    let rest = line.strip_prefix('[')?;
+    let (name, _) = rest.split_once(']')?;
+    Some(name.trim())
+}
+
+fn key_name(line: &str) -> Option<&str> {
+    if line.starts_with([';', '#']) {
+        return None;
+    }
+    let end = line.find(['=', ':'])?;
+    Some(line[..end].trim())
+}
+
+fn unspecified() -> SocketAddr {
+    SocketAddr::from(([0, 0, 0, 0], 0))
+}
--- a/operator/src/lib.rs
+++ b/operator/src/lib.rs
@@ -1,1 +1,30 @@
-//! Resources that operators write: validation, settings and status.
+//! What operators write and read: the settings of an instance, resources and their validation,
+//! how both lie in the platform's store, status objects and the report on service levels.
+//!
+//! ```
+//! use mimosabay_core::config::ConfigTable;
+//! use mimosabay_core::resource::Kind;
+//! use mimosabay_operator::validate;
+//!
+//! let spec = serde_json::json!({ "rate_tokens_per_s": 0, "burst_tokens": 500 });
+//! let errors = validate(Kind::Organisation, "clinics", &spec, &ConfigTable::default());
+//! assert_eq!(errors.unwrap_err()[0].field, "rate_tokens_per_s");
+//! ```
+
+pub mod date;
+mod field_error;
+mod form;
+mod ini_reader;
+mod name_check;
+mod policy;
+mod secret;
+pub mod settings;
+mod settings_error;
+mod validate;
+
+pub use field_error::FieldError;
+pub use policy::{BudgetPolicy, EvictionPolicy, LogLevel, PlacementPolicy, QueuePolicy};
+pub use secret::Secret;
+pub use settings::Settings;
+pub use settings_error::{SettingError, SettingsErrors};
+pub use validate::{validate, validate_deletion};
