Define how resources lie in the store and how changes are accepted

Cause: the acceptor in the daemon and the command-line tool need one set of records, and the decision about one change has to hold in any order of events. Ruled out: accepting in the operator's object (a rejected change would then replace the last accepted one).

--- a/operator/src/form.rs
+++ b/operator/src/form.rs
@@ -41,7 +41,7 @@
         } else {
             join(path, quoted)
         };
-        let allowed = format!("fields {}", expected.unwrap_or("that the kind has"));
+        let allowed = expected.unwrap_or("fields that the kind has");
         let found = at_path(value, &field);
         return FieldError::new(resource, field, found, allowed);
     }
--- a/operator/src/ini_reader.rs
+++ b/operator/src/ini_reader.rs
@@ -38,7 +38,7 @@
             line: Some(error.line),
             section: String::new(),
             key: String::new(),
-            problem: error.msg.to_string(),
+            problem: error.msg.trim_end_matches('.').to_owned(),
             allowed: "sections `[name]`, lines `key = value`, comment lines with `;` or `#`".into(),
         })?;
         let mut reader = Self {
@@ -220,15 +220,22 @@
     fn check_sections(&mut self) {
         let known: Vec<_> = self.known.keys().copied().collect();
         for (section, lines) in &self.section_lines {
-            if !known.contains(&section.as_str()) {
-                self.errors.push(SettingError {
-                    line: lines.first().copied(),
-                    section: section.clone(),
-                    key: String::new(),
-                    problem: "is not a section".into(),
-                    allowed: known.join(", "),
-                });
-            }
+            let (line, problem, allowed) = if !known.contains(&section.as_str()) {
+                (lines[0], "is not a section".to_owned(), known.join(", "))
+            } else if let Some(second) = lines.get(1) {
+                // The keys below the second header would not be read.
+                let problem = format!("stands on line {} already", lines[0]);
+                (*second, problem, "one line for each section".to_owned())
+            } else {
+                continue;
+            };
+            self.errors.push(SettingError {
+                line: Some(line),
+                section: section.clone(),
+                key: String::new(),
+                problem,
+                allowed,
+            });
         }
     }
 
--- a/operator/src/lib.rs
+++ b/operator/src/lib.rs
@@ -11,20 +11,25 @@
 //! assert_eq!(errors.unwrap_err()[0].field, "rate_tokens_per_s");
 //! ```
 
+pub mod acceptance;
 pub mod date;
 mod field_error;
 mod form;
 mod ini_reader;
+pub mod key;
 mod name_check;
 mod policy;
 mod secret;
 pub mod settings;
 mod settings_error;
+pub mod store;
 mod validate;
 
+pub use acceptance::Acceptance;
 pub use field_error::FieldError;
 pub use policy::{BudgetPolicy, EvictionPolicy, LogLevel, PlacementPolicy, QueuePolicy};
 pub use secret::Secret;
 pub use settings::Settings;
 pub use settings_error::{SettingError, SettingsErrors};
+pub use store::{AcceptedRecord, SpecRecord, StatusRecord};
 pub use validate::{validate, validate_deletion};
--- /dev/null
+++ b/operator/src/store.rs
@@ -0,0 +1,169 @@
+//! How resources lie in the platform's store.
+//!
+//! Each resource has up to three objects. Operators write the specification; the acceptor copies
+//! a valid one into the accepted object, which instances put in force; the status says what became
+//! of the newest specification. A rejected change therefore leaves the last accepted one in force.
+//!
+//! | object | kind | name | value |
+//! |---|---|---|---|
+//! | specification | `spec-<kind>` | `<name>` | [`SpecRecord`] |
+//! | accepted | `accepted` | `<kind>.<name>` | [`AcceptedRecord`] |
+//! | status | `status` | `<kind>.<name>` | [`StatusRecord`] |
+
+use mimosabay_core::config::{Accepted, ConfigTable, ObjectKey};
+use mimosabay_core::name::Name;
+use mimosabay_core::resource::{Kind, Spec};
+use mimosabay_platform::Object;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use snafu::{ResultExt, Snafu};
+
+use crate::form;
+
+/// Kind of the objects that hold accepted resources.
+pub const ACCEPTED_KIND: &str = "accepted";
+
+/// Kind of the objects that hold the status of resources.
+pub const STATUS_KIND: &str = "status";
+
+const SPEC_KIND_PREFIX: &str = "spec-";
+
+mimosabay_core::record! {
+    /// Value of a specification object. The object's version is the generation.
+    pub struct SpecRecord {
+        /// The specification as the operator wrote it. It may be invalid.
+        pub spec: Value,
+        /// Who wrote it.
+        pub changed_by: Name,
+        /// When, in milliseconds since 1970-01-01 by the clock of the operator's machine.
+        pub changed_at_ms: u64,
+    }
+
+    /// Value of an accepted object. The object's version is the revision that instances compare.
+    pub struct AcceptedRecord {
+        /// Version of the specification object that it is a copy of, or of its deletion.
+        /// Invariant: only grows from one version of the object to the next.
+        pub generation: u64,
+        /// The valid specification; `null` after a deletion.
+        pub spec: Option<Value>,
+    }
+
+    /// Value of a status object.
+    pub struct StatusRecord {
+        /// Newest version of the specification object that the acceptor has judged.
+        pub observed_generation: u64,
+        /// Whether that version was accepted.
+        pub accepted: bool,
+        /// Why it was not; empty if it was.
+        #[serde(default)]
+        pub reason: Name,
+        /// Number of instances that have it in force. Invariant: at most `instances`.
+        #[serde(default)]
+        pub in_force: u32,
+        /// Number of live instances.
+        #[serde(default)]
+        pub instances: u32,
+    }
+}
+
+/// An object of the store that does not hold what its kind says.
+#[derive(Debug, Snafu)]
+#[snafu(display("object {kind}/{name} has no valid {expected}"))]
+pub struct MalformedObject {
+    kind: Name,
+    name: Name,
+    expected: &'static str,
+    source: serde_json::Error,
+}
+
+/// Kind of the specification objects of a resource kind.
+pub fn spec_kind(kind: Kind) -> String {
+    format!("{SPEC_KIND_PREFIX}{}", kind.as_str())
+}
+
+/// Finds the resource kind of a kind of specification objects.
+pub fn resource_kind(spec_kind: &str) -> Option<Kind> {
+    Kind::parse(spec_kind.strip_prefix(SPEC_KIND_PREFIX)?)
+}
+
+/// Name of the accepted object and of the status object of a resource.
+pub fn qualified_name(kind: Kind, name: &str) -> String {
+    format!("{}.{name}", kind.as_str())
+}
+
+/// Finds the resource of the name of an accepted or a status object.
+pub fn parse_qualified_name(text: &str) -> Option<ObjectKey> {
+    let (kind, name) = text.split_once('.')?;
+    let kind = Kind::parse(kind)?;
+    let name = name.into();
+    Some(ObjectKey { kind, name })
+}
+
+/// Reads the value of an object.
+///
+/// # Errors
+///
+/// The value has not the form of `T`.
+pub fn read_record<T: DeserializeOwned>(
+    object: &Object,
+    expected: &'static str,
+) -> Result<T, MalformedObject> {
+    serde_json::from_value(object.value.clone()).context(MalformedObjectSnafu {
+        kind: object.kind.clone(),
+        name: object.name.clone(),
+        expected,
+    })
+}
+
+/// Writes a record as the value of an object.
+///
+/// # Panics
+///
+/// Never for the records of this package, which have string keys only.
+pub fn to_value(record: &impl Serialize) -> Value {
+    serde_json::to_value(record).expect("records have string keys only")
+}
+
+/// The specification alone, as operators write it.
+pub fn spec_value(spec: &Spec) -> Value {
+    match spec {
+        Spec::Organisation(spec) => to_value(spec),
+        Spec::Key(spec) => to_value(spec),
+        Spec::Route(spec) => to_value(spec),
+        Spec::Adapter(spec) => to_value(spec),
+        Spec::BackendServer(spec) => to_value(spec),
+        Spec::Site(spec) => to_value(spec),
+    }
+}
+
+/// Turns an accepted object into an entry of the configuration in force.
+///
+/// Returns `None` if the object is not one that this version understands; an older entry then
+/// stays in force. The acceptor writes valid ones only, so that nothing is checked but the form.
+pub fn accepted_entry(object: &Object) -> Option<Accepted> {
+    let key = parse_qualified_name(&object.name)?;
+    let spec = if object.deleted {
+        None
+    } else {
+        let record: AcceptedRecord = read_record(object, ACCEPTED_KIND).ok()?;
+        match record.spec {
+            Some(value) => Some(form::parse(key.kind, &object.name, &value).ok()?),
+            None => None,
+        }
+    };
+    Some(Accepted {
+        key,
+        revision: object.version,
+        spec,
+    })
+}
+
+/// Builds the table of a list of accepted objects.
+pub fn accepted_table(objects: &[Object]) -> ConfigTable {
+    let mut table = ConfigTable::default();
+    for entry in objects.iter().filter_map(accepted_entry) {
+        table.apply(entry);
+    }
+    table
+}
