--- /dev/null
+++ b/standin/src/harness.rs
@@ -0,0 +1,28 @@
+//! A whole site on loopback for tests: stand-ins in this process and instances as processes of
+//! their own, which can be killed, frozen and stopped.
+//!
+//! Functions here panic when the site itself cannot be set up or reached, because a test cannot
+//! go on then; what is under test is returned as a value.
+
+mod binary;
+mod caller;
+mod control;
+mod instance;
+mod process;
+mod site;
+mod wait;
+
+pub use binary::find_binary;
+pub use caller::{Caller, Failure, OpenStream, Part, Reply};
+pub use control::Control;
+pub use instance::InstanceProcess;
+pub use process::Process;
+pub use site::{EngineServer, PlainServer, Site, SiteOptions};
+pub use wait::{wait_for, wait_up_to};
+
+/// Secret that the instances of a test site share.
+pub const PEER_SECRET: &str = "a secret for tests only";
+/// Key of the organisation `clinics` of a test site.
+pub const CLINICS_KEY: &str = "mb_key-of-the-clinics";
+/// Key of the organisation `markets` of a test site.
+pub const MARKETS_KEY: &str = "mb_key-of-the-markets";
--- /dev/null
+++ b/standin/src/harness/binary.rs
@@ -0,0 +1,16 @@
+//! Finding the project's binaries.
+
+use std::path::PathBuf;
+
+/// The path of a binary of this workspace, in the folder that the running test was built into.
+///
+/// # Panics
+///
+/// If it was not built; `cargo test --workspace` builds all of them.
+pub fn find_binary(name: &str) -> PathBuf {
+    let test = std::env::current_exe().expect("the running program has a path");
+    let folders = test.ancestors().skip(1).take(2);
+    let mut paths = folders.map(|folder| folder.join(name));
+    let found = paths.find(|path| path.is_file());
+    found.unwrap_or_else(|| panic!("{name} is not built"))
+}
--- /dev/null
+++ b/standin/src/harness/caller.rs
@@ -0,0 +1,329 @@
+//! A caller with a real HTTP client.
+
+use std::time::Duration;
+
+use bytes::BytesMut;
+use http::HeaderMap;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use mimosabay_http::{Call, Client};
+use serde_json::Value;
+use tokio::time::timeout;
+
+/// Time that a caller waits for a whole answer, or for the next part of a stream.
+const PATIENCE_MS: u64 = 60_000;
+const COMPLETIONS: &str = "/v1/completions";
+
+/// A caller of one instance.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    client: Client,
+    address: String,
+    headers: Vec<(&'static str, String)>,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// HTTP status.
+    pub status: u16,
+    /// HTTP headers.
+    pub headers: HeaderMap,
+    /// Body as JSON, `null` if it is none.
+    pub body: Value,
+}
+
+/// The answer did not arrive or not whole.
+#[derive(Clone, Debug)]
+pub struct Failure {
+    /// What happened to the connection.
+    pub cause: String,
+    /// Text that had arrived.
+    pub text: String,
+}
+
+/// A part of a streamed answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Part {
+    /// Generated text.
+    Text(String),
+    /// The last event with the tokens used.
+    Usage(Value),
+    /// An error in place of the rest.
+    Error(Value),
+    /// The end mark.
+    Done,
+}
+
+/// A streamed answer that is still arriving. Dropping it closes the connection.
+#[derive(Debug)]
+pub struct OpenStream {
+    /// HTTP headers.
+    pub headers: HeaderMap,
+    body: Incoming,
+    buffer: BytesMut,
+}
+
+impl Caller {
+    /// A caller of the instance at `address` without a key.
+    pub fn new(address: impl Into<String>) -> Self {
+        Self {
+            client: Client::new(),
+            address: address.into(),
+            headers: Vec::new(),
+        }
+    }
+
+    /// The same caller with a key.
+    #[must_use]
+    pub fn key(self, key: &str) -> Self {
+        self.header("authorization", &format!("Bearer {key}"))
+    }
+
+    /// The same caller with a header on each call.
+    #[must_use]
+    pub fn header(mut self, name: &'static str, value: &str) -> Self {
+        self.headers.retain(|(known, _)| *known != name);
+        self.headers.push((name, value.to_owned()));
+        self
+    }
+
+    /// The same caller with another instance.
+    #[must_use]
+    pub fn at(mut self, address: impl Into<String>) -> Self {
+        self.address = address.into();
+        self
+    }
+
+    /// Reads a path.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke.
+    pub async fn get(&self, path: &str) -> Result<Reply, Failure> {
+        self.send(Call::get(self.url(path))).await
+    }
+
+    /// Sends a body to a path.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke.
+    pub async fn post(&self, path: &str, body: impl Into<String>) -> Result<Reply, Failure> {
+        self.send(Call::post(self.url(path)).body(body.into()))
+            .await
+    }
+
+    /// Asks for a completion that is not streamed.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke.
+    pub async fn complete(
+        &self,
+        model: &str,
+        prompt: &str,
+        max_tokens: u64,
+    ) -> Result<Reply, Failure> {
+        let body = completion(model, prompt, max_tokens, false);
+        self.post(COMPLETIONS, body).await
+    }
+
+    /// Opens a streamed completion; a refusal is an answer with its own status.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke, or the answer is a refusal.
+    pub async fn open_stream(
+        &self,
+        model: &str,
+        prompt: &str,
+        max_tokens: u64,
+    ) -> Result<OpenStream, Failure> {
+        let body = completion(model, prompt, max_tokens, true);
+        self.open_stream_at(COMPLETIONS, body).await
+    }
+
+    /// Opens a streamed answer at a path.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke, or the answer is a refusal.
+    pub async fn open_stream_at(&self, path: &str, body: String) -> Result<OpenStream, Failure> {
+        let call = Call::post(self.url(path)).body(body);
+        let answer = self.client.stream(self.prepare(call)).await;
+        let answer = answer.map_err(|cause| failure(cause, ""))?;
+        if !answer.status.is_success() {
+            let body = answer.body.collect().await;
+            let body = body.map_err(|cause| failure(cause, ""))?.to_bytes();
+            return Err(failure(answer.status, &String::from_utf8_lossy(&body)));
+        }
+        Ok(OpenStream {
+            headers: answer.headers,
+            body: answer.body,
+            buffer: BytesMut::new(),
+        })
+    }
+
+    /// Asks for a streamed completion and reads it to its end.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke, or the answer is a refusal or not whole.
+    pub async fn stream(
+        &self,
+        model: &str,
+        prompt: &str,
+        max_tokens: u64,
+    ) -> Result<String, Failure> {
+        let stream = self.open_stream(model, prompt, max_tokens).await?;
+        stream.finish().await
+    }
+
+    async fn send(&self, call: Call) -> Result<Reply, Failure> {
+        let answer = self.client.call(self.prepare(call)).await;
+        let answer = answer.map_err(|cause| failure(cause, ""))?;
+        Ok(Reply {
+            status: answer.status.as_u16(),
+            body: answer.json().unwrap_or(Value::Null),
+            headers: answer.headers,
+        })
+    }
+
+    fn prepare(&self, call: Call) -> Call {
+        let call = call.header("content-type", "application/json");
+        self.headers
+            .iter()
+            .fold(call, |call, (name, value)| call.header(name, value))
+            .timeout_ms(PATIENCE_MS)
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.address)
+    }
+}
+
+impl Reply {
+    /// Code of the error, empty if there is none.
+    pub fn code(&self) -> &str {
+        self.body["error"]["code"].as_str().unwrap_or_default()
+    }
+
+    /// What the error says of whether the request ran, empty if there is no error.
+    pub fn ran(&self) -> &str {
+        self.body["error"]["ran"].as_str().unwrap_or_default()
+    }
+
+    /// Text of a completion or chat completion.
+    pub fn text(&self) -> &str {
+        let choice = &self.body["choices"][0];
+        let text = choice["text"].as_str();
+        let text = text.or_else(|| choice["message"]["content"].as_str());
+        text.unwrap_or_default()
+    }
+}
+
+impl OpenStream {
+    /// Waits for the next part.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke or went silent.
+    pub async fn next(&mut self) -> Result<Part, Failure> {
+        loop {
+            if let Some(part) = self.take_part() {
+                return Ok(part);
+            }
+            let limit = Duration::from_millis(PATIENCE_MS);
+            let frame = timeout(limit, self.body.frame()).await;
+            match frame {
+                Ok(Some(Ok(frame))) => {
+                    let data = frame.into_data().unwrap_or_default();
+                    self.buffer.extend_from_slice(&data);
+                }
+                Ok(Some(Err(cause))) => return Err(failure(cause, "")),
+                Ok(None) => return Err(failure("the stream ended early", "")),
+                Err(_) => return Err(failure("the stream went silent", "")),
+            }
+        }
+    }
+
+    /// Reads up to and including `count` parts with text.
+    ///
+    /// # Errors
+    ///
+    /// As for [`OpenStream::finish`].
+    pub async fn read_parts(&mut self, count: usize) -> Result<String, Failure> {
+        let mut text = String::new();
+        for _ in 0..count {
+            match self.next().await? {
+                Part::Text(part) => text.push_str(&part),
+                other => return Err(failure(format!("{other:?}"), &text)),
+            }
+        }
+        Ok(text)
+    }
+
+    /// Reads the rest of the text.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke or the answer is not whole.
+    pub async fn finish(mut self) -> Result<String, Failure> {
+        let mut text = String::new();
+        loop {
+            match self.next().await {
+                Ok(Part::Text(part)) => text.push_str(&part),
+                Ok(Part::Usage(_)) => {}
+                Ok(Part::Error(error)) => return Err(failure(error, &text)),
+                Ok(Part::Done) => return Ok(text),
+                Err(broken) => return Err(failure(broken.cause, &text)),
+            }
+        }
+    }
+
+    fn take_part(&mut self) -> Option<Part> {
+        loop {
+            let end = self.buffer.windows(2).position(|pair| pair == b"\n\n")?;
+            let event = self.buffer.split_to(end + 2);
+            let event = String::from_utf8_lossy(&event);
+            if let Some(data) = event.trim().strip_prefix("data: ") {
+                return Some(read_part(data));
+            }
+        }
+    }
+}
+
+fn read_part(data: &str) -> Part {
+    if data == "[DONE]" {
+        return Part::Done;
+    }
+    let event: Value = serde_json::from_str(data).unwrap_or_default();
+    if event.get("error").is_some() {
+        return Part::Error(event["error"].clone());
+    }
+    if event.get("usage").is_some_and(Value::is_object) {
+        return Part::Usage(event["usage"].clone());
+    }
+    let choice = &event["choices"][0];
+    let text = choice["text"].as_str();
+    let text = text.or_else(|| choice["delta"]["content"].as_str());
+    Part::Text(text.unwrap_or_default().to_owned())
+}
+
+fn completion(model: &str, prompt: &str, max_tokens: u64, stream: bool) -> String {
+    serde_json::json!({
+        "model": model,
+        "prompt": prompt,
+        "max_tokens": max_tokens,
+        "stream": stream,
+    })
+    .to_string()
+}
+
+fn failure(cause: impl ToString, text: &str) -> Failure {
+    Failure {
+        cause: cause.to_string(),
+        text: text.to_owned(),
+    }
+}
--- /dev/null
+++ b/standin/src/harness/instance.rs
@@ -0,0 +1,93 @@
+//! One `mimosabayd` process.
+
+use std::fmt::Write;
+use std::net::TcpListener;
+use std::path::Path;
+
+use mimosabay_core::name::Name;
+use mimosabay_platform::{Instance, InstanceState};
+
+use super::binary::find_binary;
+use super::caller::Caller;
+use super::process::Process;
+
+/// Settings of the daemon by section and key.
+pub(super) type Settings<'a> = Vec<(&'a str, &'a str, String)>;
+
+/// One `mimosabayd` process.
+#[derive(Debug)]
+pub struct InstanceProcess {
+    /// How the platform lists it.
+    pub listed: Instance,
+    /// The process.
+    pub process: Process,
+}
+
+impl InstanceProcess {
+    /// Starts an instance on free ports.
+    pub(super) fn start(folder: &Path, name: &str, zone: &str, settings: Settings) -> Self {
+        let listed = Instance {
+            name: name.into(),
+            peer_address: free_address(),
+            caller_address: free_address(),
+            zone: zone.into(),
+            state: InstanceState::Live,
+        };
+        let file = folder.join(format!("{name}.ini"));
+        let text = settings_text(&listed, settings);
+        std::fs::write(&file, text).expect("the test's folder can be written");
+        let file = file.to_string_lossy().into_owned();
+        let output = folder.join(format!("{name}.log"));
+        let program = find_binary("mimosabayd");
+        let process = Process::start(&program, &["--settings", &file], &output);
+        Self { listed, process }
+    }
+
+    /// Name in the list of instances.
+    pub fn name(&self) -> &str {
+        &self.listed.name
+    }
+
+    /// A caller of this instance.
+    pub fn caller(&self) -> Caller {
+        Caller::new(&*self.listed.caller_address)
+    }
+
+    /// Whether it says that it is ready.
+    pub async fn is_ready(&self) -> bool {
+        let answer = self.caller().get("/readyz").await;
+        answer.is_ok_and(|answer| answer.status == 200)
+    }
+}
+
+fn settings_text(listed: &Instance, settings: Settings) -> String {
+    let own = vec![
+        ("instance", "name", listed.name.to_string()),
+        ("instance", "zone", listed.zone.to_string()),
+        (
+            "instance",
+            "caller_address",
+            listed.caller_address.to_string(),
+        ),
+        ("instance", "peer_address", listed.peer_address.to_string()),
+    ];
+    let mut all: Settings = own.into_iter().chain(settings).collect();
+    all.sort_by_key(|(section, ..)| *section);
+    let mut text = String::new();
+    let mut last = "";
+    for (section, key, value) in all {
+        if section != last {
+            writeln!(text, "[{section}]").expect("writing to a string succeeds");
+            last = section;
+        }
+        writeln!(text, "{key} = {value}").expect("writing to a string succeeds");
+    }
+    text
+}
+
+/// An address that was free a moment ago. The settings want a number before the process binds it.
+fn free_address() -> Name {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+    let address = listener.local_addr().expect("a listener has an address");
+    address.to_string().into()
+}
--- /dev/null
+++ b/standin/src/harness/process.rs
@@ -0,0 +1,102 @@
+//! One process of the project that a test started.
+
+use std::fs::File;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+
+use super::wait::wait_for;
+
+/// A process that ends with this value.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    output: PathBuf,
+}
+
+impl Process {
+    /// Starts a program; what it writes goes to the file `output`.
+    ///
+    /// # Panics
+    ///
+    /// If it cannot be started.
+    pub fn start(program: &Path, arguments: &[&str], output: &Path) -> Self {
+        let child = spawn(program, arguments, output);
+        Self {
+            child: child.unwrap_or_else(|cause| panic!("{}: {cause}", program.display())),
+            output: output.to_owned(),
+        }
+    }
+
+    /// Process id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// What it has written.
+    pub fn output(&self) -> String {
+        std::fs::read_to_string(&self.output).unwrap_or_default()
+    }
+
+    /// How it ended, if it did.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
+    /// Ends it at once (SIGKILL).
+    pub fn kill(&mut self) {
+        self.signal(Signal::SIGKILL);
+        // It was killed; how it ended does not matter.
+        let _ = self.child.wait();
+    }
+
+    /// Stops it from running until [`Process::thaw`] (SIGSTOP).
+    pub fn freeze(&mut self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    /// Lets it run again (SIGCONT).
+    pub fn thaw(&mut self) {
+        self.signal(Signal::SIGCONT);
+    }
+
+    /// Asks it to stop in order (SIGTERM).
+    pub fn terminate(&mut self) {
+        self.signal(Signal::SIGTERM);
+    }
+
+    /// Waits until it has ended by itself.
+    pub async fn wait_ended(&mut self) -> ExitStatus {
+        wait_for("end of a process", async || self.ended()).await
+    }
+
+    fn signal(&mut self, signal: Signal) {
+        if self.ended().is_some() {
+            // Its id may belong to another process by now.
+            return;
+        }
+        let pid = Pid::from_raw(self.child.id().cast_signed());
+        // It may have ended just now, which is no error.
+        let _ = kill(pid, signal);
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn spawn(program: &Path, arguments: &[&str], output: &Path) -> io::Result<Child> {
+    let stdout = File::create(output)?;
+    let stderr = stdout.try_clone()?;
+    Command::new(program)
+        .args(arguments)
+        .stdin(Stdio::null())
+        .stdout(stdout)
+        .stderr(stderr)
+        .spawn()
+}
--- /dev/null
+++ b/standin/src/harness/site.rs
@@ -0,0 +1,419 @@
+//! A site: platform, weight store, backend servers and instances.
+
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use mimosabay_core::resource::Kind;
+use mimosabay_operator::{key, store};
+use mimosabay_platform::{Category, Object, Platform, Precondition};
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+
+use super::caller::Caller;
+use super::control::{Control, no_faults};
+use super::instance::{InstanceProcess, Settings};
+use super::wait::wait_for;
+use super::{CLINICS_KEY, MARKETS_KEY, PEER_SECRET};
+use crate::{engine, plain, platform, weights};
+
+/// Pool of the engines of a test site.
+const ENGINE_POOL: &str = "assistant";
+/// Pool of the plain services of a test site.
+const PLAIN_POOL: &str = "desk";
+/// Base model of a test site.
+const BASE_MODEL: &str = "base-7b";
+
+/// What a site consists of.
+#[derive(Clone, Debug)]
+pub struct SiteOptions {
+    /// Number of instances.
+    pub instances: usize,
+    /// Number of availability zones, over which instances and servers are spread.
+    pub zones: usize,
+    /// Engines.
+    pub engines: Vec<engine::Options>,
+    /// Plain services.
+    pub plains: Vec<plain::Options>,
+    /// Weight store that all engines use; without it each loads by itself.
+    pub weights: Option<weights::Options>,
+    /// The platform.
+    pub platform: platform::Options,
+    /// Settings of the instances beyond those that each needs: section, key, value.
+    pub settings: Vec<(&'static str, &'static str, String)>,
+    /// Token rate and burst of the organisation `clinics`.
+    pub clinics_rate: (u64, u64),
+}
+
+/// An engine of the site.
+#[derive(Clone, Debug)]
+pub struct EngineServer {
+    /// Name of its resource.
+    pub name: String,
+    /// IP number and port.
+    pub address: String,
+    /// Fault orders.
+    pub control: Control,
+}
+
+/// A plain service of the site.
+#[derive(Clone, Debug)]
+pub struct PlainServer {
+    /// Name of its resource.
+    pub name: String,
+    /// IP number and port.
+    pub address: String,
+    /// Fault orders.
+    pub control: Control,
+}
+
+/// A site that ends with this value.
+#[derive(Debug)]
+pub struct Site {
+    /// Client for the platform.
+    pub platform: Platform,
+    /// Fault orders to the platform.
+    pub platform_control: Control,
+    /// IP number and port of the platform.
+    pub platform_address: String,
+    /// Engines.
+    pub engines: Vec<EngineServer>,
+    /// Plain services.
+    pub plains: Vec<PlainServer>,
+    /// Instances. Those that were killed stay in place.
+    pub instances: Vec<InstanceProcess>,
+    options: SiteOptions,
+    folder: PathBuf,
+    /// Stand-ins that run in this process.
+    standins: JoinSet<()>,
+}
+
+impl Default for SiteOptions {
+    fn default() -> Self {
+        Self {
+            instances: 3,
+            zones: 3,
+            engines: vec![engine::Options::default(); 2],
+            plains: vec![plain::Options::default()],
+            weights: None,
+            platform: platform::Options::default(),
+            settings: Vec::new(),
+            clinics_rate: (1_000_000, 1_000_000),
+        }
+    }
+}
+
+impl Site {
+    /// Starts everything, writes the sample resources and waits until all instances are ready.
+    ///
+    /// # Panics
+    ///
+    /// If something does not start.
+    pub async fn start(options: SiteOptions) -> Self {
+        let mut site = Self::start_standins(options).await;
+        site.write_samples().await;
+        for index in 0..site.options.instances {
+            site.add_instance(&format!("instance-{index}")).await;
+        }
+        site.wait_ready().await;
+        site
+    }
+
+    /// Starts another instance and registers it with the platform.
+    ///
+    /// # Panics
+    ///
+    /// If the platform cannot be reached.
+    pub async fn add_instance(&mut self, name: &str) -> usize {
+        let index = self.instances.len();
+        let zone = self.zone(index);
+        let instance = InstanceProcess::start(&self.folder, name, &zone, self.settings());
+        let path = format!("instances/{name}");
+        self.platform_control.put(&path, &instance.listed).await;
+        self.instances.push(instance);
+        index
+    }
+
+    /// Takes an instance off the platform's list after `lag_ms`.
+    pub async fn unlist(&self, index: usize, lag_ms: u64) {
+        let name = self.instances[index].name();
+        let path = format!("instances/{name}?lag_ms={lag_ms}");
+        self.platform_control.delete(&path).await;
+    }
+
+    /// Waits until every instance that runs is ready.
+    ///
+    /// # Panics
+    ///
+    /// After 30 s, with the logs of those that are not ready.
+    pub async fn wait_ready(&mut self) {
+        for index in 0..self.instances.len() {
+            self.wait_instance_ready(index).await;
+        }
+    }
+
+    /// Waits until one instance is ready, or has ended.
+    ///
+    /// # Panics
+    ///
+    /// After 30 s.
+    pub async fn wait_instance_ready(&mut self, index: usize) {
+        let instance = &mut self.instances[index];
+        wait_for("readiness of an instance", async || {
+            let is_over = instance.process.ended().is_some() || instance.is_ready().await;
+            is_over.then_some(())
+        })
+        .await;
+    }
+
+    /// A caller of an instance with the key of the organisation `clinics`.
+    pub fn caller(&self, index: usize) -> Caller {
+        self.instances[index].caller().key(CLINICS_KEY)
+    }
+
+    /// Writes a resource as an operator does, and waits until it is accepted.
+    ///
+    /// # Panics
+    ///
+    /// If it is rejected or the platform does not answer.
+    pub async fn apply(&self, kind: Kind, name: &str, spec: Value) {
+        self.write_spec(kind, name, &spec).await;
+    }
+
+    /// What really ran on all engines.
+    pub async fn runs(&self) -> Vec<engine::RunRecord> {
+        let mut runs = Vec::new();
+        for server in &self.engines {
+            runs.extend(server.record().await.runs);
+        }
+        runs
+    }
+
+    /// Takes back all faults.
+    pub async fn clear_faults(&self) {
+        let engines = self.engines.iter().map(|server| &server.control);
+        let plains = self.plains.iter().map(|server| &server.control);
+        let platform = std::iter::once(&self.platform_control);
+        for control in engines.chain(plains).chain(platform) {
+            control.faults(&no_faults()).await;
+        }
+    }
+
+    async fn start_standins(options: SiteOptions) -> Self {
+        let mut standins = JoinSet::new();
+        let (listener, platform_address) = bind().await;
+        standins.spawn(platform::serve(listener, options.platform.clone()));
+        let weight_store = match &options.weights {
+            Some(weights) => {
+                let (listener, address) = bind().await;
+                standins.spawn(weights::serve(listener, weights.clone()));
+                Some(address)
+            }
+            None => None,
+        };
+        let mut engines = Vec::new();
+        for (index, engine) in options.engines.iter().enumerate() {
+            let (listener, address) = bind().await;
+            let engine = engine::Options {
+                weight_store: weight_store.clone(),
+                ..engine.clone()
+            };
+            standins.spawn(engine::serve(listener, engine));
+            engines.push(EngineServer {
+                name: format!("engine-{index}"),
+                control: Control::new(&address),
+                address,
+            });
+        }
+        let mut plains = Vec::new();
+        for (index, plain) in options.plains.iter().enumerate() {
+            let (listener, address) = bind().await;
+            standins.spawn(plain::serve(listener, plain.clone()));
+            plains.push(PlainServer {
+                name: format!("desk-{index}"),
+                control: Control::new(&address),
+                address,
+            });
+        }
+        Self {
+            platform: Platform::new(&platform_address),
+            platform_control: Control::new(&platform_address),
+            platform_address,
+            engines,
+            plains,
+            instances: Vec::new(),
+            options,
+            folder: new_folder(),
+            standins,
+        }
+    }
+
+    async fn write_samples(&self) {
+        let (rate, burst) = self.options.clinics_rate;
+        self.apply(Kind::Site, "site", json!({ "base_model": BASE_MODEL }))
+            .await;
+        self.write_organisation("clinics", CLINICS_KEY, rate, burst)
+            .await;
+        self.write_organisation("markets", MARKETS_KEY, 1_000_000, 1_000_000)
+            .await;
+        for index in 0..self.engines.len() {
+            self.write_engine(index, false).await;
+        }
+        for (index, server) in self.plains.iter().enumerate() {
+            let spec = json!({
+                "address": server.address,
+                "zone": self.zone(index),
+                "kind": "plain",
+                "pool": PLAIN_POOL,
+            });
+            self.apply(Kind::BackendServer, &server.name, spec).await;
+        }
+        self.write_adapter("tender", &["1", "2"], "2").await;
+        self.write_adapter("reorder", &["1"], "1").await;
+        self.write_routes().await;
+    }
+
+    async fn write_organisation(&self, name: &str, key: &str, rate: u64, burst: u64) {
+        let spec = json!({ "rate_tokens_per_s": rate, "burst_tokens": burst });
+        self.apply(Kind::Organisation, name, spec).await;
+        let spec = json!({ "organisation": name, "sha256": key::hash(key) });
+        self.apply(Kind::Key, &format!("{name}-key"), spec).await;
+    }
+
+    /// Writes the resource of an engine.
+    pub async fn write_engine(&self, index: usize, leaving: bool) {
+        let server = &self.engines[index];
+        let options = &self.options.engines[index];
+        let spec = json!({
+            "address": server.address,
+            "zone": self.zone(index),
+            "kind": "engine",
+            "pool": ENGINE_POOL,
+            "base_model": BASE_MODEL,
+            "slots": options.slots,
+            "batch": options.batch,
+            "checks_fencing": options.check_fencing,
+            "leaving": leaving,
+        });
+        self.apply(Kind::BackendServer, &server.name, spec).await;
+    }
+
+    /// Writes an adapter whose version `v` has the source `store://{name}/{v}`.
+    pub async fn write_adapter(&self, name: &str, versions: &[&str], current: &str) {
+        let versions: Vec<Value> = versions
+            .iter()
+            .map(|version| json!({ "version": version, "source": source(name, version) }))
+            .collect();
+        let spec = json!({
+            "base_model": BASE_MODEL,
+            "pool": ENGINE_POOL,
+            "versions": versions,
+            "current_version": current,
+        });
+        self.apply(Kind::Adapter, name, spec).await;
+    }
+
+    async fn write_routes(&self) {
+        let drafting = json!({ "target": { "model": { "adapter": "tender", "version": "1" } } });
+        self.apply(Kind::Route, "drafting", drafting).await;
+        let orders = json!({ "target": { "plain": {
+            "pool": PLAIN_POOL, "path_prefix": "/orders" } } });
+        self.apply(Kind::Route, "orders", orders).await;
+        let notices = json!({ "target": { "plain": {
+            "pool": PLAIN_POOL, "path_prefix": "/notices" } }, "open": true });
+        self.apply(Kind::Route, "notices", notices).await;
+    }
+
+    async fn write_spec(&self, kind: Kind, name: &str, spec: &Value) {
+        let record = json!({ "spec": spec, "changed_by": "test", "changed_at_ms": 0 });
+        let written = self.overwrite(&store::spec_kind(kind), name, &record).await;
+        let accepted = json!({ "generation": written.version, "spec": spec });
+        let name = store::qualified_name(kind, name);
+        self.overwrite(store::ACCEPTED_KIND, &name, &accepted).await;
+    }
+
+    async fn overwrite(&self, kind: &str, name: &str, value: &Value) -> Object {
+        wait_for("a write", async || {
+            let precondition = match self.platform.get(kind, name).await {
+                Ok(object) => Precondition::Version(object.version),
+                Err(error) if error.classify() == Category::NotFound => Precondition::Absent,
+                Err(_) => return None,
+            };
+            self.platform
+                .put(kind, name, value, precondition)
+                .await
+                .ok()
+        })
+        .await
+    }
+
+    fn settings(&self) -> Settings<'static> {
+        let mut settings = vec![
+            ("platform", "address", self.platform_address.clone()),
+            ("peers", "secret", PEER_SECRET.to_owned()),
+            ("stop", "balancer_lag_ms", "200".to_owned()),
+        ];
+        settings.retain(|(section, key, _)| {
+            let is_same = |other: &&(&str, &str, String)| other.0 == *section && other.1 == *key;
+            self.options.settings.iter().find(is_same).is_none()
+        });
+        settings.extend(self.options.settings.iter().cloned());
+        settings
+    }
+
+    fn zone(&self, index: usize) -> String {
+        format!("zone-{}", index % self.options.zones.max(1))
+    }
+}
+
+impl EngineServer {
+    /// What really happened on it.
+    pub async fn record(&self) -> engine::Record {
+        self.control.read("record").await
+    }
+}
+
+impl PlainServer {
+    /// What really happened on it.
+    pub async fn record(&self) -> plain::Record {
+        self.control.read("record").await
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        self.standins.abort_all();
+        if std::thread::panicking() {
+            for instance in &self.instances {
+                let output = instance.process.output();
+                let tail: Vec<&str> = output.lines().rev().take(40).collect();
+                let tail: Vec<&str> = tail.into_iter().rev().collect();
+                eprintln!("--- {}\n{}", instance.name(), tail.join("\n"));
+            }
+        }
+        self.instances.clear();
+        // A folder that cannot be removed harms no other test.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Where the weights of an adapter's version are.
+fn source(adapter: &str, version: &str) -> String {
+    format!("store://{adapter}/{version}")
+}
+
+async fn bind() -> (TcpListener, String) {
+    let listener = TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("loopback has a free port");
+    let address = listener.local_addr().expect("a listener has an address");
+    (listener, address.to_string())
+}
+
+fn new_folder() -> PathBuf {
+    static COUNT: AtomicU32 = AtomicU32::new(0);
+    let count = COUNT.fetch_add(1, Ordering::Relaxed);
+    let name = format!("mimosabay-{}-{count}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&folder).expect("the temporary folder can be written");
+    folder
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub mod command;
 pub mod engine;
+pub mod harness;
 pub mod plain;
 pub mod platform;
 pub mod text;
