--- a/backend/src/generation.rs
+++ b/backend/src/generation.rs
@@ -89,6 +89,15 @@
         self.handle.as_ref()
     }
 
+    /// The error of an answer from another adapter than the one asked for.
+    pub fn wrong_handle(&self) -> Error {
+        let handle = self.handle.as_deref().unwrap_or("none");
+        Error::new(
+            Category::Protocol,
+            format_args!("the answer names handle {handle}"),
+        )
+    }
+
     /// Waits for the next part.
     ///
     /// # Errors
--- a/core/src/admission.rs
+++ b/core/src/admission.rs
@@ -101,6 +101,15 @@
     key.is_empty() || config.key(key).is_some_and(|key| !key.withdrawn)
 }
 
+/// Checks that a key works, whatever it may be used for.
+///
+/// # Errors
+///
+/// A refusal if it does not.
+pub fn check_key(config: &ConfigTable, key_sha256: Option<&str>) -> Result<(), Refusal> {
+    identify(config, key_sha256, false).map(|_| ())
+}
+
 fn identify(
     config: &ConfigTable,
     key_sha256: Option<&str>,
--- a/core/src/config.rs
+++ b/core/src/config.rs
@@ -150,6 +150,12 @@
         })
     }
 
+    /// All resources that are not deleted, in no particular order.
+    pub fn iter(&self) -> impl Iterator<Item = (&ObjectKey, &Spec)> {
+        let entries = self.entries.values().flat_map(HashMap::values);
+        entries.filter_map(|entry| Some((&entry.key, entry.spec.as_ref()?)))
+    }
+
     /// All resources of a kind that are not deleted, in no particular order.
     pub fn of_kind(&self, kind: Kind) -> impl Iterator<Item = (&Name, &Spec)> {
         let entries = self.entries.get(&kind).into_iter().flatten();
--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -150,6 +150,14 @@
         self.spread(id.clone(), state, changed);
     }
 
+    /// A heartbeat, or the answer to one, arrived.
+    pub fn heartbeat(&mut self, from: &InstanceId, leaving: bool, rumours: &[Rumour], now_ms: u64) {
+        self.heard(from, leaving, now_ms);
+        for rumour in rumours {
+            self.rumour(rumour, now_ms);
+        }
+    }
+
     /// An instance said goodbye.
     pub fn goodbye(&mut self, id: &InstanceId) {
         self.set_state(id, State::Gone);
--- a/core/src/queue.rs
+++ b/core/src/queue.rs
@@ -157,6 +157,11 @@
         self.advance(now_ms)
     }
 
+    /// Adapter of a request that runs.
+    pub fn model_of(&self, ticket: Ticket) -> Option<&AdapterVersion> {
+        self.running.get(&ticket)
+    }
+
     /// Requests that wait.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -1,5 +1,7 @@
 //! A request on its way through the system, and the ways it can end.
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use crate::name::{AdapterVersion, Name};
 
 crate::key_record! {
@@ -221,6 +223,27 @@
     }
 }
 
+impl Work {
+    /// Hash of the work, equal for equal work. Stable over processes and versions of the compiler.
+    pub fn fingerprint(&self) -> u64 {
+        let parts: [&[u8]; 4] = match self {
+            Work::Generate { model, body, .. } => [
+                b"generate",
+                model.adapter.as_bytes(),
+                model.version.as_bytes(),
+                body.as_bytes(),
+            ],
+            Work::Plain {
+                method, path, body, ..
+            } => [b"plain", method.as_bytes(), path.as_bytes(), body],
+        };
+        // Each part seeds the hash of the next, so that no two parts can run together.
+        parts
+            .iter()
+            .fold(0, |seed, part| xxh3_64_with_seed(part, seed))
+    }
+}
+
 impl Usage {
     /// All tokens that count against the organisation's rate.
     pub fn total_tokens(self) -> u64 {
--- a/daemon/src/clock.rs
+++ b/daemon/src/clock.rs
@@ -14,7 +14,9 @@
 impl Clock {
     /// Starts at zero.
     pub fn start() -> Self {
-        Self { start: Instant::now() }
+        Self {
+            start: Instant::now(),
+        }
     }
 
     /// Milliseconds since the start. Never goes back.
@@ -30,7 +32,11 @@
 
 /// Wall-clock time in milliseconds since 1970, for records that people read.
 pub fn unix_ms() -> u64 {
-    millis(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default())
+    millis(
+        SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default(),
+    )
 }
 
 /// A number for this process start, larger than those of earlier starts.
--- a/daemon/src/config_sync.rs
+++ b/daemon/src/config_sync.rs
@@ -5,7 +5,7 @@
 
 use mimosabay_core::config::{Accepted, ConfigTable};
 use mimosabay_core::name::Name;
-use mimosabay_operator::store::{ACCEPTED_KIND, accepted_from_object};
+use mimosabay_operator::store::{ACCEPTED_KIND, accepted_entry};
 use mimosabay_peer::{Message, Reply};
 use mimosabay_platform::{Category, Object};
 use tokio::time::sleep;
@@ -52,9 +52,10 @@
         instance.mark_fresh();
         return;
     }
-    let envelope = instance.envelope(Message::PullConfig { above_revision: own });
-    if let Ok(Reply::Config(entries)) =
-        instance.peer(address).ask(&envelope, PULL_TIMEOUT_MS).await
+    let envelope = instance.envelope(Message::PullConfig {
+        above_revision: own,
+    });
+    if let Ok(Reply::Config(entries)) = instance.peer(address).ask(&envelope, PULL_TIMEOUT_MS).await
     {
         apply(instance, entries);
     }
@@ -72,8 +73,13 @@
 }
 
 async fn watch(instance: &Instance, revision: u64) -> Result<u64, mimosabay_platform::Error> {
-    let wait_ms = instance.settings.timing.watch_wait_ms;
-    let batch = instance.platform.watch(&[ACCEPTED_KIND], revision, wait_ms).await?;
+    // A watch that waits longer than the staleness bound would prove freshness too late.
+    let timing = &instance.settings.timing;
+    let wait_ms = timing.watch_wait_ms.min(timing.config_stale_ms / 3);
+    let batch = instance
+        .platform
+        .watch(&[ACCEPTED_KIND], revision, wait_ms)
+        .await?;
     apply(instance, read(batch.events));
     Ok(batch.revision)
 }
@@ -81,9 +87,10 @@
 fn read(objects: Vec<Object>) -> Vec<Accepted> {
     let mut entries = Vec::with_capacity(objects.len());
     for object in objects {
-        match accepted_from_object(&object) {
-            Ok(entry) => entries.push(entry),
-            Err(cause) => warn!(name = %object.name, %cause, "skipped an object in the store"),
+        if let Some(entry) = accepted_entry(&object) {
+            entries.push(entry);
+        } else {
+            warn!(name = %object.name, "skipped an object that cannot be read");
         }
     }
     entries
--- /dev/null
+++ b/daemon/src/dispatch.rs
@@ -0,0 +1,203 @@
+//! Sending a request to a backend server and passing on its answer.
+
+use std::sync::Arc;
+
+use mimosabay_backend::{
+    Category, Error, GenerateOrder, Generation, Part, PlainCall, PlainService,
+};
+use mimosabay_core::name::Name;
+use mimosabay_core::ownership::next_fencing;
+use mimosabay_core::request::{Code, Ran, Refusal, Request, RunEvent, Usage, Work};
+use tokio::sync::mpsc;
+use tokio::time::timeout_at;
+use tracing::{info, warn};
+
+use crate::instance::Instance;
+use crate::owner::OwnedServer;
+
+/// When a repeat is worth trying after a backend server failed.
+const RETRY_AFTER_MS: u64 = 500;
+/// Priority of an ordinary request.
+const PRIORITY: i32 = 0;
+
+/// Makes this instance the owner of the server: later orders carry a fencing number above all that
+/// the server has accepted.
+///
+/// # Errors
+///
+/// A refusal if the server does not answer.
+pub async fn claim(instance: &Instance, server: &OwnedServer) -> Result<(), Refusal> {
+    server
+        .claimed
+        .get_or_try_init(|| try_claim(instance, server))
+        .await?;
+    Ok(())
+}
+
+async fn try_claim(instance: &Instance, server: &OwnedServer) -> Result<(), Refusal> {
+    let report = server.engine.report().await.map_err(|cause| {
+        warn!(server = %server.name, %cause, "backend server does not answer");
+        Refusal::not_run(Code::NoServer, "the backend server does not answer")
+            .retry_after_ms(RETRY_AFTER_MS)
+    })?;
+    let mut state = server.state.lock().expect("owned server lock");
+    state.fencing = next_fencing(report.fencing.max(state.fencing), &instance.id);
+    state.boot = report.boot;
+    info!(server = %server.name, fencing = state.fencing, "claimed a backend server");
+    Ok(())
+}
+
+/// Generates text and passes it on.
+///
+/// # Errors
+///
+/// A refusal that says whether the server may have run the request.
+pub async fn generate(
+    instance: &Arc<Instance>,
+    server: &OwnedServer,
+    request: &Request,
+    handle: &Name,
+    deadline_ms: u64,
+    sender: &mpsc::Sender<RunEvent>,
+) -> Result<Usage, Refusal> {
+    let Work::Generate { body, chat, .. } = &request.work else {
+        unreachable!("only generations have a handle");
+    };
+    let order = GenerateOrder {
+        handle: handle.clone(),
+        request_id: request.id.clone(),
+        body: body.clone(),
+        chat: *chat,
+        priority: PRIORITY,
+        resume_text: request
+            .resume
+            .as_ref()
+            .map(|resume| resume.text.clone())
+            .unwrap_or_default(),
+        timeout_ms: deadline_ms.saturating_sub(instance.now_ms()),
+    };
+    let mut generation = server
+        .engine
+        .generate(&order)
+        .await
+        .map_err(|cause| failed(&cause))?;
+    // A reader that left is noticed by its own side.
+    let _ = sender
+        .send(RunEvent::Started {
+            handle: handle.clone(),
+        })
+        .await;
+    let offset = request.resume.as_ref().map_or(0, |resume| resume.offset);
+    let passed = pass_on(&mut generation, handle, offset, sender);
+    match timeout_at(instance.clock.instant(deadline_ms), passed).await {
+        Ok(ended) => ended.map_err(|cause| started_and_failed(&cause)),
+        Err(_) => Err(Refusal {
+            ran: Ran::Yes,
+            ..timed_out()
+        }),
+    }
+}
+
+/// Makes a call to a plain service and passes its answer on.
+///
+/// # Errors
+///
+/// A refusal that says whether the service may have run the call.
+pub async fn plain(
+    instance: &Arc<Instance>,
+    server: &Name,
+    request: &Request,
+    deadline_ms: u64,
+    sender: &mpsc::Sender<RunEvent>,
+) -> Result<Usage, Refusal> {
+    let Work::Plain {
+        method,
+        path,
+        content_type,
+        body,
+    } = &request.work
+    else {
+        unreachable!("only plain calls are sent to plain services");
+    };
+    let address = instance.with_config(|config| Some(config.server(server)?.address.clone()));
+    let Some(address) = address else {
+        return Err(Refusal::not_run(Code::NoServer, "no such backend server"));
+    };
+    let call = PlainCall {
+        method: method.clone(),
+        path: path.clone(),
+        content_type: content_type.clone(),
+        body: body.clone(),
+        request_id: request.id.clone(),
+        timeout_ms: deadline_ms.saturating_sub(instance.now_ms()),
+    };
+    let service = PlainService::new(instance.http.clone(), &address);
+    let answer = service.call(call).await.map_err(|cause| failed(&cause))?;
+    let count = answer.body.len() as u64;
+    let head = RunEvent::Head {
+        status: answer.status,
+        content_type: answer.content_type,
+    };
+    let chunk = RunEvent::Chunk {
+        offset: 0,
+        count,
+        data: answer.body.to_vec(),
+    };
+    for event in [head, chunk] {
+        let _ = sender.send(event).await;
+    }
+    Ok(Usage::default())
+}
+
+async fn pass_on(
+    generation: &mut Generation,
+    handle: &Name,
+    mut offset: u64,
+    sender: &mpsc::Sender<RunEvent>,
+) -> Result<Usage, Error> {
+    loop {
+        let part = generation.next().await?;
+        if generation.handle() != Some(handle) {
+            return Err(generation.wrong_handle());
+        }
+        match part {
+            Part::Text { tokens, text } => {
+                let chunk = RunEvent::Chunk {
+                    offset,
+                    count: tokens,
+                    data: text.into_bytes(),
+                };
+                offset += tokens;
+                let _ = sender.send(chunk).await;
+            }
+            Part::End { usage } => return Ok(usage),
+        }
+    }
+}
+
+fn failed(cause: &Error) -> Refusal {
+    let code = match cause.classify() {
+        Category::Rejected => Code::BadRequest,
+        Category::Timeout => Code::Timeout,
+        Category::NotLoaded | Category::LoadFailed | Category::NoSlot => Code::LoadFailed,
+        Category::NotSent | Category::StaleFencing => Code::NoServer,
+        Category::Interrupted | Category::Protocol => Code::BackendFailed,
+    };
+    let refusal = Refusal::not_run(code, cause.to_string()).retry_after_ms(RETRY_AFTER_MS);
+    Refusal {
+        ran: cause.ran(),
+        ..refusal
+    }
+}
+
+fn started_and_failed(cause: &Error) -> Refusal {
+    Refusal {
+        ran: Ran::Yes,
+        code: Code::BackendFailed,
+        ..failed(cause)
+    }
+}
+
+fn timed_out() -> Refusal {
+    Refusal::not_run(Code::Timeout, "the deadline passed").retry_after_ms(RETRY_AFTER_MS)
+}
--- /dev/null
+++ b/daemon/src/entry.rs
@@ -0,0 +1,176 @@
+//! The part of an instance that takes in calls and sees each to its final answer.
+
+use std::sync::Arc;
+
+use futures::StreamExt;
+use futures::future::BoxFuture;
+use futures::stream;
+use mimosabay_caller::{Answer, Asked, Call, Events, Gateway};
+use mimosabay_core::admission::{self, Admitted, Ask};
+use mimosabay_core::date::Date;
+use mimosabay_core::name::Name;
+use mimosabay_core::request::{Code, Refusal, Request, Work};
+use mimosabay_core::resource::Kind;
+use tokio::sync::mpsc;
+
+use crate::clock::unix_ms;
+use crate::instance::Instance;
+use crate::supervise;
+
+/// Events that are buffered between a run and its caller.
+const EVENT_BUFFER: usize = 64;
+/// When a repeat is worth trying at another instance.
+const NOT_READY_RETRY_MS: u64 = 1_000;
+
+/// Takes in the calls of one instance.
+pub struct Entry {
+    instance: Arc<Instance>,
+}
+
+impl Entry {
+    /// Takes in calls for `instance`.
+    pub fn new(instance: Arc<Instance>) -> Self {
+        Self { instance }
+    }
+
+    fn admit(&self, call: &Call) -> Result<Admitted, Refusal> {
+        let instance = &self.instance;
+        if !instance.is_fresh() {
+            let refusal = Refusal::not_run(Code::NotReady, "the configuration may be out of date");
+            return Err(refusal.retry_after_ms(NOT_READY_RETRY_MS));
+        }
+        let ask = match &call.asked {
+            Asked::Generate { model, .. } => Ask::Model(model),
+            Asked::Plain { method, path, .. } => Ask::Plain { method, path },
+        };
+        let key = call.key_sha256.as_deref();
+        let keyed = call.idempotency_key.is_some();
+        instance.with_config(|config| {
+            check_sunset(config.site().and_then(|site| site.sunset_date.as_ref()))?;
+            admission::admit(config, key, ask, keyed)
+        })
+    }
+
+    fn take_in(&self, call: Call) -> Result<Answer, Refusal> {
+        let admitted = self.admit(&call)?;
+        let request_id = self.request_id(&call);
+        let request = request(call, admitted, request_id.clone());
+        let (sender, events) = mpsc::channel(EVENT_BUFFER);
+        tokio::spawn(supervise::run(self.instance.clone(), request, sender));
+        Ok(Answer {
+            request_id,
+            events: into_stream(events),
+        })
+    }
+
+    /// The id is unique even if callers propose one twice, because backend servers and the
+    /// journal tell requests apart by it.
+    fn request_id(&self, call: &Call) -> Name {
+        let unique: u64 = rand::random();
+        match &call.request_id {
+            Some(proposed) => format!("{proposed}.{unique:016x}").into(),
+            None => format!("{:x}.{unique:016x}", self.instance.id.incarnation).into(),
+        }
+    }
+}
+
+impl Gateway for Entry {
+    fn answer(&self, call: Call) -> BoxFuture<'_, Result<Answer, Refusal>> {
+        let taken = self.take_in(call);
+        if let Err(refusal) = &taken {
+            supervise::log_refused(&self.instance, refusal);
+        }
+        Box::pin(std::future::ready(taken))
+    }
+
+    fn models(&self, key_sha256: Option<&str>) -> Result<Vec<Name>, Refusal> {
+        self.instance.with_config(|config| {
+            let mut names: Vec<Name> = [Kind::Adapter, Kind::Route]
+                .into_iter()
+                .flat_map(|kind| config.of_kind(kind))
+                .filter(|(name, _)| {
+                    admission::admit(config, key_sha256, Ask::Model(name), false).is_ok()
+                })
+                .map(|(name, _)| name.clone())
+                .collect();
+            if names.is_empty() {
+                // Tells a key that does not work from one that may use no model.
+                admission::check_key(config, key_sha256)?;
+            }
+            names.sort();
+            Ok(names)
+        })
+    }
+
+    fn is_ready(&self) -> bool {
+        self.instance.is_fresh() && !self.instance.is_stopping()
+    }
+
+    fn sunset_date(&self) -> Option<Name> {
+        self.instance
+            .with_config(|config| config.site()?.sunset_date.clone())
+    }
+}
+
+fn check_sunset(date: Option<&Name>) -> Result<(), Refusal> {
+    let day = date.and_then(|date| Date::parse(date));
+    if day.is_some_and(|day| unix_ms() / 1_000 >= day.unix_s()) {
+        return Err(Refusal::not_run(Code::Sunset, "the service has ended"));
+    }
+    Ok(())
+}
+
+fn request(call: Call, admitted: Admitted, id: Name) -> Request {
+    let work = work(call.asked, &admitted);
+    Request {
+        id,
+        fingerprint: work.fingerprint(),
+        organisation: admitted.organisation,
+        key: admitted.key,
+        pool: admitted.pool,
+        repeat: admitted.repeat,
+        idempotency_key: call.idempotency_key,
+        timeout_ms: admitted.timeout_ms,
+        resume: None,
+        work,
+    }
+}
+
+fn work(asked: Asked, admitted: &Admitted) -> Work {
+    match asked {
+        Asked::Generate {
+            body,
+            chat,
+            prompt_tokens,
+            completion_tokens,
+            ..
+        } => Work::Generate {
+            model: admitted
+                .model
+                .clone()
+                .expect("a generation is admitted with its adapter"),
+            body,
+            chat,
+            max_tokens: prompt_tokens + completion_tokens,
+        },
+        Asked::Plain {
+            method,
+            path,
+            content_type,
+            body,
+        } => Work::Plain {
+            method,
+            path,
+            content_type,
+            body,
+        },
+    }
+}
+
+fn into_stream(events: mpsc::Receiver<mimosabay_core::request::RunEvent>) -> Events {
+    stream::unfold(events, |mut events| async move {
+        let event = events.recv().await?;
+        Some((event, events))
+    })
+    .boxed()
+}
--- a/daemon/src/heartbeat.rs
+++ b/daemon/src/heartbeat.rs
@@ -17,7 +17,9 @@
 
 /// Sends heartbeats until the process ends.
 pub async fn run(instance: Arc<Instance>) {
-    let mut ticks = instance.timer.subscribe(instance.settings.timing.heartbeat_ms);
+    let mut ticks = instance
+        .timer
+        .subscribe(instance.settings.timing.heartbeat_ms);
     while ticks.recv().await.is_some() {
         beat(&instance).await;
     }
@@ -59,7 +61,12 @@
 async fn beat(instance: &Arc<Instance>) {
     let peers = watched(instance);
     let message = heartbeat(instance);
-    join_all(peers.iter().map(|(_, address)| beat_one(instance, address, &message))).await;
+    join_all(
+        peers
+            .iter()
+            .map(|(_, address)| beat_one(instance, address, &message)),
+    )
+    .await;
     let now_ms = instance.now_ms();
     instance.with_membership(|membership| membership.tick(now_ms));
 }
@@ -70,14 +77,19 @@
     let Ok(reply) = instance.peer(address).ask(&envelope, timeout_ms).await else {
         return;
     };
-    let Reply::Heartbeat { from, config_revision, leaving, rumours } = reply else {
+    let Reply::Heartbeat {
+        from,
+        config_revision,
+        leaving,
+        rumours,
+    } = reply
+    else {
         warn!(%address, "a peer answered a heartbeat with something else");
         return;
     };
     let now_ms = instance.now_ms();
     instance.with_membership(|membership| {
-        membership.heard(&from, leaving, now_ms);
-        rumours.iter().for_each(|rumour| membership.rumour(rumour, now_ms));
+        membership.heartbeat(&from, leaving, &rumours, now_ms);
     });
     config_sync::heard_revision(instance, address, config_revision).await;
 }
@@ -99,7 +111,11 @@
             let address = membership.member(&name)?.listed.peer_address.clone();
             Some((name, address))
         };
-        membership.watched().into_iter().filter_map(address).collect()
+        membership
+            .watched()
+            .into_iter()
+            .filter_map(address)
+            .collect()
     })
 }
 
--- a/daemon/src/inbound.rs
+++ b/daemon/src/inbound.rs
@@ -14,7 +14,10 @@
 
 /// Answers one message.
 pub async fn handle(instance: Arc<Instance>, inbound: Inbound) {
-    let Inbound { envelope, responder } = inbound;
+    let Inbound {
+        envelope,
+        responder,
+    } = inbound;
     let from = envelope.from;
     match envelope.message {
         Message::Run { server, request } => run(instance, server, *request, responder).await,
@@ -29,11 +32,14 @@
 
 fn answer(instance: &Arc<Instance>, from: &InstanceId, message: Message) -> Reply {
     match message {
-        Message::Heartbeat { config_revision, leaving, rumours } => {
+        Message::Heartbeat {
+            config_revision,
+            leaving,
+            rumours,
+        } => {
             let now_ms = instance.now_ms();
             instance.with_membership(|membership| {
-                membership.heard(from, leaving, now_ms);
-                rumours.iter().for_each(|rumour| membership.rumour(rumour, now_ms));
+                membership.heartbeat(from, leaving, &rumours, now_ms);
             });
             pull_if_behind(instance, from, config_revision);
             own_heartbeat(instance)
@@ -50,16 +56,27 @@
 }
 
 fn own_heartbeat(instance: &Instance) -> Reply {
-    let Message::Heartbeat { config_revision, leaving, rumours } = heartbeat::heartbeat(instance)
+    let Message::Heartbeat {
+        config_revision,
+        leaving,
+        rumours,
+    } = heartbeat::heartbeat(instance)
     else {
         unreachable!("a heartbeat is a heartbeat");
     };
-    Reply::Heartbeat { from: instance.id.clone(), config_revision, leaving, rumours }
+    Reply::Heartbeat {
+        from: instance.id.clone(),
+        config_revision,
+        leaving,
+        rumours,
+    }
 }
 
 fn pull_if_behind(instance: &Arc<Instance>, from: &InstanceId, revision: u64) {
     let address = instance.with_membership(|membership| {
-        membership.member(&from.name).map(|member| member.listed.peer_address.clone())
+        membership
+            .member(&from.name)
+            .map(|member| member.listed.peer_address.clone())
     });
     if let Some(address) = address {
         let instance = instance.clone();
--- a/daemon/src/instance.rs
+++ b/daemon/src/instance.rs
@@ -9,7 +9,7 @@
 use mimosabay_core::name::{InstanceId, Name};
 use mimosabay_core::retry::RetryBudget;
 use mimosabay_http::Client;
-use mimosabay_operator::settings::Settings;
+use mimosabay_operator::Settings;
 use mimosabay_peer::{Envelope, Message, Peer, Secret};
 use mimosabay_platform::Platform;
 use tokio::sync::watch;
@@ -72,8 +72,9 @@
     /// Builds an instance; nothing runs yet.
     pub fn new(settings: Settings, clock: Clock, timer: Timer) -> (Arc<Self>, Waiting) {
         let (workers, waiting) = Workers::new();
-        let membership_settings =
-            MembershipSettings { peer_timeout_ms: settings.timing.peer_timeout_ms };
+        let membership_settings = MembershipSettings {
+            peer_timeout_ms: settings.timing.peer_timeout_ms,
+        };
         let tables = Tables {
             config: RwLock::default(),
             membership: Mutex::new(Membership::new(listed(&settings), membership_settings)),
@@ -86,7 +87,7 @@
             clock,
             timer,
             tables,
-            platform: Platform::new(&settings.platform.address),
+            platform: Platform::new(&settings.platform.address.to_string()),
             http: Client::new(),
             workers,
             metrics: Metrics::new(&settings.metrics),
@@ -94,7 +95,7 @@
             fresh_ms: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
             open_requests: watch::Sender::new(0),
-            secret: Secret::new(&settings.peers.secret),
+            secret: Secret::new(settings.peers.secret.reveal()),
             settings,
         };
         (Arc::new(instance), waiting)
@@ -147,13 +148,18 @@
 
     /// Puts this process's name on a message.
     pub fn envelope(&self, message: Message) -> Envelope {
-        Envelope { from: self.id.clone(), message }
+        Envelope {
+            from: self.id.clone(),
+            message,
+        }
     }
 
     /// Counts a request as open until the returned value is dropped.
     pub fn open_request(self: &Arc<Self>) -> OpenRequest {
         self.open_requests.send_modify(|open| *open += 1);
-        OpenRequest { instance: self.clone() }
+        OpenRequest {
+            instance: self.clone(),
+        }
     }
 }
 
@@ -171,7 +177,7 @@
 fn listed(settings: &Settings) -> Listed {
     Listed {
         name: settings.instance.name.clone(),
-        peer_address: settings.instance.peer_address.as_str().into(),
+        peer_address: settings.instance.peer_address.to_string().into(),
         zone: settings.instance.zone.clone(),
         leaving: false,
     }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -1,1 +1,28 @@
-//! The mimosabay daemon.
+//! The parts of the daemon.
+//!
+//! An instance takes in calls ([`entry`]), sees each to its final answer ([`supervise`]), finds
+//! the backend server and its owner ([`route`]), and dispatches to the servers that it owns itself
+//! ([`owner`], [`dispatch`]). Beside that it follows the configuration ([`config_sync`]), knows the
+//! other instances ([`heartbeat`]) and may hold the role of the [`acceptor`].
+
+// A poisoned lock and an impossible event are broken invariants: the process stops.
+#![allow(clippy::missing_panics_doc)]
+
+pub mod acceptor;
+pub mod clock;
+pub mod config_sync;
+pub mod dispatch;
+pub mod entry;
+pub mod heartbeat;
+pub mod inbound;
+pub mod instance;
+pub mod log;
+pub mod metrics;
+pub mod orders;
+pub mod owner;
+pub mod route;
+pub mod run;
+pub mod stop;
+pub mod supervise;
+pub mod timer;
+pub mod workers;
--- /dev/null
+++ b/daemon/src/main.rs
@@ -0,0 +1,65 @@
+//! The daemon: one process for each instance.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::{Arg, ArgAction, Command, value_parser};
+use mimosabay_daemon::{log, run};
+use mimosabay_operator::Settings;
+
+/// Exit code for settings that cannot be read or are wrong.
+const EXIT_SETTINGS: u8 = 2;
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let path: &PathBuf = matches.get_one("settings").expect("clap requires the file");
+    let settings = match read(path) {
+        Ok(settings) => settings,
+        Err(message) => {
+            eprintln!("{message}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if matches.get_flag("check-settings") {
+        println!("{}: settings are valid", path.display());
+        return ExitCode::SUCCESS;
+    }
+    log::start(settings.log.level);
+    serve(settings)
+}
+
+fn command() -> Command {
+    Command::new("mimosabayd")
+        .about("Serves callers of many LoRA adapters: one process for each instance")
+        .version(env!("CARGO_PKG_VERSION"))
+        .arg(
+            Arg::new("settings")
+                .help("INI file with the settings of this instance")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .required(true),
+        )
+        .arg(
+            Arg::new("check-settings")
+                .long("check-settings")
+                .help("Check the settings, report every error at once, and exit")
+                .action(ArgAction::SetTrue),
+        )
+}
+
+fn read(path: &Path) -> Result<Settings, String> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|cause| format!("{}: cannot read the settings: {cause}", path.display()))?;
+    Settings::parse(&text).map_err(|errors| format!("{}: {errors}", path.display()))
+}
+
+fn serve(settings: Settings) -> ExitCode {
+    let runtime = tokio::runtime::Runtime::new().expect("the runtime starts");
+    match runtime.block_on(run::run(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(cause) => {
+            tracing::error!(%cause, "cannot listen on an address of the settings");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/orders.rs
@@ -0,0 +1,130 @@
+//! Orders to engines that are carried out by the pool of workers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use mimosabay_backend::{Category, Error, LoadOrder, UnloadOrder};
+use mimosabay_core::name::{AdapterVersion, Name};
+use tokio::time::sleep;
+use tracing::{info, warn};
+
+use crate::instance::Instance;
+use crate::owner::OwnedServer;
+
+/// Attempts at a load that finds no slot, because an unload has not been carried out yet.
+const SLOT_ATTEMPTS: u32 = 5;
+/// Time between these attempts.
+const SLOT_RETRY_MS: u64 = 50;
+
+/// An order to an engine.
+pub enum Order {
+    /// Free slots, then load an adapter.
+    Load {
+        /// The server.
+        server: Arc<OwnedServer>,
+        /// What to load.
+        model: AdapterVersion,
+        /// Handle to load it under.
+        handle: Name,
+        /// Handles whose slots are freed before.
+        unload: Vec<Name>,
+    },
+    /// Free slots.
+    Unload {
+        /// The server.
+        server: Arc<OwnedServer>,
+        /// The handles.
+        handles: Vec<Name>,
+    },
+}
+
+/// Carries out one order and tells the queue of the server.
+pub async fn carry_out(instance: &Arc<Instance>, order: Order) {
+    match order {
+        Order::Load {
+            server,
+            model,
+            handle,
+            unload,
+        } => {
+            unload_all(&server, unload).await;
+            load(instance, &server, &model, handle).await;
+        }
+        Order::Unload { server, handles } => unload_all(&server, handles).await,
+    }
+}
+
+async fn load(
+    instance: &Arc<Instance>,
+    server: &Arc<OwnedServer>,
+    model: &AdapterVersion,
+    handle: Name,
+) {
+    let started_ms = instance.now_ms();
+    let loaded = match source(instance, model) {
+        Some(source) => load_with_retries(server, source, &handle)
+            .await
+            .map_err(Some),
+        None => Err(None),
+    };
+    let took_ms = instance.now_ms() - started_ms;
+    instance.metrics.time("adapter_load", took_ms);
+    match loaded {
+        Ok(()) => {
+            info!(server = %server.name, %handle, took_ms, "adapter loaded");
+            server.visit(instance, |queue, now_ms| queue.loaded(model, now_ms));
+        }
+        Err(cause) => {
+            warn!(server = %server.name, %handle, took_ms, ?cause, "adapter not loaded");
+            server
+                .state
+                .lock()
+                .expect("owned server lock")
+                .handles
+                .remove(model);
+            server.visit(instance, |queue, now_ms| queue.load_failed(model, now_ms));
+        }
+    }
+}
+
+async fn load_with_retries(server: &OwnedServer, source: Name, handle: &Name) -> Result<(), Error> {
+    let mut attempt = 1;
+    loop {
+        let fencing = fencing(server);
+        let order = LoadOrder {
+            handle: handle.clone(),
+            source: source.clone(),
+            fencing,
+        };
+        match server.engine.load(&order).await {
+            Err(cause) if cause.classify() == Category::NoSlot && attempt < SLOT_ATTEMPTS => {
+                attempt += 1;
+                sleep(Duration::from_millis(SLOT_RETRY_MS)).await;
+            }
+            ended => return ended,
+        }
+    }
+}
+
+async fn unload_all(server: &OwnedServer, handles: Vec<Name>) {
+    for handle in handles {
+        let order = UnloadOrder {
+            handle,
+            fencing: fencing(server),
+        };
+        if let Err(cause) = server.engine.unload(&order).await {
+            warn!(server = %server.name, handle = %order.handle, %cause, "adapter not unloaded");
+        }
+    }
+}
+
+fn fencing(server: &OwnedServer) -> u64 {
+    server.state.lock().expect("owned server lock").fencing
+}
+
+fn source(instance: &Instance, model: &AdapterVersion) -> Option<Name> {
+    instance.with_config(|config| {
+        let (_, adapter) = config.adapter(&model.adapter)?;
+        Some(adapter.version(Some(&model.version))?.source.clone())
+    })
+}
--- /dev/null
+++ b/daemon/src/owner.rs
@@ -0,0 +1,440 @@
+//! The part of an instance that dispatches to the backend servers it owns.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+
+use mimosabay_backend::Engine;
+use mimosabay_core::admission;
+use mimosabay_core::name::{AdapterVersion, Name};
+use mimosabay_core::queue::{Action, ServerLimits, ServerQueue, Ticket, Waiting};
+use mimosabay_core::request::{Code, Refusal, Repeat, Request, RunEvent, Usage, Work};
+use mimosabay_core::resource::BackendServer;
+use tokio::sync::{OnceCell, mpsc, oneshot};
+use tokio::task::JoinHandle;
+
+use crate::dispatch;
+use crate::instance::Instance;
+use crate::orders::Order;
+
+/// Events that are buffered between the owner and the reader of a run.
+const EVENT_BUFFER: usize = 64;
+/// When a repeat is worth trying after a refusal that another instance or server may not give.
+const RETRY_AFTER_MS: u64 = 500;
+/// Time between two ticks of the queues.
+const TICK_PERIOD_MS: u64 = 50;
+
+/// A backend server that this instance dispatches to.
+pub struct OwnedServer {
+    /// Its name.
+    pub name: Name,
+    /// Client for it.
+    pub engine: Engine,
+    /// Whether the claim on the server has been made.
+    pub claimed: OnceCell<()>,
+    /// Its queue and what belongs to it.
+    pub state: Mutex<OwnedState>,
+}
+
+/// Queue of an owned server and what belongs to it.
+pub struct OwnedState {
+    /// Which requests run and which adapters are held.
+    pub queue: ServerQueue,
+    /// Handle of each adapter that is loaded or being loaded.
+    pub handles: HashMap<AdapterVersion, Name>,
+    /// Fencing number of this owner. Invariant: only grows.
+    pub fencing: u64,
+    /// Start number of the engine; another one means that its memory was lost.
+    pub boot: u64,
+    /// Loads ordered so far, for handles that are never used twice.
+    pub loads: u64,
+    turns: HashMap<Ticket, oneshot::Sender<Result<Name, Refusal>>>,
+    next_ticket: Ticket,
+}
+
+/// A run on a server that this instance owns.
+pub struct LocalRun {
+    events: mpsc::Receiver<RunEvent>,
+    task: JoinHandle<()>,
+    repeat: Repeat,
+}
+
+/// The right to send one request to the server. Dropping it frees the place in the batch.
+struct Turn {
+    instance: Arc<Instance>,
+    server: Arc<OwnedServer>,
+    ticket: Ticket,
+    handle: Name,
+}
+
+/// A request in the queue. Dropping it takes the request out.
+struct Place {
+    instance: Arc<Instance>,
+    server: Arc<OwnedServer>,
+    ticket: Ticket,
+    waiting: bool,
+}
+
+/// Runs a request on a server that this instance owns.
+pub fn run(instance: &Arc<Instance>, server: Name, request: Request) -> LocalRun {
+    let (sender, events) = mpsc::channel(EVENT_BUFFER);
+    let repeat = request.repeat;
+    let task = tokio::spawn(run_to_end(instance.clone(), server, request, sender));
+    LocalRun {
+        events,
+        task,
+        repeat,
+    }
+}
+
+/// Ticks the queues until the process ends.
+pub async fn run_ticks(instance: Arc<Instance>) {
+    let mut ticks = instance.timer.subscribe(TICK_PERIOD_MS);
+    while ticks.recv().await.is_some() {
+        let servers: Vec<_> = owned(&instance).values().cloned().collect();
+        for server in servers {
+            server.visit(&instance, ServerQueue::tick);
+        }
+    }
+}
+
+impl LocalRun {
+    /// The next event; `None` after the last one.
+    pub async fn next(&mut self) -> Option<RunEvent> {
+        self.events.recv().await
+    }
+}
+
+impl Drop for LocalRun {
+    fn drop(&mut self) {
+        // Work that may not be repeated runs to its end, so that its outcome is recorded.
+        if self.repeat == Repeat::Idempotent {
+            self.task.abort();
+        }
+    }
+}
+
+impl OwnedServer {
+    fn new(instance: &Instance, name: Name, spec: &BackendServer) -> Self {
+        let limits = ServerLimits {
+            slots: spec.slots as usize,
+            batch: spec.batch as usize,
+        };
+        let state = OwnedState {
+            queue: ServerQueue::new(limits),
+            handles: HashMap::new(),
+            fencing: 0,
+            boot: 0,
+            loads: 0,
+            turns: HashMap::new(),
+            next_ticket: 0,
+        };
+        Self {
+            name,
+            engine: Engine::new(instance.http.clone(), &spec.address),
+            claimed: OnceCell::new(),
+            state: Mutex::new(state),
+        }
+    }
+
+    /// Changes the queue and carries out what follows from it.
+    pub fn visit(
+        self: &Arc<Self>,
+        instance: &Instance,
+        change: impl FnOnce(&mut ServerQueue, u64) -> Vec<Action>,
+    ) {
+        let now_ms = instance.now_ms();
+        let mut state = self.state.lock().expect("owned server lock");
+        let actions = change(&mut state.queue, now_ms);
+        for order in state.act(self, instance, actions) {
+            instance.workers.submit(order);
+        }
+    }
+
+    async fn turn(
+        self: &Arc<Self>,
+        instance: &Arc<Instance>,
+        request: &Request,
+        model: &AdapterVersion,
+        deadline_ms: u64,
+    ) -> Result<Turn, Refusal> {
+        let (ticket, granted) = self.enqueue(instance, request, model, deadline_ms);
+        let place = Place {
+            instance: instance.clone(),
+            server: self.clone(),
+            ticket,
+            waiting: true,
+        };
+        let handle = wait(instance, self, request, granted).await?;
+        Ok(place.into_turn(handle))
+    }
+
+    fn enqueue(
+        self: &Arc<Self>,
+        instance: &Arc<Instance>,
+        request: &Request,
+        model: &AdapterVersion,
+        deadline_ms: u64,
+    ) -> (Ticket, oneshot::Receiver<Result<Name, Refusal>>) {
+        let weight = instance.with_config(|config| {
+            config
+                .organisation(&request.organisation)
+                .map_or(1, |spec| spec.weight)
+        });
+        let (sender, granted) = oneshot::channel();
+        let ticket = {
+            let mut state = self.state.lock().expect("owned server lock");
+            state.next_ticket += 1;
+            let ticket = state.next_ticket;
+            state.turns.insert(ticket, sender);
+            ticket
+        };
+        let waiting = Waiting {
+            ticket,
+            organisation: request.organisation.clone(),
+            weight,
+            model: model.clone(),
+            cost_tokens: cost_tokens(request),
+            deadline_ms,
+        };
+        self.visit(instance, |queue, now_ms| queue.enqueue(waiting, now_ms));
+        (ticket, granted)
+    }
+}
+
+impl OwnedState {
+    /// Answers those whose turn it is, and returns the orders for the server.
+    fn act(
+        &mut self,
+        server: &Arc<OwnedServer>,
+        instance: &Instance,
+        actions: Vec<Action>,
+    ) -> Vec<Order> {
+        let mut orders = Vec::new();
+        let mut freed = Vec::new();
+        for action in actions {
+            match action {
+                Action::Dispatch { ticket } => self.grant(ticket),
+                Action::Refuse {
+                    ticket,
+                    code,
+                    retry_after_ms,
+                } => {
+                    self.refuse(ticket, code, retry_after_ms);
+                }
+                Action::Evict { model } => freed.extend(self.handles.remove(&model)),
+                Action::Load { model } => {
+                    let handle = self.new_handle(instance, &model);
+                    let unload = std::mem::take(&mut freed);
+                    orders.push(Order::Load {
+                        server: server.clone(),
+                        model,
+                        handle,
+                        unload,
+                    });
+                }
+            }
+        }
+        if !freed.is_empty() {
+            orders.push(Order::Unload {
+                server: server.clone(),
+                handles: freed,
+            });
+        }
+        orders
+    }
+
+    fn grant(&mut self, ticket: Ticket) {
+        let Some(turn) = self.turns.remove(&ticket) else {
+            return;
+        };
+        let handle = self
+            .queue
+            .model_of(ticket)
+            .and_then(|model| self.handles.get(model));
+        let handle = handle
+            .expect("a dispatched request has a loaded adapter")
+            .clone();
+        // A receiver that is gone gives the place back when its `Place` is dropped.
+        let _ = turn.send(Ok(handle));
+    }
+
+    fn refuse(&mut self, ticket: Ticket, code: Code, retry_after_ms: u64) {
+        if let Some(turn) = self.turns.remove(&ticket) {
+            let refusal = Refusal::not_run(code, "given up in the queue of the backend server");
+            let _ = turn.send(Err(refusal.retry_after_ms(retry_after_ms)));
+        }
+    }
+
+    fn new_handle(&mut self, instance: &Instance, model: &AdapterVersion) -> Name {
+        self.loads += 1;
+        let handle: Name = format!(
+            "{model}~{}.{:x}.{}",
+            instance.id.name, instance.id.incarnation, self.loads
+        )
+        .into();
+        self.handles.insert(model.clone(), handle.clone());
+        handle
+    }
+}
+
+impl Place {
+    fn into_turn(mut self, handle: Name) -> Turn {
+        self.waiting = false;
+        Turn {
+            instance: self.instance.clone(),
+            server: self.server.clone(),
+            ticket: self.ticket,
+            handle,
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if !self.waiting {
+            return;
+        }
+        let was_waiting = {
+            let mut state = self.server.state.lock().expect("owned server lock");
+            state.turns.remove(&self.ticket);
+            state.queue.cancel(self.ticket)
+        };
+        if !was_waiting {
+            // The turn was granted after the request had stopped waiting for it.
+            let ticket = self.ticket;
+            self.server.visit(&self.instance, |queue, now_ms| {
+                queue.finished(ticket, now_ms)
+            });
+        }
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        let ticket = self.ticket;
+        self.server.visit(&self.instance, |queue, now_ms| {
+            queue.finished(ticket, now_ms)
+        });
+    }
+}
+
+async fn run_to_end(
+    instance: Arc<Instance>,
+    server: Name,
+    request: Request,
+    sender: mpsc::Sender<RunEvent>,
+) {
+    let _open = instance.open_request();
+    let last = match execute(&instance, &server, &request, &sender).await {
+        Ok(usage) => RunEvent::Finished { usage },
+        Err(refusal) => RunEvent::Refused { refusal },
+    };
+    // A reader that left needs no answer.
+    let _ = sender.send(last).await;
+}
+
+async fn execute(
+    instance: &Arc<Instance>,
+    server: &Name,
+    request: &Request,
+    sender: &mpsc::Sender<RunEvent>,
+) -> Result<Usage, Refusal> {
+    let deadline_ms = instance.now_ms() + request.timeout_ms;
+    match &request.work {
+        Work::Generate { model, .. } => {
+            let owned = owned_server(instance, server)?;
+            dispatch::claim(instance, &owned).await?;
+            let turn = owned.turn(instance, request, model, deadline_ms).await?;
+            check_still_wanted(instance, request, deadline_ms)?;
+            dispatch::generate(instance, &owned, request, &turn.handle, deadline_ms, sender).await
+        }
+        Work::Plain { .. } => {
+            check_still_wanted(instance, request, deadline_ms)?;
+            dispatch::plain(instance, server, request, deadline_ms, sender).await
+        }
+    }
+}
+
+fn owned_server(instance: &Instance, name: &Name) -> Result<Arc<OwnedServer>, Refusal> {
+    let spec = instance.with_config(|config| config.server(name).cloned());
+    let Some(spec) = spec.filter(|spec| !spec.leaving) else {
+        return Err(no_server("the backend server is leaving"));
+    };
+    let mut owned = owned(instance);
+    let server = owned
+        .entry(name.clone())
+        .or_insert_with(|| Arc::new(OwnedServer::new(instance, name.clone(), &spec)));
+    Ok(server.clone())
+}
+
+fn owned(instance: &Instance) -> std::sync::MutexGuard<'_, HashMap<Name, Arc<OwnedServer>>> {
+    instance.tables.owned.lock().expect("owned lock")
+}
+
+/// Waits for the turn, as long as the key works and the server stays.
+async fn wait(
+    instance: &Instance,
+    server: &OwnedServer,
+    request: &Request,
+    mut granted: oneshot::Receiver<Result<Name, Refusal>>,
+) -> Result<Name, Refusal> {
+    let mut config_changed = instance.config_changed.subscribe();
+    loop {
+        tokio::select! {
+            turn = &mut granted => {
+                return turn.unwrap_or_else(|_| Err(no_server("the queue was given up")));
+            }
+            _ = config_changed.changed() => {
+                check_key(instance, request)?;
+                check_stays(instance, server)?;
+            }
+        }
+    }
+}
+
+fn check_still_wanted(
+    instance: &Instance,
+    request: &Request,
+    deadline_ms: u64,
+) -> Result<(), Refusal> {
+    check_key(instance, request)?;
+    if instance.now_ms() < deadline_ms {
+        return Ok(());
+    }
+    let refusal = Refusal::not_run(Code::Timeout, "the deadline passed before dispatch");
+    Err(refusal.retry_after_ms(RETRY_AFTER_MS))
+}
+
+fn check_key(instance: &Instance, request: &Request) -> Result<(), Refusal> {
+    if instance.with_config(|config| admission::key_works(config, &request.key)) {
+        return Ok(());
+    }
+    Err(Refusal::not_run(
+        Code::WithdrawnKey,
+        "the key has been withdrawn",
+    ))
+}
+
+fn check_stays(instance: &Instance, server: &OwnedServer) -> Result<(), Refusal> {
+    let stays = instance.with_config(|config| {
+        config
+            .server(&server.name)
+            .is_some_and(|spec| !spec.leaving)
+    });
+    if stays {
+        Ok(())
+    } else {
+        Err(no_server("the backend server is leaving"))
+    }
+}
+
+fn no_server(message: &str) -> Refusal {
+    Refusal::not_run(Code::NoServer, message).retry_after_ms(RETRY_AFTER_MS)
+}
+
+fn cost_tokens(request: &Request) -> u64 {
+    match &request.work {
+        Work::Generate { max_tokens, .. } => *max_tokens,
+        Work::Plain { .. } => 1,
+    }
+}
--- /dev/null
+++ b/daemon/src/route.rs
@@ -0,0 +1,133 @@
+//! From a request to the backend server and the instance that run it.
+
+use std::sync::Arc;
+
+use mimosabay_core::config::ConfigTable;
+use mimosabay_core::name::Name;
+use mimosabay_core::ownership;
+use mimosabay_core::rendezvous;
+use mimosabay_core::request::{Code, Refusal, Request, RunEvent, Work};
+use mimosabay_peer::{Category, Error, Message, Replies, Reply};
+
+use crate::instance::Instance;
+use crate::owner::{self, LocalRun};
+
+/// When a repeat is worth trying after an instance failed.
+const RETRY_AFTER_MS: u64 = 500;
+
+/// A run, on this instance or another.
+pub enum Run {
+    /// This instance dispatches.
+    Local(LocalRun),
+    /// Another instance dispatches.
+    Remote(Replies),
+}
+
+impl Run {
+    /// The next event.
+    ///
+    /// # Errors
+    ///
+    /// A refusal if the run was cut off before its last event.
+    pub async fn next(&mut self) -> Result<RunEvent, Refusal> {
+        match self {
+            Run::Local(run) => run.next().await.ok_or_else(cut_off),
+            Run::Remote(replies) => match replies.next().await {
+                Ok(Some(Reply::Run(event))) => Ok(event),
+                Ok(_) => Err(cut_off()),
+                Err(cause) => Err(peer_failed(&cause)),
+            },
+        }
+    }
+}
+
+/// Chooses the backend server for a request, leaving out those that failed.
+///
+/// # Errors
+///
+/// A refusal if there is none.
+pub fn choose(instance: &Instance, request: &Request, failed: &[Name]) -> Result<Name, Refusal> {
+    let item = match &request.work {
+        Work::Generate { model, .. } => model.to_string(),
+        Work::Plain { .. } => request.id.to_string(),
+    };
+    instance.with_config(|config| {
+        let fresh = rendezvous::choose(&item, usable(config, &request.pool, failed));
+        // Once all have failed, each may be tried again.
+        let chosen =
+            fresh.or_else(|| rendezvous::choose(&item, usable(config, &request.pool, &[])));
+        chosen.map(Name::from).ok_or_else(|| {
+            Refusal::not_run(Code::NoServer, "no backend server").retry_after_ms(RETRY_AFTER_MS)
+        })
+    })
+}
+
+/// Starts a run at the owner of the server.
+///
+/// # Errors
+///
+/// A refusal if the owner cannot be reached.
+pub async fn start(
+    instance: &Arc<Instance>,
+    server: Name,
+    request: Request,
+) -> Result<Run, Refusal> {
+    let owner = match &request.work {
+        Work::Generate { .. } => owner_address(instance, &server),
+        // Plain services have no state that one dispatcher would have to look after.
+        Work::Plain { .. } => None,
+    };
+    let Some(address) = owner else {
+        return Ok(Run::Local(owner::run(instance, server, request)));
+    };
+    let envelope = instance.envelope(Message::Run {
+        server,
+        request: Box::new(request),
+    });
+    let replies = instance.peer(&address).call(&envelope).await;
+    replies
+        .map(Run::Remote)
+        .map_err(|cause| peer_failed(&cause))
+}
+
+/// Address of the instance that owns the server, `None` if it is this one.
+fn owner_address(instance: &Instance, server: &Name) -> Option<Name> {
+    let zone = instance.with_config(|config| Some(config.server(server)?.zone.clone()))?;
+    instance.with_membership(|membership| {
+        let candidates = membership.candidates(instance.is_stopping());
+        let owner = ownership::owner(server, &zone, &candidates)?;
+        Some(membership.member(owner)?.listed.peer_address.clone())
+    })
+}
+
+fn usable<'a>(
+    config: &'a ConfigTable,
+    pool: &str,
+    failed: &'a [Name],
+) -> impl Iterator<Item = &'a str> {
+    let stays = |name: &&Name| config.server(name).is_some_and(|spec| !spec.leaving);
+    config
+        .servers_in_pool(pool)
+        .iter()
+        .filter(stays)
+        .filter(|name| !failed.contains(name))
+        .map(|name| &**name)
+}
+
+fn peer_failed(cause: &Error) -> Refusal {
+    let message = format!("another instance failed: {cause}");
+    let refusal = match cause.classify() {
+        Category::NotSent | Category::Unauthenticated => {
+            Refusal::not_run(Code::InstanceFailed, message)
+        }
+        Category::Interrupted | Category::Malformed => {
+            Refusal::in_doubt(Code::InstanceFailed, message)
+        }
+    };
+    refusal.retry_after_ms(RETRY_AFTER_MS)
+}
+
+fn cut_off() -> Refusal {
+    let refusal = Refusal::in_doubt(Code::InstanceFailed, "the run was cut off");
+    refusal.retry_after_ms(RETRY_AFTER_MS)
+}
--- /dev/null
+++ b/daemon/src/run.rs
@@ -0,0 +1,68 @@
+//! Putting one instance together and running it until its planned stop.
+
+use std::sync::Arc;
+
+use mimosabay_caller::CallerLimits;
+use mimosabay_operator::Settings;
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+use tracing::info;
+
+use crate::clock::Clock;
+use crate::entry::Entry;
+use crate::instance::Instance;
+use crate::timer::Timer;
+use crate::{acceptor, config_sync, heartbeat, inbound, owner, stop};
+
+/// Runs an instance until its planned stop is done.
+///
+/// # Errors
+///
+/// An address of the settings cannot be listened on.
+pub async fn run(settings: Settings) -> std::io::Result<()> {
+    let callers = TcpListener::bind(settings.instance.caller_address).await?;
+    let peers = TcpListener::bind(settings.instance.peer_address).await?;
+    let clock = Clock::start();
+    let (instance, workers) = Instance::new(settings, clock, Timer::start(clock));
+    workers.start(&instance);
+    info!(instance = %instance.id, "started");
+    start_tasks(&instance, peers);
+    let (close, closed) = oneshot::channel::<()>();
+    let entry = Arc::new(Entry::new(instance.clone()));
+    let stop = async move {
+        // An error means that the sender is gone, which ends the server as well.
+        let _ = closed.await;
+    };
+    let limits = caller_limits(&instance.settings);
+    let server = tokio::spawn(mimosabay_caller::serve(callers, entry, limits, stop));
+    stop::ordered().await;
+    let close = || {
+        // The server may have ended by itself.
+        let _ = close.send(());
+    };
+    stop::drain(&instance, close).await;
+    // Open connections without a request end with the process.
+    server.abort();
+    info!(instance = %instance.id, "stopped");
+    Ok(())
+}
+
+fn start_tasks(instance: &Arc<Instance>, peers: TcpListener) {
+    let for_inbound = instance.clone();
+    let handle = move |message| inbound::handle(for_inbound.clone(), message);
+    tokio::spawn(mimosabay_peer::serve(peers, instance.secret(), handle));
+    tokio::spawn(heartbeat::run_list(instance.clone()));
+    tokio::spawn(heartbeat::run(instance.clone()));
+    tokio::spawn(config_sync::run(instance.clone()));
+    tokio::spawn(acceptor::run(instance.clone()));
+    tokio::spawn(owner::run_ticks(instance.clone()));
+}
+
+fn caller_limits(settings: &Settings) -> CallerLimits {
+    let bytes = |bytes: u64| usize::try_from(bytes).unwrap_or(usize::MAX);
+    CallerLimits {
+        max_body_bytes: bytes(settings.limits.max_body_bytes),
+        max_header_bytes: bytes(settings.limits.max_header_bytes),
+        read_timeout_ms: settings.limits.read_timeout_ms,
+    }
+}
--- /dev/null
+++ b/daemon/src/stop.rs
@@ -0,0 +1,52 @@
+//! The planned stop: nothing that was admitted is cut off.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::{sleep, timeout};
+use tracing::{info, warn};
+
+use crate::heartbeat;
+use crate::instance::Instance;
+
+/// Waits for the order to stop (`SIGTERM` or `SIGINT`).
+///
+/// # Panics
+///
+/// If the process cannot listen for signals.
+pub async fn ordered() {
+    let mut term = signal(SignalKind::terminate()).expect("signals can be listened for");
+    let mut interrupt = signal(SignalKind::interrupt()).expect("signals can be listened for");
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
+
+/// Stops taking calls, first by saying so, and returns once all that were taken are answered.
+pub async fn drain(instance: &Arc<Instance>, close: impl FnOnce()) {
+    info!("planned stop begins");
+    instance.stopping.store(true, Ordering::SeqCst);
+    // The balancer sends calls here until it has noticed; they are served.
+    sleep(Duration::from_millis(
+        instance.settings.stop.balancer_lag_ms,
+    ))
+    .await;
+    close();
+    let limit = Duration::from_millis(instance.settings.stop.drain_timeout_ms);
+    let mut open = instance.open_requests.subscribe();
+    let drained = timeout(limit, open.wait_for(|open| *open == 0))
+        .await
+        .is_ok();
+    if drained {
+        info!("all requests are answered");
+    } else {
+        warn!(
+            open = *instance.open_requests.borrow(),
+            "requests are still open"
+        );
+    }
+    heartbeat::say_goodbye(instance).await;
+}
--- /dev/null
+++ b/daemon/src/supervise.rs
@@ -0,0 +1,250 @@
+//! Seeing one request to its final answer over as many attempts as it takes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use mimosabay_core::name::Name;
+use mimosabay_core::request::{Code, Ran, Refusal, Repeat, Request, Resume, RunEvent, Usage, Work};
+use mimosabay_core::retry::{self, Next};
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout_at};
+use tracing::info;
+
+use crate::instance::Instance;
+use crate::route::{self, Run};
+
+/// Pause before the first retry; it doubles with each further one.
+const FIRST_PAUSE_MS: u64 = 25;
+/// Time beyond the deadline in which the owner of the server can still say what became of it.
+const DEADLINE_GRACE_MS: u64 = 500;
+/// When a repeat is worth trying after an instance failed.
+const RETRY_AFTER_MS: u64 = 500;
+
+/// What the caller has been sent so far.
+struct Progress {
+    /// Tokens or bytes sent.
+    offset: u64,
+    /// Text sent, for a run that continues after it.
+    text: Vec<u8>,
+    /// Whether the head of a plain answer was sent.
+    has_head: bool,
+    /// Whether a backend server was heard to have started.
+    started: bool,
+}
+
+/// Runs a request until its final answer has been handed to `sender`.
+pub async fn run(instance: Arc<Instance>, request: Request, sender: mpsc::Sender<RunEvent>) {
+    let _open = instance.open_request();
+    let started_ms = instance.now_ms();
+    let ended = run_or_leave(&instance, &request, &sender).await;
+    log_ended(&instance, &request, &ended, instance.now_ms() - started_ms);
+    let last = match ended {
+        Ok(usage) => RunEvent::Finished { usage },
+        Err(refusal) => RunEvent::Refused { refusal },
+    };
+    // A caller that left needs no answer.
+    let _ = sender.send(last).await;
+}
+
+/// Logs and counts a call that was not taken in.
+pub fn log_refused(instance: &Instance, refusal: &Refusal) {
+    instance.metrics.count("request.refused_at_entry");
+    info!(code = ?refusal.code, message = %refusal.message, "call refused");
+}
+
+async fn run_or_leave(
+    instance: &Arc<Instance>,
+    request: &Request,
+    sender: &mpsc::Sender<RunEvent>,
+) -> Result<Usage, Refusal> {
+    tokio::select! {
+        ended = attempts(instance, request, sender) => ended,
+        // Work that may not be repeated runs to its end, so that its outcome is recorded.
+        () = sender.closed(), if request.repeat == Repeat::Idempotent => {
+            Err(Refusal::in_doubt(Code::Cancelled, "the caller left"))
+        }
+    }
+}
+
+async fn attempts(
+    instance: &Arc<Instance>,
+    request: &Request,
+    sender: &mpsc::Sender<RunEvent>,
+) -> Result<Usage, Refusal> {
+    let deadline_ms = instance.now_ms() + request.timeout_ms;
+    let mut progress = Progress::new();
+    let mut failed: Vec<Name> = Vec::new();
+    with_retry_budget(instance, retry::RetryBudget::request);
+    for attempt in 1.. {
+        let ended = try_once(
+            instance,
+            request,
+            deadline_ms,
+            &mut progress,
+            &failed,
+            sender,
+        )
+        .await;
+        let (server, refusal) = match ended {
+            Ok(usage) => return Ok(usage),
+            Err(ended) => ended,
+        };
+        let next = with_retry_budget(instance, |budget| {
+            retry::decide(request.repeat, refusal, attempt, budget)
+        });
+        if let Next::GiveUp(refusal) = next {
+            return Err(progress.truthful(refusal));
+        }
+        instance.metrics.count("request.retried");
+        failed.extend(server);
+        sleep(Duration::from_millis(FIRST_PAUSE_MS << attempt.min(6))).await;
+    }
+    unreachable!("the number of attempts is bounded")
+}
+
+/// Makes one attempt; a failure names the server that it was made on.
+async fn try_once(
+    instance: &Arc<Instance>,
+    request: &Request,
+    deadline_ms: u64,
+    progress: &mut Progress,
+    failed: &[Name],
+    sender: &mpsc::Sender<RunEvent>,
+) -> Result<Usage, (Option<Name>, Refusal)> {
+    let left_ms = deadline_ms.saturating_sub(instance.now_ms());
+    if left_ms == 0 {
+        return Err((None, timed_out(progress)));
+    }
+    let server = route::choose(instance, request, failed).map_err(|refusal| (None, refusal))?;
+    let mut request = request.clone();
+    request.timeout_ms = left_ms;
+    request.resume = progress.resume(&request.work);
+    let limit = instance.clock.instant(deadline_ms + DEADLINE_GRACE_MS);
+    let attempt = async {
+        let run = route::start(instance, server.clone(), request).await?;
+        follow(run, progress, sender).await
+    };
+    let ended = timeout_at(limit, attempt).await;
+    let ended = ended.unwrap_or_else(|_| Err(Refusal::in_doubt(Code::Timeout, "no final answer")));
+    ended.map_err(|refusal| (Some(server), refusal))
+}
+
+async fn follow(
+    mut run: Run,
+    progress: &mut Progress,
+    sender: &mpsc::Sender<RunEvent>,
+) -> Result<Usage, Refusal> {
+    loop {
+        match run.next().await? {
+            RunEvent::Finished { usage } => return Ok(usage),
+            RunEvent::Refused { refusal } => return Err(refusal),
+            RunEvent::Started { .. } => progress.started = true,
+            event => {
+                if progress.take(&event)? {
+                    // Whether the caller left is noticed in one place, `run_or_leave`.
+                    let _ = sender.send(event).await;
+                }
+            }
+        }
+    }
+}
+
+impl Progress {
+    fn new() -> Self {
+        Self {
+            offset: 0,
+            text: Vec::new(),
+            has_head: false,
+            started: false,
+        }
+    }
+
+    /// Takes in an event; returns whether the caller still needs it.
+    fn take(&mut self, event: &RunEvent) -> Result<bool, Refusal> {
+        match event {
+            RunEvent::Head { .. } => Ok(!std::mem::replace(&mut self.has_head, true)),
+            RunEvent::Chunk {
+                offset,
+                count,
+                data,
+            } => self.take_chunk(*offset, *count, data),
+            RunEvent::Started { .. } | RunEvent::Finished { .. } | RunEvent::Refused { .. } => {
+                Ok(true)
+            }
+        }
+    }
+
+    fn take_chunk(&mut self, offset: u64, count: u64, data: &[u8]) -> Result<bool, Refusal> {
+        if offset < self.offset {
+            return Ok(false);
+        }
+        if offset > self.offset {
+            return Err(Refusal::in_doubt(
+                Code::BackendFailed,
+                "a part of the answer is missing",
+            ));
+        }
+        self.offset += count;
+        self.text.extend_from_slice(data);
+        Ok(true)
+    }
+
+    /// What a further run continues after. Plain answers are sent whole, so that they start anew.
+    fn resume(&self, work: &Work) -> Option<Resume> {
+        if self.offset == 0 || matches!(work, Work::Plain { .. }) {
+            return None;
+        }
+        let text = String::from_utf8_lossy(&self.text).into_owned();
+        Some(Resume {
+            offset: self.offset,
+            text,
+        })
+    }
+
+    /// An earlier attempt may have run even if the last one has not.
+    fn truthful(&self, refusal: Refusal) -> Refusal {
+        let ran = if self.started {
+            refusal.ran.max(Ran::Unknown)
+        } else {
+            refusal.ran
+        };
+        Refusal { ran, ..refusal }
+    }
+}
+
+fn timed_out(progress: &Progress) -> Refusal {
+    let refusal = Refusal::not_run(Code::Timeout, "the deadline passed");
+    progress.truthful(refusal.retry_after_ms(RETRY_AFTER_MS))
+}
+
+fn with_retry_budget<T>(
+    instance: &Instance,
+    visit: impl FnOnce(&mut retry::RetryBudget) -> T,
+) -> T {
+    visit(
+        &mut instance
+            .tables
+            .retry_budget
+            .lock()
+            .expect("retry budget lock"),
+    )
+}
+
+fn log_ended(instance: &Instance, request: &Request, ended: &Result<Usage, Refusal>, took_ms: u64) {
+    instance.metrics.time("request", took_ms);
+    let request_id = &request.id;
+    let organisation = &request.organisation;
+    match ended {
+        Ok(usage) => {
+            instance.metrics.count("request.answered");
+            let tokens = usage.total_tokens();
+            info!(%request_id, %organisation, tokens, took_ms, "request answered");
+        }
+        Err(refusal) => {
+            instance.metrics.count("request.refused");
+            let (code, ran) = (refusal.code, refusal.ran);
+            let message = &refusal.message;
+            info!(%request_id, %organisation, ?code, ?ran, %message, took_ms, "request refused");
+        }
+    }
+}
--- a/daemon/src/timer.rs
+++ b/daemon/src/timer.rs
@@ -32,9 +32,14 @@
 impl Timer {
     /// Starts the service.
     pub fn start(clock: Clock) -> Self {
-        let shared =
-            Shared { clock, subscriptions: Mutex::new(Vec::new()), added: Notify::new() };
-        let timer = Self { shared: Arc::new(shared) };
+        let shared = Shared {
+            clock,
+            subscriptions: Mutex::new(Vec::new()),
+            added: Notify::new(),
+        };
+        let timer = Self {
+            shared: Arc::new(shared),
+        };
         tokio::spawn(timer.clone().run());
         timer
     }
@@ -43,8 +48,16 @@
     pub fn subscribe(&self, period_ms: u64) -> Ticks {
         let (sender, ticks) = mpsc::channel(1);
         let due_ms = self.shared.clock.now_ms() + period_ms;
-        let subscription = Subscription { period_ms, due_ms, sender };
-        self.shared.subscriptions.lock().expect("timer lock").push(subscription);
+        let subscription = Subscription {
+            period_ms,
+            due_ms,
+            sender,
+        };
+        self.shared
+            .subscriptions
+            .lock()
+            .expect("timer lock")
+            .push(subscription);
         self.shared.added.notify_one();
         ticks
     }
@@ -68,7 +81,10 @@
     fn fire(&self, now_ms: u64) -> Option<u64> {
         let mut subscriptions = self.shared.subscriptions.lock().expect("timer lock");
         subscriptions.retain_mut(|subscription| subscription.fire(now_ms));
-        subscriptions.iter().map(|subscription| subscription.due_ms).min()
+        subscriptions
+            .iter()
+            .map(|subscription| subscription.due_ms)
+            .min()
     }
 }
 
@@ -79,6 +95,9 @@
             return true;
         }
         self.due_ms = now_ms + self.period_ms;
-        !matches!(self.sender.try_send(now_ms), Err(mpsc::error::TrySendError::Closed(_)))
+        !matches!(
+            self.sender.try_send(now_ms),
+            Err(mpsc::error::TrySendError::Closed(_))
+        )
     }
 }
--- a/daemon/src/workers.rs
+++ b/daemon/src/workers.rs
@@ -25,7 +25,12 @@
     /// Builds a pool that runs nothing until [`Waiting::start`].
     pub fn new() -> (Self, Waiting) {
         let (sender, receiver) = mpsc::unbounded_channel();
-        (Self { sender }, Waiting { receiver: Arc::new(Mutex::new(receiver)) })
+        (
+            Self { sender },
+            Waiting {
+                receiver: Arc::new(Mutex::new(receiver)),
+            },
+        )
     }
 
     /// Hands an order to the pool.
