--- a/standin/src/harness/caller.rs
+++ b/standin/src/harness/caller.rs
@@ -40,6 +40,8 @@
     pub cause: String,
     /// Text that had arrived.
     pub text: String,
+    /// The error that the system gave, `null` if the connection broke.
+    pub error: Value,
 }
 
 /// A part of a streamed answer.
@@ -152,11 +154,12 @@
     pub async fn open_stream_at(&self, path: &str, body: String) -> Result<OpenStream, Failure> {
         let call = Call::post(self.url(path)).body(body);
         let answer = self.client.stream(self.prepare(call)).await;
-        let answer = answer.map_err(|cause| failure(cause, ""))?;
+        let answer = answer.map_err(|cause| broken(&cause))?;
         if !answer.status.is_success() {
             let body = answer.body.collect().await;
-            let body = body.map_err(|cause| failure(cause, ""))?.to_bytes();
-            return Err(failure(answer.status, &String::from_utf8_lossy(&body)));
+            let body = body.map_err(|cause| broken(&cause))?.to_bytes();
+            let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+            return Err(refused(&body["error"], ""));
         }
         Ok(OpenStream {
             headers: answer.headers,
@@ -182,7 +185,7 @@
 
     async fn send(&self, call: Call) -> Result<Reply, Failure> {
         let answer = self.client.call(self.prepare(call)).await;
-        let answer = answer.map_err(|cause| failure(cause, ""))?;
+        let answer = answer.map_err(|cause| broken(&cause))?;
         Ok(Reply {
             status: answer.status.as_u16(),
             body: answer.json().unwrap_or(Value::Null),
@@ -223,6 +226,18 @@
     }
 }
 
+impl Failure {
+    /// Code of the error, empty if the connection broke.
+    pub fn code(&self) -> &str {
+        self.error["code"].as_str().unwrap_or_default()
+    }
+
+    /// What the error says of whether the request ran, empty if the connection broke.
+    pub fn ran(&self) -> &str {
+        self.error["ran"].as_str().unwrap_or_default()
+    }
+}
+
 impl OpenStream {
     /// Waits for the next part.
     ///
@@ -241,7 +256,7 @@
                     let data = frame.into_data().unwrap_or_default();
                     self.buffer.extend_from_slice(&data);
                 }
-                Ok(Some(Err(cause))) => return Err(failure(cause, "")),
+                Ok(Some(Err(cause))) => return Err(broken(&cause)),
                 Ok(None) => return Err(failure("the stream ended early", "")),
                 Err(_) => return Err(failure("the stream went silent", "")),
             }
@@ -275,7 +290,7 @@
             match self.next().await {
                 Ok(Part::Text(part)) => text.push_str(&part),
                 Ok(Part::Usage(_)) => {}
-                Ok(Part::Error(error)) => return Err(failure(error, &text)),
+                Ok(Part::Error(error)) => return Err(refused(&error, &text)),
                 Ok(Part::Done) => return Ok(text),
                 Err(broken) => return Err(failure(broken.cause, &text)),
             }
@@ -321,9 +336,21 @@
     .to_string()
 }
 
-fn failure(cause: impl ToString, text: &str) -> Failure {
+fn failure(cause: impl Into<String>, text: &str) -> Failure {
     Failure {
-        cause: cause.to_string(),
+        cause: cause.into(),
         text: text.to_owned(),
+        error: Value::Null,
+    }
+}
+
+fn broken(cause: &impl std::fmt::Display) -> Failure {
+    failure(cause.to_string(), "")
+}
+
+fn refused(error: &Value, text: &str) -> Failure {
+    Failure {
+        error: error.clone(),
+        ..failure(error.to_string(), text)
     }
 }
--- a/standin/src/harness/instance.rs
+++ b/standin/src/harness/instance.rs
@@ -39,7 +39,7 @@
         let file = file.to_string_lossy().into_owned();
         let output = folder.join(format!("{name}.log"));
         let program = find_binary("mimosabayd");
-        let process = Process::start(&program, &["--settings", &file], &output);
+        let process = Process::start(&program, &[&file], &output);
         Self { listed, process }
     }
 
--- a/standin/src/harness/site.rs
+++ b/standin/src/harness/site.rs
@@ -4,7 +4,8 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 
 use mimosabay_core::resource::Kind;
-use mimosabay_operator::{key, store};
+use mimosabay_operator::key;
+use mimosabay_operator::store::{self, StatusRecord};
 use mimosabay_platform::{Category, Object, Platform, Precondition};
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
@@ -116,6 +117,7 @@
             site.add_instance(&format!("instance-{index}")).await;
         }
         site.wait_ready().await;
+        site.wait_accepted().await;
         site
     }
 
@@ -134,6 +136,30 @@
         index
     }
 
+    /// Waits until every resource has been accepted.
+    ///
+    /// # Panics
+    ///
+    /// After 30 s.
+    pub async fn wait_accepted(&self) {
+        wait_for("acceptance of all resources", async || {
+            let accepted = self.platform.list(store::ACCEPTED_KIND).await.ok()?;
+            for kind in Kind::ALL {
+                let specs = self.platform.list(&store::spec_kind(kind)).await.ok()?;
+                for spec in specs.objects {
+                    let name = store::qualified_name(kind, &spec.name);
+                    accepted
+                        .objects
+                        .iter()
+                        .find(|object| *object.name == *name)
+                        .filter(|object| object.value["generation"] == spec.version)?;
+                }
+            }
+            Some(())
+        })
+        .await;
+    }
+
     /// Takes an instance off the platform's list after `lag_ms`.
     pub async fn unlist(&self, index: usize, lag_ms: u64) {
         let name = self.instances[index].name();
@@ -171,13 +197,39 @@
         self.instances[index].caller().key(CLINICS_KEY)
     }
 
-    /// Writes a resource as an operator does, and waits until it is accepted.
+    /// Writes a resource as an operator does and waits until the acceptor has judged it.
+    ///
+    /// # Errors
+    ///
+    /// Why it was rejected.
+    ///
+    /// # Panics
+    ///
+    /// If it is not judged within 30 s.
+    pub async fn apply(&self, kind: Kind, name: &str, spec: Value) -> Result<(), String> {
+        let generation = self.write(kind, name, &spec).await;
+        let name = store::qualified_name(kind, name);
+        let status = wait_for("judgement of a resource", async || {
+            let object = self.platform.get(store::STATUS_KIND, &name).await.ok()?;
+            let status: StatusRecord = store::read_record(&object, store::STATUS_KIND).ok()?;
+            (status.observed_generation >= generation).then_some(status)
+        });
+        let status = status.await;
+        if status.accepted {
+            return Ok(());
+        }
+        Err(status.reason.to_string())
+    }
+
+    /// Writes a resource as an operator does; returns its generation.
     ///
     /// # Panics
     ///
-    /// If it is rejected or the platform does not answer.
-    pub async fn apply(&self, kind: Kind, name: &str, spec: Value) {
-        self.write_spec(kind, name, &spec).await;
+    /// If the platform takes no write within 30 s.
+    pub async fn write(&self, kind: Kind, name: &str, spec: &Value) -> u64 {
+        let record = json!({ "spec": spec, "changed_by": "test", "changed_at_ms": 0 });
+        let kind = store::spec_kind(kind);
+        self.overwrite(&kind, name, &record).await.version
     }
 
     /// What really ran on all engines.
@@ -250,7 +302,7 @@
 
     async fn write_samples(&self) {
         let (rate, burst) = self.options.clinics_rate;
-        self.apply(Kind::Site, "site", json!({ "base_model": BASE_MODEL }))
+        self.write(Kind::Site, "site", &json!({ "base_model": BASE_MODEL }))
             .await;
         self.write_organisation("clinics", CLINICS_KEY, rate, burst)
             .await;
@@ -266,7 +318,7 @@
                 "kind": "plain",
                 "pool": PLAIN_POOL,
             });
-            self.apply(Kind::BackendServer, &server.name, spec).await;
+            self.write(Kind::BackendServer, &server.name, &spec).await;
         }
         self.write_adapter("tender", &["1", "2"], "2").await;
         self.write_adapter("reorder", &["1"], "1").await;
@@ -275,9 +327,9 @@
 
     async fn write_organisation(&self, name: &str, key: &str, rate: u64, burst: u64) {
         let spec = json!({ "rate_tokens_per_s": rate, "burst_tokens": burst });
-        self.apply(Kind::Organisation, name, spec).await;
+        self.write(Kind::Organisation, name, &spec).await;
         let spec = json!({ "organisation": name, "sha256": key::hash(key) });
-        self.apply(Kind::Key, &format!("{name}-key"), spec).await;
+        self.write(Kind::Key, &format!("{name}-key"), &spec).await;
     }
 
     /// Writes the resource of an engine.
@@ -295,7 +347,7 @@
             "checks_fencing": options.check_fencing,
             "leaving": leaving,
         });
-        self.apply(Kind::BackendServer, &server.name, spec).await;
+        self.write(Kind::BackendServer, &server.name, &spec).await;
     }
 
     /// Writes an adapter whose version `v` has the source `store://{name}/{v}`.
@@ -310,26 +362,18 @@
             "versions": versions,
             "current_version": current,
         });
-        self.apply(Kind::Adapter, name, spec).await;
+        self.write(Kind::Adapter, name, &spec).await;
     }
 
     async fn write_routes(&self) {
         let drafting = json!({ "target": { "model": { "adapter": "tender", "version": "1" } } });
-        self.apply(Kind::Route, "drafting", drafting).await;
+        self.write(Kind::Route, "drafting", &drafting).await;
         let orders = json!({ "target": { "plain": {
             "pool": PLAIN_POOL, "path_prefix": "/orders" } } });
-        self.apply(Kind::Route, "orders", orders).await;
+        self.write(Kind::Route, "orders", &orders).await;
         let notices = json!({ "target": { "plain": {
             "pool": PLAIN_POOL, "path_prefix": "/notices" } }, "open": true });
-        self.apply(Kind::Route, "notices", notices).await;
-    }
-
-    async fn write_spec(&self, kind: Kind, name: &str, spec: &Value) {
-        let record = json!({ "spec": spec, "changed_by": "test", "changed_at_ms": 0 });
-        let written = self.overwrite(&store::spec_kind(kind), name, &record).await;
-        let accepted = json!({ "generation": written.version, "spec": spec });
-        let name = store::qualified_name(kind, name);
-        self.overwrite(store::ACCEPTED_KIND, &name, &accepted).await;
+        self.write(Kind::Route, "notices", &notices).await;
     }
 
     async fn overwrite(&self, kind: &str, name: &str, value: &Value) -> Object {
