--- a/standin/src/harness.rs
+++ b/standin/src/harness.rs
@@ -18,7 +18,7 @@
 pub use instance::InstanceProcess;
 pub use process::Process;
 pub use site::{EngineServer, PlainServer, Site, SiteOptions};
-pub use wait::{wait_for, wait_up_to};
+pub use wait::{block_on, wait_for, wait_up_to};
 
 /// Secret that the instances of a test site share.
 pub const PEER_SECRET: &str = "a secret for tests only";
--- a/standin/src/harness/wait.rs
+++ b/standin/src/harness/wait.rs
@@ -37,3 +37,16 @@
         sleep(Duration::from_millis(INTERVAL_MS)).await;
     }
 }
+
+/// Runs a test to its end on a runtime of its own.
+///
+/// # Panics
+///
+/// If the runtime cannot be started, or the test panics.
+pub fn block_on(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build();
+    runtime.expect("the runtime starts").block_on(test);
+}
