Add service-level objectives to the resources

Cause: the report on burn rates needs objectives per organisation and route that operators write like any other resource. Ruled out: objectives in the settings of each instance (they change while it runs), one resource with all four objectives (a target is then hard to leave out). Change: Kind::Objective with one indicator and one target each. Conclusion: core builds and its tests pass; validation follows in operator.

--- a/core/src/resource.rs
+++ b/core/src/resource.rs
@@ -19,6 +19,8 @@
         BackendServer,
         /// Settings of the whole site.
         Site,
+        /// A service-level objective.
+        Objective,
     }
 
     /// What a backend server offers.
@@ -34,13 +36,14 @@
 
 impl Kind {
     /// All kinds, in the order in which they may refer to each other.
-    pub const ALL: [Kind; 6] = [
+    pub const ALL: [Kind; 7] = [
         Kind::Site,
         Kind::Organisation,
         Kind::Key,
         Kind::BackendServer,
         Kind::Adapter,
         Kind::Route,
+        Kind::Objective,
     ];
 
     /// The name used in the store and on the command line.
@@ -52,6 +55,7 @@
             Kind::Adapter => "adapter",
             Kind::BackendServer => "backend_server",
             Kind::Site => "site",
+            Kind::Objective => "objective",
         }
     }
 
@@ -211,6 +215,40 @@
         pub policy: PolicyWeights,
     }
 
+    /// What a service-level objective is about.
+    #[serde(rename_all = "snake_case", deny_unknown_fields)]
+    pub enum Indicator {
+        /// Requests within the organisation's rate that got their whole answer.
+        Availability,
+        /// Requests within the organisation's rate that were not refused.
+        NotRefused,
+        /// Streams whose first token came in time.
+        FirstToken {
+            /// Longest time to the first token.
+            limit_ms: u64,
+        },
+        /// Streams whose mean time between tokens was short enough.
+        BetweenTokens {
+            /// Longest mean time between tokens.
+            limit_ms: u64,
+        },
+    }
+
+    /// A service-level objective.
+    #[serde(deny_unknown_fields)]
+    pub struct Objective {
+        /// What it is about.
+        pub indicator: Indicator,
+        /// Share of the requests that have to meet it. Invariant: above 0 and below 1.
+        pub target: f64,
+        /// Organisation that it covers; each one by itself if empty.
+        #[serde(default)]
+        pub organisation: Name,
+        /// Route that it covers; all of them together if empty.
+        #[serde(default)]
+        pub route: Name,
+    }
+
     /// The content of a resource of any kind.
     pub enum Spec {
         /// See [`Organisation`].
@@ -225,6 +263,8 @@
         BackendServer(BackendServer),
         /// See [`Site`].
         Site(Site),
+        /// See [`Objective`].
+        Objective(Objective),
     }
 }
 
@@ -238,6 +278,7 @@
             Spec::Adapter(_) => Kind::Adapter,
             Spec::BackendServer(_) => Kind::BackendServer,
             Spec::Site(_) => Kind::Site,
+            Spec::Objective(_) => Kind::Objective,
         }
     }
 }
