Validate objectives, split the checks by job, add service-level records

Ruled out: keeping a second date module beside the one in core. Change: validation uses the table's indexes, refuses such prefixes and a second site, and checks objectives; slo holds the counters that instances store.

--- a/operator/src/form.rs
+++ b/operator/src/form.rs
@@ -15,6 +15,7 @@
         Kind::Adapter => read(resource, value).map(Spec::Adapter),
         Kind::BackendServer => read(resource, value).map(Spec::BackendServer),
         Kind::Site => read(resource, value).map(Spec::Site),
+        Kind::Objective => read(resource, value).map(Spec::Objective),
     }
 }
 
--- a/operator/src/lib.rs
+++ b/operator/src/lib.rs
@@ -12,7 +12,8 @@
 //! ```
 
 pub mod acceptance;
-pub mod date;
+mod check;
+mod check_kind;
 mod field_error;
 mod form;
 mod ini_reader;
@@ -22,6 +23,7 @@
 mod secret;
 pub mod settings;
 mod settings_error;
+pub mod slo;
 pub mod store;
 mod validate;
 
@@ -32,4 +34,4 @@
 pub use settings::Settings;
 pub use settings_error::{SettingError, SettingsErrors};
 pub use store::{AcceptedRecord, SpecRecord, StatusRecord};
-pub use validate::{validate, validate_deletion};
+pub use validate::{users, validate, validate_deletion};
--- a/operator/src/store.rs
+++ b/operator/src/store.rs
@@ -134,6 +134,7 @@
         Spec::Adapter(spec) => to_value(spec),
         Spec::BackendServer(spec) => to_value(spec),
         Spec::Site(spec) => to_value(spec),
+        Spec::Objective(spec) => to_value(spec),
     }
 }
 
--- a/operator/tests/validate.rs
+++ b/operator/tests/validate.rs
@@ -40,6 +40,7 @@
             json!({"target": {"model": {"adapter": "tender", "version": "v2"}}}),
         ),
         (Kind::Route, "orders", plain_route("/orders")),
+        (Kind::Site, "site", json!({"base_model": "base"})),
     ];
     for (revision, (kind, name, value)) in (1..).zip(resources) {
         let spec = validate(kind, name, &value, &table).expect("the sample is valid");
@@ -191,7 +192,8 @@
     route_over_the_api: (
         Kind::Route, "r", &plain_route("/v1"),
         &["route/r: field `target.plain.path_prefix` is \"/v1\", allowed: a path that begins \
-           with `/`, without `..`, `?` and `#`, apart from /v1/, /healthz and /readyz"]
+           with `/` and does not end with it, without empty parts, `..`, `?`, `#` and `%`, \
+           apart from /v1, /healthz and /readyz"]
     );
     route_with_taken_prefix: (
         Kind::Route, "r", &plain_route("/orders"),
@@ -215,6 +217,31 @@
         &["backend_server/engine-2: field `address` is \"127.0.0.1:8000\", \
            allowed: an address that backend_server/engine-1 does not have"]
     );
+    route_prefix_that_never_matches: (
+        Kind::Route, "r", &plain_route("/stock/"),
+        &["route/r: field `target.plain.path_prefix` is \"/stock/\", allowed: a path that begins \
+           with `/` and does not end with it, without empty parts, `..`, `?`, `#` and `%`, \
+           apart from /v1, /healthz and /readyz"]
+    );
+    second_site: (
+        Kind::Site, "second", &json!({"base_model": "base"}),
+        &["site/second: field `name` is \"second\", allowed: `site`, because there is one site"]
+    );
+    objective_without_slack: (
+        Kind::Objective, "o", &json!({"indicator": "availability", "target": 1.0}),
+        &["objective/o: field `target` is 1.0, allowed: a share above 0 and below 1"]
+    );
+    objective_between_bounds: (
+        Kind::Objective, "o",
+        &json!({"indicator": {"between_tokens": {"limit_ms": 46}}, "target": 0.95}),
+        &["objective/o: field `indicator.between_tokens.limit_ms` is 46, \
+           allowed: one of 10, 20, 30, 45, 60, 100, 200, 500, 1000 milliseconds"]
+    );
+    unknown_indicator: (
+        Kind::Objective, "o", &json!({"indicator": "speed", "target": 0.95}),
+        &["objective/o: field `indicator` is \"speed\", allowed: one of `availability`, \
+           `not_refused`, `first_token`, `between_tokens`"]
+    );
     sunset_on_no_day: (
         Kind::Site, "site", &json!({"base_model": "base", "sunset_date": "2027-02-29"}),
         &["site/site: field `sunset_date` is \"2027-02-29\", allowed: a date as YYYY-MM-DD"]
@@ -243,6 +270,11 @@
         &json!({"address": "127.0.0.1:8000", "zone": "a", "kind": "engine", "pool": "chat",
                 "base_model": "base", "slots": 4, "leaving": true})
     );
+    objective_on_a_bound: (
+        Kind::Objective, "o",
+        &json!({"indicator": {"first_token": {"limit_ms": 1700}}, "target": 0.95,
+                "organisation": "clinics", "route": "notes"})
+    );
     sunset_on_leap_day: (
         Kind::Site, "site", &json!({"base_model": "base", "sunset_date": "2028-02-29"})
     );
