Test faults under load through real processes

Cause: the promises have to hold while instances are killed, frozen, stopped and replaced, the store is away and engines restart or go silent. Ruled out: wrong or torn answers; none was seen in any test. Conclusion: real faults. An instance claims a server once and keeps that fencing number after another owner raised it; slots taken by handles of an earlier owner are never freed; a restart of the engine is not noticed.

--- a/standin/src/harness/caller.rs
+++ b/standin/src/harness/caller.rs
@@ -224,6 +224,14 @@
         let text = text.or_else(|| choice["message"]["content"].as_str());
         text.unwrap_or_default()
     }
+
+    /// Text of a completion, or the error in its place.
+    pub(super) fn into_text(self) -> Result<String, Failure> {
+        if self.status == 200 {
+            return Ok(self.text().to_owned());
+        }
+        Err(refused(&self.body["error"], ""))
+    }
 }
 
 impl Failure {
--- /dev/null
+++ b/standin/src/harness/load.rs
@@ -0,0 +1,266 @@
+//! Concurrent callers behind a balancer, and what each call came to.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+
+use super::caller::{Caller, Failure};
+use super::wait::wait_for;
+use crate::text;
+
+/// Time between two looks of the balancer at an instance.
+const PROBE_INTERVAL_MS: u64 = 50;
+/// Time that an instance has to answer a look.
+const PROBE_TIMEOUT_MS: u64 = 300;
+/// Pause of a caller without a ready instance.
+const NO_INSTANCE_PAUSE_MS: u64 = 20;
+
+/// Sends each call to the next instance that is ready. Cloning it shares the state.
+#[derive(Clone, Debug, Default)]
+pub struct Balancer {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    /// Addresses of the instances and whether each was ready at the last look.
+    ready: Mutex<BTreeMap<String, bool>>,
+    turn: AtomicUsize,
+}
+
+/// What callers ask for.
+#[derive(Clone, Debug)]
+pub struct LoadOptions {
+    /// Callers, each with one call at a time.
+    pub callers: usize,
+    /// Key of all callers.
+    pub key: &'static str,
+    /// Models to ask for by turns, and the source of the weights that each stands for.
+    pub models: Vec<(&'static str, &'static str)>,
+    /// Tokens of each answer.
+    pub max_tokens: u64,
+}
+
+/// What one call came to.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CallEnd {
+    /// The answer was whole and right.
+    Whole,
+    /// The answer said that it was whole and was not the right one.
+    Wrong(String),
+    /// The system refused it.
+    Refused {
+        /// Code of the error.
+        code: String,
+        /// Whether it ran, by the error.
+        ran: String,
+        /// Whether the text before it was the beginning of the right answer.
+        prefix_right: bool,
+    },
+    /// The connection broke.
+    Broken {
+        /// How.
+        cause: String,
+        /// Whether the text before it was the beginning of the right answer.
+        prefix_right: bool,
+    },
+}
+
+/// One call.
+#[derive(Clone, Debug)]
+pub struct CallRecord {
+    /// Its prompt, unique among the calls of a load.
+    pub prompt: String,
+    /// Address of the instance that it was sent to.
+    pub address: String,
+    /// When it was sent, in milliseconds since the start of the load.
+    pub sent_ms: u64,
+    /// When it ended.
+    pub ended_ms: u64,
+    /// What it came to.
+    pub end: CallEnd,
+}
+
+/// Callers at work. Dropping it stops them.
+#[derive(Debug)]
+pub struct Load {
+    stop: watch::Sender<bool>,
+    callers: JoinSet<()>,
+    records: Arc<Mutex<Vec<CallRecord>>>,
+}
+
+struct LoadCaller {
+    index: usize,
+    options: LoadOptions,
+    balancer: Balancer,
+    start: Instant,
+    records: Arc<Mutex<Vec<CallRecord>>>,
+}
+
+impl Balancer {
+    /// Adds an instance and looks at it from now on.
+    pub fn add(&self, address: &str) {
+        self.ready().insert(address.to_owned(), false);
+        let (balancer, address) = (self.clone(), address.to_owned());
+        tokio::spawn(async move {
+            while Arc::strong_count(&balancer.shared) > 1 {
+                let is_ready = is_ready(&address).await;
+                balancer.ready().insert(address.clone(), is_ready);
+                sleep(Duration::from_millis(PROBE_INTERVAL_MS)).await;
+            }
+        });
+    }
+
+    /// The next ready instance.
+    pub fn next(&self) -> Option<String> {
+        let ready = self.ready();
+        let addresses: Vec<&String> = ready
+            .iter()
+            .filter_map(|(address, is_ready)| is_ready.then_some(address))
+            .collect();
+        let turn = self.shared.turn.fetch_add(1, Ordering::Relaxed);
+        let index = turn.checked_rem(addresses.len())?;
+        Some(addresses[index].clone())
+    }
+
+    fn ready(&self) -> MutexGuard<'_, BTreeMap<String, bool>> {
+        let ready = self.shared.ready.lock();
+        ready.unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Default for LoadOptions {
+    fn default() -> Self {
+        Self {
+            callers: 12,
+            key: super::CLINICS_KEY,
+            models: vec![
+                ("tender", "store://tender/2"),
+                ("tender@1", "store://tender/1"),
+                ("reorder", "store://reorder/1"),
+            ],
+            max_tokens: 20,
+        }
+    }
+}
+
+impl Load {
+    /// Starts the callers.
+    pub fn start(balancer: &Balancer, options: &LoadOptions) -> Self {
+        let (stop, stopped) = watch::channel(false);
+        let records: Arc<Mutex<Vec<CallRecord>>> = Arc::default();
+        let mut callers = JoinSet::new();
+        let start = Instant::now();
+        for index in 0..options.callers {
+            let caller = LoadCaller {
+                index,
+                options: options.clone(),
+                balancer: balancer.clone(),
+                start,
+                records: records.clone(),
+            };
+            callers.spawn(caller.run(stopped.clone()));
+        }
+        Self {
+            stop,
+            callers,
+            records,
+        }
+    }
+
+    /// Waits until `count` more calls have ended.
+    ///
+    /// # Panics
+    ///
+    /// After 30 s.
+    pub async fn wait_calls(&self, count: usize) {
+        let before = lock(&self.records).len();
+        wait_for("calls of the load", async || {
+            let ended = lock(&self.records).len();
+            (ended >= before + count).then_some(())
+        })
+        .await;
+    }
+
+    /// Lets the open calls end and returns all.
+    pub async fn stop(mut self) -> Vec<CallRecord> {
+        self.stop.send_replace(true);
+        while self.callers.join_next().await.is_some() {}
+        std::mem::take(&mut *lock(&self.records))
+    }
+}
+
+impl LoadCaller {
+    async fn run(self, stopped: watch::Receiver<bool>) {
+        for count in 0.. {
+            if *stopped.borrow() {
+                return;
+            }
+            let Some(address) = self.balancer.next() else {
+                sleep(Duration::from_millis(NO_INSTANCE_PAUSE_MS)).await;
+                continue;
+            };
+            self.call(count, address).await;
+        }
+    }
+
+    async fn call(&self, count: usize, address: String) {
+        let models = &self.options.models;
+        let (model, source) = models[(self.index + count) % models.len()];
+        let prompt = format!("order {count} of caller {}", self.index);
+        let max_tokens = self.options.max_tokens;
+        let caller = Caller::new(&address).key(self.options.key);
+        let sent_ms = self.elapsed_ms();
+        let ended = if count.is_multiple_of(2) {
+            caller.stream(model, &prompt, max_tokens).await
+        } else {
+            let reply = caller.complete(model, &prompt, max_tokens).await;
+            reply.and_then(super::Reply::into_text)
+        };
+        let expected = text::answer(source, &prompt, max_tokens);
+        let record = CallRecord {
+            prompt,
+            address,
+            sent_ms,
+            ended_ms: self.elapsed_ms(),
+            end: judge(ended, &expected),
+        };
+        lock(&self.records).push(record);
+    }
+
+    fn elapsed_ms(&self) -> u64 {
+        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+}
+
+fn judge(ended: Result<String, Failure>, expected: &str) -> CallEnd {
+    match ended {
+        Ok(text) if text == expected => CallEnd::Whole,
+        Ok(text) => CallEnd::Wrong(text),
+        Err(failure) if failure.error.is_null() => CallEnd::Broken {
+            prefix_right: expected.starts_with(&failure.text),
+            cause: failure.cause,
+        },
+        Err(failure) => CallEnd::Refused {
+            code: failure.code().to_owned(),
+            ran: failure.ran().to_owned(),
+            prefix_right: expected.starts_with(&failure.text),
+        },
+    }
+}
+
+async fn is_ready(address: &str) -> bool {
+    let limit = Duration::from_millis(PROBE_TIMEOUT_MS);
+    let caller = Caller::new(address);
+    let answer = tokio::time::timeout(limit, caller.get("/readyz")).await;
+    answer.is_ok_and(|answer| answer.is_ok_and(|answer| answer.status == 200))
+}
+
+fn lock(records: &Mutex<Vec<CallRecord>>) -> MutexGuard<'_, Vec<CallRecord>> {
+    records.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/standin/src/harness/site.rs
+++ b/standin/src/harness/site.rs
@@ -14,6 +14,7 @@
 use super::caller::Caller;
 use super::control::{Control, no_faults};
 use super::instance::{InstanceProcess, Settings};
+use super::load::Balancer;
 use super::wait::wait_for;
 use super::{CLINICS_KEY, MARKETS_KEY, PEER_SECRET};
 use crate::{engine, plain, platform, weights};
@@ -197,6 +198,15 @@
         self.instances[index].caller().key(CLINICS_KEY)
     }
 
+    /// A balancer over all instances that were started so far.
+    pub fn balancer(&self) -> Balancer {
+        let balancer = Balancer::default();
+        for instance in &self.instances {
+            balancer.add(&instance.listed.caller_address);
+        }
+        balancer
+    }
+
     /// Writes a resource as an operator does and waits until the acceptor has judged it.
     ///
     /// # Errors
