Prove freshness through peers, free a place only after its run is over

Cause: an instance cut off from the store together with a stale peer kept admitting by an old configuration, because any peer that knew nothing newer counted as proof; a run that was cut off freed its place at once, so that its adapter could be evicted while the engine still ran it; a request forwarded by an old view ran at an instance that did not own the server. Ruled out: refusing whenever the store is away (an outage for all would stop the service). Change: proofs of freshness carry their age through heartbeats, a majority is needed when nobody has contact; a place is freed when the engine has confirmed the end of its run; a non-owner refuses; heartbeats introduce their sender; a refused connection counts as a dead process at once.

--- a/caller/src/failure.rs
+++ b/caller/src/failure.rs
@@ -25,6 +25,7 @@
         Code::Internal => StatusCode::INTERNAL_SERVER_ERROR,
         Code::Overloaded
         | Code::NoServer
+        | Code::NotOwner
         | Code::StoreUnavailable
         | Code::NotReady
         | Code::LoadFailed => StatusCode::SERVICE_UNAVAILABLE,
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod bucket;
 pub mod config;
 pub mod date;
+pub mod freshness;
 pub mod macros;
 pub mod membership;
 pub mod name;
--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -8,6 +8,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::freshness::PeerFreshness;
 use crate::name::{InstanceId, Name};
 use crate::ownership::Candidate;
 
@@ -36,6 +37,16 @@
         pub leaving: bool,
     }
 
+    /// A sign of life, with what the sender knows.
+    pub struct Heartbeat {
+        /// The sender, so that a peer whose list lags knows where to find it.
+        pub sender: Listed,
+        /// How fresh its configuration is.
+        pub freshness: PeerFreshness,
+        /// What it learned of others.
+        pub rumours: Vec<Rumour>,
+    }
+
     /// What a peer says of an instance.
     pub struct Rumour {
         /// The process.
@@ -69,6 +80,8 @@
         pub incarnation: u64,
         /// State of that process.
         pub state: State,
+        /// Largest configuration revision that it was heard to have in force.
+        pub config_revision: u64,
         /// When it was last heard, on the monotonic clock of this process.
         pub heard_ms: u64,
         /// When this instance began to watch it.
@@ -89,6 +102,14 @@
 }
 
 impl Membership {
+    /// This instance as it introduces itself.
+    pub fn me(&self, leaving: bool) -> Listed {
+        Listed {
+            leaving,
+            ..self.me.clone()
+        }
+    }
+
     /// Starts with no peers.
     pub fn new(me: Listed, settings: MembershipSettings) -> Self {
         Self {
@@ -124,7 +145,7 @@
     }
 
     /// An instance was heard directly.
-    pub fn heard(&mut self, id: &InstanceId, leaving: bool, now_ms: u64) {
+    fn heard(&mut self, id: &InstanceId, leaving: bool, now_ms: u64) {
         let state = if leaving {
             State::Leaving
         } else {
@@ -151,13 +172,28 @@
     }
 
     /// A heartbeat, or the answer to one, arrived.
-    pub fn heartbeat(&mut self, from: &InstanceId, leaving: bool, rumours: &[Rumour], now_ms: u64) {
-        self.heard(from, leaving, now_ms);
-        for rumour in rumours {
+    pub fn heartbeat(&mut self, from: &InstanceId, beat: &Heartbeat, now_ms: u64) {
+        self.introduce(&beat.sender, now_ms);
+        self.heard(from, beat.sender.leaving, now_ms);
+        if let Some(member) = self.members.get_mut(&from.name) {
+            member.config_revision = member.config_revision.max(beat.freshness.revision);
+        }
+        for rumour in &beat.rumours {
             self.rumour(rumour, now_ms);
         }
     }
 
+    /// The process of an instance does not exist: its address refuses connections.
+    pub fn refused(&mut self, name: &str) {
+        let Some(member) = self.members.get(name) else {
+            return;
+        };
+        if matches!(member.state, State::Alive | State::Leaving) {
+            let id = InstanceId::new(member.listed.name.clone(), member.incarnation);
+            self.set_state(&id, State::Silent);
+        }
+    }
+
     /// An instance said goodbye.
     pub fn goodbye(&mut self, id: &InstanceId) {
         self.set_state(id, State::Gone);
@@ -252,6 +288,18 @@
         }
     }
 
+    /// Whether more than half of all instances, this one included, are heard.
+    pub fn hears_majority(&self) -> bool {
+        let gone = |member: &&Member| member.state == State::Gone;
+        let all = self.members.len() + 1 - self.members.values().filter(gone).count();
+        let silent = self
+            .members
+            .values()
+            .filter(|member| member.state == State::Silent)
+            .count();
+        2 * (all - silent) > all
+    }
+
     /// Instances that may own backend servers, this one included unless it is `leaving`.
     pub fn candidates(&self, leaving: bool) -> Vec<Candidate> {
         let mut candidates: Vec<Candidate> = self
@@ -278,6 +326,7 @@
         let member = Member {
             listed: listed.clone(),
             incarnation: 0,
+            config_revision: 0,
             // An instance is a candidate only once it was heard.
             state: State::Silent,
             heard_ms: 0,
@@ -287,6 +336,14 @@
         true
     }
 
+    /// Adds an instance that the list does not show yet.
+    fn introduce(&mut self, sender: &Listed, now_ms: u64) {
+        let known = sender.name == self.me.name || self.members.contains_key(&sender.name);
+        if !known {
+            self.add(sender.clone(), now_ms);
+        }
+    }
+
     fn set_state(&mut self, id: &InstanceId, state: State) {
         let Some(member) = self.members.get_mut(&id.name) else {
             return;
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -41,6 +41,8 @@
         Overloaded,
         /// No backend server can serve the request.
         NoServer,
+        /// The instance does not own the backend server.
+        NotOwner,
         /// The platform's store, needed to record the request, does not answer.
         StoreUnavailable,
         /// The instance has no fresh configuration.
--- a/core/src/retry.rs
+++ b/core/src/retry.rs
@@ -3,7 +3,7 @@
 use crate::request::{Code, Ran, Refusal, Repeat};
 
 /// Attempts for one request, the first one included.
-pub const MAX_ATTEMPTS: u32 = 4;
+pub const MAX_ATTEMPTS: u32 = 6;
 
 /// What to do next.
 #[derive(Clone, Debug, PartialEq)]
@@ -70,6 +70,7 @@
 fn is_transient(code: Code) -> bool {
     match code {
         Code::NoServer
+        | Code::NotOwner
         | Code::LoadFailed
         | Code::BackendFailed
         | Code::InstanceFailed
--- a/daemon/src/config_sync.rs
+++ b/daemon/src/config_sync.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use mimosabay_core::config::{Accepted, ConfigTable};
+use mimosabay_core::freshness::PeerFreshness;
 use mimosabay_core::name::Name;
 use mimosabay_operator::store::{ACCEPTED_KIND, accepted_entry};
 use mimosabay_peer::{Message, Reply};
@@ -24,13 +25,14 @@
 pub async fn run(instance: Arc<Instance>) {
     let mut revision = None;
     loop {
+        let asked_ms = instance.now_ms();
         let followed = match revision {
             None => list(&instance).await,
             Some(revision) => watch(&instance, revision).await,
         };
         match followed {
             Ok(at) => {
-                instance.mark_fresh();
+                instance.with_proof(|proof| proof.store_answered(asked_ms));
                 revision = Some(at);
             }
             Err(cause) => {
@@ -44,17 +46,24 @@
     }
 }
 
-/// A peer has said which revision it knows: pulls what is missing here.
-pub async fn heard_revision(instance: &Arc<Instance>, address: &Name, revision: u64) {
-    let own = instance.with_config(ConfigTable::revision);
-    if revision <= own {
-        // The peer knows nothing newer, so what is in force here is as fresh as there.
-        instance.mark_fresh();
-        return;
+/// A peer has said, in answer to a call made at `asked_ms`, how fresh it is.
+pub async fn heard(
+    instance: &Arc<Instance>,
+    address: &Name,
+    freshness: PeerFreshness,
+    asked_ms: u64,
+) {
+    if freshness.revision > instance.with_config(ConfigTable::revision) {
+        pull(instance, address).await;
     }
-    let envelope = instance.envelope(Message::PullConfig {
-        above_revision: own,
-    });
+    let own = instance.with_config(ConfigTable::revision);
+    instance.with_proof(|proof| proof.peer_answered(freshness, own, asked_ms));
+}
+
+/// Asks a peer for the configuration that is missing here.
+pub async fn pull(instance: &Arc<Instance>, address: &Name) {
+    let above_revision = instance.with_config(ConfigTable::revision);
+    let envelope = instance.envelope(Message::PullConfig { above_revision });
     if let Ok(Reply::Config(entries)) = instance.peer(address).ask(&envelope, PULL_TIMEOUT_MS).await
     {
         apply(instance, entries);
--- a/daemon/src/dispatch.rs
+++ b/daemon/src/dispatch.rs
@@ -17,6 +17,9 @@
 
 /// When a repeat is worth trying after a backend server failed.
 const RETRY_AFTER_MS: u64 = 500;
+/// Time until an engine has to begin its answer; one that does not is silent. Engines answer with
+/// the head at once, before the prompt is processed.
+const HEAD_TIMEOUT_MS: u64 = 2_000;
 /// Priority of an ordinary request.
 const PRIORITY: i32 = 0;
 
@@ -74,7 +77,9 @@
             .as_ref()
             .map(|resume| resume.text.clone())
             .unwrap_or_default(),
-        timeout_ms: deadline_ms.saturating_sub(instance.now_ms()),
+        timeout_ms: deadline_ms
+            .saturating_sub(instance.now_ms())
+            .min(HEAD_TIMEOUT_MS),
     };
     let mut generation = server
         .engine
--- a/daemon/src/heartbeat.rs
+++ b/daemon/src/heartbeat.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 
 use futures::future::join_all;
-use mimosabay_core::membership::Listed;
-use mimosabay_core::name::Name;
-use mimosabay_peer::{Message, Reply};
+use mimosabay_core::membership::{Heartbeat, Listed};
+use mimosabay_core::name::{InstanceId, Name};
+use mimosabay_peer::{Category, Message, Reply};
 use mimosabay_platform::{Instance as PlatformInstance, InstanceState};
 use tracing::warn;
 
@@ -49,49 +49,56 @@
 }
 
 /// The heartbeat of this process.
-pub fn heartbeat(instance: &Instance) -> Message {
-    let rumours = instance.with_membership(mimosabay_core::membership::Membership::take_rumours);
-    Message::Heartbeat {
-        config_revision: instance.with_config(mimosabay_core::config::ConfigTable::revision),
-        leaving: instance.is_stopping(),
-        rumours,
-    }
+pub fn heartbeat(instance: &Instance) -> Heartbeat {
+    let freshness = instance.freshness();
+    instance.with_membership(|membership| Heartbeat {
+        sender: membership.me(instance.is_stopping()),
+        freshness,
+        rumours: membership.take_rumours(),
+    })
 }
 
 async fn beat(instance: &Arc<Instance>) {
     let peers = watched(instance);
-    let message = heartbeat(instance);
+    let message = Message::Heartbeat(heartbeat(instance));
     join_all(
         peers
             .iter()
-            .map(|(_, address)| beat_one(instance, address, &message)),
+            .map(|(name, address)| beat_one(instance, name, address, &message)),
     )
     .await;
     let now_ms = instance.now_ms();
     instance.with_membership(|membership| membership.tick(now_ms));
 }
 
-async fn beat_one(instance: &Arc<Instance>, address: &Name, message: &Message) {
+async fn beat_one(instance: &Arc<Instance>, name: &Name, address: &Name, message: &Message) {
     let envelope = instance.envelope(message.clone());
     let timeout_ms = instance.settings.timing.peer_timeout_ms;
-    let Ok(reply) = instance.peer(address).ask(&envelope, timeout_ms).await else {
-        return;
-    };
-    let Reply::Heartbeat {
-        from,
-        config_revision,
-        leaving,
-        rumours,
-    } = reply
-    else {
-        warn!(%address, "a peer answered a heartbeat with something else");
-        return;
-    };
+    let asked_ms = instance.now_ms();
+    match instance.peer(address).ask(&envelope, timeout_ms).await {
+        Ok(Reply::Heartbeat { from, heartbeat }) => {
+            heard(instance, &from, address, &heartbeat, asked_ms).await;
+        }
+        Ok(_) => warn!(%address, "a peer answered a heartbeat with something else"),
+        Err(cause) if cause.classify() == Category::Refused => {
+            instance.with_membership(|membership| membership.refused(name));
+        }
+        // Silence is noticed by the time since the last sign of life.
+        Err(_) => {}
+    }
+}
+
+/// Takes in a heartbeat that is an answer to a call made at `asked_ms`.
+async fn heard(
+    instance: &Arc<Instance>,
+    from: &InstanceId,
+    address: &Name,
+    heartbeat: &Heartbeat,
+    asked_ms: u64,
+) {
     let now_ms = instance.now_ms();
-    instance.with_membership(|membership| {
-        membership.heartbeat(&from, leaving, &rumours, now_ms);
-    });
-    config_sync::heard_revision(instance, address, config_revision).await;
+    instance.with_membership(|membership| membership.heartbeat(from, heartbeat, now_ms));
+    config_sync::heard(instance, address, heartbeat.freshness, asked_ms).await;
 }
 
 async fn read_list(instance: &Arc<Instance>) {
--- a/daemon/src/inbound.rs
+++ b/daemon/src/inbound.rs
@@ -2,8 +2,10 @@
 
 use std::sync::Arc;
 
+use mimosabay_core::config::ConfigTable;
+use mimosabay_core::membership::Heartbeat;
 use mimosabay_core::name::{InstanceId, Name};
-use mimosabay_core::request::{Repeat, Request};
+use mimosabay_core::request::{Code, Refusal, Repeat, Request, RunEvent};
 use mimosabay_peer::{Inbound, Message, Reply, Responder};
 use tracing::debug;
 
@@ -11,6 +13,7 @@
 use crate::heartbeat;
 use crate::instance::Instance;
 use crate::owner;
+use crate::route;
 
 /// Answers one message.
 pub async fn handle(instance: Arc<Instance>, inbound: Inbound) {
@@ -32,17 +35,13 @@
 
 fn answer(instance: &Arc<Instance>, from: &InstanceId, message: Message) -> Reply {
     match message {
-        Message::Heartbeat {
-            config_revision,
-            leaving,
-            rumours,
-        } => {
-            let now_ms = instance.now_ms();
-            instance.with_membership(|membership| {
-                membership.heartbeat(from, leaving, &rumours, now_ms);
-            });
-            pull_if_behind(instance, from, config_revision);
-            own_heartbeat(instance)
+        Message::Heartbeat(heartbeat) => {
+            take_heartbeat(instance, from, &heartbeat);
+            let heartbeat = heartbeat::heartbeat(instance);
+            Reply::Heartbeat {
+                from: instance.id.clone(),
+                heartbeat,
+            }
         }
         Message::Goodbye => {
             instance.with_membership(|membership| membership.goodbye(from));
@@ -55,38 +54,26 @@
     }
 }
 
-fn own_heartbeat(instance: &Instance) -> Reply {
-    let Message::Heartbeat {
-        config_revision,
-        leaving,
-        rumours,
-    } = heartbeat::heartbeat(instance)
-    else {
-        unreachable!("a heartbeat is a heartbeat");
-    };
-    Reply::Heartbeat {
-        from: instance.id.clone(),
-        config_revision,
-        leaving,
-        rumours,
-    }
-}
-
-fn pull_if_behind(instance: &Arc<Instance>, from: &InstanceId, revision: u64) {
-    let address = instance.with_membership(|membership| {
-        membership
-            .member(&from.name)
-            .map(|member| member.listed.peer_address.clone())
-    });
-    if let Some(address) = address {
+/// A heartbeat that was not asked for proves life, but not when its sender was fresh.
+fn take_heartbeat(instance: &Arc<Instance>, from: &InstanceId, heartbeat: &Heartbeat) {
+    let now_ms = instance.now_ms();
+    instance.with_membership(|membership| membership.heartbeat(from, heartbeat, now_ms));
+    let own = instance.with_config(ConfigTable::revision);
+    if heartbeat.freshness.revision > own {
         let instance = instance.clone();
-        tokio::spawn(async move {
-            config_sync::heard_revision(&instance, &address, revision).await;
-        });
+        let address = heartbeat.sender.peer_address.clone();
+        tokio::spawn(async move { config_sync::pull(&instance, &address).await });
     }
 }
 
 async fn run(instance: Arc<Instance>, server: Name, request: Request, mut responder: Responder) {
+    if !route::is_owner(&instance, &server) {
+        let refusal = Refusal::not_run(Code::NotOwner, "another instance owns the server");
+        let event = RunEvent::Refused { refusal };
+        // The sender finds the owner itself; if it is gone there is nobody to tell.
+        let _ = responder.finish(&Reply::Run(event)).await;
+        return;
+    }
     let repeat = request.repeat;
     let mut events = owner::run(&instance, server, request);
     loop {
--- a/daemon/src/instance.rs
+++ b/daemon/src/instance.rs
@@ -1,10 +1,11 @@
 //! One instance: its identity, its shared tables and its links to the outside.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
 
 use mimosabay_core::config::ConfigTable;
+use mimosabay_core::freshness::{Freshness, FreshnessProof, PeerFreshness};
 use mimosabay_core::membership::{Listed, Membership, MembershipSettings};
 use mimosabay_core::name::{InstanceId, Name};
 use mimosabay_core::retry::RetryBudget;
@@ -22,13 +23,15 @@
 
 /// Tables that all tasks share.
 ///
-/// Lock order: `config`, `membership`, `owned`, the queue of one owned server, `peers`,
+/// Lock order: `config`, `membership`, `proof`, `owned`, the queue of one owned server, `peers`,
 /// `retry_budget`. A task that holds one takes only later ones, and holds none over an await.
 pub struct Tables {
     /// The configuration in force.
     pub config: RwLock<ConfigTable>,
     /// What is known of the other instances.
     pub membership: Mutex<Membership>,
+    /// Proofs that the configuration is fresh.
+    pub proof: Mutex<FreshnessProof>,
     /// Backend servers that this instance dispatches to.
     pub owned: Mutex<HashMap<Name, Arc<OwnedServer>>>,
     /// Connections to other instances, by address.
@@ -59,8 +62,6 @@
     pub metrics: Metrics,
     /// Configuration revision, for those who wait for a change.
     pub config_changed: watch::Sender<u64>,
-    /// When the configuration was last known to be fresh, 0 for never.
-    pub fresh_ms: AtomicU64,
     /// Whether a planned stop has begun.
     pub stopping: AtomicBool,
     /// Requests that this instance answers or runs.
@@ -78,6 +79,7 @@
         let tables = Tables {
             config: RwLock::default(),
             membership: Mutex::new(Membership::new(listed(&settings), membership_settings)),
+            proof: Mutex::new(FreshnessProof::new(settings.timing.config_stale_ms)),
             owned: Mutex::default(),
             peers: Mutex::default(),
             retry_budget: Mutex::default(),
@@ -92,7 +94,6 @@
             workers,
             metrics: Metrics::new(&settings.metrics),
             config_changed: watch::Sender::new(0),
-            fresh_ms: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
             open_requests: watch::Sender::new(0),
             secret: Secret::new(settings.peers.secret.reveal()),
@@ -126,15 +127,23 @@
         self.stopping.load(Ordering::SeqCst)
     }
 
-    /// Notes that the configuration is known to be fresh now.
-    pub fn mark_fresh(&self) {
-        self.fresh_ms.store(self.now_ms().max(1), Ordering::SeqCst);
+    /// Reads or adds to the proofs that the configuration is fresh.
+    pub fn with_proof<T>(&self, visit: impl FnOnce(&mut FreshnessProof) -> T) -> T {
+        visit(&mut self.tables.proof.lock().expect("freshness lock"))
     }
 
     /// Whether the configuration is fresh enough to admit requests by it.
     pub fn is_fresh(&self) -> bool {
-        let fresh_ms = self.fresh_ms.load(Ordering::SeqCst);
-        fresh_ms > 0 && self.now_ms() < fresh_ms + self.settings.timing.config_stale_ms
+        let hears_majority = self.with_membership(|membership| membership.hears_majority());
+        let state = self.with_proof(|proof| proof.state(self.now_ms(), hears_majority));
+        matches!(state, Freshness::Fresh | Freshness::StoreAway)
+    }
+
+    /// How fresh the configuration is, to be told to peers.
+    pub fn freshness(&self) -> PeerFreshness {
+        let revision = self.with_config(ConfigTable::revision);
+        let age_ms = self.with_proof(|proof| proof.age_ms(self.now_ms()));
+        PeerFreshness { revision, age_ms }
     }
 
     /// The connection to the instance at `address`.
--- a/daemon/src/orders.rs
+++ b/daemon/src/orders.rs
@@ -5,6 +5,7 @@
 
 use mimosabay_backend::{Category, Error, LoadOrder, UnloadOrder};
 use mimosabay_core::name::{AdapterVersion, Name};
+use mimosabay_core::queue::Ticket;
 use tokio::time::sleep;
 use tracing::{info, warn};
 
@@ -16,6 +17,9 @@
 /// Time between these attempts.
 const SLOT_RETRY_MS: u64 = 50;
 
+/// Time between two attempts at cancelling a run.
+const CANCEL_RETRY_MS: u64 = 200;
+
 /// An order to an engine.
 pub enum Order {
     /// Free slots, then load an adapter.
@@ -54,6 +58,35 @@
     }
 }
 
+/// A run whose outcome the server has not told.
+pub struct OpenRun {
+    /// The server.
+    pub server: Arc<OwnedServer>,
+    /// Its number in the queue.
+    pub ticket: Ticket,
+    /// Its request id.
+    pub request_id: Name,
+}
+
+/// Cancels a run and frees its place once the server has confirmed that it is over.
+pub async fn end_run(instance: Arc<Instance>, run: OpenRun) {
+    let server = &run.server;
+    let boot = server.boot();
+    // A server that has restarted runs nothing that was begun before.
+    while server.boot() == boot {
+        match server.engine.cancel(&run.request_id).await {
+            Ok(()) => break,
+            Err(cause) => {
+                warn!(server = %server.name, request_id = %run.request_id, %cause, "run not cancelled");
+                sleep(Duration::from_millis(CANCEL_RETRY_MS)).await;
+            }
+        }
+    }
+    server.visit(&instance, |queue, now_ms| {
+        queue.finished(run.ticket, now_ms)
+    });
+}
+
 async fn load(
     instance: &Arc<Instance>,
     server: &Arc<OwnedServer>,
--- a/daemon/src/owner.rs
+++ b/daemon/src/owner.rs
@@ -7,14 +7,14 @@
 use mimosabay_core::admission;
 use mimosabay_core::name::{AdapterVersion, Name};
 use mimosabay_core::queue::{Action, ServerLimits, ServerQueue, Ticket, Waiting};
-use mimosabay_core::request::{Code, Refusal, Repeat, Request, RunEvent, Usage, Work};
+use mimosabay_core::request::{Code, Ran, Refusal, Repeat, Request, RunEvent, Usage, Work};
 use mimosabay_core::resource::BackendServer;
 use tokio::sync::{OnceCell, mpsc, oneshot};
 use tokio::task::JoinHandle;
 
 use crate::dispatch;
 use crate::instance::Instance;
-use crate::orders::Order;
+use crate::orders::{self, Order};
 
 /// Events that are buffered between the owner and the reader of a run.
 const EVENT_BUFFER: usize = 64;
@@ -64,6 +64,9 @@
     server: Arc<OwnedServer>,
     ticket: Ticket,
     handle: Name,
+    request_id: Name,
+    /// Whether the run has certainly ended at the server, or never began.
+    ended: bool,
 }
 
 /// A request in the queue. Dropping it takes the request out.
@@ -136,6 +139,11 @@
         }
     }
 
+    /// Start number of the engine as last seen.
+    pub fn boot(&self) -> u64 {
+        self.state.lock().expect("owned server lock").boot
+    }
+
     /// Changes the queue and carries out what follows from it.
     pub fn visit(
         self: &Arc<Self>,
@@ -165,7 +173,7 @@
             waiting: true,
         };
         let handle = wait(instance, self, request, granted).await?;
-        Ok(place.into_turn(handle))
+        Ok(place.into_turn(handle, request.id.clone()))
     }
 
     fn enqueue(
@@ -278,13 +286,15 @@
 }
 
 impl Place {
-    fn into_turn(mut self, handle: Name) -> Turn {
+    fn into_turn(mut self, handle: Name, request_id: Name) -> Turn {
         self.waiting = false;
         Turn {
             instance: self.instance.clone(),
             server: self.server.clone(),
             ticket: self.ticket,
             handle,
+            request_id,
+            ended: false,
         }
     }
 }
@@ -312,9 +322,20 @@
 impl Drop for Turn {
     fn drop(&mut self) {
         let ticket = self.ticket;
-        self.server.visit(&self.instance, |queue, now_ms| {
-            queue.finished(ticket, now_ms)
-        });
+        if self.ended {
+            self.server.visit(&self.instance, |queue, now_ms| {
+                queue.finished(ticket, now_ms)
+            });
+            return;
+        }
+        // The place stays taken until the server has confirmed that the run is over: its adapter
+        // must not be evicted before.
+        let run = orders::OpenRun {
+            server: self.server.clone(),
+            ticket,
+            request_id: self.request_id.clone(),
+        };
+        tokio::spawn(orders::end_run(self.instance.clone(), run));
     }
 }
 
@@ -344,9 +365,13 @@
         Work::Generate { model, .. } => {
             let owned = owned_server(instance, server)?;
             dispatch::claim(instance, &owned).await?;
-            let turn = owned.turn(instance, request, model, deadline_ms).await?;
-            check_still_wanted(instance, request, deadline_ms)?;
-            dispatch::generate(instance, &owned, request, &turn.handle, deadline_ms, sender).await
+            let mut turn = owned.turn(instance, request, model, deadline_ms).await?;
+            let dispatched = dispatch_turn(instance, request, &turn, deadline_ms, sender).await;
+            turn.ended = match &dispatched {
+                Ok(_) => true,
+                Err(refusal) => refusal.ran == Ran::No,
+            };
+            dispatched
         }
         Work::Plain { .. } => {
             check_still_wanted(instance, request, deadline_ms)?;
@@ -355,6 +380,25 @@
     }
 }
 
+async fn dispatch_turn(
+    instance: &Arc<Instance>,
+    request: &Request,
+    turn: &Turn,
+    deadline_ms: u64,
+    sender: &mpsc::Sender<RunEvent>,
+) -> Result<Usage, Refusal> {
+    check_still_wanted(instance, request, deadline_ms)?;
+    dispatch::generate(
+        instance,
+        &turn.server,
+        request,
+        &turn.handle,
+        deadline_ms,
+        sender,
+    )
+    .await
+}
+
 fn owned_server(instance: &Instance, name: &Name) -> Result<Arc<OwnedServer>, Refusal> {
     let spec = instance.with_config(|config| config.server(name).cloned());
     let Some(spec) = spec.filter(|spec| !spec.leaving) else {
@@ -397,6 +441,11 @@
     request: &Request,
     deadline_ms: u64,
 ) -> Result<(), Refusal> {
+    // A process that was frozen may have missed that the key was withdrawn.
+    if !instance.is_fresh() {
+        let refusal = Refusal::not_run(Code::NotReady, "the configuration may be out of date");
+        return Err(refusal.retry_after_ms(RETRY_AFTER_MS));
+    }
     check_key(instance, request)?;
     if instance.now_ms() < deadline_ms {
         return Ok(());
--- a/daemon/src/route.rs
+++ b/daemon/src/route.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use mimosabay_core::config::ConfigTable;
+use mimosabay_core::membership::Listed;
 use mimosabay_core::name::Name;
 use mimosabay_core::ownership;
 use mimosabay_core::rendezvous;
@@ -73,30 +74,50 @@
     request: Request,
 ) -> Result<Run, Refusal> {
     let owner = match &request.work {
-        Work::Generate { .. } => owner_address(instance, &server),
+        Work::Generate { .. } => owner(instance, &server),
         // Plain services have no state that one dispatcher would have to look after.
         Work::Plain { .. } => None,
     };
-    let Some(address) = owner else {
-        return Ok(Run::Local(owner::run(instance, server, request)));
-    };
+    match owner.filter(|owner| owner.name != instance.id.name) {
+        None => Ok(Run::Local(owner::run(instance, server, request))),
+        Some(owner) => start_remote(instance, &owner, server, request).await,
+    }
+}
+
+async fn start_remote(
+    instance: &Instance,
+    owner: &Listed,
+    server: Name,
+    request: Request,
+) -> Result<Run, Refusal> {
     let envelope = instance.envelope(Message::Run {
         server,
         request: Box::new(request),
     });
-    let replies = instance.peer(&address).call(&envelope).await;
-    replies
-        .map(Run::Remote)
-        .map_err(|cause| peer_failed(&cause))
+    let replies = instance.peer(&owner.peer_address).call(&envelope).await;
+    replies.map(Run::Remote).map_err(|cause| {
+        if cause.classify() == Category::Refused {
+            instance.with_membership(|membership| membership.refused(&owner.name));
+        }
+        peer_failed(&cause)
+    })
 }
 
-/// Address of the instance that owns the server, `None` if it is this one.
-fn owner_address(instance: &Instance, server: &Name) -> Option<Name> {
+/// Whether this instance owns the server, as far as it knows.
+pub fn is_owner(instance: &Instance, server: &Name) -> bool {
+    owner(instance, server).is_none_or(|owner| owner.name == instance.id.name)
+}
+
+/// The instance that owns the server; `None` if no instance is known to take new work.
+pub fn owner(instance: &Instance, server: &Name) -> Option<Listed> {
     let zone = instance.with_config(|config| Some(config.server(server)?.zone.clone()))?;
     instance.with_membership(|membership| {
         let candidates = membership.candidates(instance.is_stopping());
-        let owner = ownership::owner(server, &zone, &candidates)?;
-        Some(membership.member(owner)?.listed.peer_address.clone())
+        let name = ownership::owner(server, &zone, &candidates)?;
+        if *name == instance.id.name {
+            return Some(membership.me(false));
+        }
+        Some(membership.member(name)?.listed.clone())
     })
 }
 
@@ -117,7 +138,7 @@
 fn peer_failed(cause: &Error) -> Refusal {
     let message = format!("another instance failed: {cause}");
     let refusal = match cause.classify() {
-        Category::NotSent | Category::Unauthenticated => {
+        Category::Refused | Category::NotSent | Category::Unauthenticated => {
             Refusal::not_run(Code::InstanceFailed, message)
         }
         Category::Interrupted | Category::Malformed => {
--- a/daemon/src/supervise.rs
+++ b/daemon/src/supervise.rs
@@ -89,6 +89,9 @@
             Ok(usage) => return Ok(usage),
             Err(ended) => ended,
         };
+        if blames_server(refusal.code) {
+            failed.extend(server);
+        }
         let next = with_retry_budget(instance, |budget| {
             retry::decide(request.repeat, refusal, attempt, budget)
         });
@@ -96,7 +99,6 @@
             return Err(progress.truthful(refusal));
         }
         instance.metrics.count("request.retried");
-        failed.extend(server);
         sleep(Duration::from_millis(FIRST_PAUSE_MS << attempt.min(6))).await;
     }
     unreachable!("the number of attempts is bounded")
@@ -212,6 +214,12 @@
     }
 }
 
+/// Whether a further attempt should leave the server out. An instance that failed, or that no
+/// longer owns the server, says nothing about the server.
+fn blames_server(code: Code) -> bool {
+    !matches!(code, Code::NotOwner | Code::InstanceFailed)
+}
+
 fn timed_out(progress: &Progress) -> Refusal {
     let refusal = Refusal::not_run(Code::Timeout, "the deadline passed");
     progress.truthful(refusal.retry_after_ms(RETRY_AFTER_MS))
--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -19,6 +19,14 @@
 /// Time after which an idle connection is closed rather than used again.
 const IDLE_TIMEOUT_MS: u64 = 20_000;
 
+/// Time without traffic after which the kernel probes a connection, and between its probes. A
+/// connection that something on the way has lost track of is found before it is used again.
+const KEEPALIVE_MS: u64 = 1_000;
+/// Probes without an answer after which a connection is closed.
+const KEEPALIVE_RETRIES: u32 = 2;
+/// Time for sent data to be acknowledged.
+const UNACKNOWLEDGED_TIMEOUT_MS: u64 = 2_000;
+
 /// A client with pooled connections. Cloning it shares the pool.
 #[derive(Clone, Debug)]
 pub struct Client {
@@ -31,6 +39,10 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
         connector.set_nodelay(true);
+        connector.set_keepalive(Some(Duration::from_millis(KEEPALIVE_MS)));
+        connector.set_keepalive_interval(Some(Duration::from_millis(KEEPALIVE_MS)));
+        connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
+        connector.set_tcp_user_timeout(Some(Duration::from_millis(UNACKNOWLEDGED_TIMEOUT_MS)));
         let pool = PooledClient::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(Duration::from_millis(IDLE_TIMEOUT_MS))
--- a/peer/src/client.rs
+++ b/peer/src/client.rs
@@ -13,7 +13,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::auth::Secret;
-use crate::error::Error;
+use crate::error::{Category, Error};
 use crate::frame::{Reader, Writer};
 use crate::message::{Envelope, Reply};
 
@@ -133,7 +133,7 @@
     let mut socket = timeout(limit, TcpStream::connect(&shared.address))
         .await
         .map_err(Error::not_sent)?
-        .map_err(Error::not_sent)?;
+        .map_err(|cause| connect_failed(&cause))?;
     socket.set_nodelay(true).map_err(Error::not_sent)?;
     shared.secret.prove_as_client(&mut socket).await?;
     let (sender, mut connection) = h2::client::Builder::new()
@@ -153,6 +153,13 @@
     Ok(Connection { sender, driver })
 }
 
+fn connect_failed(cause: &std::io::Error) -> Error {
+    match cause.kind() {
+        std::io::ErrorKind::ConnectionRefused => Error::new(Category::Refused, cause),
+        _ => Error::not_sent(cause),
+    }
+}
+
 /// Returns once the connection has not answered a ping in time.
 async fn watch_silence(ping: Option<PingPong>) {
     let Some(mut ping) = ping else {
--- a/peer/src/error.rs
+++ b/peer/src/error.rs
@@ -5,6 +5,8 @@
 /// What kind of failure a call met.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Category {
+    /// The address refuses connections: no process listens there.
+    Refused,
     /// The message was not sent.
     NotSent,
     /// The stream broke after the message may have been received.
--- a/peer/src/message.rs
+++ b/peer/src/message.rs
@@ -1,7 +1,7 @@
 //! Messages between instances.
 
 use mimosabay_core::config::Accepted;
-use mimosabay_core::membership::Rumour;
+use mimosabay_core::membership::Heartbeat;
 use mimosabay_core::name::{InstanceId, Name};
 use mimosabay_core::request::{Request, RunEvent};
 
@@ -25,14 +25,7 @@
             request: Box<Request>,
         },
         /// I am alive. Answered by [`Reply::Heartbeat`].
-        Heartbeat {
-            /// Largest configuration revision of the sender.
-            config_revision: u64,
-            /// Whether the sender is about to stop.
-            leaving: bool,
-            /// What it learned of others.
-            rumours: Vec<Rumour>,
-        },
+        Heartbeat(Heartbeat),
         /// I am about to end. Answered by [`Reply::Done`].
         Goodbye,
         /// Send the configuration above a revision. Answered by [`Reply::Config`].
@@ -50,12 +43,8 @@
         Heartbeat {
             /// The answering process.
             from: InstanceId,
-            /// Its largest configuration revision.
-            config_revision: u64,
-            /// Whether it is about to stop.
-            leaving: bool,
-            /// What it learned of others.
-            rumours: Vec<Rumour>,
+            /// What it knows.
+            heartbeat: Heartbeat,
         },
         /// Entries of the configuration.
         Config(Vec<Accepted>),
