Add links that can be cut or silenced, and tests of an instance without the store

Cause: an instance can lose the store or its peers while others keep them, and open connections can go silent while new ones work. Change: Relay between each instance and the platform and before each peer address; withdrawal tests over it; a watch can leave out changes of one kind. Failing by turns: cut_link_to_the_store, silent_link_to_the_store, change_that_is_no_longer_kept_for_watches. Conclusion: a real fault. The acceptor keeps its role by rendezvous while it has lost the store, and no change is accepted for as long as that lasts (waited 30 s). Whether a test meets it depends on whether membership has settled before the link is cut. The tests stay.

--- a/daemon/tests/withdrawal.rs
+++ b/daemon/tests/withdrawal.rs
@@ -1,9 +1,12 @@
 //! A withdrawn key stops working within seconds, wherever its requests are.
 
+use mimosabay_core::cases;
 use mimosabay_core::resource::Kind;
 use mimosabay_operator::key;
 use mimosabay_standin::engine;
-use mimosabay_standin::harness::{CLINICS_KEY, Site, SiteOptions, block_on, wait_for, wait_up_to};
+use mimosabay_standin::harness::{
+    CLINICS_KEY, Relay, Site, SiteOptions, block_on, wait_for, wait_up_to,
+};
 use serde_json::json;
 
 const LIMIT_MS: u64 = 3_000;
@@ -33,23 +36,45 @@
     });
 }
 
+cases! {
+    reaches_an_instance_without_the_store;
+    cut_link_to_the_store: (Relay::cut);
+    silent_link_to_the_store: (Relay::silence);
+    silent_watch: (Relay::silence_open);
+}
+
+fn reaches_an_instance_without_the_store(fault: fn(&Relay)) {
+    block_on(async {
+        for lost in 0..3 {
+            let site = Site::start(SiteOptions::default()).await;
+            fault(&site.platform_links[lost]);
+            withdraw(&site).await;
+            assert_refused_everywhere(&site).await;
+        }
+    });
+}
+
+#[test]
+fn watch_that_leaves_out_the_change() {
+    block_on(async {
+        let site = Site::start(SiteOptions::default()).await;
+        let fault = json!({ "skip_watches": 1, "skip_kind": "accepted" });
+        site.platform_control.faults(&fault).await;
+        withdraw(&site).await;
+        assert_refused_everywhere(&site).await;
+    });
+}
+
 #[test]
-fn instance_that_lost_the_store_hears_it_from_its_peers() {
+fn change_that_is_no_longer_kept_for_watches() {
     block_on(async {
         let site = Site::start(SiteOptions::default()).await;
+        site.platform_links[0].cut();
         withdraw(&site).await;
-        // All connections to the store are lost after the change was accepted.
-        let fault = json!({ "down": true });
+        let fault = json!({ "compact": true });
         site.platform_control.faults(&fault).await;
-        for index in 0..site.instances.len() {
-            let caller = site.caller(index);
-            let refused = wait_up_to(LIMIT_MS, async || {
-                let reply = caller.complete("tender", "a", 2).await.unwrap();
-                (reply.code() == "withdrawn_key").then_some(())
-            })
-            .await;
-            assert!(refused.is_some(), "instance {index}");
-        }
+        site.platform_links[0].mend();
+        assert_refused_everywhere(&site).await;
     });
 }
 
@@ -90,6 +115,18 @@
     });
 }
 
+async fn assert_refused_everywhere(site: &Site) {
+    for index in 0..site.instances.len() {
+        let caller = site.caller(index);
+        let refused = wait_up_to(LIMIT_MS, async || {
+            let reply = caller.complete("tender", "a", 2).await.unwrap();
+            (reply.code() == "withdrawn_key").then_some(())
+        })
+        .await;
+        assert!(refused.is_some(), "instance {index} still serves the key");
+    }
+}
+
 async fn withdraw(site: &Site) {
     let spec = json!({
         "organisation": "clinics",
--- a/standin/src/harness.rs
+++ b/standin/src/harness.rs
@@ -10,6 +10,7 @@
 mod instance;
 mod load;
 mod process;
+mod relay;
 mod site;
 mod wait;
 
@@ -19,6 +20,7 @@
 pub use instance::InstanceProcess;
 pub use load::{Balancer, CallEnd, CallRecord, Load, LoadOptions};
 pub use process::Process;
+pub use relay::Relay;
 pub use site::{EngineServer, PlainServer, Site, SiteOptions};
 pub use wait::{block_on, wait_for, wait_up_to};
 
--- a/standin/src/harness/site.rs
+++ b/standin/src/harness/site.rs
@@ -15,6 +15,7 @@
 use super::control::{Control, no_faults};
 use super::instance::{InstanceProcess, Settings};
 use super::load::Balancer;
+use super::relay::Relay;
 use super::wait::wait_for;
 use super::{CLINICS_KEY, MARKETS_KEY, PEER_SECRET};
 use crate::{engine, plain, platform, weights};
@@ -84,6 +85,10 @@
     pub plains: Vec<PlainServer>,
     /// Instances. Those that were killed stay in place.
     pub instances: Vec<InstanceProcess>,
+    /// Link of each instance to the platform, by index of the instance.
+    pub platform_links: Vec<Relay>,
+    /// Link of all other instances to each instance, by its index.
+    pub peer_links: Vec<Relay>,
     options: SiteOptions,
     folder: PathBuf,
     /// Stand-ins that run in this process.
@@ -130,10 +135,16 @@
     pub async fn add_instance(&mut self, name: &str) -> usize {
         let index = self.instances.len();
         let zone = self.zone(index);
-        let instance = InstanceProcess::start(&self.folder, name, &zone, self.settings());
+        let platform_link = Relay::start(&*self.platform_address).await;
+        let settings = self.settings(&platform_link.address);
+        let mut instance = InstanceProcess::start(&self.folder, name, &zone, settings);
+        let peer_link = Relay::start(&*instance.listed.peer_address).await;
+        instance.listed.peer_address = peer_link.address.as_str().into();
         let path = format!("instances/{name}");
         self.platform_control.put(&path, &instance.listed).await;
         self.instances.push(instance);
+        self.platform_links.push(platform_link);
+        self.peer_links.push(peer_link);
         index
     }
 
@@ -304,6 +315,8 @@
             engines,
             plains,
             instances: Vec::new(),
+            platform_links: Vec::new(),
+            peer_links: Vec::new(),
             options,
             folder: new_folder(),
             standins,
@@ -401,9 +414,9 @@
         .await
     }
 
-    fn settings(&self) -> Settings<'static> {
+    fn settings(&self, platform_address: &str) -> Settings<'static> {
         let mut settings = vec![
-            ("platform", "address", self.platform_address.clone()),
+            ("platform", "address", platform_address.to_owned()),
             ("peers", "secret", PEER_SECRET.to_owned()),
             ("stop", "balancer_lag_ms", "200".to_owned()),
         ];
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -62,6 +62,8 @@
         pub lose_answers: u32,
         /// Number of watches that leave out the changes since the revision asked for.
         pub skip_watches: u32,
+        /// Kind of object whose watches leave out changes; empty for all.
+        pub skip_kind: String,
         /// Forgets the order of all changes so far: watches from earlier revisions get 410.
         pub compact: bool,
         /// Replaces the lag of the list of instances, in milliseconds.
@@ -225,7 +227,7 @@
             };
             let is_over = Instant::now() >= deadline;
             if is_over || !batch.events.is_empty() {
-                self.skip_events(&mut batch.events);
+                self.skip_events(&kinds, &mut batch.events);
                 return reply::ok(&batch);
             }
             // An elapsed deadline is seen at the top of the loop.
@@ -236,9 +238,11 @@
         }
     }
 
-    fn skip_events(&self, events: &mut Vec<Object>) {
+    fn skip_events(&self, kinds: &[&str], events: &mut Vec<Object>) {
         let mut state = self.state();
-        if state.faults.skip_watches > 0 && !events.is_empty() {
+        let kind = state.faults.skip_kind.as_str();
+        let is_meant = kind.is_empty() || kinds.contains(&kind);
+        if is_meant && state.faults.skip_watches > 0 && !events.is_empty() {
             state.faults.skip_watches -= 1;
             events.clear();
         }
