Watch owned backend servers and refuse what waits for a silent one

Cause: with a silent engine the waiting requests stayed in its queue until their deadline, and a missing answer counted as the request's own timeout, which is not tried again (faults test engine_goes_silent, engine_connections_go_silent). Ruled out: freeing the place of a run on a silent engine; its adapter may still be in use. Change: reports every 500 ms; two failed ones turn waiting and new requests away; no answer from the engine counts as a failure of the engine; an oversized head gets a typed refusal.

--- a/caller/src/handler.rs
+++ b/caller/src/handler.rs
@@ -70,6 +70,7 @@
     mut request: Request,
     chat: bool,
 ) -> Result<Response, Refusal> {
+    check_head(shared, &request)?;
     let body = read_body(shared, &mut request).await?;
     let generation = parse::generation(&body, chat)?;
     let call = call(&request, generation.asked)?;
@@ -87,6 +88,7 @@
 }
 
 async fn answer_plain(shared: &Shared, mut request: Request) -> Result<Response, Refusal> {
+    check_head(shared, &request)?;
     let body = read_body(shared, &mut request).await?;
     let path = request
         .uri()
@@ -116,6 +118,28 @@
     })
 }
 
+/// Bytes of a request's head, line ends left out.
+fn head_bytes(request: &Request) -> usize {
+    let headers = request.headers().iter();
+    let bytes: usize = headers
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum();
+    bytes
+        + request
+            .uri()
+            .path_and_query()
+            .map_or(0, |path| path.as_str().len())
+}
+
+fn check_head(shared: &Shared, request: &Request) -> Result<(), Refusal> {
+    let most = shared.limits.max_header_bytes;
+    if head_bytes(request) <= most {
+        return Ok(());
+    }
+    let message = format!("the head of the request is larger than {most} bytes");
+    Err(Refusal::not_run(Code::TooLarge, message))
+}
+
 async fn read_body(shared: &Shared, request: &mut Request) -> Result<Bytes, Refusal> {
     let limits = shared.limits;
     let too_large = || {
--- a/caller/src/server.rs
+++ b/caller/src/server.rs
@@ -12,6 +12,10 @@
 use crate::gateway::Gateway;
 use crate::handler;
 
+/// A head of up to this many times the limit is read, so that its refusal can say what is wrong;
+/// a larger one gets the HTTP library's bare 431.
+const HEAD_BUFFER_FACTOR: usize = 4;
+
 /// Bounds on what a caller may send.
 #[derive(Clone, Copy, Debug)]
 pub struct CallerLimits {
@@ -61,6 +65,6 @@
         .http1()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.read_timeout_ms))
-        .max_buf_size(limits.max_header_bytes);
+        .max_buf_size(HEAD_BUFFER_FACTOR * limits.max_header_bytes);
     builder
 }
--- a/core/src/queue.rs
+++ b/core/src/queue.rs
@@ -157,6 +157,13 @@
         self.advance(now_ms)
     }
 
+    /// Whether an adapter is being loaded.
+    pub fn is_loading(&self, model: &AdapterVersion) -> bool {
+        self.slots
+            .get(model)
+            .is_some_and(|slot| slot.residency == Residency::Loading)
+    }
+
     /// Adapter of a request that runs.
     pub fn model_of(&self, ticket: Ticket) -> Option<&AdapterVersion> {
         self.running.get(&ticket)
--- a/daemon/src/dispatch.rs
+++ b/daemon/src/dispatch.rs
@@ -37,6 +37,15 @@
     Ok(())
 }
 
+/// Makes the claim on a server again that has restarted.
+///
+/// # Errors
+///
+/// As for [`claim`].
+pub async fn claim_anew(instance: &Instance, server: &OwnedServer) -> Result<(), Refusal> {
+    try_claim(instance, server).await
+}
+
 async fn try_claim(instance: &Instance, server: &OwnedServer) -> Result<(), Refusal> {
     let report = server.engine.report().await.map_err(|cause| {
         warn!(server = %server.name, %cause, "backend server does not answer");
@@ -183,10 +192,9 @@
 fn failed(cause: &Error) -> Refusal {
     let code = match cause.classify() {
         Category::Rejected => Code::BadRequest,
-        Category::Timeout => Code::Timeout,
         Category::NotLoaded | Category::LoadFailed | Category::NoSlot => Code::LoadFailed,
         Category::NotSent | Category::StaleFencing => Code::NoServer,
-        Category::Interrupted | Category::Protocol => Code::BackendFailed,
+        Category::Interrupted | Category::Timeout | Category::Protocol => Code::BackendFailed,
     };
     let refusal = Refusal::not_run(code, cause.to_string()).retry_after_ms(RETRY_AFTER_MS);
     Refusal {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod instance;
 pub mod log;
 pub mod metrics;
+pub mod monitor;
 pub mod orders;
 pub mod owner;
 pub mod route;
--- /dev/null
+++ b/daemon/src/monitor.rs
@@ -0,0 +1,68 @@
+//! Watching the backend servers that this instance owns.
+
+use std::sync::{Arc, Weak};
+
+use mimosabay_backend::LoadReport;
+use mimosabay_core::queue::ServerQueue;
+use tracing::{info, warn};
+
+use crate::dispatch;
+use crate::instance::Instance;
+use crate::owner::OwnedServer;
+
+/// Time between two reports.
+const REPORT_PERIOD_MS: u64 = 500;
+/// Reports in a row that have to fail until the server counts as silent.
+const FAILED_REPORTS: u32 = 2;
+
+/// Watches a server until this instance no longer owns it.
+pub async fn run(instance: Weak<Instance>, server: Weak<OwnedServer>) {
+    let Some(mut ticks) = instance
+        .upgrade()
+        .map(|it| it.timer.subscribe(REPORT_PERIOD_MS))
+    else {
+        return;
+    };
+    let mut failed = 0;
+    while ticks.recv().await.is_some() {
+        let (Some(instance), Some(server)) = (instance.upgrade(), server.upgrade()) else {
+            return;
+        };
+        match server.engine.report().await {
+            Ok(report) => {
+                failed = 0;
+                take(&instance, &server, &report).await;
+            }
+            Err(cause) => {
+                failed += 1;
+                if failed == FAILED_REPORTS {
+                    warn!(server = %server.name, %cause, "backend server is silent");
+                    server.answers.send_replace(false);
+                }
+            }
+        }
+    }
+}
+
+async fn take(instance: &Arc<Instance>, server: &Arc<OwnedServer>, report: &LoadReport) {
+    let restarted = {
+        let mut state = server.state.lock().expect("owned server lock");
+        let restarted = state.boot != 0 && state.boot != report.boot;
+        state.boot = report.boot;
+        if restarted {
+            state.forget_loaded();
+        }
+        restarted
+    };
+    if restarted {
+        info!(server = %server.name, "backend server has restarted");
+        server.visit(instance, ServerQueue::restarted);
+        // Its accepted fencing number may be lost with its memory. A failure is made good by the
+        // next order that it rejects.
+        let _ = dispatch::claim_anew(instance, server).await;
+    }
+    if !*server.answers.borrow() {
+        info!(server = %server.name, "backend server answers again");
+        server.answers.send_replace(true);
+    }
+}
--- a/daemon/src/owner.rs
+++ b/daemon/src/owner.rs
@@ -9,11 +9,12 @@
 use mimosabay_core::queue::{Action, ServerLimits, ServerQueue, Ticket, Waiting};
 use mimosabay_core::request::{Code, Ran, Refusal, Repeat, Request, RunEvent, Usage, Work};
 use mimosabay_core::resource::BackendServer;
-use tokio::sync::{OnceCell, mpsc, oneshot};
+use tokio::sync::{OnceCell, mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
 
 use crate::dispatch;
 use crate::instance::Instance;
+use crate::monitor;
 use crate::orders::{self, Order};
 
 /// Events that are buffered between the owner and the reader of a run.
@@ -31,6 +32,8 @@
     pub engine: Engine,
     /// Whether the claim on the server has been made.
     pub claimed: OnceCell<()>,
+    /// Whether it answers.
+    pub answers: watch::Sender<bool>,
     /// Its queue and what belongs to it.
     pub state: Mutex<OwnedState>,
 }
@@ -117,6 +120,13 @@
 }
 
 impl OwnedServer {
+    fn start(instance: &Arc<Instance>, name: Name, spec: &BackendServer) -> Arc<Self> {
+        let server = Arc::new(Self::new(instance, name, spec));
+        let (weak_instance, weak_server) = (Arc::downgrade(instance), Arc::downgrade(&server));
+        tokio::spawn(monitor::run(weak_instance, weak_server));
+        server
+    }
+
     fn new(instance: &Instance, name: Name, spec: &BackendServer) -> Self {
         let limits = ServerLimits {
             slots: spec.slots as usize,
@@ -135,6 +145,7 @@
             name,
             engine: Engine::new(instance.http.clone(), &spec.address),
             claimed: OnceCell::new(),
+            answers: watch::Sender::new(true),
             state: Mutex::new(state),
         }
     }
@@ -251,6 +262,12 @@
         orders
     }
 
+    /// The server has lost its memory; loads under way begin anew by themselves.
+    pub fn forget_loaded(&mut self) {
+        let queue = &self.queue;
+        self.handles.retain(|model, _| queue.is_loading(model));
+    }
+
     fn grant(&mut self, ticket: Ticket) {
         let Some(turn) = self.turns.remove(&ticket) else {
             return;
@@ -399,16 +416,20 @@
     .await
 }
 
-fn owned_server(instance: &Instance, name: &Name) -> Result<Arc<OwnedServer>, Refusal> {
+fn owned_server(instance: &Arc<Instance>, name: &Name) -> Result<Arc<OwnedServer>, Refusal> {
     let spec = instance.with_config(|config| config.server(name).cloned());
     let Some(spec) = spec.filter(|spec| !spec.leaving) else {
         return Err(no_server("the backend server is leaving"));
     };
-    let mut owned = owned(instance);
-    let server = owned
+    let server = owned(instance)
         .entry(name.clone())
-        .or_insert_with(|| Arc::new(OwnedServer::new(instance, name.clone(), &spec)));
-    Ok(server.clone())
+        .or_insert_with(|| OwnedServer::start(instance, name.clone(), &spec))
+        .clone();
+    if *server.answers.borrow() {
+        Ok(server)
+    } else {
+        Err(no_server("the backend server does not answer"))
+    }
 }
 
 fn owned(instance: &Instance) -> std::sync::MutexGuard<'_, HashMap<Name, Arc<OwnedServer>>> {
@@ -423,11 +444,15 @@
     mut granted: oneshot::Receiver<Result<Name, Refusal>>,
 ) -> Result<Name, Refusal> {
     let mut config_changed = instance.config_changed.subscribe();
+    let mut answers = server.answers.subscribe();
     loop {
         tokio::select! {
             turn = &mut granted => {
                 return turn.unwrap_or_else(|_| Err(no_server("the queue was given up")));
             }
+            _ = answers.wait_for(|answers| !answers) => {
+                return Err(no_server("the backend server does not answer"));
+            }
             _ = config_changed.changed() => {
                 check_key(instance, request)?;
                 check_stays(instance, server)?;
