--- a/operator/src/lib.rs
+++ b/operator/src/lib.rs
@@ -12,6 +12,7 @@
 //! ```
 
 pub mod acceptance;
+pub mod burn;
 mod check;
 mod check_kind;
 mod field_error;
@@ -24,6 +25,7 @@
 pub mod settings;
 mod settings_error;
 pub mod slo;
+mod slo_recorder;
 pub mod store;
 mod validate;
 
@@ -33,5 +35,6 @@
 pub use secret::Secret;
 pub use settings::Settings;
 pub use settings_error::{SettingError, SettingsErrors};
+pub use slo_recorder::SloRecorder;
 pub use store::{AcceptedRecord, SpecRecord, StatusRecord};
 pub use validate::{users, validate, validate_deletion};
--- a/operator/src/slo.rs
+++ b/operator/src/slo.rs
@@ -23,6 +23,9 @@
 /// Organisation of the series that takes what has no series of its own.
 pub const OTHER: &str = "other";
 
+/// Largest number of writers in one record.
+const MAX_WRITERS: usize = 8;
+
 const MINUTE_MS: u64 = 60_000;
 const HOUR_MS: u64 = 60 * MINUTE_MS;
 const DAY_MS: u64 = 24 * HOUR_MS;
@@ -31,7 +34,7 @@
 const TIERS: [Tier; 3] = [
     Tier {
         length_ms: 5 * MINUTE_MS,
-        kept_ms: 7 * HOUR_MS,
+        kept_ms: 2 * HOUR_MS,
     },
     Tier {
         length_ms: HOUR_MS,
@@ -39,7 +42,7 @@
     },
     Tier {
         length_ms: DAY_MS,
-        kept_ms: 60 * DAY_MS,
+        kept_ms: 30 * DAY_MS,
     },
 ];
 
@@ -119,7 +122,7 @@
     #[derive(Default)]
     pub struct SloRecord {
         /// Latest additions, so that a process whose answer was lost can tell whether its own is
-        /// in. Invariant: at most one entry for each incarnation.
+        /// in. Invariant: at most one entry for each incarnation, the latest last.
         pub writers: Vec<Writer>,
         /// The series. Invariant: at most [`MAX_SERIES`] and the one of [`OTHER`].
         pub series: Vec<Series>,
@@ -270,6 +273,15 @@
         }
     }
 
+    /// Notes an addition; the oldest writers are forgotten.
+    pub(crate) fn note(&mut self, writer: Writer) {
+        self.writers
+            .retain(|known| known.incarnation != writer.incarnation);
+        self.writers.push(writer);
+        let excess = self.writers.len().saturating_sub(MAX_WRITERS);
+        self.writers.drain(..excess);
+    }
+
     /// Whether the addition of `writer` is in.
     pub fn holds(&self, writer: Writer) -> bool {
         self.writers.iter().any(|known| {
--- /dev/null
+++ b/operator/src/slo_recorder.rs
@@ -0,0 +1,74 @@
+//! Counts service levels in an instance and adds them to the stored record.
+
+use crate::slo::{Outcome, SloRecord, Writer};
+
+/// Counters of one process that are not stored yet.
+///
+/// A flush reads the stored record, writes what [`merge`](Self::merge) returns on condition of the
+/// version read, and calls [`written`](Self::written) if the store confirms. After any failure the
+/// next flush starts with a read again: the record then shows whether the last write took effect,
+/// so that nothing is counted twice and nothing is left out.
+#[derive(Debug)]
+pub struct SloRecorder {
+    incarnation: u64,
+    /// Number of the last addition that was begun.
+    sequence: u64,
+    /// Counters that no addition holds yet.
+    pending: SloRecord,
+    /// The addition that was begun and not confirmed. Invariant: its number is `sequence`.
+    in_flight: Option<SloRecord>,
+}
+
+impl SloRecorder {
+    /// Builds a recorder for one process of an instance.
+    pub fn new(incarnation: u64) -> Self {
+        Self {
+            incarnation,
+            sequence: 0,
+            pending: SloRecord::default(),
+            in_flight: None,
+        }
+    }
+
+    /// Counts how a request ended; `now_unix_ms` is milliseconds since 1970-01-01.
+    pub fn count(&mut self, organisation: &str, route: &str, outcome: Outcome, now_unix_ms: u64) {
+        let series = self.pending.series_mut(organisation, route);
+        series.count(outcome, now_unix_ms);
+    }
+
+    /// The record to write in place of `stored`; `None` if there is nothing to add.
+    pub fn merge(&mut self, stored: Option<SloRecord>, now_unix_ms: u64) -> Option<SloRecord> {
+        let mut record = stored.unwrap_or_default();
+        if record.holds(self.writer()) {
+            self.in_flight = None;
+        }
+        if self.in_flight.is_none() {
+            self.begin()?;
+        }
+        record.add(self.in_flight.as_ref()?);
+        record.compact(now_unix_ms);
+        record.note(self.writer());
+        Some(record)
+    }
+
+    /// Notes that the store confirmed the record of the last [`merge`](Self::merge).
+    pub fn written(&mut self) {
+        self.in_flight = None;
+    }
+
+    fn begin(&mut self) -> Option<()> {
+        if self.pending.series.is_empty() {
+            return None;
+        }
+        self.in_flight = Some(std::mem::take(&mut self.pending));
+        self.sequence += 1;
+        Some(())
+    }
+
+    fn writer(&self) -> Writer {
+        Writer {
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+        }
+    }
+}
