--- /dev/null
+++ b/core/src/budget/account.rs
@@ -0,0 +1,371 @@
+//! A member's side of one budget.
+
+use super::charge::{OpenCharges, Piece, Source, Ticket, Waiters};
+use super::demand::Demand;
+use super::message::{Answer, Ask};
+use super::reserve::{EPSILON_TOKENS, Reserve, UNKNOWN_WAIT_MS};
+use super::settings::BudgetSettings;
+use super::share::NativeShare;
+use super::wallet::Wallet;
+use super::{Charge, Limit};
+use crate::name::{InstanceId, Name};
+
+/// Shortest and longest time until a waiting request is to be tried again.
+const MIN_WAIT_MS: u64 = 2;
+const MAX_WAIT_MS: u64 = 50;
+/// Shortest time between two asks while the same requests wait.
+const URGENT_GAP_MS: u64 = 20;
+/// Part of the wanted tokens above which a member gives tokens back.
+const KEEP_FACTOR: f64 = 1.5;
+
+/// What a coordinator said of its pool.
+#[derive(Debug)]
+struct Told {
+    by: InstanceId,
+    /// Own time of the answer.
+    heard_ms: u64,
+    /// Coordinator's time of its ask for the share.
+    loan_asked_ms: u64,
+    free_tokens: f64,
+    scarce: bool,
+}
+
+/// What a request asks for.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Claim {
+    pub(super) ticket: Ticket,
+    pub(super) tokens: f64,
+    pub(super) max_wait_ms: u64,
+}
+
+/// A member's side of one budget.
+#[derive(Debug)]
+pub(super) struct Account {
+    pub(super) native: NativeShare,
+    wallets: Vec<Wallet>,
+    charges: OpenCharges,
+    waiters: Waiters,
+    demand: Demand,
+    /// Tokens that were used beyond their charge and are taken with the next one.
+    debt_tokens: f64,
+    /// What the coordinator said last.
+    told: Option<Told>,
+    /// Backlog that the coordinator was told with the last ask.
+    asked_backlog_tokens: f64,
+    asked_ms: u64,
+    /// Whether the state changed so that an ask should not wait for its time.
+    urgent: bool,
+}
+
+impl Account {
+    pub(super) fn new(share: f64, limit: Limit, now_ms: u64) -> Self {
+        Self {
+            native: NativeShare::empty(share, limit, now_ms),
+            wallets: Vec::new(),
+            charges: OpenCharges::default(),
+            waiters: Waiters::default(),
+            demand: Demand::new(now_ms),
+            debt_tokens: 0.0,
+            told: None,
+            asked_backlog_tokens: 0.0,
+            asked_ms: 0,
+            urgent: false,
+        }
+    }
+
+    /// Refills and drops what has expired.
+    pub(super) fn advance(&mut self, limit: Limit, now_ms: u64) {
+        self.native.advance(limit, now_ms);
+        for wallet in &mut self.wallets {
+            wallet.expire(now_ms);
+        }
+        self.wallets.retain(|wallet| !wallet.is_forgotten(now_ms));
+        self.waiters.expire(now_ms);
+    }
+
+    /// Charges a request. Call after [`Account::advance`].
+    pub(super) fn charge(
+        &mut self,
+        claim: Claim,
+        next_ask: u64,
+        limit: Limit,
+        is_alone: bool,
+        now_ms: u64,
+    ) -> Charge {
+        let ticket = claim.ticket;
+        let ahead = self.waiters.ahead_tokens(ticket);
+        let needed = claim.tokens + ahead + self.debt_tokens;
+        let missing = needed - self.spendable_tokens();
+        if missing <= EPSILON_TOKENS {
+            self.take(ticket, claim.tokens, next_ask, now_ms);
+            return Charge::Granted;
+        }
+        let expected_wait_ms = self.expected_wait_ms(missing, limit, is_alone, now_ms);
+        if expected_wait_ms > claim.max_wait_ms || claim.max_wait_ms == 0 {
+            self.waiters.leave(ticket);
+            let retry_after_ms = expected_wait_ms.max(MAX_WAIT_MS);
+            return Charge::Refused { retry_after_ms };
+        }
+        self.waiters.wait(ticket, claim.tokens, now_ms);
+        self.urgent = true;
+        let wait_ms = expected_wait_ms
+            .clamp(MIN_WAIT_MS, MAX_WAIT_MS)
+            .min(claim.max_wait_ms);
+        Charge::Wait { wait_ms }
+    }
+
+    /// Ends a charge of which `used` tokens were used.
+    pub(super) fn settle(&mut self, ticket: Ticket, used: f64, limit: Limit) {
+        let Some((unused, beyond)) = self.charges.settle(ticket, used) else {
+            return;
+        };
+        self.debt_tokens = (self.debt_tokens + beyond).min(limit.burst_tokens);
+        for piece in unused {
+            if let Source::Native { epoch, mark } = piece.source {
+                self.native.refund(epoch, mark, piece.tokens);
+            }
+        }
+    }
+
+    /// The next ask should not wait for its time.
+    pub(super) fn hurry(&mut self) {
+        self.urgent = true;
+    }
+
+    /// A request no longer waits.
+    pub(super) fn abandon(&mut self, ticket: Ticket) {
+        self.waiters.leave(ticket);
+    }
+
+    /// Whether an ask to `coordinator` is due.
+    pub(super) fn is_due(
+        &self,
+        coordinator: &InstanceId,
+        settings: &BudgetSettings,
+        now_ms: u64,
+    ) -> bool {
+        let passed_ms = now_ms.saturating_sub(self.asked_ms);
+        if self.asked_ms == 0 || passed_ms >= settings.ask_period_ms {
+            return true;
+        }
+        let unanswered_ms = self.wallet(coordinator).and_then(Wallet::unanswered_ms);
+        let is_answered =
+            unanswered_ms.is_none_or(|sent_ms| sent_ms + settings.ask_timeout_ms <= now_ms);
+        let is_first = self.asked_backlog_tokens <= 0.0;
+        self.urgent && is_answered && (is_first || passed_ms >= URGENT_GAP_MS)
+    }
+
+    /// Builds the ask to the present coordinator.
+    pub(super) fn ask(
+        &mut self,
+        organisation: &Name,
+        coordinator: &InstanceId,
+        ask: u64,
+        settings: &BudgetSettings,
+        now_ms: u64,
+    ) -> Ask {
+        self.asked_ms = now_ms;
+        self.urgent = false;
+        if let Some(told) = &self.told
+            && told.by == *coordinator
+            && told.heard_ms + settings.loan_ms / 2 > now_ms
+        {
+            self.native
+                .lend(coordinator, ask, told.loan_asked_ms, settings, now_ms);
+        }
+        let prefetch = self.prefetch_tokens(settings, now_ms);
+        let waiting = self.waiters.total_tokens() + self.debt_tokens;
+        let spendable = self.spendable_tokens();
+        let first = self.waiters.first_tokens() + self.debt_tokens;
+        let backlog = (waiting - spendable).max(0.0);
+        self.asked_backlog_tokens = backlog;
+        let keep = waiting + prefetch * KEEP_FACTOR;
+        let refunds = self.charges.take_refunds(coordinator);
+        let wallet = self.wallet_mut(coordinator);
+        let returned = wallet.take((spendable - keep).max(0.0));
+        wallet.sent(ask, now_ms);
+        Ask {
+            organisation: organisation.clone(),
+            ask,
+            seen_ask: wallet.seen_ask,
+            held_tokens: wallet.tokens(),
+            returned_tokens: returned,
+            shortage_tokens: (first - spendable).max(0.0).min(backlog),
+            backlog_tokens: backlog,
+            prefetch_tokens: (waiting + prefetch - spendable - backlog).max(0.0),
+            refunds,
+            loan: self.native.statement(coordinator, false),
+        }
+    }
+
+    /// Builds an ask that only wants the share back.
+    pub(super) fn recall(
+        &mut self,
+        organisation: &Name,
+        borrower: &InstanceId,
+        ask: u64,
+        now_ms: u64,
+    ) -> Ask {
+        let wallet = self.wallet_mut(borrower);
+        wallet.sent(ask, now_ms);
+        Ask {
+            organisation: organisation.clone(),
+            ask,
+            seen_ask: wallet.seen_ask,
+            held_tokens: wallet.tokens(),
+            returned_tokens: 0.0,
+            shortage_tokens: 0.0,
+            backlog_tokens: 0.0,
+            prefetch_tokens: 0.0,
+            refunds: Vec::new(),
+            loan: self.native.statement(borrower, true),
+        }
+    }
+
+    /// Builds the last ask: gives back all granted tokens, and lends the level once more.
+    pub(super) fn last_ask(
+        &mut self,
+        organisation: &Name,
+        coordinator: &InstanceId,
+        ask: u64,
+        settings: &BudgetSettings,
+        now_ms: u64,
+    ) -> Ask {
+        self.waiters = Waiters::default();
+        let mut last = self.ask(organisation, coordinator, ask, settings, now_ms);
+        let wallet = self.wallet_mut(coordinator);
+        last.returned_tokens += wallet.take(f64::MAX);
+        last.held_tokens = 0.0;
+        last.prefetch_tokens = 0.0;
+        self.wallets.clear();
+        last
+    }
+
+    /// Takes in an answer. Call after [`Account::advance`].
+    pub(super) fn answered(
+        &mut self,
+        from: &InstanceId,
+        answer: &Answer,
+        limit: Limit,
+        settings: &BudgetSettings,
+        now_ms: u64,
+    ) {
+        if let Some(returned) = answer.returned_loan {
+            self.native.returned(from, returned, limit, now_ms);
+            self.urgent = true;
+        }
+        let Some(wallet) = self.wallets.iter_mut().find(|w| w.coordinator == *from) else {
+            return;
+        };
+        if !wallet.accept(answer, settings, now_ms) {
+            return;
+        }
+        self.charges.mark(from, answer.ask, answer.mark);
+        if let Some(loan_asked_ms) = answer.loan_asked_ms {
+            self.urgent |= self.native.is_lendable();
+            self.told = Some(Told {
+                by: from.clone(),
+                heard_ms: now_ms,
+                loan_asked_ms,
+                free_tokens: answer.free_tokens,
+                scarce: answer.scarce,
+            });
+        }
+    }
+
+    /// Whether nothing is lent, held or owed.
+    pub(super) fn is_idle(&self) -> bool {
+        self.native.lent_to().is_none() && self.wallets.is_empty() && self.charges.is_empty()
+    }
+
+    fn take(&mut self, ticket: Ticket, tokens: f64, next_ask: u64, now_ms: u64) {
+        self.waiters.leave(ticket);
+        let debt_tokens = std::mem::take(&mut self.debt_tokens);
+        self.draw(debt_tokens, next_ask);
+        let pieces = self.draw(tokens, next_ask);
+        let drawn: f64 = pieces.iter().map(|piece| piece.tokens).sum();
+        // Rounding is owed, too, so that it cannot add up.
+        self.debt_tokens = (tokens - drawn).max(0.0);
+        self.charges.insert(ticket, pieces);
+        self.demand.add(tokens, now_ms);
+    }
+
+    /// Takes `tokens` from grants first, because they expire.
+    fn draw(&mut self, tokens: f64, next_ask: u64) -> Vec<Piece> {
+        let mut missing = tokens;
+        let mut pieces = Vec::new();
+        for wallet in &mut self.wallets {
+            let tokens = wallet.take(missing);
+            missing -= tokens;
+            if tokens > 0.0 {
+                let source = Source::Granted {
+                    coordinator: wallet.coordinator.clone(),
+                    first_ask: next_ask,
+                    mark: None,
+                };
+                pieces.push(Piece { source, tokens });
+            }
+        }
+        let (tokens, mark, epoch) = self.native.take(missing);
+        if tokens > 0.0 {
+            let source = Source::Native { epoch, mark };
+            pieces.push(Piece { source, tokens });
+        }
+        pieces
+    }
+
+    fn spendable_tokens(&self) -> f64 {
+        let granted: f64 = self.wallets.iter().map(Wallet::tokens).sum();
+        let held = self.native.held().map_or(0.0, Reserve::level_tokens);
+        granted + held.max(0.0)
+    }
+
+    fn prefetch_tokens(&self, settings: &BudgetSettings, now_ms: u64) -> f64 {
+        if self.told.as_ref().is_some_and(|told| told.scarce) {
+            return 0.0;
+        }
+        self.demand.per_s(now_ms) * settings.prefetch_ms as f64 / 1_000.0
+    }
+
+    /// Time until `missing` more tokens can be here; 0 if nobody has said so yet.
+    ///
+    /// Counts with the whole rate, also while shares that rest with a dead coordinator are
+    /// missing: they are back within a loan's time.
+    fn expected_wait_ms(&self, missing: f64, limit: Limit, is_alone: bool, now_ms: u64) -> u64 {
+        if is_alone {
+            let held = self.native.held();
+            return held.map_or(UNKNOWN_WAIT_MS, |held| held.wait_ms(missing));
+        }
+        let Some(told) = &self.told else {
+            return 0;
+        };
+        let passed_s = now_ms.saturating_sub(told.heard_ms) as f64 / 1_000.0;
+        let free = told.free_tokens + limit.rate_per_s * passed_s;
+        let untold = (missing - self.asked_backlog_tokens).max(0.0) - free;
+        if untold <= 0.0 {
+            return 0;
+        }
+        if limit.rate_per_s <= 0.0 {
+            return UNKNOWN_WAIT_MS;
+        }
+        super::ceil_ms(untold / limit.rate_per_s)
+    }
+
+    fn wallet(&self, coordinator: &InstanceId) -> Option<&Wallet> {
+        self.wallets
+            .iter()
+            .find(|wallet| wallet.coordinator == *coordinator)
+    }
+
+    fn wallet_mut(&mut self, coordinator: &InstanceId) -> &mut Wallet {
+        let found = self
+            .wallets
+            .iter()
+            .position(|wallet| wallet.coordinator == *coordinator);
+        let index = found.unwrap_or(self.wallets.len());
+        if found.is_none() {
+            self.wallets.push(Wallet::new(coordinator.clone()));
+        }
+        &mut self.wallets[index]
+    }
+}
--- /dev/null
+++ b/core/src/budget/charge.rs
@@ -0,0 +1,178 @@
+//! Charges of requests, from the first try to the settlement.
+
+use std::collections::{HashMap, VecDeque};
+
+use super::message::Refund;
+use crate::name::InstanceId;
+
+/// Refunds that one ask carries; more are dropped, which costs tokens but breaks no promise.
+const MAX_REFUNDS: usize = 32;
+/// Time without a new try after which a waiting request counts as gone.
+const ABANDONED_MS: u64 = 1_000;
+
+/// Number of a request, unique in its process.
+pub type Ticket = u64;
+
+/// Where tokens of a charge came from.
+#[derive(Clone, Debug)]
+pub(super) enum Source {
+    /// The own share, in its period `epoch`.
+    Native { epoch: u64, mark: u64 },
+    /// Grants of a coordinator. The charge is known there from ask `first_ask` on; `mark` is that
+    /// coordinator's mark once its answer has arrived.
+    Granted {
+        coordinator: InstanceId,
+        first_ask: u64,
+        mark: Option<u64>,
+    },
+}
+
+/// Tokens of a charge from one source.
+#[derive(Clone, Debug)]
+pub(super) struct Piece {
+    pub(super) source: Source,
+    pub(super) tokens: f64,
+}
+
+/// Charges that are not settled and refunds that are not sent.
+#[derive(Debug, Default)]
+pub(super) struct OpenCharges {
+    by_ticket: HashMap<Ticket, Vec<Piece>>,
+    refunds: Vec<Piece>,
+}
+
+impl OpenCharges {
+    pub(super) fn insert(&mut self, ticket: Ticket, pieces: Vec<Piece>) {
+        self.by_ticket.entry(ticket).or_default().extend(pieces);
+    }
+
+    /// Ends the charge of `ticket`, of which `used` tokens were used. Returns the unused parts of
+    /// the native share and the tokens that were used beyond the charge.
+    pub(super) fn settle(&mut self, ticket: Ticket, used: f64) -> Option<(Vec<Piece>, f64)> {
+        let mut pieces = self.by_ticket.remove(&ticket)?;
+        let mut used = used;
+        for piece in &mut pieces {
+            let part = piece.tokens.min(used);
+            piece.tokens -= part;
+            used -= part;
+        }
+        pieces.retain(|piece| piece.tokens > 0.0);
+        let (native, granted): (Vec<_>, Vec<_>) = pieces
+            .into_iter()
+            .partition(|piece| matches!(piece.source, Source::Native { .. }));
+        self.refunds.extend(granted);
+        Some((native, used))
+    }
+
+    /// An answer of `coordinator` to `ask` carried `mark`.
+    pub(super) fn mark(&mut self, coordinator: &InstanceId, ask: u64, mark: u64) {
+        let open = self.by_ticket.values_mut().flatten();
+        for piece in open.chain(&mut self.refunds) {
+            piece.source.mark(coordinator, ask, mark);
+        }
+    }
+
+    /// Takes out the refunds that `coordinator` can be told, and drops those of others.
+    pub(super) fn take_refunds(&mut self, coordinator: &InstanceId) -> Vec<Refund> {
+        let mut ready = Vec::new();
+        self.refunds.retain(|piece| match &piece.source {
+            Source::Granted {
+                coordinator: granter,
+                mark,
+                ..
+            } if granter == coordinator => {
+                ready.extend(mark.map(|mark| (mark, piece.tokens)));
+                mark.is_none()
+            }
+            _ => false,
+        });
+        merge(ready)
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.by_ticket.is_empty() && self.refunds.is_empty()
+    }
+}
+
+impl Source {
+    fn mark(&mut self, by: &InstanceId, ask: u64, answer_mark: u64) {
+        if let Source::Granted {
+            coordinator,
+            first_ask,
+            mark: mark @ None,
+        } = self
+            && coordinator == by
+            && *first_ask <= ask
+        {
+            *mark = Some(answer_mark);
+        }
+    }
+}
+
+/// Adds up refunds with the same mark.
+fn merge(mut ready: Vec<(u64, f64)>) -> Vec<Refund> {
+    ready.sort_by_key(|&(mark, _)| mark);
+    let mut merged: Vec<Refund> = Vec::new();
+    for (mark, tokens) in ready {
+        match merged.last_mut() {
+            Some(last) if last.mark == mark => last.tokens += tokens,
+            _ => merged.push(Refund { mark, tokens }),
+        }
+    }
+    let surplus = merged.len().saturating_sub(MAX_REFUNDS);
+    merged.split_off(surplus)
+}
+
+/// A request that waits for tokens.
+#[derive(Debug)]
+struct Waiter {
+    ticket: Ticket,
+    tokens: f64,
+    expires_ms: u64,
+}
+
+/// Requests that wait for tokens, oldest first.
+#[derive(Debug, Default)]
+pub(super) struct Waiters {
+    queue: VecDeque<Waiter>,
+}
+
+impl Waiters {
+    /// Puts a request at the end of the line, or keeps its place if it has one.
+    pub(super) fn wait(&mut self, ticket: Ticket, tokens: f64, now_ms: u64) {
+        let expires_ms = now_ms + ABANDONED_MS;
+        match self.queue.iter_mut().find(|waiter| waiter.ticket == ticket) {
+            Some(waiter) => waiter.expires_ms = expires_ms,
+            None => self.queue.push_back(Waiter {
+                ticket,
+                tokens,
+                expires_ms,
+            }),
+        }
+    }
+
+    pub(super) fn leave(&mut self, ticket: Ticket) {
+        self.queue.retain(|waiter| waiter.ticket != ticket);
+    }
+
+    pub(super) fn expire(&mut self, now_ms: u64) {
+        self.queue.retain(|waiter| waiter.expires_ms > now_ms);
+    }
+
+    /// Tokens of the requests ahead of `ticket`.
+    pub(super) fn ahead_tokens(&self, ticket: Ticket) -> f64 {
+        let ahead = self
+            .queue
+            .iter()
+            .take_while(|waiter| waiter.ticket != ticket);
+        ahead.map(|waiter| waiter.tokens).sum()
+    }
+
+    pub(super) fn first_tokens(&self) -> f64 {
+        self.queue.front().map_or(0.0, |waiter| waiter.tokens)
+    }
+
+    pub(super) fn total_tokens(&self) -> f64 {
+        self.queue.iter().map(|waiter| waiter.tokens).sum()
+    }
+}
--- /dev/null
+++ b/core/src/budget/mod.rs
@@ -0,0 +1,526 @@
+//! Budgets over the whole fleet: no organisation gets more than its rate and burst, over all
+//! instances together and over any interval.
+//!
+//! A token can be spent in one place only. Each member of the [roster](crate::roster) has a share
+//! of each budget and lends it for a short time to the budget's coordinator, which grants tokens
+//! back by demand. Lender and borrower count the time of a loan or grant on their own monotonic
+//! clocks, the borrower from its ask and the lender, with an allowance for drift, from its answer,
+//! so that the borrower stops first whatever happens to either. Nothing here needs the store.
+//!
+//! Invariant of the fleet: the tokens that can be spent anywhere are never more than the burst,
+//! and tokens are created at no more than the rate. A charge counts at the moment of
+//! [`Budgets::charge`].
+//!
+//! ```
+//! use mimosabay_core::budget::{BudgetSettings, Budgets, Charge, Limit};
+//! use mimosabay_core::name::InstanceId;
+//! use mimosabay_core::roster::Roster;
+//!
+//! let me = InstanceId::new("instance-1", 1);
+//! let mut budgets = Budgets::new(me.clone(), BudgetSettings::default(), 0);
+//! let limit = Limit { rate_per_s: 100.0, burst_tokens: 200.0 };
+//! budgets.configure(&"clinic".into(), limit, 1, 0);
+//! let roster = Roster::default().join(&me).unwrap();
+//! let roster = roster.confirm(&me, roster.version).unwrap();
+//! budgets.set_roster(&roster, 0);
+//!
+//! assert_eq!(budgets.charge(&"clinic".into(), 7, 100, 0, 1_000), Charge::Granted);
+//! budgets.settle(&"clinic".into(), 7, 60, 1_500);
+//! ```
+
+mod account;
+mod charge;
+mod demand;
+mod holding;
+mod loan;
+mod low_water;
+mod message;
+mod pool;
+mod reserve;
+mod settings;
+mod share;
+mod wallet;
+
+use std::collections::{BTreeMap, HashMap};
+
+use crate::name::{InstanceId, Name};
+use crate::rendezvous;
+use crate::roster::Roster;
+use account::{Account, Claim};
+use pool::Pool;
+
+pub use charge::Ticket;
+pub use message::{Answer, Ask, BudgetMessage, LoanStatement, Refund, ReturnedLoan, Send};
+pub use settings::{BudgetPolicy, BudgetSettings};
+
+/// Rounds of messages to itself that one call handles.
+const MAX_LOCAL_ROUNDS: usize = 4;
+/// Time until a repeat is worth trying for an organisation that is not configured.
+const UNKNOWN_RETRY_MS: u64 = 1_000;
+
+crate::record! {
+    /// Rate and burst of a budget.
+    #[derive(Copy)]
+    pub struct Limit {
+        /// Tokens a second.
+        pub rate_per_s: f64,
+        /// Tokens that may be used at once after a pause.
+        pub burst_tokens: f64,
+    }
+}
+
+/// The outcome of a charge.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Charge {
+    /// The tokens are charged.
+    Granted,
+    /// The tokens are expected in time: try again with the same ticket after `wait_ms` or after
+    /// the next message, whichever comes first.
+    Wait {
+        /// Time to wait.
+        wait_ms: u64,
+    },
+    /// The tokens will not be there in time.
+    Refused {
+        /// When a repeat is worth trying, from now.
+        retry_after_ms: u64,
+    },
+    /// More tokens than the burst; no repeat can succeed.
+    TooLarge,
+}
+
+/// A budget as this process sees it.
+#[derive(Debug)]
+struct Budget {
+    limit: Limit,
+    /// Invariant: grows with each change of the limit.
+    generation: u64,
+    /// Whether the organisation is gone. The rest is kept until nothing is lent or held.
+    is_removed: bool,
+    account: Account,
+    pool: Pool,
+}
+
+/// All budgets of this process, as a member and as a coordinator.
+#[derive(Debug)]
+pub struct Budgets {
+    me: InstanceId,
+    settings: BudgetSettings,
+    by_organisation: BTreeMap<Name, Budget>,
+    peers: HashMap<Name, InstanceId>,
+    share: f64,
+    /// Own time until which loans made under a larger share or by a removed member may be in use.
+    shrunk_ms: u64,
+    /// Version that this process acts on.
+    version: u64,
+    last_ask: u64,
+    /// Own time of the last call, to find pauses.
+    called_ms: u64,
+    has_left: bool,
+}
+
+impl Budgets {
+    /// Builds the budgets of a process that is on no roster yet.
+    pub fn new(me: InstanceId, settings: BudgetSettings, now_ms: u64) -> Self {
+        Self {
+            me,
+            settings,
+            by_organisation: BTreeMap::new(),
+            peers: HashMap::new(),
+            share: 0.0,
+            shrunk_ms: 0,
+            version: 0,
+            last_ask: 0,
+            called_ms: now_ms,
+            has_left: false,
+        }
+    }
+
+    /// Sets rate and burst of an organisation. An older generation is ignored.
+    pub fn configure(&mut self, organisation: &Name, limit: Limit, generation: u64, now_ms: u64) {
+        self.observe(now_ms);
+        let share = self.share;
+        let budget = self
+            .by_organisation
+            .entry(organisation.clone())
+            .or_insert_with(|| Budget::new(share, limit, now_ms));
+        if generation > budget.generation {
+            budget.generation = generation;
+            budget.is_removed = false;
+            budget.set_limit(limit, share, now_ms);
+        }
+    }
+
+    /// Removes an organisation: its requests are refused from now on.
+    pub fn remove(&mut self, organisation: &Name, generation: u64, now_ms: u64) {
+        self.observe(now_ms);
+        let share = self.share;
+        if let Some(budget) = self.by_organisation.get_mut(organisation)
+            && generation > budget.generation
+        {
+            budget.generation = generation;
+            budget.is_removed = true;
+            budget.set_limit(Limit::NONE, share, now_ms);
+        }
+    }
+
+    /// Takes in a roster read from the store. An older one is ignored.
+    pub fn set_roster(&mut self, roster: &Roster, now_ms: u64) {
+        self.observe(now_ms);
+        if roster.version < self.version {
+            return;
+        }
+        let share = roster.share_of(&self.me);
+        let confirmed = roster.member(&self.me).map_or(0, |me| me.confirmed_version);
+        if roster.version > self.version && roster.removed_version > confirmed {
+            self.shrunk_ms = self.shrunk_ms.max(now_ms + self.settings.lender_loan_ms());
+        }
+        self.version = roster.version;
+        self.set_share(share, now_ms);
+    }
+
+    /// The roster version that may be confirmed: nothing of this process exceeds what it allows.
+    pub fn confirmable_version(&self, now_ms: u64) -> Option<u64> {
+        (now_ms >= self.shrunk_ms).then_some(self.version)
+    }
+
+    /// Sets the live processes, this one included unless it is leaving. They are the candidates
+    /// for coordinator; instances that differ in this view do no harm.
+    pub fn set_peers(&mut self, peers: impl IntoIterator<Item = InstanceId>, now_ms: u64) {
+        self.observe(now_ms);
+        self.peers.clear();
+        for budget in self.by_organisation.values_mut() {
+            budget.account.hurry();
+        }
+        for peer in peers {
+            let known = self.peers.entry(peer.name.clone()).or_insert(peer.clone());
+            if known.incarnation < peer.incarnation {
+                *known = peer;
+            }
+        }
+    }
+
+    /// Charges the request `ticket`, which may wait up to `max_wait_ms`.
+    ///
+    /// After [`Charge::Wait`] call [`Budgets::tick`] at once, so that the ask is sent. A charge
+    /// counts from the moment of this call, so read the clock again after it: if the process was
+    /// paused between reading `now_ms` and the return, give the charge up unused.
+    pub fn charge(
+        &mut self,
+        organisation: &Name,
+        ticket: Ticket,
+        tokens: u64,
+        max_wait_ms: u64,
+        now_ms: u64,
+    ) -> Charge {
+        self.observe(now_ms);
+        let next_ask = self.last_ask + 1;
+        let is_alone = self.coordinator(organisation).is_none();
+        let has_left = self.has_left;
+        let budget = self.by_organisation.get_mut(organisation);
+        let Some(budget) = budget.filter(|budget| !budget.is_removed && !has_left) else {
+            let retry_after_ms = UNKNOWN_RETRY_MS;
+            return Charge::Refused { retry_after_ms };
+        };
+        let claim = Claim {
+            ticket,
+            tokens: tokens as f64,
+            max_wait_ms,
+        };
+        if claim.tokens > budget.limit.burst_tokens {
+            budget.account.abandon(ticket);
+            return Charge::TooLarge;
+        }
+        let limit = budget.limit;
+        budget.account.advance(limit, now_ms);
+        budget
+            .account
+            .charge(claim, next_ask, limit, is_alone, now_ms)
+    }
+
+    /// Ends the charge of `ticket`: `used` tokens were really used.
+    ///
+    /// What was not used comes back as far as it would have fitted below the burst ever since
+    /// the charge; what was used beyond the charge is taken with the next one.
+    pub fn settle(&mut self, organisation: &Name, ticket: Ticket, used: u64, now_ms: u64) {
+        self.observe(now_ms);
+        if let Some(budget) = self.by_organisation.get_mut(organisation) {
+            budget.account.advance(budget.limit, now_ms);
+            budget.account.settle(ticket, used as f64, budget.limit);
+        }
+    }
+
+    /// The request `ticket` no longer waits.
+    pub fn abandon(&mut self, organisation: &Name, ticket: Ticket) {
+        if let Some(budget) = self.by_organisation.get_mut(organisation) {
+            budget.account.abandon(ticket);
+        }
+    }
+
+    /// Takes in a message of another process.
+    pub fn on_message(
+        &mut self,
+        from: &InstanceId,
+        message: BudgetMessage,
+        now_ms: u64,
+    ) -> Vec<Send> {
+        self.observe(now_ms);
+        let mut outbox = Outbox::default();
+        self.handle(from, message, &mut outbox, now_ms);
+        self.deliver(outbox, now_ms)
+    }
+
+    /// Sends what is due. Cheap when nothing is.
+    pub fn tick(&mut self, now_ms: u64) -> Vec<Send> {
+        self.observe(now_ms);
+        let mut outbox = Outbox::default();
+        if self.settings.policy == BudgetPolicy::Lending && !self.has_left {
+            self.ask_all(&mut outbox, now_ms);
+        }
+        self.forget_removed(now_ms);
+        self.deliver(outbox, now_ms)
+    }
+
+    /// Ends this process's part in all budgets: gives back grants and loans, and refuses every
+    /// charge from now on. Charges made before can still be settled.
+    pub fn leave(&mut self, now_ms: u64) -> Vec<Send> {
+        self.observe(now_ms);
+        self.has_left = true;
+        let mut outbox = Outbox::default();
+        if self.settings.policy == BudgetPolicy::Lending {
+            self.give_back_all(&mut outbox, now_ms);
+        }
+        self.deliver(outbox, now_ms)
+    }
+
+    /// The coordinator of an organisation, as this process sees it.
+    pub fn coordinator(&self, organisation: &Name) -> Option<&InstanceId> {
+        if self.settings.policy == BudgetPolicy::StaticShare {
+            return None;
+        }
+        let names = self.peers.keys().map(|name| &**name);
+        let chosen = rendezvous::choose(organisation, names)?;
+        self.peers.get(chosen)
+    }
+
+    fn set_share(&mut self, share: f64, now_ms: u64) {
+        let shrinks = share < self.share;
+        self.share = share;
+        for budget in self.by_organisation.values_mut() {
+            if shrinks {
+                self.shrunk_ms = self.shrunk_ms.max(budget.account.native.reclaim_ms());
+            }
+            budget.account.native.advance(budget.limit, now_ms);
+            budget.account.native.resize(share, budget.limit);
+        }
+    }
+
+    /// Finds a pause of this process.
+    fn observe(&mut self, now_ms: u64) {
+        let passed_ms = now_ms.saturating_sub(self.called_ms);
+        self.called_ms = self.called_ms.max(now_ms);
+        if passed_ms < self.settings.pause_limit_ms {
+            return;
+        }
+        self.share = 0.0;
+        for budget in self.by_organisation.values_mut() {
+            budget.account.advance(budget.limit, now_ms);
+            budget.account.native.drop_held(now_ms);
+        }
+    }
+
+    fn ask_all(&mut self, outbox: &mut Outbox, now_ms: u64) {
+        let organisations: Vec<Name> = self.by_organisation.keys().cloned().collect();
+        for organisation in organisations {
+            let Some(coordinator) = self.coordinator(&organisation).cloned() else {
+                continue;
+            };
+            let Some(budget) = self.by_organisation.get_mut(&organisation) else {
+                continue;
+            };
+            budget.account.advance(budget.limit, now_ms);
+            let settings = &self.settings;
+            if budget.is_removed || !budget.account.is_due(&coordinator, settings, now_ms) {
+                continue;
+            }
+            let borrower = budget.account.native.lent_to().cloned();
+            if let Some(borrower) = borrower.filter(|borrower| *borrower != coordinator) {
+                self.last_ask += 1;
+                let ask = self.last_ask;
+                let recall = budget.account.recall(&organisation, &borrower, ask, now_ms);
+                outbox.ask(&borrower, recall);
+            }
+            self.last_ask += 1;
+            let ask = self.last_ask;
+            let account = &mut budget.account;
+            let ask = account.ask(&organisation, &coordinator, ask, settings, now_ms);
+            outbox.ask(&coordinator, ask);
+        }
+    }
+
+    fn give_back_all(&mut self, outbox: &mut Outbox, now_ms: u64) {
+        let organisations: Vec<Name> = self.by_organisation.keys().cloned().collect();
+        for organisation in organisations {
+            let coordinator = self.coordinator(&organisation).cloned();
+            let Some(budget) = self.by_organisation.get_mut(&organisation) else {
+                continue;
+            };
+            budget.advance(now_ms);
+            for (lender, loan) in budget.pool.give_back_all(budget.limit) {
+                outbox.answer(&lender, Answer::returning(&organisation, loan));
+            }
+            let Some(coordinator) = coordinator.filter(|coordinator| *coordinator != self.me)
+            else {
+                continue;
+            };
+            self.last_ask += 1;
+            let ask = self.last_ask;
+            let account = &mut budget.account;
+            let last = account.last_ask(&organisation, &coordinator, ask, &self.settings, now_ms);
+            outbox.ask(&coordinator, last);
+        }
+    }
+
+    fn handle(
+        &mut self,
+        from: &InstanceId,
+        message: BudgetMessage,
+        outbox: &mut Outbox,
+        now_ms: u64,
+    ) {
+        match message {
+            BudgetMessage::Asks(asks) => {
+                for ask in asks {
+                    self.handle_ask(from, ask, outbox, now_ms);
+                }
+            }
+            BudgetMessage::Answers(answers) => {
+                for answer in answers {
+                    self.handle_answer(from, &answer, now_ms);
+                }
+            }
+        }
+    }
+
+    fn handle_ask(&mut self, from: &InstanceId, mut ask: Ask, outbox: &mut Outbox, now_ms: u64) {
+        let Some(budget) = self.by_organisation.get_mut(&ask.organisation) else {
+            return;
+        };
+        budget.advance(now_ms);
+        if self.has_left
+            && let Some(loan) = &mut ask.loan
+        {
+            loan.recall = true;
+        }
+        let limit = budget.limit;
+        let answer = budget
+            .pool
+            .answer(from, &ask, limit, &self.settings, now_ms);
+        if let Some(answer) = answer {
+            outbox.answer(from, answer);
+        }
+    }
+
+    fn handle_answer(&mut self, from: &InstanceId, answer: &Answer, now_ms: u64) {
+        if let Some(budget) = self.by_organisation.get_mut(&answer.organisation) {
+            budget.account.advance(budget.limit, now_ms);
+            let limit = budget.limit;
+            let account = &mut budget.account;
+            account.answered(from, answer, limit, &self.settings, now_ms);
+        }
+    }
+
+    /// Handles what this process sends to itself and returns the rest.
+    fn deliver(&mut self, mut outbox: Outbox, now_ms: u64) -> Vec<Send> {
+        let me = self.me.clone();
+        for _ in 0..MAX_LOCAL_ROUNDS {
+            let local = outbox.take(&me);
+            if local.is_empty() {
+                break;
+            }
+            for message in local {
+                self.handle(&me, message, &mut outbox, now_ms);
+            }
+        }
+        outbox.into_sends()
+    }
+
+    fn forget_removed(&mut self, now_ms: u64) {
+        self.by_organisation.retain(|_, budget| {
+            if budget.is_removed {
+                budget.advance(now_ms);
+            }
+            !(budget.is_removed && budget.account.is_idle() && budget.pool.is_idle())
+        });
+    }
+}
+
+impl Limit {
+    /// The limit of an organisation that is gone.
+    const NONE: Self = Self {
+        rate_per_s: 0.0,
+        burst_tokens: 0.0,
+    };
+}
+
+impl Budget {
+    fn new(share: f64, limit: Limit, now_ms: u64) -> Self {
+        Self {
+            limit,
+            generation: 0,
+            is_removed: false,
+            account: Account::new(share, limit, now_ms),
+            pool: Pool::new(now_ms),
+        }
+    }
+
+    fn advance(&mut self, now_ms: u64) {
+        self.account.advance(self.limit, now_ms);
+        self.pool.advance(self.limit, now_ms);
+    }
+
+    fn set_limit(&mut self, limit: Limit, share: f64, now_ms: u64) {
+        self.advance(now_ms);
+        self.limit = limit;
+        self.account.native.resize(share, limit);
+        self.pool.resize(limit);
+    }
+}
+
+/// Messages by receiver.
+#[derive(Default)]
+struct Outbox {
+    asks: BTreeMap<InstanceId, Vec<Ask>>,
+    answers: BTreeMap<InstanceId, Vec<Answer>>,
+}
+
+impl Outbox {
+    fn ask(&mut self, to: &InstanceId, ask: Ask) {
+        self.asks.entry(to.clone()).or_default().push(ask);
+    }
+
+    fn answer(&mut self, to: &InstanceId, answer: Answer) {
+        self.answers.entry(to.clone()).or_default().push(answer);
+    }
+
+    fn take(&mut self, to: &InstanceId) -> Vec<BudgetMessage> {
+        let asks = self.asks.remove(to).map(BudgetMessage::Asks);
+        let answers = self.answers.remove(to).map(BudgetMessage::Answers);
+        asks.into_iter().chain(answers).collect()
+    }
+
+    fn into_sends(self) -> Vec<Send> {
+        let asks = self.asks.into_iter();
+        let answers = self.answers.into_iter();
+        asks.map(|(to, asks)| (to, BudgetMessage::Asks(asks)))
+            .chain(answers.map(|(to, answers)| (to, BudgetMessage::Answers(answers))))
+            .map(|(to, message)| Send { to, message })
+            .collect()
+    }
+}
+
+/// Rounds seconds up to milliseconds.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn ceil_ms(seconds: f64) -> u64 {
+    (seconds * 1_000.0).ceil().max(0.0) as u64
+}
--- /dev/null
+++ b/core/src/budget/pool.rs
@@ -0,0 +1,194 @@
+//! The coordinator's side of one budget: shares lent by members, tokens granted by demand.
+
+use std::collections::HashMap;
+
+use super::Limit;
+use super::holding::Holding;
+use super::loan::{Loans, REMEMBER_MS};
+use super::message::{Answer, Ask, LoanStatement, ReturnedLoan};
+use super::reserve::{EPSILON_TOKENS, Reserve};
+use super::settings::BudgetSettings;
+use crate::name::InstanceId;
+
+/// Asks of a member for which its shortage stays in line after the last one.
+const SHORTAGE_PERIODS: u64 = 3;
+
+/// Mark to which nothing is refunded. A member that was forgotten may still have charges from
+/// before, and what has happened since then is not known.
+const NO_MARK: u64 = 0;
+
+/// Lent shares and granted tokens of one budget.
+///
+/// Invariant: `reserve` has the rate and burst of the live loans, and its outstanding tokens are
+/// the sum over `holdings`.
+#[derive(Debug)]
+pub(super) struct Pool {
+    reserve: Reserve,
+    loans: Loans,
+    holdings: HashMap<InstanceId, Holding>,
+}
+
+impl Pool {
+    pub(super) fn new(now_ms: u64) -> Self {
+        Self {
+            reserve: Reserve::empty(0.0, 0.0, now_ms),
+            loans: Loans::default(),
+            holdings: HashMap::new(),
+        }
+    }
+
+    /// Refills, ends loans and drops expired grants.
+    pub(super) fn advance(&mut self, limit: Limit, now_ms: u64) {
+        self.loans.advance(&mut self.reserve, limit, now_ms);
+        for holding in self.holdings.values_mut() {
+            let expired = holding.expire(now_ms);
+            if expired > 0.0 {
+                let mark = self.reserve.reduce_outstanding(expired, 0.0);
+                holding.mark_expiry(mark);
+            }
+        }
+        self.holdings
+            .retain(|_, holding| holding.asked_ms + REMEMBER_MS > now_ms);
+    }
+
+    /// Fits the reserve to a changed limit. Call after [`Pool::advance`].
+    pub(super) fn resize(&mut self, limit: Limit) {
+        self.loans.resize(&mut self.reserve, limit);
+    }
+
+    /// Answers an ask; `None` if it is late or repeated. Call after [`Pool::advance`].
+    pub(super) fn answer(
+        &mut self,
+        from: &InstanceId,
+        ask: &Ask,
+        limit: Limit,
+        settings: &BudgetSettings,
+        now_ms: u64,
+    ) -> Option<Answer> {
+        let is_recall = ask.loan.is_some_and(|loan| loan.recall);
+        let is_new = !self.holdings.contains_key(from);
+        let holding = self.holdings.entry(from.clone()).or_default();
+        if ask.ask <= holding.last_ask {
+            return None;
+        }
+        let gone = holding.report(ask, now_ms);
+        let returned = ask.returned_tokens.clamp(0.0, gone);
+        let mark = self.reserve.reduce_outstanding(gone - returned, returned);
+        holding.mark(if is_new { NO_MARK } else { mark });
+        holding.want(ask, now_ms);
+        let refunds = if is_new { &[] } else { &ask.refunds[..] };
+        for refund in refunds {
+            self.reserve.refund(refund.mark, refund.tokens);
+        }
+        let returned_loan = ask
+            .loan
+            .and_then(|loan| self.state_loan(from, loan, limit, settings, now_ms));
+        let granted = if is_recall {
+            None
+        } else {
+            self.grant(from, settings, now_ms)
+        };
+        Some(Answer {
+            organisation: ask.organisation.clone(),
+            ask: ask.ask,
+            granted_tokens: granted.unwrap_or(0.0),
+            extended: granted.is_some(),
+            mark: self.holdings[from].answer_mark(),
+            free_tokens: self.free_tokens(settings, now_ms),
+            scarce: self.is_scarce(settings, now_ms),
+            loan_asked_ms: (!is_recall).then_some(now_ms),
+            returned_loan,
+        })
+    }
+
+    /// Gives every loan back that can be, in order.
+    pub(super) fn give_back_all(&mut self, limit: Limit) -> Vec<(InstanceId, ReturnedLoan)> {
+        let mut returned = Vec::new();
+        for lender in self.loans.lenders() {
+            let loan = self.loans.give_back(&lender, &mut self.reserve, limit);
+            returned.extend(loan.map(|loan| (lender, loan)));
+        }
+        returned
+    }
+
+    /// Whether nothing of this budget is remembered any more.
+    pub(super) fn is_idle(&self) -> bool {
+        self.holdings.is_empty() && self.loans.lenders().is_empty()
+    }
+
+    fn state_loan(
+        &mut self,
+        from: &InstanceId,
+        loan: LoanStatement,
+        limit: Limit,
+        settings: &BudgetSettings,
+        now_ms: u64,
+    ) -> Option<ReturnedLoan> {
+        let reserve = &mut self.reserve;
+        self.loans
+            .state(from, loan, reserve, limit, settings, now_ms)
+    }
+
+    /// Grants tokens to `to`; `None` if not even those it holds may live on, because loans that
+    /// they rest on have ended.
+    fn grant(&mut self, to: &InstanceId, settings: &BudgetSettings, now_ms: u64) -> Option<f64> {
+        if !self.reserve.covers_outstanding() {
+            return None;
+        }
+        let tokens = self.grantable(to, settings, now_ms);
+        self.reserve.grant(tokens);
+        let end_ms = now_ms + settings.lender_grant_ms();
+        let holding = self.holdings.get_mut(to)?;
+        holding.grant(tokens, end_ms);
+        Some(tokens)
+    }
+
+    /// First the shortages in the order of their age, so that small requests cannot starve a
+    /// large one; what is left in proportion to what each member wants beyond that.
+    fn grantable(&self, to: &InstanceId, settings: &BudgetSettings, now_ms: u64) -> f64 {
+        let own = &self.holdings[to];
+        if own.has_too_many_unseen() {
+            return 0.0;
+        }
+        let level = self.reserve.level_tokens().max(0.0);
+        let others = || self.waiting(settings, now_ms).filter(|(id, _)| *id != to);
+        let ahead: f64 = others()
+            .filter(|(id, other)| (other.shortage_since_ms, *id) < (own.shortage_since_ms, to))
+            .map(|(_, other)| other.shortage_tokens)
+            .sum();
+        let first = own.shortage_tokens.min((level - ahead).max(0.0));
+        let owed: f64 = others().map(|(_, other)| other.shortage_tokens).sum();
+        let spare = (level - first - owed).max(0.0);
+        let own_extra = own.extra_tokens();
+        let others_extra: f64 = others().map(|(_, other)| other.extra_tokens()).sum();
+        let part = own_extra / (own_extra + others_extra).max(EPSILON_TOKENS);
+        first + own_extra.min(spare * part)
+    }
+
+    /// Tokens that nobody waits for; negative if more are waited for than there are.
+    fn free_tokens(&self, settings: &BudgetSettings, now_ms: u64) -> f64 {
+        let waiting = self.waiting(settings, now_ms);
+        let backlog: f64 = waiting.map(|(_, holding)| holding.backlog_tokens).sum();
+        self.reserve.level_tokens() - backlog
+    }
+
+    fn is_scarce(&self, settings: &BudgetSettings, now_ms: u64) -> bool {
+        let owed: f64 = self
+            .waiting(settings, now_ms)
+            .map(|(_, holding)| holding.shortage_tokens)
+            .sum();
+        owed > EPSILON_TOKENS
+    }
+
+    /// Members whose last ask is recent enough to be in line.
+    fn waiting(
+        &self,
+        settings: &BudgetSettings,
+        now_ms: u64,
+    ) -> impl Iterator<Item = (&InstanceId, &Holding)> {
+        let line_ms = SHORTAGE_PERIODS * settings.ask_period_ms;
+        self.holdings
+            .iter()
+            .filter(move |(_, holding)| holding.asked_ms + line_ms > now_ms)
+    }
+}
--- /dev/null
+++ b/core/src/budget/share.rs
@@ -0,0 +1,204 @@
+//! The own share of one budget: held, or lent to a coordinator.
+
+use super::Limit;
+use super::message::{LoanStatement, ReturnedLoan};
+use super::reserve::Reserve;
+use super::settings::BudgetSettings;
+use crate::name::InstanceId;
+
+/// The own share of one budget.
+#[derive(Debug)]
+pub(super) struct NativeShare {
+    /// The share, a part of 1.
+    share: f64,
+    state: State,
+    /// Number of times that the share was lent. A charge made in an earlier period is not
+    /// refunded, because its tokens may have been used elsewhere since.
+    epoch: u64,
+}
+
+#[derive(Debug)]
+enum State {
+    /// Spent here.
+    Held(Reserve),
+    /// Used by a coordinator. Invariant: nothing is spent here before `reclaim_ms`.
+    Lent {
+        to: InstanceId,
+        statement: LoanStatement,
+        /// Own time after which nothing of the loan is in use.
+        reclaim_ms: u64,
+    },
+}
+
+impl NativeShare {
+    /// A new share is empty, because an earlier holder may have used its burst.
+    pub(super) fn empty(share: f64, limit: Limit, now_ms: u64) -> Self {
+        let mut native = Self {
+            share,
+            state: State::Held(Reserve::empty(0.0, 0.0, now_ms)),
+            epoch: 0,
+        };
+        native.resize(share, limit);
+        native
+    }
+
+    /// Refills; takes a share back, empty, whose loan has certainly ended.
+    pub(super) fn advance(&mut self, limit: Limit, now_ms: u64) {
+        match &mut self.state {
+            State::Held(reserve) => reserve.advance(now_ms),
+            State::Lent { reclaim_ms, .. } if *reclaim_ms <= now_ms => {
+                self.hold(0.0, limit, now_ms);
+            }
+            State::Lent { .. } => {}
+        }
+    }
+
+    /// Changes share and limit. Call after [`NativeShare::advance`].
+    pub(super) fn resize(&mut self, share: f64, limit: Limit) {
+        self.share = share;
+        match &mut self.state {
+            State::Held(reserve) => {
+                reserve.resize(limit.rate_per_s * share, limit.burst_tokens * share);
+            }
+            State::Lent { statement, .. } => statement.share = share,
+        }
+    }
+
+    /// Drops what is held, because the process may have been taken off the roster meanwhile.
+    pub(super) fn drop_held(&mut self, now_ms: u64) {
+        if let State::Held(reserve) = &mut self.state {
+            *reserve = Reserve::empty(0.0, 0.0, now_ms);
+        }
+        self.share = 0.0;
+        self.epoch += 1;
+    }
+
+    /// The reserve, while the share is held.
+    pub(super) fn held(&self) -> Option<&Reserve> {
+        match &self.state {
+            State::Held(reserve) => Some(reserve),
+            State::Lent { .. } => None,
+        }
+    }
+
+    /// Whether there is a share that could be lent.
+    pub(super) fn is_lendable(&self) -> bool {
+        self.share > 0.0 && self.held().is_some()
+    }
+
+    /// Who has the share, if it is lent.
+    pub(super) fn lent_to(&self) -> Option<&InstanceId> {
+        match &self.state {
+            State::Held(_) => None,
+            State::Lent { to, .. } => Some(to),
+        }
+    }
+
+    /// Time after which nothing of the present loan is in use; 0 if the share is held.
+    pub(super) fn reclaim_ms(&self) -> u64 {
+        match self.state {
+            State::Held(_) => 0,
+            State::Lent { reclaim_ms, .. } => reclaim_ms,
+        }
+    }
+
+    /// Takes up to `tokens`; returns what was taken, the mark and the epoch.
+    pub(super) fn take(&mut self, tokens: f64) -> (f64, u64, u64) {
+        match &mut self.state {
+            State::Held(reserve) => {
+                let (taken, mark) = reserve.take(tokens);
+                (taken, mark, self.epoch)
+            }
+            State::Lent { .. } => (0.0, 0, self.epoch),
+        }
+    }
+
+    /// Gives back a part of a charge.
+    pub(super) fn refund(&mut self, epoch: u64, mark: u64, tokens: f64) {
+        if let State::Held(reserve) = &mut self.state
+            && epoch == self.epoch
+        {
+            reserve.refund(mark, tokens);
+        }
+    }
+
+    /// Lends the share to `to`, who asked for it at its own time `asked_ms`; or prolongs a loan
+    /// to the same coordinator.
+    pub(super) fn lend(
+        &mut self,
+        to: &InstanceId,
+        loan: u64,
+        asked_ms: u64,
+        settings: &BudgetSettings,
+        now_ms: u64,
+    ) {
+        let until_ms = now_ms + settings.lender_loan_ms();
+        match &mut self.state {
+            State::Held(reserve) if self.share > 0.0 => {
+                let statement = LoanStatement {
+                    loan,
+                    share: self.share,
+                    level_tokens: reserve.level_tokens(),
+                    first_asked_ms: asked_ms,
+                    asked_ms,
+                    recall: false,
+                };
+                self.epoch += 1;
+                self.state = State::Lent {
+                    to: to.clone(),
+                    statement,
+                    reclaim_ms: until_ms,
+                };
+            }
+            State::Lent {
+                to: borrower,
+                statement,
+                reclaim_ms,
+            } if borrower == to && statement.asked_ms < asked_ms => {
+                statement.asked_ms = asked_ms;
+                *reclaim_ms = until_ms;
+            }
+            _ => {}
+        }
+    }
+
+    /// The statement for the next ask to `to`.
+    pub(super) fn statement(&self, to: &InstanceId, recall: bool) -> Option<LoanStatement> {
+        match &self.state {
+            State::Lent {
+                to: borrower,
+                statement,
+                ..
+            } if borrower == to => Some(LoanStatement {
+                recall,
+                ..*statement
+            }),
+            _ => None,
+        }
+    }
+
+    /// `from` returns a loan in order.
+    pub(super) fn returned(
+        &mut self,
+        from: &InstanceId,
+        returned: ReturnedLoan,
+        limit: Limit,
+        now_ms: u64,
+    ) {
+        let is_present = match &self.state {
+            State::Lent { to, statement, .. } => to == from && statement.loan == returned.loan,
+            State::Held(_) => false,
+        };
+        if is_present {
+            self.hold(returned.level_tokens, limit, now_ms);
+        }
+    }
+
+    fn hold(&mut self, level_tokens: f64, limit: Limit, now_ms: u64) {
+        self.state = State::Held(Reserve::empty(0.0, 0.0, now_ms));
+        self.resize(self.share, limit);
+        if let State::Held(reserve) = &mut self.state {
+            reserve.put(level_tokens);
+        }
+    }
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -14,6 +14,7 @@
 //! ```
 
 pub mod bucket;
+pub mod budget;
 pub mod config;
 pub mod macros;
 pub mod name;
@@ -21,3 +22,4 @@
 pub mod rendezvous;
 pub mod request;
 pub mod resource;
+pub mod roster;
--- /dev/null
+++ b/core/src/roster.rs
@@ -0,0 +1,131 @@
+//! The roster: which processes hold a native share of every budget.
+//!
+//! The roster is one object of the store, changed by conditional update, so its versions form one
+//! line of history. A process uses only what every version that some member may still act on
+//! allows it; two processes with different knowledge then always have one version in common, and
+//! the shares of one version add up to one.
+
+use crate::name::InstanceId;
+
+crate::record! {
+    /// A member of the roster.
+    pub struct RosterMember {
+        /// The process.
+        pub id: InstanceId,
+        /// Version that first contains it.
+        pub joined_version: u64,
+        /// Largest version that it acts on. Invariant: never goes back, and nothing lent under an
+        /// older version exceeds what this one allows.
+        pub confirmed_version: u64,
+    }
+
+    /// Number of members in a version.
+    #[derive(Copy)]
+    pub struct RosterSize {
+        /// The version.
+        pub version: u64,
+        /// Its number of members.
+        pub members: u32,
+    }
+
+    /// The members and what they have confirmed.
+    #[derive(Default)]
+    pub struct Roster {
+        /// Grows by one with each change of membership; a confirmation leaves it as it is.
+        pub version: u64,
+        /// Last version that removed a member.
+        pub removed_version: u64,
+        /// The members.
+        pub members: Vec<RosterMember>,
+        /// Sizes of all versions that some member may still act on, oldest first.
+        pub sizes: Vec<RosterSize>,
+    }
+}
+
+impl Roster {
+    /// Adds `id` and removes earlier processes of the same instance; `None` if nothing changes.
+    #[must_use]
+    pub fn join(&self, id: &InstanceId) -> Option<Self> {
+        if self.member(id).is_some() {
+            return None;
+        }
+        let mut next = self.clone();
+        next.members
+            .retain(|member| member.id.name != id.name || member.id.incarnation > id.incarnation);
+        let replaced = next.members.len() < self.members.len();
+        next.version += 1;
+        next.members.push(RosterMember {
+            id: id.clone(),
+            joined_version: next.version,
+            confirmed_version: self.version,
+        });
+        Some(next.changed(replaced))
+    }
+
+    /// Removes members that are certainly gone; `None` if nothing changes.
+    #[must_use]
+    pub fn remove(&self, is_gone: impl Fn(&InstanceId) -> bool) -> Option<Self> {
+        let mut next = self.clone();
+        next.members.retain(|member| !is_gone(&member.id));
+        if next.members.len() == self.members.len() {
+            return None;
+        }
+        next.version += 1;
+        Some(next.changed(true))
+    }
+
+    /// Records that `id` acts on `version`; `None` if nothing changes.
+    #[must_use]
+    pub fn confirm(&self, id: &InstanceId, version: u64) -> Option<Self> {
+        let mut next = self.clone();
+        let member = next.members.iter_mut().find(|member| member.id == *id)?;
+        if member.confirmed_version >= version || version > self.version {
+            return None;
+        }
+        member.confirmed_version = version;
+        next.forget_old_sizes();
+        Some(next)
+    }
+
+    /// The member `id`.
+    pub fn member(&self, id: &InstanceId) -> Option<&RosterMember> {
+        self.members.iter().find(|member| member.id == *id)
+    }
+
+    /// Share of every budget that `id` may use: a part of 1.
+    ///
+    /// It is 0 until every member has confirmed a version that contains `id`.
+    pub fn share_of(&self, id: &InstanceId) -> f64 {
+        let Some(member) = self.member(id) else {
+            return 0.0;
+        };
+        if member.joined_version > self.low_version() {
+            return 0.0;
+        }
+        let largest = self.sizes.iter().map(|size| size.members).max();
+        1.0 / f64::from(largest.unwrap_or(1).max(1))
+    }
+
+    /// The oldest version that some member may still act on.
+    pub fn low_version(&self) -> u64 {
+        let confirmed = self.members.iter().map(|member| member.confirmed_version);
+        confirmed.min().unwrap_or(self.version)
+    }
+
+    fn changed(mut self, removed: bool) -> Self {
+        if removed {
+            self.removed_version = self.version;
+        }
+        self.sizes.push(RosterSize {
+            version: self.version,
+            members: u32::try_from(self.members.len()).unwrap_or(u32::MAX),
+        });
+        self.forget_old_sizes();
+        self
+    }
+
+    fn forget_old_sizes(&mut self) {
+        let low = self.low_version();
+        self.sizes.retain(|size| size.version >= low);
+    }
+}
--- /dev/null
+++ b/core/tests/budget/bound.rs
@@ -0,0 +1,112 @@
+//! No organisation gets more than its rate and burst over any interval, whatever fails.
+
+use crate::fleet::{Chaos, Fleet};
+use crate::oracle::{InForce, Spend, overdraft};
+use arbtest::arbitrary::{Result, Unstructured};
+use arbtest::arbtest;
+use mimosabay_core::budget::{BudgetPolicy, BudgetSettings, Limit};
+
+const LIMIT: Limit = Limit {
+    rate_per_s: 1_000.0,
+    burst_tokens: 4_000.0,
+};
+/// Length of the random input, in the low half of an arbtest seed.
+const INPUT_BYTES: u64 = 60_000;
+
+/// Part of the rate that the histories of a case use at least.
+const MIN_USE: f64 = 0.02;
+/// Distance between two seeds, so that close numbers give unlike inputs.
+const SEED_STRIDE: u64 = 0x9e37_79b9;
+
+const CALM: Chaos = Chaos {
+    loss_percent: 0,
+    duplicate_percent: 0,
+    late_percent: 0,
+    max_delay_ms: 3,
+    has_faults: false,
+};
+const LOSSY: Chaos = Chaos {
+    loss_percent: 10,
+    duplicate_percent: 10,
+    late_percent: 10,
+    max_delay_ms: 40,
+    has_faults: false,
+};
+const FAULTY: Chaos = Chaos {
+    has_faults: true,
+    ..CALM
+};
+const HOSTILE: Chaos = Chaos {
+    has_faults: true,
+    ..LOSSY
+};
+
+fn holds(chaos: Chaos, policy: BudgetPolicy, seeds: std::ops::Range<u64>) {
+    let mut spent_tokens = 0.0;
+    let mut created_tokens = 0.0;
+    for seed in seeds {
+        let seed = seed.wrapping_mul(SEED_STRIDE) << 32 | INPUT_BYTES;
+        let history = |u: &mut Unstructured| {
+            let fleet = one_history(chaos, policy, u)?;
+            spent_tokens += fleet.spent_tokens();
+            created_tokens += LIMIT.rate_per_s * fleet.now_ms as f64 / 1_000.0;
+            Ok(())
+        };
+        arbtest(history).seed(seed).run();
+    }
+    println!("{spent_tokens:.0} of {created_tokens:.0} tokens spent");
+    assert!(
+        spent_tokens > created_tokens * MIN_USE,
+        "the histories are too idle to show anything"
+    );
+}
+
+fn one_history(chaos: Chaos, policy: BudgetPolicy, u: &mut Unstructured) -> Result<Fleet> {
+    let settings = BudgetSettings {
+        policy,
+        ..BudgetSettings::default()
+    };
+    let mut fleet = Fleet::new(settings, chaos, LIMIT);
+    for _ in 0..u.int_in_range(2..=5)? {
+        fleet.start(u.int_in_range(-10_000..=10_000)?);
+    }
+    fleet.see_all();
+    while !u.is_empty() {
+        fleet.step(u.int_in_range(1..=40)?, u)?;
+        fleet.random_event(u)?;
+    }
+    if let Some((spend, excess)) = fleet.overdraft() {
+        panic!("{excess} tokens too many at {spend:?}");
+    }
+    Ok(fleet)
+}
+
+mimosabay_core::cases! {
+    holds;
+    bound_holds_in_a_calm_fleet: (CALM, BudgetPolicy::Lending, 1..20);
+    bound_holds_with_lost_late_and_repeated_messages: (LOSSY, BudgetPolicy::Lending, 1..40);
+    bound_holds_with_kills_freezes_and_changes: (FAULTY, BudgetPolicy::Lending, 1..40);
+    bound_holds_with_all_of_it: (HOSTILE, BudgetPolicy::Lending, 1..60);
+    bound_holds_with_static_shares: (HOSTILE, BudgetPolicy::StaticShare, 1..20);
+}
+
+fn oracle_judges(spends: &[(u64, f64)], is_broken: bool) {
+    let limits = [InForce {
+        from_ms: 0,
+        rate_per_s: 100.0,
+        burst_tokens: 50.0,
+    }];
+    let spends: Vec<Spend> = spends
+        .iter()
+        .map(|&(at_ms, tokens)| Spend { at_ms, tokens })
+        .collect();
+    assert_eq!(overdraft(&limits, &spends).is_some(), is_broken);
+}
+
+mimosabay_core::cases! {
+    oracle_judges;
+    oracle_accepts_burst_then_rate: (&[(0, 50.0), (100, 10.0), (200, 10.0)], false);
+    oracle_finds_more_than_the_burst_at_once: (&[(0, 30.0), (0, 30.0)], true);
+    oracle_finds_an_inner_interval: (&[(9_000, 50.0), (9_100, 20.0)], true);
+    oracle_sorts_the_history: (&[(9_100, 20.0), (9_000, 50.0)], true);
+}
--- /dev/null
+++ b/core/tests/budget/fleet.rs
@@ -0,0 +1,456 @@
+//! Instances, their clocks and the network between them, in virtual time.
+
+use std::sync::Arc;
+
+use arbtest::arbitrary::{Result, Unstructured};
+use mimosabay_core::budget::{BudgetSettings, Budgets, Charge, Limit, Send};
+use mimosabay_core::name::{InstanceId, Name};
+use mimosabay_core::roster::Roster;
+
+use crate::oracle::{InForce, Spend, overdraft};
+
+/// Time after which no instance acts on an older limit: a full grant, by the slowest clock.
+const LIMIT_GRACE_MS: u64 = 800;
+/// Fastest and slowest clock.
+const MAX_DRIFT_PPM: i64 = 10_000;
+
+/// What the network and the instances suffer, in percent of the messages or steps.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Chaos {
+    pub(crate) loss_percent: u8,
+    pub(crate) duplicate_percent: u8,
+    pub(crate) late_percent: u8,
+    pub(crate) max_delay_ms: u64,
+    pub(crate) has_faults: bool,
+}
+
+struct Packet {
+    due_ms: u64,
+    from: InstanceId,
+    send: Send,
+}
+
+struct Open {
+    ticket: u64,
+    spend: usize,
+}
+
+struct Waiting {
+    ticket: u64,
+    tokens: u64,
+    deadline_ms: u64,
+}
+
+struct Node {
+    id: InstanceId,
+    budgets: Budgets,
+    drift_ppm: i64,
+    started_ms: u64,
+    frozen_until_ms: u64,
+    /// First roster of the history that a read may return.
+    oldest_roster: usize,
+    generation: usize,
+    open: Vec<Open>,
+    waiting: Vec<Waiting>,
+}
+
+/// A fleet with one organisation.
+pub(crate) struct Fleet {
+    pub(crate) now_ms: u64,
+    organisation: Name,
+    settings: BudgetSettings,
+    chaos: Chaos,
+    limits: Vec<Limit>,
+    nodes: Vec<Node>,
+    gone: Vec<InstanceId>,
+    wire: Vec<Packet>,
+    rosters: Vec<Arc<Roster>>,
+    store_is_up: bool,
+    next_incarnation: u64,
+    next_ticket: u64,
+    in_force: Vec<InForce>,
+    spends: Vec<Spend>,
+    pub(crate) message_count: usize,
+}
+
+impl Fleet {
+    pub(crate) fn new(settings: BudgetSettings, chaos: Chaos, limit: Limit) -> Self {
+        Self {
+            now_ms: 1,
+            organisation: "org".into(),
+            settings,
+            chaos,
+            limits: vec![limit],
+            nodes: Vec::new(),
+            gone: Vec::new(),
+            wire: Vec::new(),
+            rosters: vec![Arc::default()],
+            store_is_up: true,
+            next_incarnation: 1,
+            next_ticket: 1,
+            in_force: vec![in_force(&[limit], 0, 0)],
+            spends: Vec::new(),
+            message_count: 0,
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// Starts an instance.
+    pub(crate) fn start(&mut self, drift_ppm: i64) {
+        let id = InstanceId::new(format!("i{}", self.next_incarnation), 1);
+        self.next_incarnation += 1;
+        let mut node = Node {
+            budgets: Budgets::new(id.clone(), self.settings, 0),
+            id,
+            drift_ppm,
+            started_ms: self.now_ms,
+            frozen_until_ms: 0,
+            oldest_roster: 0,
+            generation: 0,
+            open: Vec::new(),
+            waiting: Vec::new(),
+        };
+        let limit = self.limits[0];
+        node.budgets.configure(&self.organisation, limit, 1, 0);
+        self.nodes.push(node);
+    }
+
+    /// All instances see all others.
+    pub(crate) fn see_all(&mut self) {
+        let peers: Vec<_> = self.nodes.iter().map(|node| node.id.clone()).collect();
+        for node in &mut self.nodes {
+            let now_ms = node.local_ms(self.now_ms);
+            node.budgets.set_peers(peers.clone(), now_ms);
+        }
+    }
+
+    /// Advances time, delivers what is due and lets every instance act.
+    pub(crate) fn step(&mut self, passed_ms: u64, u: &mut Unstructured) -> Result<()> {
+        self.now_ms += passed_ms;
+        self.note_limit();
+        let (due, wait) = std::mem::take(&mut self.wire)
+            .into_iter()
+            .partition(|packet| packet.due_ms <= self.now_ms);
+        self.wire = wait;
+        let due: Vec<Packet> = due;
+        for packet in due {
+            self.deliver(packet, u)?;
+        }
+        for index in 0..self.nodes.len() {
+            if self.is_awake(index) {
+                for waiting in std::mem::take(&mut self.nodes[index].waiting) {
+                    self.retry(index, waiting);
+                }
+                let now_ms = self.nodes[index].local_ms(self.now_ms);
+                let sends = self.nodes[index].budgets.tick(now_ms);
+                self.send(index, sends, u)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// An instance reads the roster and changes it where it has to.
+    pub(crate) fn sync_roster(&mut self, index: usize, u: &mut Unstructured) -> Result<()> {
+        if !self.store_is_up || !self.is_awake(index) {
+            return Ok(());
+        }
+        let newest = self.rosters.len() - 1;
+        let node = &mut self.nodes[index];
+        let now_ms = node.local_ms(self.now_ms);
+        let oldest = node.oldest_roster.max(newest.saturating_sub(2));
+        let read = newest - u.int_in_range(0..=newest - oldest)?;
+        node.oldest_roster = read;
+        node.budgets.set_roster(&self.rosters[read], now_ms);
+        // The store refuses a change that is not based on its newest version.
+        if read != newest {
+            return Ok(());
+        }
+        let roster = &self.rosters[newest];
+        let confirmable = node.budgets.confirmable_version(now_ms);
+        let changed = roster
+            .join(&node.id)
+            .or_else(|| roster.remove(|id| self.gone.contains(id)))
+            .or_else(|| roster.confirm(&node.id, confirmable?));
+        self.rosters.extend(changed.map(Arc::new));
+        Ok(())
+    }
+
+    /// Charges a request; a granted one is settled later by [`Fleet::settle`].
+    pub(crate) fn charge(
+        &mut self,
+        index: usize,
+        ticket: u64,
+        tokens: u64,
+        max_wait_ms: u64,
+    ) -> Charge {
+        if !self.is_awake(index) {
+            return Charge::Refused { retry_after_ms: 0 };
+        }
+        let node = &mut self.nodes[index];
+        let now_ms = node.local_ms(self.now_ms);
+        let organisation = &self.organisation;
+        let charge = node
+            .budgets
+            .charge(organisation, ticket, tokens, max_wait_ms, now_ms);
+        if charge == Charge::Granted {
+            let spend = self.spends.len();
+            node.open.push(Open { ticket, spend });
+            self.spends.push(Spend {
+                at_ms: self.now_ms,
+                tokens: tokens as f64,
+            });
+        }
+        charge
+    }
+
+    /// A number for a new request.
+    pub(crate) fn ticket(&mut self) -> u64 {
+        self.next_ticket += 1;
+        self.next_ticket
+    }
+
+    /// Settles an open charge of an instance.
+    pub(crate) fn settle(&mut self, index: usize, open: usize, used_percent: u64) {
+        if !self.is_awake(index) || self.nodes[index].open.is_empty() {
+            return;
+        }
+        let node = &mut self.nodes[index];
+        let open = node.open.swap_remove(open % node.open.len());
+        let spend = &mut self.spends[open.spend];
+        let used = (spend.tokens * used_percent as f64 / 100.0).floor();
+        spend.tokens = used;
+        let now_ms = node.local_ms(self.now_ms);
+        node.budgets
+            .settle(&self.organisation, open.ticket, used as u64, now_ms);
+    }
+
+    /// Kills an instance: what it charged counts as used.
+    pub(crate) fn kill(&mut self, index: usize) {
+        let node = self.nodes.remove(index);
+        self.gone.push(node.id);
+    }
+
+    /// Lets an instance leave in order.
+    pub(crate) fn leave(&mut self, index: usize, u: &mut Unstructured) -> Result<()> {
+        if self.is_awake(index) {
+            let now_ms = self.nodes[index].local_ms(self.now_ms);
+            let sends = self.nodes[index].budgets.leave(now_ms);
+            self.send(index, sends, u)?;
+            self.kill(index);
+        }
+        Ok(())
+    }
+
+    /// One random event.
+    pub(crate) fn random_event(&mut self, u: &mut Unstructured) -> Result<()> {
+        if self.nodes.len() < 2 {
+            self.start(u.int_in_range(-MAX_DRIFT_PPM..=MAX_DRIFT_PPM)?);
+        }
+        let index = u.choose_index(self.nodes.len())?;
+        match u.int_in_range(0..=999_u16)? {
+            0..=499 => self.random_charge(index, u)?,
+            500..=649 => {
+                let open = u.int_in_range(0..=63)?;
+                let used_percent = u.int_in_range(0..=10)? * 10;
+                self.settle(index, open, used_percent);
+            }
+            650..=849 => self.sync_roster(index, u)?,
+            850..=919 => self.random_peers(index, u)?,
+            _ if !self.chaos.has_faults => {}
+            920..=939 => self.adopt_limit(index),
+            940 => self.kill(index),
+            941..=942 => self.leave(index, u)?,
+            943..=950 if self.nodes.len() < 6 => {
+                self.start(u.int_in_range(-MAX_DRIFT_PPM..=MAX_DRIFT_PPM)?);
+            }
+            951..=954 => self.freeze(index, u.int_in_range(1..=60_000)?),
+            955 => self.store_is_up = false,
+            956..=960 => self.store_is_up = true,
+            961 if self.limits.len() < 4 => self.random_limit(u)?,
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// Whether and how the bound was broken.
+    pub(crate) fn overdraft(&self) -> Option<(Spend, f64)> {
+        overdraft(&self.in_force, &self.spends)
+    }
+
+    pub(crate) fn spent_tokens(&self) -> f64 {
+        self.spends.iter().map(|spend| spend.tokens).sum()
+    }
+
+    fn freeze(&mut self, index: usize, time_ms: u64) {
+        let newest = self.rosters.len() - 1;
+        let node = &mut self.nodes[index];
+        node.frozen_until_ms = node.frozen_until_ms.max(self.now_ms + time_ms);
+        node.oldest_roster = newest;
+    }
+
+    fn random_charge(&mut self, index: usize, u: &mut Unstructured) -> Result<()> {
+        let burst = self.limits[0].burst_tokens as u64;
+        let tokens = match u.int_in_range(0..=19_u8)? {
+            0 => burst,
+            1 => u.int_in_range(1..=burst)?,
+            2 => return self.drain(index),
+            _ => u.int_in_range(1..=burst / 16)?,
+        };
+        let waiting = Waiting {
+            ticket: self.ticket(),
+            tokens,
+            deadline_ms: self.now_ms + u.int_in_range(0..=2_000)?,
+        };
+        self.retry(index, waiting);
+        Ok(())
+    }
+
+    /// Uses all that an instance can spend now.
+    fn drain(&mut self, index: usize) -> Result<()> {
+        let tokens = self.limits[0].burst_tokens as u64 / 100;
+        loop {
+            let ticket = self.ticket();
+            if self.charge(index, ticket, tokens, 0) != Charge::Granted {
+                return Ok(());
+            }
+        }
+    }
+
+    fn retry(&mut self, index: usize, waiting: Waiting) {
+        let left_ms = waiting.deadline_ms.saturating_sub(self.now_ms);
+        let charge = self.charge(index, waiting.ticket, waiting.tokens, left_ms);
+        if let Charge::Wait { .. } = charge {
+            self.nodes[index].waiting.push(waiting);
+        }
+    }
+
+    fn random_peers(&mut self, index: usize, u: &mut Unstructured) -> Result<()> {
+        let mut peers = Vec::new();
+        for node in &self.nodes {
+            if u.ratio(4_u8, 5_u8)? {
+                peers.push(node.id.clone());
+            }
+        }
+        if self.is_awake(index) {
+            let now_ms = self.nodes[index].local_ms(self.now_ms);
+            self.nodes[index].budgets.set_peers(peers, now_ms);
+        }
+        Ok(())
+    }
+
+    fn random_limit(&mut self, u: &mut Unstructured) -> Result<()> {
+        let first = self.limits[0];
+        let factor = f64::from(u.int_in_range(1..=20_u8)?) / 10.0;
+        self.limits.push(Limit {
+            rate_per_s: first.rate_per_s * factor,
+            burst_tokens: first.burst_tokens * factor,
+        });
+        Ok(())
+    }
+
+    fn adopt_limit(&mut self, index: usize) {
+        if !self.is_awake(index) {
+            return;
+        }
+        let node = &mut self.nodes[index];
+        let now_ms = node.local_ms(self.now_ms);
+        node.generation = self.limits.len() - 1;
+        let limit = self.limits[node.generation];
+        let generation = node.generation as u64 + 1;
+        node.budgets
+            .configure(&self.organisation, limit, generation, now_ms);
+        self.note_limit();
+    }
+
+    /// Records the largest limit among the instances, a lowered one after the grace.
+    fn note_limit(&mut self) {
+        let held: Vec<Limit> = self
+            .nodes
+            .iter()
+            .map(|node| self.limits[node.generation])
+            .collect();
+        let now = in_force(&held, self.now_ms, MAX_DRIFT_PPM);
+        let last = *self.in_force.last().expect("never empty");
+        if !now.is_like(last) {
+            let lowered = now.rate_per_s < last.rate_per_s || now.burst_tokens < last.burst_tokens;
+            let from_ms = self.now_ms + if lowered { LIMIT_GRACE_MS } else { 0 };
+            // A change within the grace of the last one starts with it.
+            let from_ms = from_ms.max(last.from_ms);
+            self.in_force.push(InForce { from_ms, ..now });
+        }
+    }
+
+    fn is_awake(&self, index: usize) -> bool {
+        self.nodes[index].frozen_until_ms <= self.now_ms
+    }
+
+    fn deliver(&mut self, packet: Packet, u: &mut Unstructured) -> Result<()> {
+        let to = &packet.send.to;
+        let Some(index) = self.nodes.iter().position(|node| node.id == *to) else {
+            return Ok(());
+        };
+        let thaw_ms = self.nodes[index].frozen_until_ms;
+        if thaw_ms > self.now_ms {
+            self.wire.push(Packet {
+                due_ms: thaw_ms,
+                ..packet
+            });
+            return Ok(());
+        }
+        let node = &mut self.nodes[index];
+        let now_ms = node.local_ms(self.now_ms);
+        let sends = node
+            .budgets
+            .on_message(&packet.from, packet.send.message, now_ms);
+        self.send(index, sends, u)
+    }
+
+    fn send(&mut self, index: usize, sends: Vec<Send>, u: &mut Unstructured) -> Result<()> {
+        let from = self.nodes[index].id.clone();
+        self.message_count += sends.len();
+        for send in sends {
+            let mut copies = 1;
+            if self.chaos.loss_percent > 0 && u.ratio(self.chaos.loss_percent, 100)? {
+                copies = 0;
+            }
+            if self.chaos.duplicate_percent > 0 && u.ratio(self.chaos.duplicate_percent, 100)? {
+                copies += 1;
+            }
+            for _ in 0..copies {
+                let is_late =
+                    self.chaos.late_percent > 0 && u.ratio(self.chaos.late_percent, 100)?;
+                let max_ms = if is_late {
+                    5_000
+                } else {
+                    self.chaos.max_delay_ms
+                };
+                let due_ms = self.now_ms + u.int_in_range(1..=max_ms.max(1))?;
+                let (from, send) = (from.clone(), send.clone());
+                self.wire.push(Packet { due_ms, from, send });
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Node {
+    fn local_ms(&self, now_ms: u64) -> u64 {
+        let passed_ms = now_ms - self.started_ms;
+        passed_ms
+            .checked_add_signed(passed_ms as i64 * self.drift_ppm / 1_000_000)
+            .expect("drift is small")
+    }
+}
+
+fn in_force(limits: &[Limit], from_ms: u64, drift_ppm: i64) -> InForce {
+    let rates = limits.iter().map(|limit| limit.rate_per_s);
+    let bursts = limits.iter().map(|limit| limit.burst_tokens);
+    InForce {
+        from_ms,
+        rate_per_s: rates.fold(0.0, f64::max) * (1.0 + drift_ppm as f64 / 1e6),
+        burst_tokens: bursts.fold(0.0, f64::max),
+    }
+}
