--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -13,13 +13,19 @@
 //! assert!(owner.is_some());
 //! ```
 
+pub mod admission;
 pub mod bucket;
 pub mod budget;
 pub mod config;
+pub mod date;
+pub mod freshness;
 pub mod macros;
+pub mod membership;
 pub mod name;
+pub mod ownership;
 pub mod queue;
 pub mod rendezvous;
 pub mod request;
 pub mod resource;
+pub mod retry;
 pub mod roster;
--- /dev/null
+++ b/daemon/src/heartbeat.rs
@@ -0,0 +1,136 @@
+//! Heartbeats, and the platform's list of instances.
+
+use std::sync::Arc;
+
+use futures::future::join_all;
+use mimosabay_core::membership::{Heartbeat, Listed};
+use mimosabay_core::name::{InstanceId, Name};
+use mimosabay_peer::{Category, Message, Reply};
+use mimosabay_platform::{Instance as PlatformInstance, InstanceState};
+use tracing::warn;
+
+use crate::config_sync;
+use crate::instance::Instance;
+
+/// Time between two reads of the platform's list.
+const LIST_PERIOD_MS: u64 = 1_000;
+
+/// Sends heartbeats until the process ends.
+pub async fn run(instance: Arc<Instance>) {
+    let mut ticks = instance
+        .timer
+        .subscribe(instance.settings.timing.heartbeat_ms);
+    while ticks.recv().await.is_some() {
+        beat(&instance).await;
+    }
+}
+
+/// Reads the platform's list until the process ends.
+pub async fn run_list(instance: Arc<Instance>) {
+    let mut ticks = instance.timer.subscribe(LIST_PERIOD_MS);
+    loop {
+        read_list(&instance).await;
+        if ticks.recv().await.is_none() {
+            return;
+        }
+    }
+}
+
+/// Tells the watched peers that this process is done.
+pub async fn say_goodbye(instance: &Arc<Instance>) {
+    let peers = watched(instance);
+    let goodbyes = peers.iter().map(|(_, address)| async move {
+        let envelope = instance.envelope(Message::Goodbye);
+        let timeout_ms = instance.settings.timing.peer_timeout_ms;
+        // A peer that does not hear it finds out by the missing heartbeats.
+        let _ = instance.peer(address).ask(&envelope, timeout_ms).await;
+    });
+    join_all(goodbyes).await;
+}
+
+/// The heartbeat of this process.
+pub fn heartbeat(instance: &Instance) -> Heartbeat {
+    let freshness = instance.freshness();
+    instance.with_membership(|membership| Heartbeat {
+        sender: membership.me(instance.is_stopping()),
+        freshness,
+        rumours: membership.take_rumours(),
+    })
+}
+
+async fn beat(instance: &Arc<Instance>) {
+    let peers = watched(instance);
+    let message = Message::Heartbeat(heartbeat(instance));
+    join_all(
+        peers
+            .iter()
+            .map(|(name, address)| beat_one(instance, name, address, &message)),
+    )
+    .await;
+    let now_ms = instance.now_ms();
+    instance.with_membership(|membership| membership.tick(now_ms));
+}
+
+async fn beat_one(instance: &Arc<Instance>, name: &Name, address: &Name, message: &Message) {
+    let envelope = instance.envelope(message.clone());
+    let timeout_ms = instance.settings.timing.peer_timeout_ms;
+    let asked_ms = instance.now_ms();
+    match instance.peer(address).ask(&envelope, timeout_ms).await {
+        Ok(Reply::Heartbeat { from, heartbeat }) => {
+            heard(instance, &from, address, &heartbeat, asked_ms).await;
+        }
+        Ok(_) => warn!(%address, "a peer answered a heartbeat with something else"),
+        Err(cause) if cause.classify() == Category::Refused => {
+            instance.with_membership(|membership| membership.refused(name));
+        }
+        // Silence is noticed by the time since the last sign of life.
+        Err(_) => {}
+    }
+}
+
+/// Takes in a heartbeat that is an answer to a call made at `asked_ms`.
+async fn heard(
+    instance: &Arc<Instance>,
+    from: &InstanceId,
+    address: &Name,
+    heartbeat: &Heartbeat,
+    asked_ms: u64,
+) {
+    let now_ms = instance.now_ms();
+    instance.with_membership(|membership| membership.heartbeat(from, heartbeat, now_ms));
+    config_sync::heard(instance, address, heartbeat.freshness, asked_ms).await;
+}
+
+async fn read_list(instance: &Arc<Instance>) {
+    match instance.platform.instances().await {
+        Ok(list) => {
+            let now_ms = instance.now_ms();
+            let list = list.instances.into_iter().map(listed);
+            instance.with_membership(|membership| membership.set_list(list, now_ms));
+        }
+        Err(cause) => warn!(%cause, "cannot read the list of instances"),
+    }
+}
+
+fn watched(instance: &Instance) -> Vec<(Name, Name)> {
+    instance.with_membership(|membership| {
+        let address = |name: Name| {
+            let address = membership.member(&name)?.listed.peer_address.clone();
+            Some((name, address))
+        };
+        membership
+            .watched()
+            .into_iter()
+            .filter_map(address)
+            .collect()
+    })
+}
+
+fn listed(instance: PlatformInstance) -> Listed {
+    Listed {
+        name: instance.name,
+        peer_address: instance.peer_address,
+        zone: instance.zone,
+        leaving: instance.state == InstanceState::Leaving,
+    }
+}
