--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub mod admission;
 pub mod bucket;
+pub mod budget;
 pub mod config;
 pub mod date;
 pub mod freshness;
@@ -27,3 +28,4 @@
 pub mod request;
 pub mod resource;
 pub mod retry;
+pub mod roster;
