--- a/backend/src/engine.rs
+++ b/backend/src/engine.rs
@@ -58,6 +58,20 @@
         }
     }
 
+    /// Raises the fencing number that the engine accepts.
+    ///
+    /// # Errors
+    ///
+    /// [`Category::StaleFencing`] if it has accepted a larger one, or a failed call.
+    pub async fn claim(&self, fencing: u64) -> Result<(), Error> {
+        // No adapter has an empty name, so that the order does nothing but carry the number.
+        let order = UnloadOrder {
+            handle: "".into(),
+            fencing,
+        };
+        self.unload(&order).await
+    }
+
     /// Reads the engine's report of itself.
     ///
     /// # Errors
@@ -82,6 +96,7 @@
         let body = completion_body(order)?;
         let call = Call::post(format!("{}/v1/{path}", self.base_url))
             .header("x-request-id", &order.request_id)
+            .header(FENCING_HEADER, &order.fencing.to_string())
             .json(&body)?;
         let answer = self
             .client
--- a/backend/src/order.rs
+++ b/backend/src/order.rs
@@ -30,6 +30,8 @@
     pub struct GenerateOrder {
         /// Handle of the loaded adapter.
         pub handle: Name,
+        /// Fencing number of the sender.
+        pub fencing: u64,
         /// Request id, by which the run can be cancelled.
         pub request_id: Name,
         /// Body of the completion request as JSON text.
@@ -52,6 +54,9 @@
         pub fencing: u64,
         /// Handles that are loaded.
         pub handles: Vec<Name>,
+        /// Handles that requests run on.
+        #[serde(default)]
+        pub running_handles: Vec<Name>,
         /// Requests that run.
         pub running: u32,
         /// Requests that wait.
--- a/core/src/queue.rs
+++ b/core/src/queue.rs
@@ -77,6 +77,8 @@
     residency: Residency,
     /// Requests of this adapter that run. Invariant: an adapter with any is never evicted.
     running: usize,
+    /// Whether another owner may still use it.
+    is_pinned: bool,
     used_ms: u64,
 }
 
@@ -87,6 +89,8 @@
     waiting: VecDeque<Waiting>,
     slots: HashMap<AdapterVersion, Slot>,
     running: HashMap<Ticket, AdapterVersion>,
+    /// Slots that adapters of others take.
+    reserved: usize,
 }
 
 impl ServerQueue {
@@ -97,6 +101,7 @@
             waiting: VecDeque::new(),
             slots: HashMap::new(),
             running: HashMap::new(),
+            reserved: 0,
         }
     }
 
@@ -164,6 +169,51 @@
             .is_some_and(|slot| slot.residency == Residency::Loading)
     }
 
+    /// An adapter was found loaded. It is not evicted before [`ServerQueue::set_evictable`].
+    pub fn adopt(&mut self, model: AdapterVersion, now_ms: u64) -> Vec<Action> {
+        let slot = Slot {
+            residency: Residency::Loaded,
+            running: 0,
+            is_pinned: true,
+            used_ms: now_ms,
+        };
+        self.slots.insert(model, slot);
+        self.advance(now_ms)
+    }
+
+    /// An adopted adapter may be evicted from now on.
+    pub fn set_evictable(&mut self, model: &AdapterVersion, now_ms: u64) -> Vec<Action> {
+        if let Some(slot) = self.slots.get_mut(model) {
+            slot.is_pinned = false;
+        }
+        self.advance(now_ms)
+    }
+
+    /// Slots of the server that adapters of others take.
+    pub fn set_reserved(&mut self, slots: usize, now_ms: u64) -> Vec<Action> {
+        self.reserved = slots;
+        self.advance(now_ms)
+    }
+
+    /// The server no longer holds an adapter that it was thought to hold.
+    pub fn lost(&mut self, model: &AdapterVersion, now_ms: u64) -> Vec<Action> {
+        if self
+            .slots
+            .get(model)
+            .is_some_and(|slot| slot.residency == Residency::Loaded)
+        {
+            self.slots.remove(model);
+        }
+        self.advance(now_ms)
+    }
+
+    /// Whether any adapter is being loaded.
+    pub fn loads_any(&self) -> bool {
+        self.slots
+            .values()
+            .any(|slot| slot.residency == Residency::Loading)
+    }
+
     /// Adapter of a request that runs.
     pub fn model_of(&self, ticket: Ticket) -> Option<&AdapterVersion> {
         self.running.get(&ticket)
@@ -219,7 +269,7 @@
         if self.slots.contains_key(model) {
             return;
         }
-        if self.slots.len() >= self.limits.slots {
+        if self.slots.len() + self.reserved >= self.limits.slots {
             let Some(victim) = self.idle_longest() else {
                 return;
             };
@@ -229,6 +279,7 @@
         let slot = Slot {
             residency: Residency::Loading,
             running: 0,
+            is_pinned: false,
             used_ms: now_ms,
         };
         self.slots.insert(model.clone(), slot);
@@ -241,7 +292,9 @@
         let wanted = |model: &AdapterVersion| self.waiting.iter().any(|w| w.model == *model);
         self.slots
             .iter()
-            .filter(|(_, slot)| slot.residency == Residency::Loaded && slot.running == 0)
+            .filter(|(_, slot)| {
+                slot.residency == Residency::Loaded && slot.running == 0 && !slot.is_pinned
+            })
             .filter(|(model, _)| !wanted(model))
             .min_by_key(|(model, slot)| (slot.used_ms, (*model).clone()))
             .map(|(model, _)| model.clone())
--- a/daemon/src/dispatch.rs
+++ b/daemon/src/dispatch.rs
@@ -6,14 +6,13 @@
     Category, Error, GenerateOrder, Generation, Part, PlainCall, PlainService,
 };
 use mimosabay_core::name::Name;
-use mimosabay_core::ownership::next_fencing;
 use mimosabay_core::request::{Code, Ran, Refusal, Request, RunEvent, Usage, Work};
 use tokio::sync::mpsc;
 use tokio::time::timeout_at;
-use tracing::{info, warn};
 
 use crate::instance::Instance;
 use crate::owner::OwnedServer;
+use crate::takeover;
 
 /// When a repeat is worth trying after a backend server failed.
 const RETRY_AFTER_MS: u64 = 500;
@@ -23,42 +22,6 @@
 /// Priority of an ordinary request.
 const PRIORITY: i32 = 0;
 
-/// Makes this instance the owner of the server: later orders carry a fencing number above all that
-/// the server has accepted.
-///
-/// # Errors
-///
-/// A refusal if the server does not answer.
-pub async fn claim(instance: &Instance, server: &OwnedServer) -> Result<(), Refusal> {
-    server
-        .claimed
-        .get_or_try_init(|| try_claim(instance, server))
-        .await?;
-    Ok(())
-}
-
-/// Makes the claim on a server again that has restarted.
-///
-/// # Errors
-///
-/// As for [`claim`].
-pub async fn claim_anew(instance: &Instance, server: &OwnedServer) -> Result<(), Refusal> {
-    try_claim(instance, server).await
-}
-
-async fn try_claim(instance: &Instance, server: &OwnedServer) -> Result<(), Refusal> {
-    let report = server.engine.report().await.map_err(|cause| {
-        warn!(server = %server.name, %cause, "backend server does not answer");
-        Refusal::not_run(Code::NoServer, "the backend server does not answer")
-            .retry_after_ms(RETRY_AFTER_MS)
-    })?;
-    let mut state = server.state.lock().expect("owned server lock");
-    state.fencing = next_fencing(report.fencing.max(state.fencing), &instance.id);
-    state.boot = report.boot;
-    info!(server = %server.name, fencing = state.fencing, "claimed a backend server");
-    Ok(())
-}
-
 /// Generates text and passes it on.
 ///
 /// # Errors
@@ -77,6 +40,7 @@
     };
     let order = GenerateOrder {
         handle: handle.clone(),
+        fencing: server.fencing(),
         request_id: request.id.clone(),
         body: body.clone(),
         chat: *chat,
@@ -90,11 +54,13 @@
             .saturating_sub(instance.now_ms())
             .min(HEAD_TIMEOUT_MS),
     };
-    let mut generation = server
-        .engine
-        .generate(&order)
-        .await
-        .map_err(|cause| failed(&cause))?;
+    let started = server.engine.generate(&order).await;
+    if let Err(cause) = &started
+        && cause.classify() == Category::StaleFencing
+    {
+        takeover::lost_claim(server, order.fencing).await;
+    }
+    let mut generation = started.map_err(|cause| failed(&cause))?;
     // A reader that left is noticed by its own side.
     let _ = sender
         .send(RunEvent::Started {
@@ -193,7 +159,8 @@
     let code = match cause.classify() {
         Category::Rejected => Code::BadRequest,
         Category::NotLoaded | Category::LoadFailed | Category::NoSlot => Code::LoadFailed,
-        Category::NotSent | Category::StaleFencing => Code::NoServer,
+        Category::NotSent => Code::NoServer,
+        Category::StaleFencing => Code::NotOwner,
         Category::Interrupted | Category::Timeout | Category::Protocol => Code::BackendFailed,
     };
     let refusal = Refusal::not_run(code, cause.to_string()).retry_after_ms(RETRY_AFTER_MS);
--- a/daemon/src/instance.rs
+++ b/daemon/src/instance.rs
@@ -146,6 +146,28 @@
         PeerFreshness { revision, age_ms }
     }
 
+    /// The backend servers that this instance dispatches to.
+    pub fn owned_servers(&self) -> Vec<Arc<OwnedServer>> {
+        self.tables
+            .owned
+            .lock()
+            .expect("owned lock")
+            .values()
+            .cloned()
+            .collect()
+    }
+
+    /// Removes a backend server that another instance owns now.
+    pub fn forget_owned(&self, server: &Arc<OwnedServer>) {
+        let mut owned = self.tables.owned.lock().expect("owned lock");
+        if owned
+            .get(&server.name)
+            .is_some_and(|known| Arc::ptr_eq(known, server))
+        {
+            owned.remove(&server.name);
+        }
+    }
+
     /// The connection to the instance at `address`.
     pub fn peer(&self, address: &Name) -> Peer {
         let mut peers = self.tables.peers.lock().expect("peers lock");
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -25,5 +25,6 @@
 pub mod run;
 pub mod stop;
 pub mod supervise;
+pub mod takeover;
 pub mod timer;
 pub mod workers;
--- a/daemon/src/monitor.rs
+++ b/daemon/src/monitor.rs
@@ -6,9 +6,9 @@
 use mimosabay_core::queue::ServerQueue;
 use tracing::{info, warn};
 
-use crate::dispatch;
 use crate::instance::Instance;
 use crate::owner::OwnedServer;
+use crate::takeover;
 
 /// Time between two reports.
 const REPORT_PERIOD_MS: u64 = 500;
@@ -51,16 +51,17 @@
         state.boot = report.boot;
         if restarted {
             state.forget_loaded();
+            state.takeover.restarted();
         }
         restarted
     };
     if restarted {
         info!(server = %server.name, "backend server has restarted");
         server.visit(instance, ServerQueue::restarted);
-        // Its accepted fencing number may be lost with its memory. A failure is made good by the
-        // next order that it rejects.
-        let _ = dispatch::claim_anew(instance, server).await;
+        // Its accepted fencing number is lost with its memory.
+        takeover::lost_claim(server, server.fencing()).await;
     }
+    takeover::reconcile(instance, server, report);
     if !*server.answers.borrow() {
         info!(server = %server.name, "backend server answers again");
         server.answers.send_replace(true);
--- a/daemon/src/orders.rs
+++ b/daemon/src/orders.rs
@@ -11,6 +11,7 @@
 
 use crate::instance::Instance;
 use crate::owner::OwnedServer;
+use crate::takeover;
 
 /// Attempts at a load that finds no slot, because an unload has not been carried out yet.
 const SLOT_ATTEMPTS: u32 = 5;
@@ -123,13 +124,17 @@
 async fn load_with_retries(server: &OwnedServer, source: Name, handle: &Name) -> Result<(), Error> {
     let mut attempt = 1;
     loop {
-        let fencing = fencing(server);
+        let fencing = server.fencing();
         let order = LoadOrder {
             handle: handle.clone(),
             source: source.clone(),
             fencing,
         };
         match server.engine.load(&order).await {
+            Err(cause) if cause.classify() == Category::StaleFencing => {
+                takeover::lost_claim(server, fencing).await;
+                return Err(cause);
+            }
             Err(cause) if cause.classify() == Category::NoSlot && attempt < SLOT_ATTEMPTS => {
                 attempt += 1;
                 sleep(Duration::from_millis(SLOT_RETRY_MS)).await;
@@ -143,7 +148,7 @@
     for handle in handles {
         let order = UnloadOrder {
             handle,
-            fencing: fencing(server),
+            fencing: server.fencing(),
         };
         if let Err(cause) = server.engine.unload(&order).await {
             warn!(server = %server.name, handle = %order.handle, %cause, "adapter not unloaded");
@@ -151,10 +156,6 @@
     }
 }
 
-fn fencing(server: &OwnedServer) -> u64 {
-    server.state.lock().expect("owned server lock").fencing
-}
-
 fn source(instance: &Instance, model: &AdapterVersion) -> Option<Name> {
     instance.with_config(|config| {
         let (_, adapter) = config.adapter(&model.adapter)?;
--- a/daemon/src/owner.rs
+++ b/daemon/src/owner.rs
@@ -5,22 +5,27 @@
 
 use mimosabay_backend::Engine;
 use mimosabay_core::admission;
+use mimosabay_core::handle::Handle;
 use mimosabay_core::name::{AdapterVersion, Name};
 use mimosabay_core::queue::{Action, ServerLimits, ServerQueue, Ticket, Waiting};
 use mimosabay_core::request::{Code, Ran, Refusal, Repeat, Request, RunEvent, Usage, Work};
 use mimosabay_core::resource::BackendServer;
-use tokio::sync::{OnceCell, mpsc, oneshot, watch};
+use mimosabay_core::takeover::Takeover;
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
 
 use crate::dispatch;
 use crate::instance::Instance;
 use crate::monitor;
 use crate::orders::{self, Order};
+use crate::takeover;
 
 /// Events that are buffered between the owner and the reader of a run.
 const EVENT_BUFFER: usize = 64;
 /// When a repeat is worth trying after a refusal that another instance or server may not give.
 const RETRY_AFTER_MS: u64 = 500;
+/// Bits of a load number below the time at which the server was taken over.
+const LOAD_NUMBER_BITS: u32 = 20;
 /// Time between two ticks of the queues.
 const TICK_PERIOD_MS: u64 = 50;
 
@@ -28,10 +33,17 @@
 pub struct OwnedServer {
     /// Its name.
     pub name: Name,
+    /// Its address.
+    pub address: Name,
+    /// What it can hold and run.
+    pub limits: ServerLimits,
     /// Client for it.
     pub engine: Engine,
-    /// Whether the claim on the server has been made.
-    pub claimed: OnceCell<()>,
+    /// Whether it rejects orders with an old fencing number.
+    pub checks_fencing: bool,
+    /// Fencing number of the claim in force; `None` before the first one, and after another owner
+    /// was found to have made a later one.
+    pub claim: tokio::sync::Mutex<Option<u64>>,
     /// Whether it answers.
     pub answers: watch::Sender<bool>,
     /// Its queue and what belongs to it.
@@ -46,9 +58,12 @@
     pub handles: HashMap<AdapterVersion, Name>,
     /// Fencing number of this owner. Invariant: only grows.
     pub fencing: u64,
+    /// What was found in the server.
+    pub takeover: Takeover,
     /// Start number of the engine; another one means that its memory was lost.
     pub boot: u64,
-    /// Loads ordered so far, for handles that are never used twice.
+    /// Number of the last load, so that no handle is used twice. Invariant: unique in the process,
+    /// also after the server was released and taken over again.
     pub loads: u64,
     turns: HashMap<Ticket, oneshot::Sender<Result<Name, Refusal>>>,
     next_ticket: Ticket,
@@ -96,8 +111,7 @@
 pub async fn run_ticks(instance: Arc<Instance>) {
     let mut ticks = instance.timer.subscribe(TICK_PERIOD_MS);
     while ticks.recv().await.is_some() {
-        let servers: Vec<_> = owned(&instance).values().cloned().collect();
-        for server in servers {
+        for server in instance.owned_servers() {
             server.visit(&instance, ServerQueue::tick);
         }
     }
@@ -127,34 +141,68 @@
         server
     }
 
+    /// Whether the server is still the one that was taken over.
+    pub fn is_described_by(&self, spec: &BackendServer) -> bool {
+        self.address == spec.address && self.limits == limits(spec) && !spec.leaving
+    }
+
     fn new(instance: &Instance, name: Name, spec: &BackendServer) -> Self {
-        let limits = ServerLimits {
-            slots: spec.slots as usize,
-            batch: spec.batch as usize,
-        };
+        let limits = limits(spec);
         let state = OwnedState {
             queue: ServerQueue::new(limits),
             handles: HashMap::new(),
             fencing: 0,
+            takeover: Takeover::new(instance.id.clone(), spec.checks_fencing),
             boot: 0,
-            loads: 0,
+            loads: instance.now_ms() << LOAD_NUMBER_BITS,
             turns: HashMap::new(),
             next_ticket: 0,
         };
         Self {
             name,
+            address: spec.address.clone(),
+            limits,
             engine: Engine::new(instance.http.clone(), &spec.address),
-            claimed: OnceCell::new(),
+            checks_fencing: spec.checks_fencing,
+            claim: tokio::sync::Mutex::new(None),
             answers: watch::Sender::new(true),
             state: Mutex::new(state),
         }
     }
 
+    /// The server does not hold a handle that it was thought to hold.
+    fn forget(self: &Arc<Self>, instance: &Instance, model: &AdapterVersion, handle: &Name) {
+        {
+            let mut state = self.state.lock().expect("owned server lock");
+            if state.handles.get(model) != Some(handle) {
+                return;
+            }
+            state.handles.remove(model);
+        }
+        self.visit(instance, |queue, now_ms| queue.lost(model, now_ms));
+    }
+
+    /// Fencing number for orders.
+    pub fn fencing(&self) -> u64 {
+        self.state.lock().expect("owned server lock").fencing
+    }
+
     /// Start number of the engine as last seen.
     pub fn boot(&self) -> u64 {
         self.state.lock().expect("owned server lock").boot
     }
 
+    /// Turns away all that wait; what runs goes on.
+    pub fn turn_away(&self) {
+        let mut state = self.state.lock().expect("owned server lock");
+        let turns = std::mem::take(&mut state.turns);
+        for (ticket, turn) in turns {
+            state.queue.cancel(ticket);
+            let refusal = Refusal::not_run(Code::NotOwner, "another instance owns the server");
+            let _ = turn.send(Err(refusal));
+        }
+    }
+
     /// Changes the queue and carries out what follows from it.
     pub fn visit(
         self: &Arc<Self>,
@@ -292,11 +340,13 @@
 
     fn new_handle(&mut self, instance: &Instance, model: &AdapterVersion) -> Name {
         self.loads += 1;
-        let handle: Name = format!(
-            "{model}~{}.{:x}.{}",
-            instance.id.name, instance.id.incarnation, self.loads
-        )
-        .into();
+        let loader = instance.id.clone();
+        let handle = Handle {
+            model: model.clone(),
+            loader,
+            number: self.loads,
+        }
+        .name();
         self.handles.insert(model.clone(), handle.clone());
         handle
     }
@@ -381,9 +431,15 @@
     match &request.work {
         Work::Generate { model, .. } => {
             let owned = owned_server(instance, server)?;
-            dispatch::claim(instance, &owned).await?;
+            takeover::claim(instance, &owned).await?;
             let mut turn = owned.turn(instance, request, model, deadline_ms).await?;
             let dispatched = dispatch_turn(instance, request, &turn, deadline_ms, sender).await;
+            if dispatched
+                .as_ref()
+                .is_err_and(|refusal| refusal.code == Code::LoadFailed)
+            {
+                owned.forget(instance, model, &turn.handle);
+            }
             turn.ended = match &dispatched {
                 Ok(_) => true,
                 Err(refusal) => refusal.ran == Ran::No,
@@ -506,6 +562,13 @@
     Refusal::not_run(Code::NoServer, message).retry_after_ms(RETRY_AFTER_MS)
 }
 
+fn limits(spec: &BackendServer) -> ServerLimits {
+    ServerLimits {
+        slots: spec.slots as usize,
+        batch: spec.batch as usize,
+    }
+}
+
 fn cost_tokens(request: &Request) -> u64 {
     match &request.work {
         Work::Generate { max_tokens, .. } => *max_tokens,
--- /dev/null
+++ b/daemon/src/takeover.rs
@@ -0,0 +1,180 @@
+//! Taking backend servers over from other instances, and releasing them.
+
+use std::sync::Arc;
+
+use mimosabay_backend::{Category, LoadReport};
+use mimosabay_core::ownership::next_fencing;
+use mimosabay_core::request::{Code, Refusal};
+use mimosabay_core::takeover::{Plan, Seen};
+use tracing::{info, warn};
+
+use crate::instance::Instance;
+use crate::orders::Order;
+use crate::owner::OwnedServer;
+use crate::route;
+
+/// Time between two looks at which servers this instance still owns.
+const RELEASE_PERIOD_MS: u64 = 200;
+/// Attempts at finding a fencing number that the server accepts. Reports lag, so that the number
+/// in them may be too small; each attempt doubles the step.
+const CLAIM_ATTEMPTS: u32 = 16;
+/// Step between two numbers that are tried.
+const CLAIM_STEP: u64 = 1 << 16;
+/// When a repeat is worth trying after a claim that failed.
+const RETRY_AFTER_MS: u64 = 500;
+
+/// Makes this instance the owner of the server, unless it is already: later orders carry a fencing
+/// number above all that the server has accepted.
+///
+/// # Errors
+///
+/// A refusal if the server does not answer.
+pub async fn claim(instance: &Instance, server: &Arc<OwnedServer>) -> Result<(), Refusal> {
+    let mut claim = server.claim.lock().await;
+    if claim.is_some() {
+        return Ok(());
+    }
+    let report = server
+        .engine
+        .report()
+        .await
+        .map_err(|cause| unreachable(server, &cause))?;
+    let seen = report.fencing.max(server.fencing());
+    let fencing = if server.checks_fencing {
+        raise(instance, server, seen).await?
+    } else {
+        next_fencing(seen, &instance.id)
+    };
+    let mut state = server.state.lock().expect("owned server lock");
+    state.fencing = fencing;
+    if state.boot == 0 {
+        state.boot = report.boot;
+    }
+    drop(state);
+    *claim = Some(fencing);
+    info!(server = %server.name, fencing, "claimed a backend server");
+    reconcile(instance, server, &report);
+    Ok(())
+}
+
+/// The server has accepted a larger number than `fencing`, or has forgotten it: the claim is made
+/// anew before the next request.
+pub async fn lost_claim(server: &OwnedServer, fencing: u64) {
+    let mut claim = server.claim.lock().await;
+    if *claim == Some(fencing) {
+        warn!(server = %server.name, fencing, "lost the claim on a backend server");
+        *claim = None;
+    }
+}
+
+/// Brings what is known of the server's memory in line with its report.
+pub fn reconcile(instance: &Instance, server: &Arc<OwnedServer>, report: &LoadReport) {
+    let seen = Seen {
+        fencing: report.fencing,
+        handles: report.handles.clone(),
+        running: report.running_handles.clone(),
+    };
+    let now_ms = instance.now_ms();
+    let plan = instance.with_membership(|membership| {
+        let mut state = server.state.lock().expect("owned server lock");
+        let state = &mut *state;
+        let is_gone = |id: &_| membership.is_gone(id);
+        let plan = state
+            .takeover
+            .decide(&seen, state.fencing, &state.handles, is_gone, now_ms);
+        state.handles.extend(plan.adopt.iter().cloned());
+        plan
+    });
+    carry_out(instance, server, plan);
+}
+
+/// Releases the servers that other instances own now, until the process ends.
+pub async fn run_release(instance: Arc<Instance>) {
+    let mut ticks = instance.timer.subscribe(RELEASE_PERIOD_MS);
+    while ticks.recv().await.is_some() {
+        let servers: Vec<_> = instance.owned_servers();
+        for server in servers {
+            if !is_kept(&instance, &server) {
+                release(&instance, &server);
+            }
+        }
+    }
+}
+
+fn carry_out(instance: &Instance, server: &Arc<OwnedServer>, plan: Plan) {
+    for (model, handle) in plan.adopt {
+        info!(server = %server.name, %handle, "adopted an adapter");
+        server.visit(instance, |queue, now_ms| queue.adopt(model, now_ms));
+    }
+    for model in plan.evictable {
+        server.visit(instance, |queue, now_ms| {
+            queue.set_evictable(&model, now_ms)
+        });
+    }
+    server.visit(instance, |queue, now_ms| {
+        queue.set_reserved(plan.reserved_slots, now_ms)
+    });
+    if !plan.unload.is_empty() {
+        instance.workers.submit(Order::Unload {
+            server: server.clone(),
+            handles: plan.unload,
+        });
+    }
+}
+
+/// Raises the number that the server accepts to one of this process.
+async fn raise(instance: &Instance, server: &Arc<OwnedServer>, seen: u64) -> Result<u64, Refusal> {
+    let mut seen = seen;
+    for attempt in 0..CLAIM_ATTEMPTS {
+        let fencing = next_fencing(seen, &instance.id);
+        match server.engine.claim(fencing).await {
+            Ok(()) => return Ok(fencing),
+            Err(cause) if cause.classify() == Category::StaleFencing => {
+                seen = fencing + (CLAIM_STEP << attempt);
+            }
+            Err(cause) => return Err(unreachable(server, &cause)),
+        }
+    }
+    let refusal = Refusal::not_run(Code::NoServer, "the backend server rejects every claim");
+    Err(refusal.retry_after_ms(RETRY_AFTER_MS))
+}
+
+fn is_kept(instance: &Instance, server: &OwnedServer) -> bool {
+    let stays = instance.with_config(|config| {
+        config
+            .server(&server.name)
+            .is_some_and(|spec| server.is_described_by(spec))
+    });
+    stays && route::is_owner(instance, &server.name)
+}
+
+/// Turns away what waits; once nothing runs any more, the server is forgotten.
+fn release(instance: &Instance, server: &Arc<OwnedServer>) {
+    server.turn_away();
+    let (is_idle, handles) = {
+        let state = server.state.lock().expect("owned server lock");
+        let handles = state.handles.values().cloned().collect::<Vec<_>>();
+        (
+            state.queue.running() == 0 && !state.queue.loads_any(),
+            handles,
+        )
+    };
+    if !is_idle {
+        return;
+    }
+    info!(server = %server.name, "released a backend server");
+    instance.forget_owned(server);
+    if !server.checks_fencing {
+        // The next owner may not use them, and cannot know when they are idle.
+        instance.workers.submit(Order::Unload {
+            server: server.clone(),
+            handles,
+        });
+    }
+}
+
+fn unreachable(server: &OwnedServer, cause: &mimosabay_backend::Error) -> Refusal {
+    warn!(server = %server.name, %cause, "backend server does not answer");
+    Refusal::not_run(Code::NoServer, "the backend server does not answer")
+        .retry_after_ms(RETRY_AFTER_MS)
+}
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -29,6 +29,8 @@
 pub use crate::runs::{Outcome, RunRecord};
 
 /// Time that the weight store has to answer.
+/// Time between two looks at whether a cancelled run is over.
+const CANCEL_POLL: Duration = Duration::from_millis(1);
 const WEIGHTS_TIMEOUT_MS: u64 = 60_000;
 
 /// What an engine can do and how fast.
@@ -204,7 +206,7 @@
             (&Method::POST, ["v1", "unload_lora_adapter"]) => self.unload(&call),
             (&Method::POST, ["v1", "completions"]) => self.complete(&call, false).await,
             (&Method::POST, ["v1", "chat", "completions"]) => self.complete(&call, true).await,
-            (&Method::POST, ["v1", "requests", id, "cancel"]) => self.cancel(id),
+            (&Method::POST, ["v1", "requests", id, "cancel"]) => self.cancel(id).await,
             (&Method::GET, ["load"]) => self.report(),
             (&Method::GET, ["healthz"]) => reply::ok(&Value::Null),
             _ => reply::error(StatusCode::BAD_REQUEST, "no such path"),
@@ -219,6 +221,7 @@
             boot,
             fencing: 0,
             handles: Vec::new(),
+            running_handles: Vec::new(),
             running: 0,
             waiting: 0,
         };
@@ -350,6 +353,12 @@
         let Some(order) = Order::parse(&call.body, chat) else {
             return reply::error(StatusCode::BAD_REQUEST, "no such completion");
         };
+        let checked = self
+            .state()
+            .check_fencing(fencing(call), self.options.check_fencing);
+        if let Err(status) = checked {
+            return reply::error(status, "a larger fencing number was accepted");
+        }
         let Some(run) = self.state().start_run(order, call) else {
             return reply::error(StatusCode::NOT_FOUND, "the model is not loaded");
         };
@@ -443,11 +452,13 @@
         self.loaded.notify_waiters();
     }
 
-    fn cancel(&self, id: &str) -> Reply {
-        let state = self.state();
-        let count = state
-            .runs
-            .stop(Outcome::Cancelled, |record| &*record.request_id == id);
+    /// Cancels a run; the answer is sent once it is over.
+    async fn cancel(&self, id: &str) -> Reply {
+        let fits = |record: &RunRecord| &*record.request_id == id;
+        let count = self.state().runs.stop(Outcome::Cancelled, fits);
+        while self.state().runs.is_open(fits) {
+            sleep(CANCEL_POLL).await;
+        }
         reply::ok(&serde_json::json!({ "cancelled": count }))
     }
 
@@ -484,6 +495,7 @@
             boot: self.boot,
             fencing: self.fencing,
             handles: loaded.map(|(handle, _)| handle.clone()).collect(),
+            running_handles: self.runs.handles_in_use(),
             running: self.runs.running(),
             waiting: self.runs.waiting(),
         }
--- a/standin/src/runs.rs
+++ b/standin/src/runs.rs
@@ -87,11 +87,26 @@
         u32::try_from(self.waiting.len()).unwrap_or(u32::MAX)
     }
 
-    /// Whether a run uses the handle.
-    pub(crate) fn uses(&self, handle: &str) -> bool {
-        self.stops
+    /// Whether a run that fits has not ended.
+    pub(crate) fn is_open(&self, fits: impl Fn(&RunRecord) -> bool) -> bool {
+        self.stops.keys().any(|index| fits(&self.records[*index]))
+    }
+
+    /// Handles of the runs that have not ended.
+    pub(crate) fn handles_in_use(&self) -> Vec<Name> {
+        let mut handles: Vec<Name> = self
+            .stops
             .keys()
-            .any(|index| &*self.records[*index].handle == handle)
+            .map(|index| self.records[*index].handle.clone())
+            .collect();
+        handles.sort();
+        handles.dedup();
+        handles
+    }
+
+    /// Whether a run that has not ended uses the handle.
+    pub(crate) fn uses(&self, handle: &str) -> bool {
+        self.is_open(|record| &*record.handle == handle)
     }
 
     /// Records a run; the receiver tells when it has to stop.
