--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -15,9 +15,11 @@
 
 pub mod admission;
 pub mod bucket;
+pub mod budget;
 pub mod config;
 pub mod date;
 pub mod freshness;
+pub mod handle;
 pub mod macros;
 pub mod membership;
 pub mod name;
@@ -27,3 +29,5 @@
 pub mod request;
 pub mod resource;
 pub mod retry;
+pub mod roster;
+pub mod takeover;
