Decide a server's queue by organisation, adapter and deadline

Cause: the first queue scanned all waiting requests on each event and took them in order of arrival, so a flood of one organisation delayed all. Ruled out: round robin with a fixed quantum (a visit per organisation and quantum), ordering loads by a score that changes with time (needs a scan). Change: requests are indexed by adapter, organisation and deadline; weighted fair shares over tokens and over loads; loads are shared, ordered by age with a credit for each further request, and can wait for a permit; eviction by decayed demand, never of an adapter in use or loading; a busy adapter runs dry for one that has waited; early refusals with an advised time; pauses after failed loads. Dispatch carries a priority. Conclusion: ready for the daemon; speed under load is not measured yet.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub mod bucket;
 pub mod config;
+pub mod demand;
 pub mod macros;
 pub mod name;
 pub mod queue;
--- /dev/null
+++ b/core/src/queue/share.rs
@@ -0,0 +1,127 @@
+//! Weighted fair shares of one good between organisations.
+//!
+//! Deficit round robin in its virtual-time form: the organisation that has had least for its
+//! weight goes next. The order is that of round robin with a vanishing quantum, and a step costs
+//! the logarithm of the number of organisations instead of one visit to each.
+
+use std::collections::{BTreeSet, HashMap};
+
+use crate::name::Name;
+
+/// Units of virtual time for one unit of the good at weight one.
+const SCALE: u64 = 1_024;
+/// Accounts beyond twice the active ones that are kept before old ones are dropped.
+const SPARE_ACCOUNTS: usize = 64;
+
+#[derive(Debug, Default)]
+struct Account {
+    /// Virtual time up to which the organisation has been served.
+    served: u64,
+    /// Invariant: at least one while the account is active.
+    weight: u32,
+    is_active: bool,
+}
+
+/// Accounts of the organisations that share a good.
+#[derive(Debug, Default)]
+pub(super) struct FairShare {
+    /// Virtual time of the organisation served last. Invariant: never goes back.
+    clock: u64,
+    accounts: HashMap<Name, Account>,
+    /// Invariant: holds each active account with its virtual time.
+    order: BTreeSet<(u64, Name)>,
+    /// Sum of the weights of the active accounts.
+    weights: u64,
+}
+
+impl FairShare {
+    /// The organisation wants more of the good.
+    ///
+    /// One that comes back does not collect what it left unused.
+    pub(super) fn activate(&mut self, name: &Name, weight: u32) {
+        let account = self.accounts.entry(name.clone()).or_default();
+        if account.is_active {
+            return;
+        }
+        account.is_active = true;
+        account.weight = weight.max(1);
+        account.served = account.served.max(self.clock);
+        self.weights += u64::from(account.weight);
+        self.order.insert((account.served, name.clone()));
+    }
+
+    /// The organisation wants nothing at present.
+    pub(super) fn deactivate(&mut self, name: &Name) {
+        let Some(account) = self.accounts.get_mut(name) else {
+            return;
+        };
+        if !account.is_active {
+            return;
+        }
+        account.is_active = false;
+        self.weights -= u64::from(account.weight);
+        self.order.remove(&(account.served, name.clone()));
+        self.drop_old();
+    }
+
+    /// The organisation to serve next.
+    pub(super) fn first(&self) -> Option<&Name> {
+        self.order.first().map(|(_, name)| name)
+    }
+
+    /// The organisation was served.
+    pub(super) fn charge(&mut self, name: &Name, amount: u64) {
+        let Some(account) = self.accounts.get(name) else {
+            return;
+        };
+        let served = account.served;
+        self.clock = self.clock.max(served);
+        let amount = span(amount, account.weight);
+        self.place(name, served.saturating_add(amount));
+    }
+
+    /// The organisation used less than it was charged.
+    pub(super) fn refund(&mut self, name: &Name, amount: u64) {
+        let Some(account) = self.accounts.get(name) else {
+            return;
+        };
+        let served = account.served;
+        let corrected = served.saturating_sub(span(amount, account.weight));
+        self.place(name, corrected.max(self.clock.min(served)));
+    }
+
+    /// Amount that all together get until the organisation has got `amount`.
+    pub(super) fn until_served(&self, name: &Name, amount: f64) -> f64 {
+        match self.accounts.get(name) {
+            Some(account) if account.is_active => {
+                amount * self.weights as f64 / f64::from(account.weight)
+            }
+            _ => amount,
+        }
+    }
+
+    fn place(&mut self, name: &Name, served: u64) {
+        let Some(account) = self.accounts.get_mut(name) else {
+            return;
+        };
+        if account.is_active {
+            self.order.remove(&(account.served, name.clone()));
+            self.order.insert((served, name.clone()));
+        }
+        account.served = served;
+    }
+
+    /// An idle account at or below the clock equals a fresh one.
+    fn drop_old(&mut self) {
+        if self.accounts.len() <= 2 * self.order.len() + SPARE_ACCOUNTS {
+            return;
+        }
+        let clock = self.clock;
+        self.accounts
+            .retain(|_, account| account.is_active || account.served > clock);
+    }
+}
+
+fn span(amount: u64, weight: u32) -> u64 {
+    amount.max(1).saturating_mul(SCALE) / u64::from(weight.max(1))
+}
--- /dev/null
+++ b/core/src/queue/slots.rs
@@ -0,0 +1,183 @@
+//! The adapters in a server's memory.
+//!
+//! A server has few slots, so a scan of them is cheap.
+
+use std::collections::HashMap;
+
+use super::settings::Eviction;
+use crate::demand::Demand;
+use crate::name::AdapterVersion;
+
+/// State of an adapter in memory.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Residency {
+    /// The server is loading it.
+    Loading {
+        /// When the load started, in milliseconds.
+        since_ms: u64,
+    },
+    /// Requests can run on it.
+    Loaded,
+    /// Its requests run to their end and no more start, so that it can be evicted.
+    Draining,
+}
+
+/// An adapter in memory.
+#[derive(Debug)]
+pub(super) struct Slot {
+    pub(super) residency: Residency,
+    /// Requests that run on it. Invariant: an adapter with any is never evicted.
+    pub(super) running: usize,
+    used_ms: u64,
+    demand: Demand,
+}
+
+/// All adapters in memory.
+#[derive(Debug)]
+pub(super) struct Slots {
+    capacity: usize,
+    eviction: Eviction,
+    half_life_ms: u64,
+    /// Invariant: at most `capacity`.
+    by_model: HashMap<AdapterVersion, Slot>,
+}
+
+impl Slots {
+    pub(super) fn new(capacity: usize, eviction: Eviction, half_life_ms: u64) -> Self {
+        Self {
+            capacity,
+            eviction,
+            half_life_ms,
+            by_model: HashMap::new(),
+        }
+    }
+
+    pub(super) fn get(&self, model: &AdapterVersion) -> Option<&Slot> {
+        self.by_model.get(model)
+    }
+
+    pub(super) fn residents(&self) -> impl Iterator<Item = (&AdapterVersion, Residency)> {
+        self.by_model
+            .iter()
+            .map(|(model, slot)| (model, slot.residency))
+    }
+
+    pub(super) fn has_free(&self) -> bool {
+        self.by_model.len() < self.capacity
+    }
+
+    /// Starts a load; `demand` requests wait for it.
+    pub(super) fn start_load(&mut self, model: &AdapterVersion, demand: usize, now_ms: u64) {
+        let mut slot = Slot {
+            residency: Residency::Loading { since_ms: now_ms },
+            running: 0,
+            used_ms: now_ms,
+            demand: Demand::new(self.half_life_ms),
+        };
+        slot.demand.add(demand as f64, now_ms);
+        self.by_model.insert(model.clone(), slot);
+    }
+
+    pub(super) fn remove(&mut self, model: &AdapterVersion) -> Option<Slot> {
+        self.by_model.remove(model)
+    }
+
+    pub(super) fn set_residency(&mut self, model: &AdapterVersion, residency: Residency) {
+        if let Some(slot) = self.by_model.get_mut(model) {
+            slot.residency = residency;
+        }
+    }
+
+    /// A request for the adapter arrived.
+    pub(super) fn count_arrival(&mut self, model: &AdapterVersion, now_ms: u64) {
+        if let Some(slot) = self.by_model.get_mut(model) {
+            slot.demand.add(1.0, now_ms);
+        }
+    }
+
+    /// A request on the adapter started.
+    pub(super) fn start_run(&mut self, model: &AdapterVersion, now_ms: u64) {
+        if let Some(slot) = self.by_model.get_mut(model) {
+            slot.running += 1;
+            slot.used_ms = now_ms;
+        }
+    }
+
+    /// A request on the adapter ended.
+    pub(super) fn end_run(&mut self, model: &AdapterVersion, now_ms: u64) {
+        if let Some(slot) = self.by_model.get_mut(model) {
+            slot.running = slot.running.saturating_sub(1);
+            slot.used_ms = now_ms;
+        }
+    }
+
+    /// Forgets what is in memory; loads under way stay.
+    pub(super) fn clear_loaded(&mut self) -> Vec<AdapterVersion> {
+        let loaded: Vec<AdapterVersion> = self
+            .by_model
+            .iter()
+            .filter(|(_, slot)| !matches!(slot.residency, Residency::Loading { .. }))
+            .map(|(model, _)| model.clone())
+            .collect();
+        for model in &loaded {
+            self.by_model.remove(model);
+        }
+        loaded
+    }
+
+    /// The adapter that is running dry.
+    pub(super) fn draining(&self) -> Option<&AdapterVersion> {
+        self.by_model
+            .iter()
+            .find(|(_, slot)| slot.residency == Residency::Draining)
+            .map(|(model, _)| model)
+    }
+
+    /// The adapter to evict. `is_wanted` tells whether requests wait for an adapter.
+    pub(super) fn victim(
+        &self,
+        is_wanted: impl Fn(&AdapterVersion) -> bool,
+        now_ms: u64,
+    ) -> Option<AdapterVersion> {
+        let drained = self.draining().filter(|model| self.is_idle(model));
+        if let Some(model) = drained {
+            return Some(model.clone());
+        }
+        let idle = |model: &AdapterVersion, slot: &Slot| {
+            slot.residency == Residency::Loaded && slot.running == 0 && !is_wanted(model)
+        };
+        self.least_valued(idle, now_ms)
+    }
+
+    /// The adapter to run dry when none is idle.
+    pub(super) fn least_busy(&self, now_ms: u64) -> Option<AdapterVersion> {
+        let loaded = |_: &AdapterVersion, slot: &Slot| slot.residency == Residency::Loaded;
+        self.least_valued(loaded, now_ms)
+    }
+
+    fn is_idle(&self, model: &AdapterVersion) -> bool {
+        self.by_model
+            .get(model)
+            .is_some_and(|slot| slot.running == 0)
+    }
+
+    /// All loads cost the same, so the value of an adapter in memory is its expected demand.
+    fn least_valued(
+        &self,
+        is_candidate: impl Fn(&AdapterVersion, &Slot) -> bool,
+        now_ms: u64,
+    ) -> Option<AdapterVersion> {
+        let value = |slot: &Slot| match self.eviction {
+            Eviction::Product => slot.demand.value(now_ms),
+            Eviction::Lru => slot.used_ms as f64,
+        };
+        self.by_model
+            .iter()
+            .filter(|(model, slot)| is_candidate(model, slot))
+            .min_by(|(left_model, left), (right_model, right)| {
+                let by_value = value(left).total_cmp(&value(right));
+                by_value.then_with(|| left_model.cmp(right_model))
+            })
+            .map(|(model, _)| model.clone())
+    }
+}
--- /dev/null
+++ b/core/tests/queue/driver.rs
@@ -0,0 +1,150 @@
+//! Runs a queue against a server that does as it is told, and judges each step.
+
+use std::collections::BTreeMap;
+
+use mimosabay_core::name::{AdapterVersion, Name};
+use mimosabay_core::queue::{Action, QueueSettings, ServerLimits, ServerQueue, Ticket, Waiting};
+use mimosabay_core::request::Code;
+
+use crate::oracle::{Event, Oracle};
+
+pub(crate) fn model(adapter: &str) -> AdapterVersion {
+    AdapterVersion {
+        adapter: Name::from(adapter),
+        version: Name::from("v1"),
+    }
+}
+
+pub(crate) fn request(ticket: Ticket, organisation: &str, adapter: &str) -> Waiting {
+    Waiting {
+        ticket,
+        organisation: Name::from(organisation),
+        weight: 1,
+        model: model(adapter),
+        cost_tokens: 100,
+        deadline_ms: u64::MAX,
+    }
+}
+
+/// A queue with its server.
+pub(crate) struct Driver {
+    pub(crate) queue: ServerQueue,
+    pub(crate) oracle: Oracle,
+    pub(crate) now_ms: u64,
+    pub(crate) loading: Vec<AdapterVersion>,
+    pub(crate) evicted: Vec<AdapterVersion>,
+    /// Tickets at the server, in the order of their dispatch.
+    pub(crate) running: Vec<Ticket>,
+    pub(crate) dispatched: Vec<Ticket>,
+    pub(crate) refused: BTreeMap<Ticket, (Code, u64)>,
+}
+
+impl Driver {
+    pub(crate) fn new(limits: ServerLimits, settings: QueueSettings) -> Self {
+        Self {
+            queue: ServerQueue::with_settings(limits, settings),
+            oracle: Oracle::new(limits),
+            now_ms: 0,
+            loading: Vec::new(),
+            evicted: Vec::new(),
+            running: Vec::new(),
+            dispatched: Vec::new(),
+            refused: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) fn enqueue(&mut self, request: Waiting) {
+        self.note(&Event::Enqueued(request.ticket, request.model.clone()));
+        let actions = self.queue.enqueue(request, self.now_ms);
+        self.act(actions);
+    }
+
+    pub(crate) fn cancel(&mut self, ticket: Ticket) {
+        if self.queue.cancel(ticket) {
+            self.note(&Event::Cancelled(ticket));
+        }
+        self.act(Vec::new());
+    }
+
+    /// Ends the `index`-th load under way.
+    pub(crate) fn end_load(&mut self, index: usize, is_success: bool) {
+        let model = self.loading.remove(index);
+        let actions = if is_success {
+            self.note(&Event::Loaded(model.clone()));
+            self.queue.loaded(&model, self.now_ms)
+        } else {
+            self.note(&Event::LoadFailed(model.clone()));
+            self.queue.load_failed(&model, self.now_ms)
+        };
+        self.act(actions);
+    }
+
+    /// Ends all loads under way and those that start by this.
+    pub(crate) fn end_loads(&mut self) {
+        while !self.loading.is_empty() {
+            self.end_load(0, true);
+        }
+    }
+
+    /// Ends the `index`-th run.
+    pub(crate) fn finish(&mut self, index: usize) {
+        let ticket = self.running.remove(index);
+        self.note(&Event::Finished(ticket));
+        let actions = self.queue.finished(ticket, self.now_ms);
+        self.act(actions);
+    }
+
+    /// Ends the `index`-th run, which used `used_tokens`.
+    pub(crate) fn finish_with(&mut self, index: usize, used_tokens: u64) {
+        let ticket = self.running.remove(index);
+        self.note(&Event::Finished(ticket));
+        let actions = self.queue.finished_with(ticket, used_tokens, self.now_ms);
+        self.act(actions);
+    }
+
+    pub(crate) fn restart(&mut self) {
+        self.note(&Event::Restarted);
+        self.running.clear();
+        let actions = self.queue.restarted(self.now_ms);
+        self.act(actions);
+    }
+
+    pub(crate) fn grant_load(&mut self) {
+        let actions = self.queue.load_granted(self.now_ms);
+        self.act(actions);
+    }
+
+    pub(crate) fn pass(&mut self, time_ms: u64) {
+        self.now_ms += time_ms;
+        let actions = self.queue.tick(self.now_ms);
+        self.act(actions);
+    }
+
+    fn act(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            self.note(&Event::Acted(action.clone()));
+            match action {
+                Action::Load { model } => self.loading.push(model),
+                Action::Evict { model } => self.evicted.push(model),
+                Action::Dispatch { ticket, .. } => {
+                    self.running.push(ticket);
+                    self.dispatched.push(ticket);
+                }
+                Action::Refuse {
+                    ticket,
+                    code,
+                    retry_after_ms,
+                } => {
+                    self.refused.insert(ticket, (code, retry_after_ms));
+                }
+            }
+        }
+        let counts = (self.queue.waiting(), self.queue.running());
+        let verdict = self.oracle.check_counts(counts.0, counts.1);
+        assert_eq!(verdict, Ok(()), "{counts:?}");
+    }
+
+    fn note(&mut self, event: &Event) {
+        assert_eq!(self.oracle.check(event), Ok(()), "{event:?}");
+    }
+}
