--- a/daemon/src/dispatch.rs
+++ b/daemon/src/dispatch.rs
@@ -19,8 +19,19 @@
 /// Time until an engine has to begin its answer; one that does not is silent. Engines answer with
 /// the head at once, before the prompt is processed.
 const HEAD_TIMEOUT_MS: u64 = 2_000;
-/// Priority of an ordinary request.
-const PRIORITY: i32 = 0;
+
+/// A generation that is to be sent.
+#[derive(Clone, Copy)]
+pub struct Order<'a> {
+    /// The request.
+    pub request: &'a Request,
+    /// Handle of its adapter.
+    pub handle: &'a Name,
+    /// Priority at the engine.
+    pub priority: i32,
+    /// Monotonic time at which it is given up, in milliseconds.
+    pub deadline_ms: u64,
+}
 
 /// Generates text and passes it on.
 ///
@@ -30,11 +41,15 @@
 pub async fn generate(
     instance: &Arc<Instance>,
     server: &OwnedServer,
-    request: &Request,
-    handle: &Name,
-    deadline_ms: u64,
+    order: &Order<'_>,
     sender: &mpsc::Sender<RunEvent>,
 ) -> Result<Usage, Refusal> {
+    let Order {
+        request,
+        handle,
+        priority,
+        deadline_ms,
+    } = *order;
     let Work::Generate { body, chat, .. } = &request.work else {
         unreachable!("only generations have a handle");
     };
@@ -44,7 +59,7 @@
         request_id: request.id.clone(),
         body: body.clone(),
         chat: *chat,
-        priority: PRIORITY,
+        priority,
         resume_text: request
             .resume
             .as_ref()
