--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod budget;
 pub mod config;
 pub mod date;
+pub mod demand;
 pub mod freshness;
 pub mod handle;
 pub mod macros;
--- a/daemon/src/owner.rs
+++ b/daemon/src/owner.rs
@@ -7,17 +7,21 @@
 use mimosabay_core::admission;
 use mimosabay_core::handle::Handle;
 use mimosabay_core::name::{AdapterVersion, Name};
-use mimosabay_core::queue::{Action, ServerLimits, ServerQueue, Ticket, Waiting};
+use mimosabay_core::queue::{
+    Action, Eviction, Order, QueueSettings, ServerLimits, ServerQueue, Ticket, Waiting,
+};
 use mimosabay_core::request::{Code, Ran, Refusal, Repeat, Request, RunEvent, Usage, Work};
 use mimosabay_core::resource::BackendServer;
 use mimosabay_core::takeover::Takeover;
+use mimosabay_operator::settings::PolicySettings;
+use mimosabay_operator::{EvictionPolicy, QueuePolicy};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
 
 use crate::dispatch;
 use crate::instance::Instance;
 use crate::monitor;
-use crate::orders::{self, Order};
+use crate::orders;
 use crate::takeover;
 
 /// Events that are buffered between the owner and the reader of a run.
@@ -54,6 +58,8 @@
 pub struct OwnedState {
     /// Which requests run and which adapters are held.
     pub queue: ServerQueue,
+    /// Whether this instance has let go of the server for good. Invariant: nothing runs then.
+    pub is_released: bool,
     /// Handle of each adapter that is loaded or being loaded.
     pub handles: HashMap<AdapterVersion, Name>,
     /// Fencing number of this owner. Invariant: only grows.
@@ -65,7 +71,7 @@
     /// Number of the last load, so that no handle is used twice. Invariant: unique in the process,
     /// also after the server was released and taken over again.
     pub loads: u64,
-    turns: HashMap<Ticket, oneshot::Sender<Result<Name, Refusal>>>,
+    turns: HashMap<Ticket, oneshot::Sender<Result<Grant, Refusal>>>,
     next_ticket: Ticket,
 }
 
@@ -76,15 +82,33 @@
     repeat: Repeat,
 }
 
+/// How a run at the server ended.
+#[derive(Clone, Copy)]
+enum Ended {
+    /// It used this many tokens.
+    Whole { used_tokens: u64 },
+    /// It never began.
+    NotRun,
+    /// It may still be running.
+    InDoubt,
+}
+
+/// What the queue says when it is a request's turn.
+struct Grant {
+    handle: Name,
+    /// Priority at the engine.
+    priority: i32,
+}
+
 /// The right to send one request to the server. Dropping it frees the place in the batch.
 struct Turn {
     instance: Arc<Instance>,
     server: Arc<OwnedServer>,
     ticket: Ticket,
-    handle: Name,
+    grant: Grant,
     request_id: Name,
-    /// Whether the run has certainly ended at the server, or never began.
-    ended: bool,
+    /// How the run ended.
+    ended: Ended,
 }
 
 /// A request in the queue. Dropping it takes the request out.
@@ -149,7 +173,8 @@
     fn new(instance: &Instance, name: Name, spec: &BackendServer) -> Self {
         let limits = limits(spec);
         let state = OwnedState {
-            queue: ServerQueue::new(limits),
+            queue: ServerQueue::with_settings(limits, queue_settings(&instance.settings.policy)),
+            is_released: false,
             handles: HashMap::new(),
             fencing: 0,
             takeover: Takeover::new(instance.id.clone(), spec.checks_fencing),
@@ -198,8 +223,7 @@
         let turns = std::mem::take(&mut state.turns);
         for (ticket, turn) in turns {
             state.queue.cancel(ticket);
-            let refusal = Refusal::not_run(Code::NotOwner, "another instance owns the server");
-            let _ = turn.send(Err(refusal));
+            let _ = turn.send(Err(not_owner()));
         }
     }
 
@@ -224,15 +248,15 @@
         model: &AdapterVersion,
         deadline_ms: u64,
     ) -> Result<Turn, Refusal> {
-        let (ticket, granted) = self.enqueue(instance, request, model, deadline_ms);
+        let (ticket, granted) = self.enqueue(instance, request, model, deadline_ms)?;
         let place = Place {
             instance: instance.clone(),
             server: self.clone(),
             ticket,
             waiting: true,
         };
-        let handle = wait(instance, self, request, granted).await?;
-        Ok(place.into_turn(handle, request.id.clone()))
+        let grant = wait(instance, self, request, granted).await?;
+        Ok(place.into_turn(grant, request.id.clone()))
     }
 
     fn enqueue(
@@ -241,7 +265,7 @@
         request: &Request,
         model: &AdapterVersion,
         deadline_ms: u64,
-    ) -> (Ticket, oneshot::Receiver<Result<Name, Refusal>>) {
+    ) -> Result<(Ticket, oneshot::Receiver<Result<Grant, Refusal>>), Refusal> {
         let weight = instance.with_config(|config| {
             config
                 .organisation(&request.organisation)
@@ -250,6 +274,9 @@
         let (sender, granted) = oneshot::channel();
         let ticket = {
             let mut state = self.state.lock().expect("owned server lock");
+            if state.is_released {
+                return Err(not_owner());
+            }
             state.next_ticket += 1;
             let ticket = state.next_ticket;
             state.turns.insert(ticket, sender);
@@ -264,7 +291,7 @@
             deadline_ms,
         };
         self.visit(instance, |queue, now_ms| queue.enqueue(waiting, now_ms));
-        (ticket, granted)
+        Ok((ticket, granted))
     }
 }
 
@@ -275,12 +302,12 @@
         server: &Arc<OwnedServer>,
         instance: &Instance,
         actions: Vec<Action>,
-    ) -> Vec<Order> {
+    ) -> Vec<orders::Order> {
         let mut orders = Vec::new();
         let mut freed = Vec::new();
         for action in actions {
             match action {
-                Action::Dispatch { ticket } => self.grant(ticket),
+                Action::Dispatch { ticket, priority } => self.grant(ticket, priority),
                 Action::Refuse {
                     ticket,
                     code,
@@ -292,7 +319,7 @@
                 Action::Load { model } => {
                     let handle = self.new_handle(instance, &model);
                     let unload = std::mem::take(&mut freed);
-                    orders.push(Order::Load {
+                    orders.push(orders::Order::Load {
                         server: server.clone(),
                         model,
                         handle,
@@ -302,7 +329,7 @@
             }
         }
         if !freed.is_empty() {
-            orders.push(Order::Unload {
+            orders.push(orders::Order::Unload {
                 server: server.clone(),
                 handles: freed,
             });
@@ -316,7 +343,7 @@
         self.handles.retain(|model, _| queue.is_loading(model));
     }
 
-    fn grant(&mut self, ticket: Ticket) {
+    fn grant(&mut self, ticket: Ticket, priority: i32) {
         let Some(turn) = self.turns.remove(&ticket) else {
             return;
         };
@@ -328,7 +355,7 @@
             .expect("a dispatched request has a loaded adapter")
             .clone();
         // A receiver that is gone gives the place back when its `Place` is dropped.
-        let _ = turn.send(Ok(handle));
+        let _ = turn.send(Ok(Grant { handle, priority }));
     }
 
     fn refuse(&mut self, ticket: Ticket, code: Code, retry_after_ms: u64) {
@@ -352,16 +379,32 @@
     }
 }
 
+impl Ended {
+    fn whole(usage: &Usage) -> Self {
+        Self::Whole {
+            used_tokens: usage.total_tokens(),
+        }
+    }
+
+    fn of(refusal: &Refusal) -> Self {
+        if refusal.ran == Ran::No {
+            Self::NotRun
+        } else {
+            Self::InDoubt
+        }
+    }
+}
+
 impl Place {
-    fn into_turn(mut self, handle: Name, request_id: Name) -> Turn {
+    fn into_turn(mut self, grant: Grant, request_id: Name) -> Turn {
         self.waiting = false;
         Turn {
             instance: self.instance.clone(),
             server: self.server.clone(),
             ticket: self.ticket,
-            handle,
+            grant,
             request_id,
-            ended: false,
+            ended: Ended::InDoubt,
         }
     }
 }
@@ -389,9 +432,14 @@
 impl Drop for Turn {
     fn drop(&mut self) {
         let ticket = self.ticket;
-        if self.ended {
+        let used_tokens = match self.ended {
+            Ended::Whole { used_tokens } => Some(used_tokens),
+            Ended::NotRun => Some(0),
+            Ended::InDoubt => None,
+        };
+        if let Some(used_tokens) = used_tokens {
             self.server.visit(&self.instance, |queue, now_ms| {
-                queue.finished(ticket, now_ms)
+                queue.finished_with(ticket, used_tokens, now_ms)
             });
             return;
         }
@@ -438,12 +486,9 @@
                 .as_ref()
                 .is_err_and(|refusal| refusal.code == Code::LoadFailed)
             {
-                owned.forget(instance, model, &turn.handle);
+                owned.forget(instance, model, &turn.grant.handle);
             }
-            turn.ended = match &dispatched {
-                Ok(_) => true,
-                Err(refusal) => refusal.ran == Ran::No,
-            };
+            turn.ended = dispatched.as_ref().map_or_else(Ended::of, Ended::whole);
             dispatched
         }
         Work::Plain { .. } => {
@@ -461,15 +506,13 @@
     sender: &mpsc::Sender<RunEvent>,
 ) -> Result<Usage, Refusal> {
     check_still_wanted(instance, request, deadline_ms)?;
-    dispatch::generate(
-        instance,
-        &turn.server,
+    let order = dispatch::Order {
         request,
-        &turn.handle,
+        handle: &turn.grant.handle,
+        priority: turn.grant.priority,
         deadline_ms,
-        sender,
-    )
-    .await
+    };
+    dispatch::generate(instance, &turn.server, &order, sender).await
 }
 
 fn owned_server(instance: &Arc<Instance>, name: &Name) -> Result<Arc<OwnedServer>, Refusal> {
@@ -497,8 +540,8 @@
     instance: &Instance,
     server: &OwnedServer,
     request: &Request,
-    mut granted: oneshot::Receiver<Result<Name, Refusal>>,
-) -> Result<Name, Refusal> {
+    mut granted: oneshot::Receiver<Result<Grant, Refusal>>,
+) -> Result<Grant, Refusal> {
     let mut config_changed = instance.config_changed.subscribe();
     let mut answers = server.answers.subscribe();
     loop {
@@ -558,6 +601,10 @@
     }
 }
 
+fn not_owner() -> Refusal {
+    Refusal::not_run(Code::NotOwner, "another instance owns the server")
+}
+
 fn no_server(message: &str) -> Refusal {
     Refusal::not_run(Code::NoServer, message).retry_after_ms(RETRY_AFTER_MS)
 }
@@ -569,6 +616,20 @@
     }
 }
 
+fn queue_settings(policy: &PolicySettings) -> QueueSettings {
+    QueueSettings {
+        order: match policy.queue {
+            QueuePolicy::Product => Order::Product,
+            QueuePolicy::Fifo => Order::Fifo,
+        },
+        eviction: match policy.eviction {
+            EvictionPolicy::Product => Eviction::Product,
+            EvictionPolicy::Lru => Eviction::Lru,
+        },
+        ..QueueSettings::default()
+    }
+}
+
 fn cost_tokens(request: &Request) -> u64 {
     match &request.work {
         Work::Generate { max_tokens, .. } => *max_tokens,
