--- a/core/src/retry.rs
+++ b/core/src/retry.rs
@@ -3,7 +3,7 @@
 use crate::request::{Code, Ran, Refusal, Repeat};
 
 /// Attempts for one request, the first one included.
-pub const MAX_ATTEMPTS: u32 = 6;
+pub const MAX_ATTEMPTS: u32 = 12;
 
 /// What to do next.
 #[derive(Clone, Debug, PartialEq)]
@@ -25,7 +25,7 @@
     /// Retries that one request adds.
     const PER_REQUEST: f64 = 0.2;
     /// Retries that can be saved up.
-    pub const MAX_STORED: f64 = 100.0;
+    pub const MAX_STORED: f64 = 500.0;
 
     /// Starts with all retries that can be saved up.
     pub fn new() -> Self {
--- a/daemon/src/supervise.rs
+++ b/daemon/src/supervise.rs
@@ -15,6 +15,9 @@
 
 /// Pause before the first retry; it doubles with each further one.
 const FIRST_PAUSE_MS: u64 = 25;
+/// Doublings of the pause: retries go on for several seconds, in which the instances agree on who
+/// is alive.
+const MOST_DOUBLINGS: u32 = 5;
 /// Time beyond the deadline in which the owner of the server can still say what became of it.
 const DEADLINE_GRACE_MS: u64 = 500;
 /// When a repeat is worth trying after an instance failed.
@@ -99,7 +102,10 @@
             return Err(progress.truthful(refusal));
         }
         instance.metrics.count("request.retried");
-        sleep(Duration::from_millis(FIRST_PAUSE_MS << attempt.min(6))).await;
+        sleep(Duration::from_millis(
+            FIRST_PAUSE_MS << attempt.min(MOST_DOUBLINGS),
+        ))
+        .await;
     }
     unreachable!("the number of attempts is bounded")
 }
--- a/peer/src/client.rs
+++ b/peer/src/client.rs
@@ -22,7 +22,7 @@
 /// Time between pings on an open connection.
 const PING_PERIOD_MS: u64 = 500;
 /// Time without an answer to a ping after which a connection counts as silent.
-const PING_TIMEOUT_MS: u64 = 1_000;
+const PING_TIMEOUT_MS: u64 = 2_000;
 /// Flow-control window of one stream and, times 16, of a connection.
 pub(crate) const WINDOW_BYTES: u32 = 1 << 20;
 
