--- a/cli/tests/tool.rs
+++ b/cli/tests/tool/commands.rs
@@ -1,9 +1,7 @@
 //! The tool against the stand-in platform, by exit code and answer.
 
-mod support;
-
+use crate::support::{Site, adapter, organisation, run};
 use serde_json::{Value, json};
-use support::{Site, adapter, organisation, run};
 
 #[tokio::test]
 async fn apply_creates_changes_and_leaves_alone() {
--- /dev/null
+++ b/cli/tests/tool/main.rs
@@ -0,0 +1,5 @@
+//! The tool against the stand-in platform, as a child process.
+
+mod commands;
+mod examples;
+mod support;
