Report how far a change is in force, and store service levels

Ruled out: writing the number from each instance (as many writes as instances for every change); leaving the first status to the acceptor (its later write could put 0 of 0 over a finished count of the same generation, and its rejection was dropped when it met a conflict). Change: rollout, on the instance with the acceptor's role, compares the revisions in heartbeats with accepted objects and writes the status. service_level counts how requests end, by organisation and route, and adds the counters to the instance's object once a minute and on a planned stop.

--- a/daemon/src/acceptor.rs
+++ b/daemon/src/acceptor.rs
@@ -61,7 +61,8 @@
     }
 }
 
-fn has_role(instance: &Instance) -> bool {
+/// Whether this instance is the acceptor, as far as it knows.
+pub fn has_role(instance: &Instance) -> bool {
     instance.with_membership(|membership| {
         let candidates = membership.candidates(instance.is_stopping());
         let names = candidates.iter().map(|candidate| &*candidate.name);
@@ -213,19 +214,13 @@
             .put(ACCEPTED_KIND, &name, &value, precondition)
             .await?;
         info!(resource = %name, generation = record.generation, "accepted a change");
+        // Its status is written by `rollout`, with the number of instances.
         self.take_accepted(&object);
-        let status = StatusRecord {
-            observed_generation: record.generation,
-            accepted: true,
-            reason: "".into(),
-            in_force: 0,
-            instances: 0,
-        };
-        write_status(instance, key, &status).await
+        Ok(())
     }
 }
 
-/// Status is written last; whoever reads it also sees the accepted object.
+/// Writes the status of a rejected specification, unless that of a newer one is there.
 async fn write_status(
     instance: &Instance,
     key: &ObjectKey,
@@ -233,24 +228,36 @@
 ) -> Result<(), Error> {
     let name = store::qualified_name(key.kind, &key.name);
     let value = store::to_value(status);
-    let known = match instance.platform.get(STATUS_KIND, &name).await {
-        Ok(object) => Some(object),
-        Err(cause) if cause.classify() == Category::NotFound => None,
-        Err(cause) => return Err(cause),
-    };
-    if known.as_ref().is_some_and(|object| object.value == value) {
-        return Ok(());
-    }
-    let precondition = known.map_or(Precondition::Absent, |object| {
-        Precondition::Version(object.version)
-    });
-    match instance
-        .platform
-        .put(STATUS_KIND, &name, &value, precondition)
-        .await
-    {
-        // Another acceptor wrote a status; it judged the same specification.
-        Err(cause) if cause.classify() == Category::Conflict => Ok(()),
-        written => written.map(|_| ()),
+    loop {
+        let known = match instance.platform.get(STATUS_KIND, &name).await {
+            Ok(object) => Some(object),
+            Err(cause) if cause.classify() == Category::NotFound => None,
+            Err(cause) => return Err(cause),
+        };
+        if known
+            .as_ref()
+            .is_some_and(|object| is_current(object, status))
+        {
+            return Ok(());
+        }
+        let precondition = known.map_or(Precondition::Absent, |object| {
+            Precondition::Version(object.version)
+        });
+        let put = instance
+            .platform
+            .put(STATUS_KIND, &name, &value, precondition);
+        match put.await {
+            // The status of an older specification was written in between.
+            Err(cause) if cause.classify() == Category::Conflict => {}
+            written => return written.map(|_| ()),
+        }
     }
 }
+
+/// Whether a stored status says the same, or something of a newer specification.
+fn is_current(object: &Object, status: &StatusRecord) -> bool {
+    let stored: Option<StatusRecord> = store::read_record(object, STATUS_KIND).ok();
+    stored.is_some_and(|stored| {
+        stored.observed_generation > status.observed_generation || stored == *status
+    })
+}
--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -15,6 +15,7 @@
 
 use crate::clock::unix_ms;
 use crate::instance::Instance;
+use crate::service_level;
 use crate::supervise;
 
 /// Events that are buffered between a run and its caller.
@@ -52,17 +53,49 @@
     }
 
     fn take_in(&self, call: Call) -> Result<Answer, Refusal> {
-        let admitted = self.admit(&call)?;
+        let route = self.route(&call.asked);
+        let admitted = self.admit(&call).inspect_err(|refusal| {
+            self.count_refused(&call, &route, refusal);
+        })?;
         let request_id = self.request_id(&call);
         let request = request(call, admitted, request_id.clone());
         let (sender, events) = mpsc::channel(EVENT_BUFFER);
-        tokio::spawn(supervise::run(self.instance.clone(), request, sender));
+        tokio::spawn(supervise::run(
+            self.instance.clone(),
+            request,
+            route,
+            sender,
+        ));
         Ok(Answer {
             request_id,
             events: into_stream(events),
         })
     }
 
+    /// The route that a call names, empty for an adapter that it names directly.
+    fn route(&self, asked: &Asked) -> Name {
+        self.instance.with_config(|config| match asked {
+            Asked::Generate { model, .. } => match config.route(model) {
+                Some(_) => model.clone(),
+                None => Name::default(),
+            },
+            Asked::Plain { path, .. } => {
+                let route = config.plain_route(path);
+                route.map_or_else(Name::default, |(name, _)| name.clone())
+            }
+        })
+    }
+
+    fn count_refused(&self, call: &Call, route: &Name, refusal: &Refusal) {
+        let organisation = self.instance.with_config(|config| {
+            let (_, key) = config.key_by_sha256(call.key_sha256.as_deref()?)?;
+            Some(key.organisation.clone())
+        });
+        if let Some(organisation) = organisation {
+            service_level::count_refused(&self.instance, &organisation, route, refusal);
+        }
+    }
+
     /// The id is unique even if callers propose one twice, because backend servers and the
     /// journal tell requests apart by it.
     fn request_id(&self, call: &Call) -> Name {
--- a/daemon/src/instance.rs
+++ b/daemon/src/instance.rs
@@ -10,7 +10,7 @@
 use mimosabay_core::name::{InstanceId, Name};
 use mimosabay_core::retry::RetryBudget;
 use mimosabay_http::Client;
-use mimosabay_operator::Settings;
+use mimosabay_operator::{Settings, SloRecorder};
 use mimosabay_peer::{Envelope, Message, Peer, Secret};
 use mimosabay_platform::Platform;
 use tokio::sync::watch;
@@ -24,7 +24,7 @@
 /// Tables that all tasks share.
 ///
 /// Lock order: `config`, `membership`, `proof`, `owned`, the queue of one owned server, `peers`,
-/// `retry_budget`. A task that holds one takes only later ones, and holds none over an await.
+/// `retry_budget`, `slo`. A task that holds one takes only later ones, and holds none over an await.
 pub struct Tables {
     /// The configuration in force.
     pub config: RwLock<ConfigTable>,
@@ -38,6 +38,8 @@
     pub peers: Mutex<HashMap<Name, Peer>>,
     /// Retries that may be made.
     pub retry_budget: Mutex<RetryBudget>,
+    /// Service-level counters that are not stored yet.
+    pub slo: Mutex<SloRecorder>,
 }
 
 /// One instance.
@@ -76,6 +78,7 @@
         let membership_settings = MembershipSettings {
             peer_timeout_ms: settings.timing.peer_timeout_ms,
         };
+        let id = InstanceId::new(settings.instance.name.clone(), new_incarnation());
         let tables = Tables {
             config: RwLock::default(),
             membership: Mutex::new(Membership::new(listed(&settings), membership_settings)),
@@ -83,9 +86,10 @@
             owned: Mutex::default(),
             peers: Mutex::default(),
             retry_budget: Mutex::default(),
+            slo: Mutex::new(SloRecorder::new(id.incarnation)),
         };
         let instance = Self {
-            id: InstanceId::new(settings.instance.name.clone(), new_incarnation()),
+            id,
             clock,
             timer,
             tables,
@@ -122,6 +126,11 @@
         visit(&mut self.tables.membership.lock().expect("membership lock"))
     }
 
+    /// Reads or adds to the service-level counters.
+    pub fn with_slo<T>(&self, visit: impl FnOnce(&mut SloRecorder) -> T) -> T {
+        visit(&mut self.tables.slo.lock().expect("service-level lock"))
+    }
+
     /// Whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::SeqCst)
--- /dev/null
+++ b/daemon/src/rollout.rs
@@ -0,0 +1,233 @@
+//! Telling operators on how many instances an accepted change is in force.
+//!
+//! The instance with the role of the acceptor compares what its peers say in their heartbeats with
+//! the accepted objects and writes the numbers into the status objects, until a change is in force
+//! everywhere.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use mimosabay_core::config::{ConfigTable, ObjectKey};
+use mimosabay_core::membership::State as MemberState;
+use mimosabay_operator::store::{self, ACCEPTED_KIND, AcceptedRecord, STATUS_KIND, StatusRecord};
+use mimosabay_platform::{Category, Error, Object, Precondition};
+use tokio::time::sleep;
+use tracing::warn;
+
+use crate::acceptor;
+use crate::instance::Instance;
+
+/// Time between two looks at who the acceptor is, and before a failed call is repeated.
+const RETRY_MS: u64 = 250;
+/// Time that a watch waits while every change is in force.
+const IDLE_WAIT_MS: u64 = 1_000;
+/// Time that a watch waits while a change is not in force everywhere.
+const BUSY_WAIT_MS: u64 = 100;
+/// Smallest time between two numbers short of all for one change.
+const PROGRESS_MS: u64 = 1_000;
+
+/// What is known of the store. It is read anew whenever an instance takes the role.
+struct State {
+    /// Revision up to which objects were read.
+    revision: u64,
+    /// Status objects with their versions.
+    statuses: HashMap<ObjectKey, (u64, StatusRecord)>,
+    /// Accepted changes that are not known to be in force everywhere.
+    pending: BTreeMap<ObjectKey, Change>,
+}
+
+/// An accepted change.
+struct Change {
+    /// Version of the accepted object, which instances compare.
+    revision: u64,
+    /// Version of the specification.
+    generation: u64,
+    /// When its number was last written, on the monotonic clock of this process.
+    written_ms: Option<u64>,
+}
+
+/// Writes the numbers whenever this instance has the role, until the process ends.
+pub async fn run(instance: Arc<Instance>) {
+    let mut state = None;
+    loop {
+        if !acceptor::has_role(&instance) {
+            state = None;
+            sleep(Duration::from_millis(RETRY_MS)).await;
+            continue;
+        }
+        let stepped = match state.take() {
+            None => take_over(&instance).await,
+            Some(state) => follow(&instance, state).await,
+        };
+        match stepped {
+            Ok(next) => state = Some(next),
+            Err(cause) => {
+                warn!(%cause, "cannot report what is in force");
+                sleep(Duration::from_millis(RETRY_MS)).await;
+            }
+        }
+    }
+}
+
+async fn take_over(instance: &Instance) -> Result<State, Error> {
+    let statuses = instance.platform.list(STATUS_KIND).await?;
+    let accepted = instance.platform.list(ACCEPTED_KIND).await?;
+    let mut state = State {
+        // Objects of both lists that changed between the two reads come again.
+        revision: statuses.revision,
+        statuses: HashMap::new(),
+        pending: BTreeMap::new(),
+    };
+    for object in statuses.objects.iter().chain(&accepted.objects) {
+        state.take(object);
+    }
+    Ok(state)
+}
+
+async fn follow(instance: &Instance, mut state: State) -> Result<State, Error> {
+    let wait_ms = if state.pending.is_empty() {
+        IDLE_WAIT_MS
+    } else {
+        BUSY_WAIT_MS
+    };
+    let kinds = [ACCEPTED_KIND, STATUS_KIND];
+    let batch = instance.platform.watch(&kinds, state.revision, wait_ms);
+    let batch = batch.await?;
+    for object in &batch.events {
+        state.take(object);
+    }
+    state.revision = batch.revision;
+    state.report(instance).await?;
+    Ok(state)
+}
+
+impl State {
+    fn take(&mut self, object: &Object) {
+        let Some(key) = store::parse_qualified_name(&object.name) else {
+            return;
+        };
+        if &*object.kind == STATUS_KIND {
+            if let Ok(status) = store::read_record(object, STATUS_KIND) {
+                self.statuses.insert(key, (object.version, status));
+            }
+        } else if let Ok(record) = store::read_record(object, ACCEPTED_KIND) {
+            self.take_accepted(key, object.version, &record);
+        }
+    }
+
+    fn take_accepted(&mut self, key: ObjectKey, revision: u64, record: &AcceptedRecord) {
+        let known = self.statuses.get(&key).map(|(_, status)| status);
+        if known.is_some_and(|status| is_complete(status, record.generation)) {
+            return;
+        }
+        let change = Change {
+            revision,
+            generation: record.generation,
+            written_ms: None,
+        };
+        self.pending.insert(key, change);
+    }
+
+    async fn report(&mut self, instance: &Instance) -> Result<(), Error> {
+        let revisions = revisions_in_force(instance);
+        let now_ms = instance.now_ms();
+        let keys: Vec<ObjectKey> = self.pending.keys().cloned().collect();
+        for key in keys {
+            self.report_one(instance, &key, &revisions, now_ms).await?;
+        }
+        Ok(())
+    }
+
+    async fn report_one(
+        &mut self,
+        instance: &Instance,
+        key: &ObjectKey,
+        revisions: &[u64],
+        now_ms: u64,
+    ) -> Result<(), Error> {
+        let Some(change) = self.pending.get_mut(key) else {
+            return Ok(());
+        };
+        let known = self.statuses.get(key);
+        // A newer specification was judged; its own status stays.
+        if known.is_some_and(|(_, status)| status.observed_generation > change.generation) {
+            self.pending.remove(key);
+            return Ok(());
+        }
+        let status = change.status(revisions);
+        let is_done = status.in_force == status.instances;
+        let is_new = known.is_none_or(|(_, known)| *known != status);
+        let is_due = change
+            .written_ms
+            .is_none_or(|written_ms| now_ms >= written_ms + PROGRESS_MS);
+        if is_new && (is_done || is_due) {
+            change.written_ms = Some(now_ms);
+            let known = known.map(|(version, _)| *version);
+            if !self.write(instance, key, known, status).await? {
+                return Ok(());
+            }
+        }
+        if is_done {
+            self.pending.remove(key);
+        }
+        Ok(())
+    }
+
+    /// Writes a status; returns whether it was still at the version known.
+    async fn write(
+        &mut self,
+        instance: &Instance,
+        key: &ObjectKey,
+        known: Option<u64>,
+        status: StatusRecord,
+    ) -> Result<bool, Error> {
+        let name = store::qualified_name(key.kind, &key.name);
+        let precondition = known.map_or(Precondition::Absent, Precondition::Version);
+        let value = store::to_value(&status);
+        let put = instance
+            .platform
+            .put(STATUS_KIND, &name, &value, precondition);
+        match put.await {
+            Ok(object) => {
+                self.statuses.insert(key.clone(), (object.version, status));
+                Ok(true)
+            }
+            // The newer status comes by the watch.
+            Err(cause) if cause.classify() == Category::Conflict => Ok(false),
+            Err(cause) => Err(cause),
+        }
+    }
+}
+
+impl Change {
+    fn status(&self, revisions: &[u64]) -> StatusRecord {
+        let count = |number: usize| u32::try_from(number).unwrap_or(u32::MAX);
+        let is_in_force = |revision: &&u64| **revision >= self.revision;
+        StatusRecord {
+            observed_generation: self.generation,
+            accepted: true,
+            reason: "".into(),
+            in_force: count(revisions.iter().filter(is_in_force).count()),
+            instances: count(revisions.len()),
+        }
+    }
+}
+
+fn is_complete(status: &StatusRecord, generation: u64) -> bool {
+    status.observed_generation >= generation
+        && status.instances > 0
+        && status.in_force == status.instances
+}
+
+/// The configuration revision of each instance that is not gone, this one included.
+fn revisions_in_force(instance: &Instance) -> Vec<u64> {
+    let own = instance.with_config(ConfigTable::revision);
+    instance.with_membership(|membership| {
+        let others = membership
+            .members()
+            .filter(|member| member.state != MemberState::Gone)
+            .map(|member| member.config_revision);
+        others.chain([own]).collect()
+    })
+}
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -12,7 +12,7 @@
 use crate::entry::Entry;
 use crate::instance::Instance;
 use crate::timer::Timer;
-use crate::{acceptor, config_sync, heartbeat, inbound, owner, stop};
+use crate::{acceptor, config_sync, heartbeat, inbound, owner, rollout, service_level, stop};
 
 /// Runs an instance until its planned stop is done.
 ///
@@ -55,6 +55,8 @@
     tokio::spawn(heartbeat::run(instance.clone()));
     tokio::spawn(config_sync::run(instance.clone()));
     tokio::spawn(acceptor::run(instance.clone()));
+    tokio::spawn(rollout::run(instance.clone()));
+    tokio::spawn(service_level::run(instance.clone()));
     tokio::spawn(owner::run_ticks(instance.clone()));
 }
 
--- a/daemon/src/stop.rs
+++ b/daemon/src/stop.rs
@@ -10,6 +10,7 @@
 
 use crate::heartbeat;
 use crate::instance::Instance;
+use crate::service_level;
 
 /// Waits for the order to stop (`SIGTERM` or `SIGINT`).
 ///
@@ -48,5 +49,6 @@
             "requests are still open"
         );
     }
+    service_level::flush(instance).await;
     heartbeat::say_goodbye(instance).await;
 }
--- a/daemon/src/supervise.rs
+++ b/daemon/src/supervise.rs
@@ -11,7 +11,9 @@
 use tracing::info;
 
 use crate::instance::Instance;
+use crate::pace::Pace;
 use crate::route::{self, Run};
+use crate::service_level;
 
 /// Pause before the first retry; it doubles with each further one.
 const FIRST_PAUSE_MS: u64 = 25;
@@ -30,13 +32,25 @@
     has_head: bool,
     /// Whether a backend server was heard to have started.
     started: bool,
+    /// How fast the tokens came.
+    pace: Pace,
 }
 
 /// Runs a request until its final answer has been handed to `sender`.
-pub async fn run(instance: Arc<Instance>, request: Request, sender: mpsc::Sender<RunEvent>) {
+///
+/// `route` is the route that the caller named, empty for an adapter that was named directly.
+pub async fn run(
+    instance: Arc<Instance>,
+    request: Request,
+    route: Name,
+    sender: mpsc::Sender<RunEvent>,
+) {
     let _open = instance.open_request();
     let started_ms = instance.now_ms();
-    let ended = run_or_leave(&instance, &request, &sender).await;
+    let mut progress = Progress::new();
+    let ended = run_or_leave(&instance, &request, &mut progress, &sender).await;
+    let pace = &progress.pace;
+    service_level::count_ended(&instance, &request, &route, &ended, pace, started_ms);
     log_ended(&instance, &request, &ended, instance.now_ms() - started_ms);
     let last = match ended {
         Ok(usage) => RunEvent::Finished { usage },
@@ -55,10 +69,11 @@
 async fn run_or_leave(
     instance: &Arc<Instance>,
     request: &Request,
+    progress: &mut Progress,
     sender: &mpsc::Sender<RunEvent>,
 ) -> Result<Usage, Refusal> {
     tokio::select! {
-        ended = attempts(instance, request, sender) => ended,
+        ended = attempts(instance, request, progress, sender) => ended,
         // Work that may not be repeated runs to its end, so that its outcome is recorded.
         () = sender.closed(), if request.repeat == Repeat::Idempotent => {
             Err(Refusal::in_doubt(Code::Cancelled, "the caller left"))
@@ -69,22 +84,14 @@
 async fn attempts(
     instance: &Arc<Instance>,
     request: &Request,
+    progress: &mut Progress,
     sender: &mpsc::Sender<RunEvent>,
 ) -> Result<Usage, Refusal> {
     let deadline_ms = instance.now_ms() + request.timeout_ms;
-    let mut progress = Progress::new();
     let mut failed: Vec<Name> = Vec::new();
     with_retry_budget(instance, retry::RetryBudget::request);
     for attempt in 1.. {
-        let ended = try_once(
-            instance,
-            request,
-            deadline_ms,
-            &mut progress,
-            &failed,
-            sender,
-        )
-        .await;
+        let ended = try_once(instance, request, deadline_ms, progress, &failed, sender).await;
         let (server, refusal) = match ended {
             Ok(usage) => return Ok(usage),
             Err(ended) => ended,
@@ -124,7 +131,7 @@
     let limit = instance.clock.instant(deadline_ms + DEADLINE_GRACE_MS);
     let attempt = async {
         let run = route::start(instance, server.clone(), request).await?;
-        follow(run, progress, sender).await
+        follow(instance, run, progress, sender).await
     };
     let ended = timeout_at(limit, attempt).await;
     let ended = ended.unwrap_or_else(|_| Err(Refusal::in_doubt(Code::Timeout, "no final answer")));
@@ -132,6 +139,7 @@
 }
 
 async fn follow(
+    instance: &Instance,
     mut run: Run,
     progress: &mut Progress,
     sender: &mpsc::Sender<RunEvent>,
@@ -142,7 +150,7 @@
             RunEvent::Refused { refusal } => return Err(refusal),
             RunEvent::Started { .. } => progress.started = true,
             event => {
-                if progress.take(&event)? {
+                if progress.take(&event, instance.now_ms())? {
                     // Whether the caller left is noticed in one place, `run_or_leave`.
                     let _ = sender.send(event).await;
                 }
@@ -158,25 +166,32 @@
             text: Vec::new(),
             has_head: false,
             started: false,
+            pace: Pace::default(),
         }
     }
 
     /// Takes in an event; returns whether the caller still needs it.
-    fn take(&mut self, event: &RunEvent) -> Result<bool, Refusal> {
+    fn take(&mut self, event: &RunEvent, now_ms: u64) -> Result<bool, Refusal> {
         match event {
             RunEvent::Head { .. } => Ok(!std::mem::replace(&mut self.has_head, true)),
             RunEvent::Chunk {
                 offset,
                 count,
                 data,
-            } => self.take_chunk(*offset, *count, data),
+            } => self.take_chunk(*offset, *count, data, now_ms),
             RunEvent::Started { .. } | RunEvent::Finished { .. } | RunEvent::Refused { .. } => {
                 Ok(true)
             }
         }
     }
 
-    fn take_chunk(&mut self, offset: u64, count: u64, data: &[u8]) -> Result<bool, Refusal> {
+    fn take_chunk(
+        &mut self,
+        offset: u64,
+        count: u64,
+        data: &[u8],
+        now_ms: u64,
+    ) -> Result<bool, Refusal> {
         if offset < self.offset {
             return Ok(false);
         }
@@ -186,6 +201,7 @@
                 "a part of the answer is missing",
             ));
         }
+        self.pace.tokens(count, now_ms);
         self.offset += count;
         self.text.extend_from_slice(data);
         Ok(true)
--- a/operator/src/lib.rs
+++ b/operator/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod settings;
 mod settings_error;
 pub mod slo;
+mod slo_outcome;
 mod slo_recorder;
 pub mod store;
 mod validate;
@@ -35,6 +36,7 @@
 pub use secret::Secret;
 pub use settings::Settings;
 pub use settings_error::{SettingError, SettingsErrors};
+pub use slo_outcome::refusal_outcome;
 pub use slo_recorder::SloRecorder;
 pub use store::{AcceptedRecord, SpecRecord, StatusRecord};
 pub use validate::{users, validate, validate_deletion};
--- a/operator/src/settings.rs
+++ b/operator/src/settings.rs
@@ -115,6 +115,8 @@
     pub watch_wait_ms: u64,
     /// Time without store and peers after which the instance refuses requests.
     pub config_stale_ms: u64,
+    /// Time between two additions to the stored service-level counters.
+    pub slo_flush_ms: u64,
 }
 
 /// Policies, and the baselines that they are measured against.
@@ -249,6 +251,7 @@
         peer_timeout_ms: number("peer_timeout_ms", 1_000, 20..=120_000),
         watch_wait_ms: number("watch_wait_ms", 10_000, 100..=300_000),
         config_stale_ms: number("config_stale_ms", 3_000, 100..=60_000),
+        slo_flush_ms: number("slo_flush_ms", 60_000, 100..=600_000),
     }
 }
 
