--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -28,5 +28,6 @@
 pub mod service_level;
 pub mod stop;
 pub mod supervise;
+pub mod takeover;
 pub mod timer;
 pub mod workers;
--- a/daemon/src/owner.rs
+++ b/daemon/src/owner.rs
@@ -5,22 +5,31 @@
 
 use mimosabay_backend::Engine;
 use mimosabay_core::admission;
+use mimosabay_core::handle::Handle;
 use mimosabay_core::name::{AdapterVersion, Name};
-use mimosabay_core::queue::{Action, ServerLimits, ServerQueue, Ticket, Waiting};
+use mimosabay_core::queue::{
+    Action, Eviction, Order, QueueSettings, ServerLimits, ServerQueue, Ticket, Waiting,
+};
 use mimosabay_core::request::{Code, Ran, Refusal, Repeat, Request, RunEvent, Usage, Work};
 use mimosabay_core::resource::BackendServer;
-use tokio::sync::{OnceCell, mpsc, oneshot, watch};
+use mimosabay_core::takeover::Takeover;
+use mimosabay_operator::settings::PolicySettings;
+use mimosabay_operator::{EvictionPolicy, QueuePolicy};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
 
 use crate::dispatch;
 use crate::instance::Instance;
 use crate::monitor;
-use crate::orders::{self, Order};
+use crate::orders;
+use crate::takeover;
 
 /// Events that are buffered between the owner and the reader of a run.
 const EVENT_BUFFER: usize = 64;
 /// When a repeat is worth trying after a refusal that another instance or server may not give.
 const RETRY_AFTER_MS: u64 = 500;
+/// Bits of a load number below the time at which the server was taken over.
+const LOAD_NUMBER_BITS: u32 = 20;
 /// Time between two ticks of the queues.
 const TICK_PERIOD_MS: u64 = 50;
 
@@ -28,10 +37,17 @@
 pub struct OwnedServer {
     /// Its name.
     pub name: Name,
+    /// Its address.
+    pub address: Name,
+    /// What it can hold and run.
+    pub limits: ServerLimits,
     /// Client for it.
     pub engine: Engine,
-    /// Whether the claim on the server has been made.
-    pub claimed: OnceCell<()>,
+    /// Whether it rejects orders with an old fencing number.
+    pub checks_fencing: bool,
+    /// Fencing number of the claim in force; `None` before the first one, and after another owner
+    /// was found to have made a later one.
+    pub claim: tokio::sync::Mutex<Option<u64>>,
     /// Whether it answers.
     pub answers: watch::Sender<bool>,
     /// Its queue and what belongs to it.
@@ -42,15 +58,20 @@
 pub struct OwnedState {
     /// Which requests run and which adapters are held.
     pub queue: ServerQueue,
+    /// Whether this instance has let go of the server for good. Invariant: nothing runs then.
+    pub is_released: bool,
     /// Handle of each adapter that is loaded or being loaded.
     pub handles: HashMap<AdapterVersion, Name>,
     /// Fencing number of this owner. Invariant: only grows.
     pub fencing: u64,
+    /// What was found in the server.
+    pub takeover: Takeover,
     /// Start number of the engine; another one means that its memory was lost.
     pub boot: u64,
-    /// Loads ordered so far, for handles that are never used twice.
+    /// Number of the last load, so that no handle is used twice. Invariant: unique in the process,
+    /// also after the server was released and taken over again.
     pub loads: u64,
-    turns: HashMap<Ticket, oneshot::Sender<Result<Name, Refusal>>>,
+    turns: HashMap<Ticket, oneshot::Sender<Result<Grant, Refusal>>>,
     next_ticket: Ticket,
 }
 
@@ -61,15 +82,33 @@
     repeat: Repeat,
 }
 
+/// How a run at the server ended.
+#[derive(Clone, Copy)]
+enum Ended {
+    /// It used this many tokens.
+    Whole { used_tokens: u64 },
+    /// It never began.
+    NotRun,
+    /// It may still be running.
+    InDoubt,
+}
+
+/// What the queue says when it is a request's turn.
+struct Grant {
+    handle: Name,
+    /// Priority at the engine.
+    priority: i32,
+}
+
 /// The right to send one request to the server. Dropping it frees the place in the batch.
 struct Turn {
     instance: Arc<Instance>,
     server: Arc<OwnedServer>,
     ticket: Ticket,
-    handle: Name,
+    grant: Grant,
     request_id: Name,
-    /// Whether the run has certainly ended at the server, or never began.
-    ended: bool,
+    /// How the run ended.
+    ended: Ended,
 }
 
 /// A request in the queue. Dropping it takes the request out.
@@ -96,8 +135,7 @@
 pub async fn run_ticks(instance: Arc<Instance>) {
     let mut ticks = instance.timer.subscribe(TICK_PERIOD_MS);
     while ticks.recv().await.is_some() {
-        let servers: Vec<_> = owned(&instance).values().cloned().collect();
-        for server in servers {
+        for server in instance.owned_servers() {
             server.visit(&instance, ServerQueue::tick);
         }
     }
@@ -127,34 +165,68 @@
         server
     }
 
+    /// Whether the server is still the one that was taken over.
+    pub fn is_described_by(&self, spec: &BackendServer) -> bool {
+        self.address == spec.address && self.limits == limits(spec) && !spec.leaving
+    }
+
     fn new(instance: &Instance, name: Name, spec: &BackendServer) -> Self {
-        let limits = ServerLimits {
-            slots: spec.slots as usize,
-            batch: spec.batch as usize,
-        };
+        let limits = limits(spec);
         let state = OwnedState {
-            queue: ServerQueue::new(limits),
+            queue: ServerQueue::with_settings(limits, queue_settings(&instance.settings.policy)),
+            is_released: false,
             handles: HashMap::new(),
             fencing: 0,
+            takeover: Takeover::new(instance.id.clone(), spec.checks_fencing),
             boot: 0,
-            loads: 0,
+            loads: instance.now_ms() << LOAD_NUMBER_BITS,
             turns: HashMap::new(),
             next_ticket: 0,
         };
         Self {
             name,
+            address: spec.address.clone(),
+            limits,
             engine: Engine::new(instance.http.clone(), &spec.address),
-            claimed: OnceCell::new(),
+            checks_fencing: spec.checks_fencing,
+            claim: tokio::sync::Mutex::new(None),
             answers: watch::Sender::new(true),
             state: Mutex::new(state),
         }
     }
 
+    /// The server does not hold a handle that it was thought to hold.
+    fn forget(self: &Arc<Self>, instance: &Instance, model: &AdapterVersion, handle: &Name) {
+        {
+            let mut state = self.state.lock().expect("owned server lock");
+            if state.handles.get(model) != Some(handle) {
+                return;
+            }
+            state.handles.remove(model);
+        }
+        self.visit(instance, |queue, now_ms| queue.lost(model, now_ms));
+    }
+
+    /// Fencing number for orders.
+    pub fn fencing(&self) -> u64 {
+        self.state.lock().expect("owned server lock").fencing
+    }
+
     /// Start number of the engine as last seen.
     pub fn boot(&self) -> u64 {
         self.state.lock().expect("owned server lock").boot
     }
 
+    /// Turns away all that wait; what runs goes on.
+    pub fn turn_away(&self) {
+        let mut state = self.state.lock().expect("owned server lock");
+        let turns = std::mem::take(&mut state.turns);
+        for (ticket, turn) in turns {
+            state.queue.cancel(ticket);
+            let _ = turn.send(Err(not_owner()));
+        }
+    }
+
     /// Changes the queue and carries out what follows from it.
     pub fn visit(
         self: &Arc<Self>,
@@ -176,15 +248,15 @@
         model: &AdapterVersion,
         deadline_ms: u64,
     ) -> Result<Turn, Refusal> {
-        let (ticket, granted) = self.enqueue(instance, request, model, deadline_ms);
+        let (ticket, granted) = self.enqueue(instance, request, model, deadline_ms)?;
         let place = Place {
             instance: instance.clone(),
             server: self.clone(),
             ticket,
             waiting: true,
         };
-        let handle = wait(instance, self, request, granted).await?;
-        Ok(place.into_turn(handle, request.id.clone()))
+        let grant = wait(instance, self, request, granted).await?;
+        Ok(place.into_turn(grant, request.id.clone()))
     }
 
     fn enqueue(
@@ -193,7 +265,7 @@
         request: &Request,
         model: &AdapterVersion,
         deadline_ms: u64,
-    ) -> (Ticket, oneshot::Receiver<Result<Name, Refusal>>) {
+    ) -> Result<(Ticket, oneshot::Receiver<Result<Grant, Refusal>>), Refusal> {
         let weight = instance.with_config(|config| {
             config
                 .organisation(&request.organisation)
@@ -202,6 +274,9 @@
         let (sender, granted) = oneshot::channel();
         let ticket = {
             let mut state = self.state.lock().expect("owned server lock");
+            if state.is_released {
+                return Err(not_owner());
+            }
             state.next_ticket += 1;
             let ticket = state.next_ticket;
             state.turns.insert(ticket, sender);
@@ -216,7 +291,7 @@
             deadline_ms,
         };
         self.visit(instance, |queue, now_ms| queue.enqueue(waiting, now_ms));
-        (ticket, granted)
+        Ok((ticket, granted))
     }
 }
 
@@ -227,12 +302,12 @@
         server: &Arc<OwnedServer>,
         instance: &Instance,
         actions: Vec<Action>,
-    ) -> Vec<Order> {
+    ) -> Vec<orders::Order> {
         let mut orders = Vec::new();
         let mut freed = Vec::new();
         for action in actions {
             match action {
-                Action::Dispatch { ticket } => self.grant(ticket),
+                Action::Dispatch { ticket, priority } => self.grant(ticket, priority),
                 Action::Refuse {
                     ticket,
                     code,
@@ -244,7 +319,7 @@
                 Action::Load { model } => {
                     let handle = self.new_handle(instance, &model);
                     let unload = std::mem::take(&mut freed);
-                    orders.push(Order::Load {
+                    orders.push(orders::Order::Load {
                         server: server.clone(),
                         model,
                         handle,
@@ -254,7 +329,7 @@
             }
         }
         if !freed.is_empty() {
-            orders.push(Order::Unload {
+            orders.push(orders::Order::Unload {
                 server: server.clone(),
                 handles: freed,
             });
@@ -268,7 +343,7 @@
         self.handles.retain(|model, _| queue.is_loading(model));
     }
 
-    fn grant(&mut self, ticket: Ticket) {
+    fn grant(&mut self, ticket: Ticket, priority: i32) {
         let Some(turn) = self.turns.remove(&ticket) else {
             return;
         };
@@ -280,7 +355,7 @@
             .expect("a dispatched request has a loaded adapter")
             .clone();
         // A receiver that is gone gives the place back when its `Place` is dropped.
-        let _ = turn.send(Ok(handle));
+        let _ = turn.send(Ok(Grant { handle, priority }));
     }
 
     fn refuse(&mut self, ticket: Ticket, code: Code, retry_after_ms: u64) {
@@ -292,26 +367,44 @@
 
     fn new_handle(&mut self, instance: &Instance, model: &AdapterVersion) -> Name {
         self.loads += 1;
-        let handle: Name = format!(
-            "{model}~{}.{:x}.{}",
-            instance.id.name, instance.id.incarnation, self.loads
-        )
-        .into();
+        let loader = instance.id.clone();
+        let handle = Handle {
+            model: model.clone(),
+            loader,
+            number: self.loads,
+        }
+        .name();
         self.handles.insert(model.clone(), handle.clone());
         handle
     }
 }
 
+impl Ended {
+    fn whole(usage: &Usage) -> Self {
+        Self::Whole {
+            used_tokens: usage.total_tokens(),
+        }
+    }
+
+    fn of(refusal: &Refusal) -> Self {
+        if refusal.ran == Ran::No {
+            Self::NotRun
+        } else {
+            Self::InDoubt
+        }
+    }
+}
+
 impl Place {
-    fn into_turn(mut self, handle: Name, request_id: Name) -> Turn {
+    fn into_turn(mut self, grant: Grant, request_id: Name) -> Turn {
         self.waiting = false;
         Turn {
             instance: self.instance.clone(),
             server: self.server.clone(),
             ticket: self.ticket,
-            handle,
+            grant,
             request_id,
-            ended: false,
+            ended: Ended::InDoubt,
         }
     }
 }
@@ -339,9 +432,14 @@
 impl Drop for Turn {
     fn drop(&mut self) {
         let ticket = self.ticket;
-        if self.ended {
+        let used_tokens = match self.ended {
+            Ended::Whole { used_tokens } => Some(used_tokens),
+            Ended::NotRun => Some(0),
+            Ended::InDoubt => None,
+        };
+        if let Some(used_tokens) = used_tokens {
             self.server.visit(&self.instance, |queue, now_ms| {
-                queue.finished(ticket, now_ms)
+                queue.finished_with(ticket, used_tokens, now_ms)
             });
             return;
         }
@@ -381,13 +479,16 @@
     match &request.work {
         Work::Generate { model, .. } => {
             let owned = owned_server(instance, server)?;
-            dispatch::claim(instance, &owned).await?;
+            takeover::claim(instance, &owned).await?;
             let mut turn = owned.turn(instance, request, model, deadline_ms).await?;
             let dispatched = dispatch_turn(instance, request, &turn, deadline_ms, sender).await;
-            turn.ended = match &dispatched {
-                Ok(_) => true,
-                Err(refusal) => refusal.ran == Ran::No,
-            };
+            if dispatched
+                .as_ref()
+                .is_err_and(|refusal| refusal.code == Code::LoadFailed)
+            {
+                owned.forget(instance, model, &turn.grant.handle);
+            }
+            turn.ended = dispatched.as_ref().map_or_else(Ended::of, Ended::whole);
             dispatched
         }
         Work::Plain { .. } => {
@@ -405,15 +506,13 @@
     sender: &mpsc::Sender<RunEvent>,
 ) -> Result<Usage, Refusal> {
     check_still_wanted(instance, request, deadline_ms)?;
-    dispatch::generate(
-        instance,
-        &turn.server,
+    let order = dispatch::Order {
         request,
-        &turn.handle,
+        handle: &turn.grant.handle,
+        priority: turn.grant.priority,
         deadline_ms,
-        sender,
-    )
-    .await
+    };
+    dispatch::generate(instance, &turn.server, &order, sender).await
 }
 
 fn owned_server(instance: &Arc<Instance>, name: &Name) -> Result<Arc<OwnedServer>, Refusal> {
@@ -441,8 +540,8 @@
     instance: &Instance,
     server: &OwnedServer,
     request: &Request,
-    mut granted: oneshot::Receiver<Result<Name, Refusal>>,
-) -> Result<Name, Refusal> {
+    mut granted: oneshot::Receiver<Result<Grant, Refusal>>,
+) -> Result<Grant, Refusal> {
     let mut config_changed = instance.config_changed.subscribe();
     let mut answers = server.answers.subscribe();
     loop {
@@ -502,10 +601,35 @@
     }
 }
 
+fn not_owner() -> Refusal {
+    Refusal::not_run(Code::NotOwner, "another instance owns the server")
+}
+
 fn no_server(message: &str) -> Refusal {
     Refusal::not_run(Code::NoServer, message).retry_after_ms(RETRY_AFTER_MS)
 }
 
+fn limits(spec: &BackendServer) -> ServerLimits {
+    ServerLimits {
+        slots: spec.slots as usize,
+        batch: spec.batch as usize,
+    }
+}
+
+fn queue_settings(policy: &PolicySettings) -> QueueSettings {
+    QueueSettings {
+        order: match policy.queue {
+            QueuePolicy::Product => Order::Product,
+            QueuePolicy::Fifo => Order::Fifo,
+        },
+        eviction: match policy.eviction {
+            EvictionPolicy::Product => Eviction::Product,
+            EvictionPolicy::Lru => Eviction::Lru,
+        },
+        ..QueueSettings::default()
+    }
+}
+
 fn cost_tokens(request: &Request) -> u64 {
     match &request.work {
         Work::Generate { max_tokens, .. } => *max_tokens,
