--- a/operator/tests/settings.rs
+++ b/operator/tests/settings.rs
@@ -164,3 +164,27 @@
     assert_eq!(settings.peers.secret.reveal(), "0123456789abcdef");
     assert!(!format!("{settings:?}").contains("0123456789"));
 }
+
+#[test]
+fn the_operators_page_lists_every_key() {
+    let page = include_str!("../../docs/OPERATIONS.md");
+    let sections = [
+        "instance", "limits", "log", "metrics", "peers", "platform", "policy",
+    ];
+    let sections = sections.into_iter().chain(["stop", "timing"]);
+    let text: String = sections
+        .map(|section| format!("[{section}]\nnothing = 1\n"))
+        .collect();
+    let errors = Settings::parse(&text).expect_err("the keys are unknown");
+    let unknown = errors
+        .as_slice()
+        .iter()
+        .filter(|error| error.key == "nothing");
+    let keys: Vec<_> = unknown
+        .flat_map(|error| error.allowed.split(", "))
+        .collect();
+    assert_eq!(keys.len(), 24, "{keys:?}");
+    for key in keys {
+        assert!(page.contains(&format!("| `{key}` |")), "{key}");
+    }
+}
