Give the acceptor's role only to an instance that reaches the store

Cause: rendezvous named an acceptor that had lost the store, and nothing was accepted in 30 s (withdrawal tests cut_link_to_the_store, silent_link_to_the_store, change_that_is_no_longer_kept_for_watches). Ruled out: a lease in the store, which an instance cut off could not give back. Change: heartbeats say whether the sender reaches the store; the role goes to one that does.

--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -41,6 +41,8 @@
     pub struct Heartbeat {
         /// The sender, so that a peer whose list lags knows where to find it.
         pub sender: Listed,
+        /// Whether it reaches the platform's store itself.
+        pub reaches_store: bool,
         /// How fresh its configuration is.
         pub freshness: PeerFreshness,
         /// What it learned of others.
@@ -80,6 +82,8 @@
         pub incarnation: u64,
         /// State of that process.
         pub state: State,
+        /// Whether it reaches the platform's store, as far as it was heard.
+        pub reaches_store: bool,
         /// Largest configuration revision that it was heard to have in force.
         pub config_revision: u64,
         /// When it was last heard, on the monotonic clock of this process.
@@ -176,6 +180,7 @@
         self.introduce(&beat.sender, now_ms);
         self.heard(from, beat.sender.leaving, now_ms);
         if let Some(member) = self.members.get_mut(&from.name) {
+            member.reaches_store = beat.reaches_store;
             member.config_revision = member.config_revision.max(beat.freshness.revision);
         }
         for rumour in &beat.rumours {
@@ -312,6 +317,21 @@
         candidates
     }
 
+    /// Names of the instances that may hold a role which needs the platform's store: those that
+    /// reach it, or all if none is known to. `reaches_store` tells it of this instance.
+    pub fn store_candidates(&self, leaving: bool, reaches_store: bool) -> Vec<Name> {
+        let own = (!leaving).then(|| (self.me.name.clone(), reaches_store));
+        let others = self
+            .live()
+            .map(|it| (it.listed.name.clone(), it.reaches_store));
+        let all: Vec<(Name, bool)> = others.chain(own).collect();
+        let any_reaches = all.iter().any(|(_, reaches)| *reaches);
+        all.into_iter()
+            .filter(|(_, reaches)| *reaches || !any_reaches)
+            .map(|(name, _)| name)
+            .collect()
+    }
+
     /// Number of the current view; another one means that the candidates may have changed.
     pub fn version(&self) -> u64 {
         self.version
@@ -326,6 +346,7 @@
         let member = Member {
             listed: listed.clone(),
             incarnation: 0,
+            reaches_store: true,
             config_revision: 0,
             // An instance is a candidate only once it was heard.
             state: State::Silent,
--- a/core/tests/membership.rs
+++ b/core/tests/membership.rs
@@ -79,6 +79,7 @@
         let member = &mut self.members[from];
         Heartbeat {
             sender: member.me(false),
+            reaches_store: true,
             freshness: PeerFreshness {
                 revision: 0,
                 age_ms: None,
@@ -161,6 +162,7 @@
     let joiner = Membership::new(listed(7), settings);
     let beat = Heartbeat {
         sender: joiner.me(false),
+        reaches_store: true,
         freshness: PeerFreshness {
             revision: 0,
             age_ms: None,
--- a/daemon/src/acceptor.rs
+++ b/daemon/src/acceptor.rs
@@ -64,8 +64,9 @@
 /// Whether this instance is the acceptor, as far as it knows.
 pub fn has_role(instance: &Instance) -> bool {
     instance.with_membership(|membership| {
-        let candidates = membership.candidates(instance.is_stopping());
-        let names = candidates.iter().map(|candidate| &*candidate.name);
+        let candidates =
+            membership.store_candidates(instance.is_stopping(), instance.reaches_store());
+        let names = candidates.iter().map(|name| &**name);
         rendezvous::choose(ROLE, names) == Some(&*instance.id.name)
     })
 }
--- a/daemon/src/config_sync.rs
+++ b/daemon/src/config_sync.rs
@@ -1,6 +1,7 @@
 //! Keeping the configuration in force: a watch on the store, and pulls from peers that know more.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use mimosabay_core::config::{Accepted, ConfigTable};
@@ -32,10 +33,12 @@
         };
         match followed {
             Ok(at) => {
+                instance.store_reached.store(true, Ordering::Relaxed);
                 instance.with_proof(|proof| proof.store_answered(asked_ms));
                 revision = Some(at);
             }
             Err(cause) => {
+                instance.store_reached.store(false, Ordering::Relaxed);
                 warn!(%cause, "cannot follow the configuration in the store");
                 if cause.classify() == Category::Gone {
                     revision = None;
@@ -84,7 +87,7 @@
 async fn watch(instance: &Instance, revision: u64) -> Result<u64, mimosabay_platform::Error> {
     // A watch that waits longer than the staleness bound would prove freshness too late.
     let timing = &instance.settings.timing;
-    let wait_ms = timing.watch_wait_ms.min(timing.config_stale_ms / 3);
+    let wait_ms = timing.watch_wait_ms.min(timing.config_stale_ms / 4);
     let batch = instance
         .platform
         .watch(&[ACCEPTED_KIND], revision, wait_ms)
--- a/daemon/src/heartbeat.rs
+++ b/daemon/src/heartbeat.rs
@@ -53,6 +53,7 @@
     let freshness = instance.freshness();
     instance.with_membership(|membership| Heartbeat {
         sender: membership.me(instance.is_stopping()),
+        reaches_store: instance.reaches_store(),
         freshness,
         rumours: membership.take_rumours(),
     })
--- a/daemon/src/instance.rs
+++ b/daemon/src/instance.rs
@@ -64,6 +64,8 @@
     pub metrics: Metrics,
     /// Configuration revision, for those who wait for a change.
     pub config_changed: watch::Sender<u64>,
+    /// Whether the last call that followed the configuration in the store was answered.
+    pub store_reached: AtomicBool,
     /// Whether a planned stop has begun.
     pub stopping: AtomicBool,
     /// Requests that this instance answers or runs.
@@ -98,6 +100,7 @@
             workers,
             metrics: Metrics::new(&settings.metrics),
             config_changed: watch::Sender::new(0),
+            store_reached: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             open_requests: watch::Sender::new(0),
             secret: Secret::new(settings.peers.secret.reveal()),
@@ -116,6 +119,11 @@
         self.secret.clone()
     }
 
+    /// Whether this instance reaches the platform's store.
+    pub fn reaches_store(&self) -> bool {
+        self.store_reached.load(Ordering::Relaxed)
+    }
+
     /// Reads the configuration.
     pub fn with_config<T>(&self, read: impl FnOnce(&ConfigTable) -> T) -> T {
         read(&self.tables.config.read().expect("config lock"))
--- a/standin/src/harness/site.rs
+++ b/standin/src/harness/site.rs
@@ -124,9 +124,29 @@
         }
         site.wait_ready().await;
         site.wait_accepted().await;
+        site.wait_in_force().await;
         site
     }
 
+    /// Waits until the statuses say that every instance has all resources in force.
+    ///
+    /// # Panics
+    ///
+    /// After 30 s.
+    pub async fn wait_in_force(&self) {
+        let instances = self.instances.len();
+        wait_for("resources in force", async || {
+            let statuses = self.platform.list(store::STATUS_KIND).await.ok()?;
+            let all = statuses.objects.iter().all(|object| {
+                let status: Result<StatusRecord, _> =
+                    store::read_record(object, store::STATUS_KIND);
+                status.is_ok_and(|status| status.in_force as usize == instances)
+            });
+            all.then_some(())
+        })
+        .await;
+    }
+
     /// Starts another instance and registers it with the platform.
     ///
     /// # Panics
