Give configurations a digest, exchanged in heartbeats

Cause: a watch that leaves out a change and goes on leaves an instance without it for good, because the newest revision of two tables can be equal while an earlier entry is missing in one. Ruled out: listing all accepted objects from time to time on each instance (bytes grow with resources times instances). Change: ConfigTable::digest, an order-free hash of identities and revisions, kept up to date with each entry; Heartbeat::config_digest.

--- a/core/src/config.rs
+++ b/core/src/config.rs
@@ -6,6 +6,8 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use crate::name::Name;
 use crate::resource::{
     Adapter, BackendServer, Key, Kind, Organisation, Route, RouteTarget, Site, Spec,
@@ -45,6 +47,8 @@
     servers_by_pool: HashMap<Name, Vec<Name>>,
     /// Entries by revision, so that those above a revision are found without a scan.
     by_revision: BTreeMap<u64, ObjectKey>,
+    /// Combined hash of the identity and revision of every entry, whatever their order.
+    digest: u64,
 }
 
 impl ConfigTable {
@@ -58,9 +62,11 @@
         }
         if let Some(known) = known {
             self.by_revision.remove(&known.revision);
+            self.digest ^= hash(&known);
             self.unindex(&known);
         }
         self.by_revision.insert(entry.revision, entry.key.clone());
+        self.digest ^= hash(&entry);
         self.index(&entry);
         let of_kind = self.entries.entry(entry.key.kind).or_default();
         of_kind.insert(entry.key.name.clone(), entry);
@@ -74,6 +80,13 @@
             .map_or(0, |(revision, _)| *revision)
     }
 
+    /// A hash that two tables share if they hold the same revisions of the same resources.
+    ///
+    /// The largest revision alone does not tell whether an earlier entry is missing.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
     /// The entry of a resource, a tombstone included.
     pub fn entry(&self, kind: Kind, name: &str) -> Option<&Accepted> {
         self.entries.get(&kind)?.get(name)
@@ -216,6 +229,12 @@
     }
 }
 
+/// Hash of an entry's identity and revision.
+fn hash(entry: &Accepted) -> u64 {
+    let kind = xxh3_64_with_seed(entry.key.kind.as_str().as_bytes(), entry.revision);
+    xxh3_64_with_seed(entry.key.name.as_bytes(), kind)
+}
+
 /// The prefixes of a path that end at a segment, longest first.
 fn prefixes(path: &str) -> impl Iterator<Item = &str> {
     let path = path.split('?').next().unwrap_or(path);
--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -43,6 +43,8 @@
         pub sender: Listed,
         /// How fresh its configuration is.
         pub freshness: PeerFreshness,
+        /// Digest of its configuration.
+        pub config_digest: u64,
         /// What it learned of others.
         pub rumours: Vec<Rumour>,
     }
--- a/core/tests/config.rs
+++ b/core/tests/config.rs
@@ -112,3 +112,27 @@
     assert!(!table.apply(entry("clinics", 1, false)));
     assert_eq!(rate(&table, "clinics"), None);
 }
+
+#[test]
+fn digests_are_alike_exactly_if_entries_are() {
+    arbtest::arbtest(|u| {
+        let history = history(u)?;
+        let missing = u.choose_index(history.len())?;
+        let (mut whole, mut other) = (ConfigTable::default(), ConfigTable::default());
+        for entry in &history {
+            whole.apply(entry.clone());
+        }
+        for (index, entry) in history.iter().enumerate().rev() {
+            if index != missing {
+                other.apply(entry.clone());
+            }
+        }
+        let is_replaced = history[missing + 1..]
+            .iter()
+            .any(|later| later.key == history[missing].key);
+        assert_eq!(whole.digest() == other.digest(), is_replaced);
+        other.apply(history[missing].clone());
+        assert_eq!(whole.digest(), other.digest());
+        Ok(())
+    });
+}
--- a/core/tests/membership.rs
+++ b/core/tests/membership.rs
@@ -83,6 +83,7 @@
                 revision: 0,
                 age_ms: None,
             },
+            config_digest: 0,
             rumours: member.take_rumours(),
         }
     }
@@ -165,6 +166,7 @@
             revision: 0,
             age_ms: None,
         },
+        config_digest: 0,
         rumours: Vec::new(),
     };
     site.members[0].heartbeat(&id(7), &beat, 10);
