Put changes in force that a watch left out

Cause: a test through real processes with the fault `skip_watches` showed a withdrawn key that still worked after 30 s. Three watches could lose a change for good: the acceptor's, an instance's, and that of the status writer. Ruled out: reading everything again on each instance; trusting a quiet watch. Change: instances of the same newest revision and another digest pull the whole configuration, at most once a second. The acceptor puts what it accepts in force itself, and lists one kind a second, keys every other time. The status writer hears of accepted changes from the acceptor directly, reads the list of instances before it counts (an instance just added was left out: 2 of 2 instead of 3), and reads a status again after a conflict. The tool lists after a quiet watch.

--- a/cli/src/wait.rs
+++ b/cli/src/wait.rs
@@ -101,7 +101,8 @@
             .platform
             .watch(&[STATUS_KIND], revision, wait_ms)
             .await?;
-        self.revision = Some(batch.revision);
+        // A watch may leave out a change, so that a quiet one is followed by a list.
+        self.revision = Some(batch.revision).filter(|_| !batch.events.is_empty());
         Ok(batch.events)
     }
 
--- a/daemon/src/acceptor.rs
+++ b/daemon/src/acceptor.rs
@@ -4,7 +4,7 @@
 //! by all. Two of them at once are harmless, because the accepted object is written on condition
 //! of its version.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,6 +18,7 @@
 use tokio::time::sleep;
 use tracing::{info, warn};
 
+use crate::config_sync;
 use crate::instance::Instance;
 
 /// The item by which rendezvous hashing names the acceptor.
@@ -27,6 +28,25 @@
 /// Time that one watch for new specifications waits.
 const WATCH_WAIT_MS: u64 = 1_000;
 
+/// Time between two lists that are read beside the watch.
+const REREAD_PERIOD_MS: u64 = 1_000;
+/// Kinds in the order in which they are read again. Keys come every other time, because a
+/// withdrawal has to be in force within seconds.
+const REREAD_ORDER: [Kind; 12] = [
+    Kind::Key,
+    Kind::Site,
+    Kind::Key,
+    Kind::Organisation,
+    Kind::Key,
+    Kind::BackendServer,
+    Kind::Key,
+    Kind::Adapter,
+    Kind::Key,
+    Kind::Route,
+    Kind::Key,
+    Kind::Objective,
+];
+
 /// What the acceptor knows of the store. It is read anew whenever an instance takes the role.
 struct State {
     /// Revision up to which specifications were judged.
@@ -36,6 +56,10 @@
     table: ConfigTable,
     /// Newest version of each specification that is not accepted.
     rejected: HashMap<ObjectKey, Object>,
+    /// Number of lists read beside the watch.
+    rereads: usize,
+    /// Time of the last of them, on the monotonic clock of this process.
+    reread_ms: u64,
 }
 
 /// Accepts specifications whenever this instance has the role, until the process ends.
@@ -76,18 +100,20 @@
         accepted: HashMap::new(),
         table: ConfigTable::default(),
         rejected: HashMap::new(),
+        rereads: 0,
+        reread_ms: instance.now_ms(),
     };
     for object in instance.platform.list(ACCEPTED_KIND).await?.objects {
-        state.take_accepted(&object);
+        state.take_accepted(instance, &object);
     }
     let mut revision = u64::MAX;
-    let mut present = Vec::new();
+    let (mut present, mut deleted) = (Vec::new(), Vec::new());
     for kind in Kind::ALL {
         let list = instance.platform.list(&store::spec_kind(kind)).await?;
         revision = revision.min(list.revision);
+        deleted.extend(state.deleted(kind, &list.objects, list.revision));
         present.extend(list.objects);
     }
-    let deleted = state.deleted(&present, revision);
     info!(specifications = present.len(), "took over as acceptor");
     state.revision = revision;
     for object in present.into_iter().chain(deleted) {
@@ -122,35 +148,62 @@
         state.settle_rejected(instance).await?;
     }
     state.revision = batch.revision;
+    if instance.now_ms() >= state.reread_ms + REREAD_PERIOD_MS {
+        state.reread(instance).await?;
+    }
     Ok(state)
 }
 
 impl State {
-    fn take_accepted(&mut self, object: &Object) {
+    /// Takes in an accepted object and puts it in force here, so that peers can have it from this
+    /// instance even if every watch leaves it out.
+    fn take_accepted(&mut self, instance: &Instance, object: &Object) {
         let record = store::read_record(object, ACCEPTED_KIND).ok();
         let entry = store::accepted_entry(object);
         if let (Some(record), Some(entry)) = (record, entry) {
             self.accepted
                 .insert(entry.key.clone(), (object.version, record));
+            config_sync::apply(instance, vec![entry.clone()]);
             self.table.apply(entry);
         }
     }
 
-    /// Deletions that were not seen: accepted resources without a specification.
-    fn deleted(&self, present: &[Object], revision: u64) -> Vec<Object> {
-        let has_spec = |key: &ObjectKey| {
-            present.iter().any(|object| {
-                object.name == key.name && store::resource_kind(&object.kind) == Some(key.kind)
-            })
+    /// Lists one kind of specification, because a watch may have left out a change.
+    async fn reread(&mut self, instance: &Instance) -> Result<(), Error> {
+        let kind = REREAD_ORDER[self.rereads % REREAD_ORDER.len()];
+        self.rereads += 1;
+        self.reread_ms = instance.now_ms();
+        let list = instance.platform.list(&store::spec_kind(kind)).await?;
+        let deleted = self.deleted(kind, &list.objects, list.revision);
+        let rejected = |object: &Object| {
+            let key = ObjectKey {
+                kind,
+                name: object.name.clone(),
+            };
+            self.rejected.get(&key).map(|known| known.version) == Some(object.version)
+        };
+        let present: Vec<Object> = list
+            .objects
+            .into_iter()
+            .filter(|object| !rejected(object))
+            .collect();
+        for object in present.into_iter().chain(deleted) {
+            self.settle(instance, object).await?;
+        }
+        Ok(())
+    }
+
+    /// Deletions that were not seen: accepted resources of a kind without a specification.
+    fn deleted(&self, kind: Kind, present: &[Object], revision: u64) -> Vec<Object> {
+        let names: HashSet<&str> = present.iter().map(|object| &*object.name).collect();
+        let gone = |key: &ObjectKey, record: &AcceptedRecord| {
+            key.kind == kind && record.spec.is_some() && !names.contains(&*key.name)
         };
-        let accepted = self
-            .accepted
-            .iter()
-            .filter(|(_, (_, record))| record.spec.is_some());
+        let accepted = self.accepted.iter();
         accepted
-            .filter(|(key, _)| !has_spec(key))
+            .filter(|(key, (_, record))| gone(key, record))
             .map(|(key, _)| Object {
-                kind: store::spec_kind(key.kind).into(),
+                kind: store::spec_kind(kind).into(),
                 name: key.name.clone(),
                 version: revision,
                 value: Value::Null,
@@ -215,7 +268,8 @@
             .await?;
         info!(resource = %name, generation = record.generation, "accepted a change");
         // Its status is written by `rollout`, with the number of instances.
-        self.take_accepted(&object);
+        instance.announce_accepted(&object);
+        self.take_accepted(instance, &object);
         Ok(())
     }
 }
--- a/daemon/src/config_sync.rs
+++ b/daemon/src/config_sync.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use mimosabay_core::config::{Accepted, ConfigTable};
-use mimosabay_core::freshness::PeerFreshness;
+use mimosabay_core::membership::Heartbeat;
 use mimosabay_core::name::Name;
 use mimosabay_operator::store::{ACCEPTED_KIND, accepted_entry};
 use mimosabay_peer::{Message, Reply};
@@ -46,27 +46,44 @@
     }
 }
 
-/// A peer has said, in answer to a call made at `asked_ms`, how fresh it is.
-pub async fn heard(
-    instance: &Arc<Instance>,
-    address: &Name,
-    freshness: PeerFreshness,
-    asked_ms: u64,
-) {
-    if freshness.revision > instance.with_config(ConfigTable::revision) {
-        pull(instance, address).await;
+/// A peer has said, in answer to a call made at `asked_ms`, what it has in force.
+pub async fn heard(instance: &Arc<Instance>, address: &Name, heartbeat: &Heartbeat, asked_ms: u64) {
+    if let Some(above_revision) = missing_above(instance, heartbeat) {
+        pull(instance, address, above_revision).await;
     }
     let own = instance.with_config(ConfigTable::revision);
-    instance.with_proof(|proof| proof.peer_answered(freshness, own, asked_ms));
+    instance.with_proof(|proof| proof.peer_answered(heartbeat.freshness, own, asked_ms));
 }
 
-/// Asks a peer for the configuration that is missing here.
-pub async fn pull(instance: &Arc<Instance>, address: &Name) {
-    let above_revision = instance.with_config(ConfigTable::revision);
-    let envelope = instance.envelope(Message::PullConfig { above_revision });
-    if let Ok(Reply::Config(entries)) = instance.peer(address).ask(&envelope, PULL_TIMEOUT_MS).await
-    {
+/// The revision above which the sender of a heartbeat has entries that are missing here.
+///
+/// A watch can leave out a change and go on, which the newest revision does not show. Tables of the
+/// same newest revision and another digest are therefore compared as a whole, but not with every
+/// heartbeat, because the difference may be an entry that this version cannot read.
+pub fn missing_above(instance: &Instance, heartbeat: &Heartbeat) -> Option<u64> {
+    let peer = heartbeat.freshness.revision;
+    let (own, digest) = instance.with_config(|config| (config.revision(), config.digest()));
+    if peer > own {
+        return Some(own);
+    }
+    let differs = peer == own && heartbeat.config_digest != digest;
+    (differs && instance.may_compare_config()).then_some(0)
+}
+
+/// Asks a peer for its configuration above a revision.
+pub async fn pull(instance: &Arc<Instance>, address: &Name, mut above_revision: u64) {
+    loop {
+        let envelope = instance.envelope(Message::PullConfig { above_revision });
+        let answer = instance.peer(address).ask(&envelope, PULL_TIMEOUT_MS).await;
+        let Ok(Reply::Config(entries)) = answer else {
+            return;
+        };
+        let (count, last) = (entries.len(), entries.last().map(|entry| entry.revision));
         apply(instance, entries);
+        match last {
+            Some(last) if count >= PULL_LIMIT => above_revision = last,
+            _ => return,
+        }
     }
 }
 
@@ -105,7 +122,8 @@
     entries
 }
 
-fn apply(instance: &Instance, entries: Vec<Accepted>) {
+/// Puts entries in force that are newer than what is known.
+pub fn apply(instance: &Instance, entries: Vec<Accepted>) {
     let mut config = instance.tables.config.write().expect("config lock");
     let mut changed = 0;
     for entry in entries {
--- a/daemon/src/heartbeat.rs
+++ b/daemon/src/heartbeat.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use futures::future::join_all;
+use mimosabay_core::config::ConfigTable;
 use mimosabay_core::membership::{Heartbeat, Listed};
 use mimosabay_core::name::{InstanceId, Name};
 use mimosabay_peer::{Category, Message, Reply};
@@ -51,9 +52,11 @@
 /// The heartbeat of this process.
 pub fn heartbeat(instance: &Instance) -> Heartbeat {
     let freshness = instance.freshness();
+    let config_digest = instance.with_config(ConfigTable::digest);
     instance.with_membership(|membership| Heartbeat {
         sender: membership.me(instance.is_stopping()),
         freshness,
+        config_digest,
         rumours: membership.take_rumours(),
     })
 }
@@ -98,7 +101,7 @@
 ) {
     let now_ms = instance.now_ms();
     instance.with_membership(|membership| membership.heartbeat(from, heartbeat, now_ms));
-    config_sync::heard(instance, address, heartbeat.freshness, asked_ms).await;
+    config_sync::heard(instance, address, heartbeat, asked_ms).await;
 }
 
 async fn read_list(instance: &Arc<Instance>) {
--- a/daemon/src/inbound.rs
+++ b/daemon/src/inbound.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use mimosabay_core::config::ConfigTable;
 use mimosabay_core::membership::Heartbeat;
 use mimosabay_core::name::{InstanceId, Name};
 use mimosabay_core::request::{Code, Refusal, Repeat, Request, RunEvent};
@@ -58,11 +57,10 @@
 fn take_heartbeat(instance: &Arc<Instance>, from: &InstanceId, heartbeat: &Heartbeat) {
     let now_ms = instance.now_ms();
     instance.with_membership(|membership| membership.heartbeat(from, heartbeat, now_ms));
-    let own = instance.with_config(ConfigTable::revision);
-    if heartbeat.freshness.revision > own {
+    if let Some(above_revision) = config_sync::missing_above(instance, heartbeat) {
         let instance = instance.clone();
         let address = heartbeat.sender.peer_address.clone();
-        tokio::spawn(async move { config_sync::pull(&instance, &address).await });
+        tokio::spawn(async move { config_sync::pull(&instance, &address, above_revision).await });
     }
 }
 
--- a/daemon/src/instance.rs
+++ b/daemon/src/instance.rs
@@ -1,7 +1,7 @@
 //! One instance: its identity, its shared tables and its links to the outside.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
 
 use mimosabay_core::config::ConfigTable;
@@ -12,7 +12,7 @@
 use mimosabay_http::Client;
 use mimosabay_operator::{Settings, SloRecorder};
 use mimosabay_peer::{Envelope, Message, Peer, Secret};
-use mimosabay_platform::Platform;
+use mimosabay_platform::{Object, Platform};
 use tokio::sync::watch;
 
 use crate::clock::{Clock, new_incarnation};
@@ -21,10 +21,13 @@
 use crate::timer::Timer;
 use crate::workers::{Waiting, Workers};
 
+/// Smallest time between two comparisons of the whole configuration with peers.
+const COMPARISON_PERIOD_MS: u64 = 1_000;
+
 /// Tables that all tasks share.
 ///
 /// Lock order: `config`, `membership`, `proof`, `owned`, the queue of one owned server, `peers`,
-/// `retry_budget`, `slo`. A task that holds one takes only later ones, and holds none over an await.
+/// `retry_budget`, `slo`, `accepted_here`. A task that holds one takes only later ones, and holds none over an await.
 pub struct Tables {
     /// The configuration in force.
     pub config: RwLock<ConfigTable>,
@@ -40,6 +43,8 @@
     pub retry_budget: Mutex<RetryBudget>,
     /// Service-level counters that are not stored yet.
     pub slo: Mutex<SloRecorder>,
+    /// Accepted objects that this instance wrote and has not reported on yet.
+    pub accepted_here: Mutex<Vec<Object>>,
 }
 
 /// One instance.
@@ -64,6 +69,8 @@
     pub metrics: Metrics,
     /// Configuration revision, for those who wait for a change.
     pub config_changed: watch::Sender<u64>,
+    /// Earliest time of the next comparison of the whole configuration with a peer's.
+    next_comparison_ms: AtomicU64,
     /// Whether a planned stop has begun.
     pub stopping: AtomicBool,
     /// Requests that this instance answers or runs.
@@ -87,6 +94,7 @@
             peers: Mutex::default(),
             retry_budget: Mutex::default(),
             slo: Mutex::new(SloRecorder::new(id.incarnation)),
+            accepted_here: Mutex::default(),
         };
         let instance = Self {
             id,
@@ -98,6 +106,7 @@
             workers,
             metrics: Metrics::new(&settings.metrics),
             config_changed: watch::Sender::new(0),
+            next_comparison_ms: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
             open_requests: watch::Sender::new(0),
             secret: Secret::new(settings.peers.secret.reveal()),
@@ -131,6 +140,18 @@
         visit(&mut self.tables.slo.lock().expect("service-level lock"))
     }
 
+    /// Notes an accepted object that this instance wrote.
+    pub fn announce_accepted(&self, object: &Object) {
+        let mut accepted = self.tables.accepted_here.lock().expect("accepted lock");
+        accepted.push(object.clone());
+    }
+
+    /// Takes the accepted objects that this instance wrote since the last call.
+    pub fn take_announced(&self) -> Vec<Object> {
+        let mut accepted = self.tables.accepted_here.lock().expect("accepted lock");
+        std::mem::take(&mut accepted)
+    }
+
     /// Whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::SeqCst)
@@ -148,6 +169,22 @@
         matches!(state, Freshness::Fresh | Freshness::StoreAway)
     }
 
+    /// Whether the whole configuration may be compared with a peer's now; bounds how often.
+    pub fn may_compare_config(&self) -> bool {
+        let now_ms = self.now_ms();
+        let next_ms = self.next_comparison_ms.load(Ordering::SeqCst);
+        now_ms >= next_ms
+            && self
+                .next_comparison_ms
+                .compare_exchange(
+                    next_ms,
+                    now_ms + COMPARISON_PERIOD_MS,
+                    Ordering::SeqCst,
+                    Ordering::SeqCst,
+                )
+                .is_ok()
+    }
+
     /// How fresh the configuration is, to be told to peers.
     pub fn freshness(&self) -> PeerFreshness {
         let revision = self.with_config(ConfigTable::revision);
--- a/daemon/src/rollout.rs
+++ b/daemon/src/rollout.rs
@@ -10,6 +10,7 @@
 
 use mimosabay_core::config::{ConfigTable, ObjectKey};
 use mimosabay_core::membership::State as MemberState;
+use mimosabay_core::name::Name;
 use mimosabay_operator::store::{self, ACCEPTED_KIND, AcceptedRecord, STATUS_KIND, StatusRecord};
 use mimosabay_platform::{Category, Error, Object, Precondition};
 use tokio::time::sleep;
@@ -94,7 +95,8 @@
     let kinds = [ACCEPTED_KIND, STATUS_KIND];
     let batch = instance.platform.watch(&kinds, state.revision, wait_ms);
     let batch = batch.await?;
-    for object in &batch.events {
+    // What was written here is known even if the watch leaves it out.
+    for object in instance.take_announced().iter().chain(&batch.events) {
         state.take(object);
     }
     state.revision = batch.revision;
@@ -118,7 +120,11 @@
 
     fn take_accepted(&mut self, key: ObjectKey, revision: u64, record: &AcceptedRecord) {
         let known = self.statuses.get(&key).map(|(_, status)| status);
-        if known.is_some_and(|status| is_complete(status, record.generation)) {
+        let is_old = self
+            .pending
+            .get(&key)
+            .is_some_and(|pending| pending.revision >= revision);
+        if is_old || known.is_some_and(|status| is_complete(status, record.generation)) {
             return;
         }
         let change = Change {
@@ -130,7 +136,10 @@
     }
 
     async fn report(&mut self, instance: &Instance) -> Result<(), Error> {
-        let revisions = revisions_in_force(instance);
+        if self.pending.is_empty() {
+            return Ok(());
+        }
+        let revisions = revisions_in_force(instance).await?;
         let now_ms = instance.now_ms();
         let keys: Vec<ObjectKey> = self.pending.keys().cloned().collect();
         for key in keys {
@@ -193,8 +202,11 @@
                 self.statuses.insert(key.clone(), (object.version, status));
                 Ok(true)
             }
-            // The newer status comes by the watch.
-            Err(cause) if cause.classify() == Category::Conflict => Ok(false),
+            Err(cause) if cause.classify() == Category::Conflict => {
+                let newer = instance.platform.get(STATUS_KIND, &name).await?;
+                self.take(&newer);
+                Ok(false)
+            }
             Err(cause) => Err(cause),
         }
     }
@@ -220,14 +232,24 @@
         && status.in_force == status.instances
 }
 
-/// The configuration revision of each instance that is not gone, this one included.
-fn revisions_in_force(instance: &Instance) -> Vec<u64> {
-    let own = instance.with_config(ConfigTable::revision);
+/// The configuration revision of each instance that is listed or heard and not gone.
+///
+/// The list is read for this, because an instance that has just been added takes calls, too.
+async fn revisions_in_force(instance: &Instance) -> Result<Vec<u64>, Error> {
+    let listed = instance.platform.instances().await?.instances;
+    let mut revisions: BTreeMap<Name, u64> =
+        listed.into_iter().map(|listed| (listed.name, 0)).collect();
     instance.with_membership(|membership| {
-        let others = membership
-            .members()
-            .filter(|member| member.state != MemberState::Gone)
-            .map(|member| member.config_revision);
-        others.chain([own]).collect()
-    })
+        for member in membership.members() {
+            let name = &member.listed.name;
+            if member.state == MemberState::Gone {
+                revisions.remove(name);
+            } else {
+                revisions.insert(name.clone(), member.config_revision);
+            }
+        }
+    });
+    let own = instance.with_config(ConfigTable::revision);
+    revisions.insert(instance.id.name.clone(), own);
+    Ok(revisions.into_values().collect())
 }
--- a/daemon/tests/operators.rs
+++ b/daemon/tests/operators.rs
@@ -233,3 +233,27 @@
         }
     });
 }
+
+#[test]
+fn a_change_that_a_watch_left_out_is_put_in_force() {
+    block_on(async {
+        let site = Site::start(SiteOptions::default()).await;
+        for round in 0..6 {
+            let name = format!("desk-{round}");
+            let created = tool(&site, &["key", "create", "clinics", &name, "--wait"], 0).await;
+            let key = created["key"].as_str().unwrap().to_owned();
+            site.platform_control
+                .faults(&json!({"skip_watches": 1 + round % 3}))
+                .await;
+            tool(&site, &["key", "withdraw", &name], 0).await;
+            for index in 0..site.instances.len() {
+                let caller = site.caller(index).key(&key);
+                wait_for("the key withdrawn", async || {
+                    let reply = caller.complete("tender", "soap", 1).await.ok()?;
+                    (reply.body["error"]["code"] == "withdrawn_key").then_some(())
+                })
+                .await;
+            }
+        }
+    });
+}
