--- a/operator/tests/settings.rs
+++ b/operator/tests/settings.rs
@@ -172,9 +172,10 @@
         "instance", "limits", "log", "metrics", "peers", "platform", "policy",
     ];
     let sections = sections.into_iter().chain(["stop", "timing"]);
-    let text: String = sections
+    let parts: Vec<_> = sections
         .map(|section| format!("[{section}]\nnothing = 1\n"))
         .collect();
+    let text = parts.concat();
     let errors = Settings::parse(&text).expect_err("the keys are unknown");
     let unknown = errors
         .as_slice()
