--- a/core/src/queue.rs
+++ b/core/src/queue.rs
@@ -184,6 +184,51 @@
         actions
     }
 
+    /// An adapter was found in the server's memory. It is not evicted before
+    /// [`ServerQueue::set_evictable`], because another owner may still use it.
+    pub fn adopt(&mut self, model: &AdapterVersion, now_ms: u64) -> Vec<Action> {
+        self.slots.adopt(model, now_ms);
+        self.backlog.set_phase(model, Phase::Ready);
+        self.advance(now_ms)
+    }
+
+    /// An adopted adapter may be evicted from now on.
+    pub fn set_evictable(&mut self, model: &AdapterVersion, now_ms: u64) -> Vec<Action> {
+        self.slots.unpin(model);
+        self.advance(now_ms)
+    }
+
+    /// Slots that are taken by adapters which are not this owner's.
+    pub fn set_reserved(&mut self, slots: usize, now_ms: u64) -> Vec<Action> {
+        self.slots.set_reserved(slots);
+        self.advance(now_ms)
+    }
+
+    /// The server no longer holds an adapter that it was thought to hold.
+    pub fn lost(&mut self, model: &AdapterVersion, now_ms: u64) -> Vec<Action> {
+        if !self.is_loading(model) {
+            self.slots.remove(model);
+            self.backlog.set_phase(model, Phase::Absent);
+        }
+        self.advance(now_ms)
+    }
+
+    /// Whether an adapter is being loaded.
+    pub fn is_loading(&self, model: &AdapterVersion) -> bool {
+        let residency = self.slots.get(model).map(|slot| slot.residency);
+        matches!(residency, Some(Residency::Loading { .. }))
+    }
+
+    /// Whether any adapter is being loaded.
+    pub fn loads_any(&self) -> bool {
+        self.residents().any(|(_, is_loaded)| !is_loaded)
+    }
+
+    /// Adapter of a request that runs.
+    pub fn model_of(&self, ticket: Ticket) -> Option<&AdapterVersion> {
+        self.running.get(&ticket).map(|run| &run.model)
+    }
+
     /// Requests that wait.
     pub fn waiting(&self) -> usize {
         self.backlog.len()
--- a/core/src/queue/slots.rs
+++ b/core/src/queue/slots.rs
@@ -28,10 +28,18 @@
     pub(super) residency: Residency,
     /// Requests that run on it. Invariant: an adapter with any is never evicted.
     pub(super) running: usize,
+    /// Whether another owner of the server may still use it, so that it must not be evicted.
+    is_pinned: bool,
     used_ms: u64,
     demand: Demand,
 }
 
+impl Slot {
+    fn is_evictable(&self) -> bool {
+        self.residency == Residency::Loaded && self.running == 0 && !self.is_pinned
+    }
+}
+
 /// All adapters in memory.
 #[derive(Debug)]
 pub(super) struct Slots {
@@ -40,6 +48,8 @@
     half_life_ms: u64,
     /// Invariant: at most `capacity`.
     by_model: HashMap<AdapterVersion, Slot>,
+    /// Slots that are taken by adapters which are not this owner's.
+    reserved: usize,
 }
 
 impl Slots {
@@ -49,6 +59,7 @@
             eviction,
             half_life_ms,
             by_model: HashMap::new(),
+            reserved: 0,
         }
     }
 
@@ -63,28 +74,41 @@
     }
 
     pub(super) fn has_free(&self) -> bool {
-        self.by_model.len() < self.capacity
+        self.by_model.len() + self.reserved < self.capacity
     }
 
     /// Slots that are free or hold an adapter on which nothing runs.
     pub(super) fn open(&self) -> usize {
-        let is_busy = |slot: &&Slot| slot.running > 0 || slot.residency != Residency::Loaded;
+        let is_busy = |slot: &&Slot| !slot.is_evictable();
         let busy = self.by_model.values().filter(is_busy).count();
-        self.capacity.saturating_sub(busy)
+        self.capacity.saturating_sub(busy + self.reserved)
     }
 
     /// Starts a load; `demand` requests wait for it.
     pub(super) fn start_load(&mut self, model: &AdapterVersion, demand: usize, now_ms: u64) {
-        let mut slot = Slot {
-            residency: Residency::Loading { since_ms: now_ms },
-            running: 0,
-            used_ms: now_ms,
-            demand: Demand::new(self.half_life_ms),
-        };
+        let residency = Residency::Loading { since_ms: now_ms };
+        let mut slot = self.new_slot(residency, now_ms);
         slot.demand.add(demand as f64, now_ms);
         self.by_model.insert(model.clone(), slot);
     }
 
+    /// An adapter was found loaded.
+    pub(super) fn adopt(&mut self, model: &AdapterVersion, now_ms: u64) {
+        let mut slot = self.new_slot(Residency::Loaded, now_ms);
+        slot.is_pinned = true;
+        self.by_model.insert(model.clone(), slot);
+    }
+
+    pub(super) fn unpin(&mut self, model: &AdapterVersion) {
+        if let Some(slot) = self.by_model.get_mut(model) {
+            slot.is_pinned = false;
+        }
+    }
+
+    pub(super) fn set_reserved(&mut self, slots: usize) {
+        self.reserved = slots;
+    }
+
     pub(super) fn remove(&mut self, model: &AdapterVersion) -> Option<Slot> {
         self.by_model.remove(model)
     }
@@ -150,15 +174,15 @@
         if let Some(model) = drained {
             return Some(model.clone());
         }
-        let idle = |model: &AdapterVersion, slot: &Slot| {
-            slot.residency == Residency::Loaded && slot.running == 0 && !is_wanted(model)
-        };
+        let idle = |model: &AdapterVersion, slot: &Slot| slot.is_evictable() && !is_wanted(model);
         self.least_valued(idle, now_ms)
     }
 
     /// The adapter to run dry when none is idle.
     pub(super) fn least_busy(&self, now_ms: u64) -> Option<AdapterVersion> {
-        let loaded = |_: &AdapterVersion, slot: &Slot| slot.residency == Residency::Loaded;
+        let loaded = |_: &AdapterVersion, slot: &Slot| {
+            slot.residency == Residency::Loaded && !slot.is_pinned
+        };
         self.least_valued(loaded, now_ms)
     }
 
@@ -168,6 +192,17 @@
             .is_some_and(|slot| slot.running == 0)
     }
 
+    fn new_slot(&self, residency: Residency, now_ms: u64) -> Slot {
+        let demand = Demand::new(self.half_life_ms);
+        Slot {
+            residency,
+            running: 0,
+            is_pinned: false,
+            used_ms: now_ms,
+            demand,
+        }
+    }
+
     /// All loads cost the same, so the value of an adapter in memory is its expected demand.
     fn least_valued(
         &self,
--- /dev/null
+++ b/daemon/src/inbound.rs
@@ -0,0 +1,92 @@
+//! Messages from other instances.
+
+use std::sync::Arc;
+
+use mimosabay_core::config::ConfigTable;
+use mimosabay_core::membership::Heartbeat;
+use mimosabay_core::name::{InstanceId, Name};
+use mimosabay_core::request::{Code, Refusal, Repeat, Request, RunEvent};
+use mimosabay_peer::{Inbound, Message, Reply, Responder};
+use tracing::debug;
+
+use crate::config_sync;
+use crate::heartbeat;
+use crate::instance::Instance;
+use crate::owner;
+use crate::route;
+
+/// Answers one message.
+pub async fn handle(instance: Arc<Instance>, inbound: Inbound) {
+    let Inbound {
+        envelope,
+        responder,
+    } = inbound;
+    let from = envelope.from;
+    match envelope.message {
+        Message::Run { server, request } => run(instance, server, *request, responder).await,
+        message => {
+            let reply = answer(&instance, &from, message);
+            if let Err(cause) = responder.finish(&reply).await {
+                debug!(%from, %cause, "cannot answer a peer");
+            }
+        }
+    }
+}
+
+fn answer(instance: &Arc<Instance>, from: &InstanceId, message: Message) -> Reply {
+    match message {
+        Message::Heartbeat(heartbeat) => {
+            take_heartbeat(instance, from, &heartbeat);
+            let heartbeat = heartbeat::heartbeat(instance);
+            Reply::Heartbeat {
+                from: instance.id.clone(),
+                heartbeat,
+            }
+        }
+        Message::Goodbye => {
+            instance.with_membership(|membership| membership.goodbye(from));
+            Reply::Done
+        }
+        Message::PullConfig { above_revision } => {
+            Reply::Config(config_sync::entries_above(instance, above_revision))
+        }
+        Message::Run { .. } => unreachable!("a run has replies of its own"),
+    }
+}
+
+/// A heartbeat that was not asked for proves life, but not when its sender was fresh.
+fn take_heartbeat(instance: &Arc<Instance>, from: &InstanceId, heartbeat: &Heartbeat) {
+    let now_ms = instance.now_ms();
+    instance.with_membership(|membership| membership.heartbeat(from, heartbeat, now_ms));
+    let own = instance.with_config(ConfigTable::revision);
+    if heartbeat.freshness.revision > own {
+        let instance = instance.clone();
+        let address = heartbeat.sender.peer_address.clone();
+        tokio::spawn(async move { config_sync::pull(&instance, &address).await });
+    }
+}
+
+async fn run(instance: Arc<Instance>, server: Name, request: Request, mut responder: Responder) {
+    if !route::is_owner(&instance, &server) {
+        let refusal = Refusal::not_run(Code::NotOwner, "another instance owns the server");
+        let event = RunEvent::Refused { refusal };
+        // The sender finds the owner itself; if it is gone there is nobody to tell.
+        let _ = responder.finish(&Reply::Run(event)).await;
+        return;
+    }
+    let repeat = request.repeat;
+    let mut events = owner::run(&instance, server, request);
+    loop {
+        let event = tokio::select! {
+            event = events.next() => event,
+            // Work that may not be repeated runs to its end, so that its outcome is recorded.
+            () = responder.closed(), if repeat == Repeat::Idempotent => return,
+        };
+        let Some(event) = event else {
+            return;
+        };
+        if responder.send(&Reply::Run(event)).await.is_err() && repeat == Repeat::Idempotent {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/monitor.rs
@@ -0,0 +1,69 @@
+//! Watching the backend servers that this instance owns.
+
+use std::sync::{Arc, Weak};
+
+use mimosabay_backend::LoadReport;
+use mimosabay_core::queue::ServerQueue;
+use tracing::{info, warn};
+
+use crate::instance::Instance;
+use crate::owner::OwnedServer;
+use crate::takeover;
+
+/// Time between two reports.
+const REPORT_PERIOD_MS: u64 = 500;
+/// Reports in a row that have to fail until the server counts as silent.
+const FAILED_REPORTS: u32 = 2;
+
+/// Watches a server until this instance no longer owns it.
+pub async fn run(instance: Weak<Instance>, server: Weak<OwnedServer>) {
+    let Some(mut ticks) = instance
+        .upgrade()
+        .map(|it| it.timer.subscribe(REPORT_PERIOD_MS))
+    else {
+        return;
+    };
+    let mut failed = 0;
+    while ticks.recv().await.is_some() {
+        let (Some(instance), Some(server)) = (instance.upgrade(), server.upgrade()) else {
+            return;
+        };
+        match server.engine.report().await {
+            Ok(report) => {
+                failed = 0;
+                take(&instance, &server, &report).await;
+            }
+            Err(cause) => {
+                failed += 1;
+                if failed == FAILED_REPORTS {
+                    warn!(server = %server.name, %cause, "backend server is silent");
+                    server.answers.send_replace(false);
+                }
+            }
+        }
+    }
+}
+
+async fn take(instance: &Arc<Instance>, server: &Arc<OwnedServer>, report: &LoadReport) {
+    let restarted = {
+        let mut state = server.state.lock().expect("owned server lock");
+        let restarted = state.boot != 0 && state.boot != report.boot;
+        state.boot = report.boot;
+        if restarted {
+            state.forget_loaded();
+            state.takeover.restarted();
+        }
+        restarted
+    };
+    if restarted {
+        info!(server = %server.name, "backend server has restarted");
+        server.visit(instance, ServerQueue::restarted);
+        // Its accepted fencing number is lost with its memory.
+        takeover::lost_claim(server, server.fencing()).await;
+    }
+    takeover::reconcile(instance, server, report);
+    if !*server.answers.borrow() {
+        info!(server = %server.name, "backend server answers again");
+        server.answers.send_replace(true);
+    }
+}
