Choose servers in the daemon by the placement and share digests in heartbeats

Cause: route::choose was a plain rendezvous hash, so the placement had no effect and its baselines could not be set. Change: each instance keeps a Placement, follows the configuration by its revision, counts requests in flight, learns from failures, and sends the digests of its owned servers in heartbeats (new field Heartbeat::digests). The settings placement = product, random, least-loaded, rendezvous take effect. Not wired: prompt hashes and cache events (zero is passed), load permits.

--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -11,6 +11,7 @@
 use crate::freshness::PeerFreshness;
 use crate::name::{InstanceId, Name};
 use crate::ownership::Candidate;
+use crate::placement::digest::ServerDigest;
 
 /// Peers that an instance watches by heartbeats of its own.
 pub const MAX_WATCHED: usize = 8;
@@ -45,6 +46,8 @@
         pub freshness: PeerFreshness,
         /// What it learned of others.
         pub rumours: Vec<Rumour>,
+        /// State of the backend servers that it owns.
+        pub digests: Vec<ServerDigest>,
     }
 
     /// What a peer says of an instance.
--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -283,6 +283,13 @@
         }
     }
 
+    /// A call failed at a plain service, which is not to be tried for a while.
+    pub fn failed_plain(&mut self, server: &str, now_ms: u64) {
+        if let Some(index) = self.servers.find(server) {
+            self.failed_servers.failed(&index, now_ms);
+        }
+    }
+
     fn is_same(&self, index: ServerIndex, spec: &BackendServer) -> bool {
         let server = self.servers.get(index);
         server.is_some_and(|server| server.is_same(spec))
--- a/core/tests/membership.rs
+++ b/core/tests/membership.rs
@@ -84,6 +84,7 @@
                 age_ms: None,
             },
             rumours: member.take_rumours(),
+            digests: Vec::new(),
         }
     }
 
@@ -166,6 +167,7 @@
             age_ms: None,
         },
         rumours: Vec::new(),
+        digests: Vec::new(),
     };
     site.members[0].heartbeat(&id(7), &beat, 10);
     assert!(
--- a/daemon/src/heartbeat.rs
+++ b/daemon/src/heartbeat.rs
@@ -11,6 +11,7 @@
 
 use crate::config_sync;
 use crate::instance::Instance;
+use crate::placing;
 
 /// Time between two reads of the platform's list.
 const LIST_PERIOD_MS: u64 = 1_000;
@@ -51,10 +52,12 @@
 /// The heartbeat of this process.
 pub fn heartbeat(instance: &Instance) -> Heartbeat {
     let freshness = instance.freshness();
+    let digests = placing::digests(instance);
     instance.with_membership(|membership| Heartbeat {
         sender: membership.me(instance.is_stopping()),
         freshness,
         rumours: membership.take_rumours(),
+        digests,
     })
 }
 
@@ -98,6 +101,7 @@
 ) {
     let now_ms = instance.now_ms();
     instance.with_membership(|membership| membership.heartbeat(from, heartbeat, now_ms));
+    placing::observe(instance, &heartbeat.digests);
     config_sync::heard(instance, address, heartbeat.freshness, asked_ms).await;
 }
 
--- a/daemon/src/inbound.rs
+++ b/daemon/src/inbound.rs
@@ -13,6 +13,7 @@
 use crate::heartbeat;
 use crate::instance::Instance;
 use crate::owner;
+use crate::placing;
 use crate::route;
 
 /// Answers one message.
@@ -58,6 +59,7 @@
 fn take_heartbeat(instance: &Arc<Instance>, from: &InstanceId, heartbeat: &Heartbeat) {
     let now_ms = instance.now_ms();
     instance.with_membership(|membership| membership.heartbeat(from, heartbeat, now_ms));
+    placing::observe(instance, &heartbeat.digests);
     let own = instance.with_config(ConfigTable::revision);
     if heartbeat.freshness.revision > own {
         let instance = instance.clone();
--- a/daemon/src/instance.rs
+++ b/daemon/src/instance.rs
@@ -18,13 +18,14 @@
 use crate::clock::{Clock, new_incarnation};
 use crate::metrics::Metrics;
 use crate::owner::OwnedServer;
+use crate::placing::Placing;
 use crate::timer::Timer;
 use crate::workers::{Waiting, Workers};
 
 /// Tables that all tasks share.
 ///
 /// Lock order: `config`, `membership`, `proof`, `owned`, the queue of one owned server, `peers`,
-/// `retry_budget`. A task that holds one takes only later ones, and holds none over an await.
+/// `placing`, `retry_budget`. A task that holds one takes only later ones, and holds none over an await.
 pub struct Tables {
     /// The configuration in force.
     pub config: RwLock<ConfigTable>,
@@ -36,6 +37,8 @@
     pub owned: Mutex<HashMap<Name, Arc<OwnedServer>>>,
     /// Connections to other instances, by address.
     pub peers: Mutex<HashMap<Name, Peer>>,
+    /// What is known for the choice of backend servers.
+    pub placing: Mutex<Placing>,
     /// Retries that may be made.
     pub retry_budget: Mutex<RetryBudget>,
 }
@@ -76,16 +79,18 @@
         let membership_settings = MembershipSettings {
             peer_timeout_ms: settings.timing.peer_timeout_ms,
         };
+        let id = InstanceId::new(settings.instance.name.clone(), new_incarnation());
         let tables = Tables {
             config: RwLock::default(),
             membership: Mutex::new(Membership::new(listed(&settings), membership_settings)),
             proof: Mutex::new(FreshnessProof::new(settings.timing.config_stale_ms)),
             owned: Mutex::default(),
             peers: Mutex::default(),
+            placing: Mutex::new(Placing::new(settings.policy.placement, id.incarnation)),
             retry_budget: Mutex::default(),
         };
         let instance = Self {
-            id: InstanceId::new(settings.instance.name.clone(), new_incarnation()),
+            id,
             clock,
             timer,
             tables,
@@ -122,6 +127,11 @@
         visit(&mut self.tables.membership.lock().expect("membership lock"))
     }
 
+    /// Reads or changes what is known for the choice of backend servers.
+    pub fn with_placing<T>(&self, visit: impl FnOnce(&mut Placing) -> T) -> T {
+        visit(&mut self.tables.placing.lock().expect("placing lock"))
+    }
+
     /// Whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::SeqCst)
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod monitor;
 pub mod orders;
 pub mod owner;
+pub mod placing;
 pub mod route;
 pub mod run;
 pub mod stop;
--- /dev/null
+++ b/daemon/src/placing.rs
@@ -0,0 +1,147 @@
+//! What this instance knows for the choice of backend servers.
+
+use std::sync::Arc;
+
+use mimosabay_core::config::ConfigTable;
+use mimosabay_core::name::{AdapterVersion, Name};
+use mimosabay_core::placement::digest::ServerDigest;
+use mimosabay_core::placement::{Choice, Failure, Placement, PlacementSettings, Strategy};
+use mimosabay_core::request::{Code, Request, Work};
+use mimosabay_core::resource::{Kind, Spec};
+use mimosabay_operator::PlacementPolicy;
+
+use crate::clock::unix_ms;
+use crate::instance::Instance;
+
+/// Placement with the configuration that it was last told of.
+#[derive(Debug)]
+pub struct Placing {
+    placement: Placement,
+    /// Revision of the configuration that the servers are from.
+    revision: Option<u64>,
+}
+
+/// A request at a server, counted as in flight until dropped.
+pub struct Placed {
+    instance: Arc<Instance>,
+    server: Name,
+}
+
+impl Placing {
+    /// Builds the state of an instance that knows no servers; `seed` starts random choices.
+    pub fn new(policy: PlacementPolicy, seed: u64) -> Self {
+        let strategy = match policy {
+            PlacementPolicy::Product => Strategy::Product,
+            PlacementPolicy::Random => Strategy::Random { seed },
+            PlacementPolicy::LeastLoaded => Strategy::LeastLoaded,
+            PlacementPolicy::Rendezvous => Strategy::Rendezvous,
+        };
+        let settings = PlacementSettings {
+            strategy,
+            ..PlacementSettings::default()
+        };
+        Self {
+            placement: Placement::new(settings),
+            revision: None,
+        }
+    }
+
+    fn follow(&mut self, config: &ConfigTable, now_ms: u64) {
+        if self.revision == Some(config.revision()) {
+            return;
+        }
+        self.revision = Some(config.revision());
+        let servers = config.of_kind(Kind::BackendServer);
+        let servers = servers.filter_map(|(name, spec)| match spec {
+            Spec::BackendServer(server) => Some((name, server)),
+            _ => None,
+        });
+        self.placement.set_servers(servers, now_ms);
+    }
+}
+
+/// Chooses a backend server other than the `excluded` ones.
+pub fn choose(instance: &Instance, request: &Request, excluded: &[Name]) -> Option<Choice> {
+    let now_ms = instance.now_ms();
+    let zone = &instance.settings.instance.zone;
+    instance.with_config(|config| {
+        instance.with_placing(|placing| {
+            placing.follow(config, now_ms);
+            let placement = &mut placing.placement;
+            match &request.work {
+                Work::Generate { model, .. } => {
+                    placement.choose_excluding(model, &request.pool, zone, 0, excluded, now_ms)
+                }
+                Work::Plain { .. } => placement.choose_plain(&request.pool, zone, excluded, now_ms),
+            }
+        })
+    })
+}
+
+/// Counts a request as in flight at a server.
+pub fn started(instance: &Arc<Instance>, server: &Name, request: &Request) -> Placed {
+    let now_ms = instance.now_ms();
+    let model = model(request);
+    instance.with_placing(|placing| placing.placement.started(server, model, 0, now_ms));
+    Placed {
+        instance: instance.clone(),
+        server: server.clone(),
+    }
+}
+
+/// Learns from the end of a request at a server; `code` is that of a refusal.
+pub fn ended(instance: &Instance, server: &Name, request: &Request, code: Option<Code>) {
+    let now_ms = instance.now_ms();
+    let failure = match code {
+        None => None,
+        Some(Code::LoadFailed) => Some(Failure::Load),
+        Some(Code::BackendFailed | Code::NoServer) => Some(Failure::Server),
+        Some(_) => return,
+    };
+    instance.with_placing(|placing| {
+        let placement = &mut placing.placement;
+        match (failure, model(request)) {
+            (None, _) => placement.succeeded(server),
+            (Some(failure), Some(model)) => placement.failed(server, model, failure, now_ms),
+            (Some(_), None) => placement.failed_plain(server, now_ms),
+        }
+    });
+}
+
+/// What this instance says of the servers that it owns.
+pub fn digests(instance: &Instance) -> Vec<ServerDigest> {
+    let sequence = unix_ms();
+    let owned = instance.owned_servers();
+    let digests = owned.iter().map(|server| {
+        let state = server.state.lock().expect("owned server lock");
+        state.queue.digest(&server.name, state.fencing, sequence)
+    });
+    let digests: Vec<ServerDigest> = digests.collect();
+    observe(instance, &digests);
+    digests
+}
+
+/// Takes in what an owner says of its servers.
+pub fn observe(instance: &Instance, digests: &[ServerDigest]) {
+    let now_ms = instance.now_ms();
+    instance.with_placing(|placing| {
+        for digest in digests {
+            placing.placement.observe(digest, now_ms);
+        }
+    });
+}
+
+impl Drop for Placed {
+    fn drop(&mut self) {
+        let server = &self.server;
+        self.instance
+            .with_placing(|placing| placing.placement.finished(server));
+    }
+}
+
+fn model(request: &Request) -> Option<&AdapterVersion> {
+    match &request.work {
+        Work::Generate { model, .. } => Some(model),
+        Work::Plain { .. } => None,
+    }
+}
--- a/daemon/src/route.rs
+++ b/daemon/src/route.rs
@@ -2,16 +2,15 @@
 
 use std::sync::Arc;
 
-use mimosabay_core::config::ConfigTable;
 use mimosabay_core::membership::Listed;
 use mimosabay_core::name::Name;
 use mimosabay_core::ownership;
-use mimosabay_core::rendezvous;
 use mimosabay_core::request::{Code, Refusal, Request, RunEvent, Work};
 use mimosabay_peer::{Category, Error, Message, Replies, Reply};
 
 use crate::instance::Instance;
 use crate::owner::{self, LocalRun};
+use crate::placing;
 
 /// When a repeat is worth trying after an instance failed.
 const RETRY_AFTER_MS: u64 = 500;
@@ -48,18 +47,11 @@
 ///
 /// A refusal if there is none.
 pub fn choose(instance: &Instance, request: &Request, failed: &[Name]) -> Result<Name, Refusal> {
-    let item = match &request.work {
-        Work::Generate { model, .. } => model.to_string(),
-        Work::Plain { .. } => request.id.to_string(),
-    };
-    instance.with_config(|config| {
-        let fresh = rendezvous::choose(&item, usable(config, &request.pool, failed));
-        // Once all have failed, each may be tried again.
-        let chosen =
-            fresh.or_else(|| rendezvous::choose(&item, usable(config, &request.pool, &[])));
-        chosen.map(Name::from).ok_or_else(|| {
-            Refusal::not_run(Code::NoServer, "no backend server").retry_after_ms(RETRY_AFTER_MS)
-        })
+    let fresh = placing::choose(instance, request, failed);
+    // Once all have failed, each may be tried again.
+    let choice = fresh.or_else(|| placing::choose(instance, request, &[]));
+    choice.map(|choice| choice.server).ok_or_else(|| {
+        Refusal::not_run(Code::NoServer, "no backend server").retry_after_ms(RETRY_AFTER_MS)
     })
 }
 
@@ -121,20 +113,6 @@
     })
 }
 
-fn usable<'a>(
-    config: &'a ConfigTable,
-    pool: &str,
-    failed: &'a [Name],
-) -> impl Iterator<Item = &'a str> {
-    let stays = |name: &&Name| config.server(name).is_some_and(|spec| !spec.leaving);
-    config
-        .servers_in_pool(pool)
-        .iter()
-        .filter(stays)
-        .filter(|name| !failed.contains(name))
-        .map(|name| &**name)
-}
-
 fn peer_failed(cause: &Error) -> Refusal {
     let message = format!("another instance failed: {cause}");
     let refusal = match cause.classify() {
--- a/daemon/src/supervise.rs
+++ b/daemon/src/supervise.rs
@@ -11,6 +11,7 @@
 use tracing::info;
 
 use crate::instance::Instance;
+use crate::placing;
 use crate::route::{self, Run};
 
 /// Pause before the first retry; it doubles with each further one.
@@ -118,16 +119,20 @@
         return Err((None, timed_out(progress)));
     }
     let server = route::choose(instance, request, failed).map_err(|refusal| (None, refusal))?;
-    let mut request = request.clone();
-    request.timeout_ms = left_ms;
-    request.resume = progress.resume(&request.work);
+    let mut sent = request.clone();
+    sent.timeout_ms = left_ms;
+    sent.resume = progress.resume(&request.work);
     let limit = instance.clock.instant(deadline_ms + DEADLINE_GRACE_MS);
+    let placed = placing::started(instance, &server, request);
     let attempt = async {
-        let run = route::start(instance, server.clone(), request).await?;
+        let run = route::start(instance, server.clone(), sent).await?;
         follow(run, progress, sender).await
     };
     let ended = timeout_at(limit, attempt).await;
     let ended = ended.unwrap_or_else(|_| Err(Refusal::in_doubt(Code::Timeout, "no final answer")));
+    drop(placed);
+    let code = ended.as_ref().err().map(|refusal| refusal.code);
+    placing::ended(instance, &server, request, code);
     ended.map_err(|refusal| (Some(server), refusal))
 }
 
