--- /dev/null
+++ b/standin/src/bench/drive.rs
@@ -0,0 +1,186 @@
+//! Replays a trace against a site for each policy.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep_until, timeout};
+
+use super::judge::{self, CallEnd, CallRecord};
+use super::options::{BenchOptions, Fault};
+use super::policy::Policy;
+use super::site::{self, adapter_name, secret};
+use super::trace::{self, Arrival, Asks};
+use crate::clock::unix_ms;
+use crate::harness::{Balancer, Caller, Failure, Part, Reply, Site};
+use crate::text;
+
+/// Time after the last arrival in which open calls may end.
+const DRAIN_MS: u64 = 30_000;
+
+/// Runs all policies; returns the results, those of an interrupted run marked partial.
+pub async fn run(options: &BenchOptions) -> Value {
+    let trace = Arc::new(trace::make(options));
+    let mut results = Vec::new();
+    let mut is_partial = false;
+    for policy in &options.policies {
+        let (result, was_interrupted) = run_policy(options, policy, &trace).await;
+        println!("{result}");
+        results.push(result);
+        is_partial |= was_interrupted;
+        if was_interrupted {
+            break;
+        }
+    }
+    json!({
+        "options": format!("{options:?}"),
+        "partial": is_partial,
+        "calls": trace.len(),
+        "results": results,
+    })
+}
+
+async fn run_policy(
+    options: &BenchOptions,
+    policy: &Policy,
+    trace: &Arc<Vec<Arrival>>,
+) -> (Value, bool) {
+    let mut site = site::start(options, policy).await;
+    let balancer = site.balancer();
+    let half_ms = 1_000 * options.warm_up_seconds + 500 * options.seconds;
+    let start = Instant::now();
+    let start_unix_ms = unix_ms();
+    let mut calls = JoinSet::new();
+    let mut is_interrupted = false;
+    let mut has_failed = false;
+    for (index, arrival) in trace.iter().enumerate() {
+        if arrival.at_ms >= half_ms && !has_failed {
+            has_failed = true;
+            inject(options.fault, &mut site).await;
+        }
+        let due = start + Duration::from_millis(arrival.at_ms);
+        tokio::select! {
+            () = sleep_until(due) => {}
+            _ = tokio::signal::ctrl_c() => {
+                is_interrupted = true;
+                break;
+            }
+        }
+        calls.spawn(call(index, trace.clone(), balancer.clone()));
+    }
+    let records = drain(calls).await;
+    let mut engines = Vec::new();
+    for server in &site.engines {
+        engines.push(server.record().await);
+    }
+    let mut result = judge::judge(options, trace, &records, &engines, start_unix_ms);
+    result["policy"] = json!(policy.name);
+    result["partial"] = json!(is_interrupted);
+    (result, is_interrupted)
+}
+
+async fn drain(mut calls: JoinSet<CallRecord>) -> Vec<CallRecord> {
+    let mut records = Vec::new();
+    let limit = Instant::now() + Duration::from_millis(DRAIN_MS);
+    while let Ok(Some(ended)) = tokio::time::timeout_at(limit, calls.join_next()).await {
+        records.extend(ended.ok());
+    }
+    records
+}
+
+async fn inject(fault: Fault, site: &mut Site) {
+    match fault {
+        Fault::None | Fault::PopularityShift => {}
+        Fault::ServerRestart => {
+            let faults = json!({ "restart": true });
+            site.engines[0].control.faults(&faults).await;
+        }
+        Fault::InstanceKill => site.instances[0].process.kill(),
+        Fault::StoreOutage => {
+            let faults = json!({ "down": true });
+            site.platform_control.faults(&faults).await;
+        }
+    }
+}
+
+async fn call(index: usize, trace: Arc<Vec<Arrival>>, balancer: Balancer) -> CallRecord {
+    const LIMIT_MS: u64 = 60_000;
+    let arrival = &trace[index];
+    let sent_ms = unix_ms();
+    let mut first_ms = None;
+    let Some(address) = balancer.next() else {
+        return record(index, sent_ms, None, CallEnd::Broken("no instance".into()));
+    };
+    let caller = Caller::new(address).key(&secret(arrival.organisation));
+    let limit = Duration::from_millis(LIMIT_MS);
+    let ended = timeout(limit, ask(&caller, arrival, &mut first_ms)).await;
+    let end = match ended {
+        Ok(Ok(true)) => CallEnd::Whole,
+        Ok(Ok(false)) => CallEnd::Wrong,
+        Ok(Err(failure)) if failure.error.is_null() => CallEnd::Broken(failure.cause),
+        Ok(Err(failure)) => CallEnd::Refused(failure.code().to_owned()),
+        Err(_) => CallEnd::Broken("no answer".into()),
+    };
+    record(index, sent_ms, first_ms, end)
+}
+
+fn record(index: usize, sent_ms: u64, first_ms: Option<u64>, end: CallEnd) -> CallRecord {
+    CallRecord {
+        index,
+        sent_ms,
+        first_ms,
+        end,
+    }
+}
+
+/// Makes the call; returns whether the answer was right.
+async fn ask(
+    caller: &Caller,
+    arrival: &Arrival,
+    first_ms: &mut Option<u64>,
+) -> Result<bool, Failure> {
+    let (adapter, prompt, max_tokens) = match &arrival.asks {
+        Asks::Generate {
+            adapter,
+            prompt,
+            max_tokens,
+        } => (*adapter, prompt, *max_tokens),
+        Asks::Lookup => return plain(&caller.get("/orders/1").await?),
+        Asks::Booking => return plain(&caller.post("/orders", "{}").await?),
+    };
+    let name = adapter_name(adapter);
+    let mut stream = caller.open_stream(&name, prompt, max_tokens).await?;
+    let mut answer = String::new();
+    loop {
+        match stream.next().await? {
+            Part::Text(part) => {
+                first_ms.get_or_insert_with(unix_ms);
+                answer.push_str(&part);
+            }
+            Part::Usage(_) => {}
+            Part::Error(error) => {
+                let cause = error.to_string();
+                return Err(Failure {
+                    cause,
+                    text: answer,
+                    error,
+                });
+            }
+            Part::Done => break,
+        }
+    }
+    let source = format!("store://{name}/1");
+    Ok(answer == text::answer(&source, prompt, max_tokens))
+}
+
+fn plain(reply: &Reply) -> Result<bool, Failure> {
+    if reply.body["error"].is_null() {
+        return Ok(reply.status < 300);
+    }
+    Err(Failure {
+        cause: reply.code().to_owned(),
+        text: String::new(),
+        error: reply.body["error"].clone(),
+    })
+}
--- /dev/null
+++ b/standin/src/bin/mimosabay-bench.rs
@@ -0,0 +1,31 @@
+//! The load driver as a process.
+
+use std::process::ExitCode;
+
+use mimosabay_standin::bench;
+
+fn main() -> ExitCode {
+    let matches = bench::command().get_matches();
+    match bench::read(&matches) {
+        Ok(options) => run(&options),
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+#[tokio::main]
+async fn run(options: &bench::BenchOptions) -> ExitCode {
+    let results = bench::run(options).await;
+    let Some(path) = &options.json else {
+        return ExitCode::SUCCESS;
+    };
+    match std::fs::write(path, format!("{results:#}\n")) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{}: {error}", path.display());
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -14,6 +14,7 @@
 //! # }
 //! ```
 
+pub mod bench;
 pub mod command;
 pub mod engine;
 pub mod harness;
