Count all open loads as pressure when a server is chosen

Cause: an owner starts loads at once, so they wait at the weight store and count as loading; the placement counted only loads that had not started, saw no pressure and made replicas. Ruled out: nothing else; load permits would help as well and are not wired. Change: loads that have not ended raise the price and stall of a further load.

--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -59,8 +59,8 @@
 #[derive(Debug, Default)]
 struct Pool {
     homes: Homes,
-    /// Sum of the loads that the pool's servers wait for, by their last digests.
-    wanted_loads: u64,
+    /// Sum of the loads of the pool's servers that have not ended, by their last digests.
+    open_loads: u64,
 }
 
 /// The state of an entry instance's choices.
@@ -132,11 +132,11 @@
         if (digest.fencing, digest.sequence) <= server.seen {
             return;
         }
-        let wanted_before = server.wanted_loads;
+        let open_before = server.open_loads;
         server.observe(digest);
         if let Some(pool) = self.pools.get_mut(&server.pool) {
-            pool.wanted_loads -= u64::from(wanted_before);
-            pool.wanted_loads += u64::from(digest.wanted_loads);
+            pool.open_loads -= u64::from(open_before);
+            pool.open_loads += u64::from(digest.open_loads());
         }
         self.observe_models(index, digest, now_ms);
     }
@@ -314,7 +314,7 @@
         self.failed_servers.succeeded(&index);
         if let Some(pool) = self.pools.get_mut(&server.pool) {
             pool.homes.leave(index);
-            pool.wanted_loads -= u64::from(server.wanted_loads);
+            pool.open_loads -= u64::from(server.open_loads);
         }
     }
 
@@ -355,13 +355,13 @@
     fn score(&self, ask: &Ask<'_>, candidate: Candidate, server: &Server) -> f64 {
         match self.settings.strategy {
             Strategy::Product => {
-                let wanted = self.pools.get(ask.pool).map_or(0, |pool| pool.wanted_loads);
+                let open_loads = self.pools.get(ask.pool).map_or(0, |pool| pool.open_loads);
                 let prefix = self
                     .prefixes
                     .servers(ask.prompt_hash, ask.now_ms)
                     .find(|(known, _)| *known == candidate.server)
                     .map_or(0.0, |(_, confidence)| confidence);
-                score::delay_ms(&self.settings, ask, candidate, server, wanted, prefix)
+                score::delay_ms(&self.settings, ask, candidate, server, open_loads, prefix)
             }
             Strategy::LeastLoaded => f64::from(server.outstanding()),
             Strategy::Random { .. } | Strategy::Rendezvous => candidate.rank as f64,
--- a/core/src/placement/digest.rs
+++ b/core/src/placement/digest.rs
@@ -39,3 +39,11 @@
         pub run_ms: u32,
     }
 }
+
+impl ServerDigest {
+    /// Loads that have not ended, whether they wait or are under way.
+    pub fn open_loads(&self) -> u32 {
+        let loading = u32::try_from(self.loading.len()).unwrap_or(u32::MAX);
+        self.wanted_loads.saturating_add(loading)
+    }
+}
--- a/core/src/placement/score.rs
+++ b/core/src/placement/score.rs
@@ -41,7 +41,7 @@
     ask: &Ask<'_>,
     candidate: Candidate,
     server: &Server,
-    wanted_loads: u64,
+    open_loads: u64,
     prefix: f64,
 ) -> f64 {
     let zone_ms = if &*server.zone == ask.my_zone {
@@ -51,7 +51,7 @@
     };
     let load_ms = ask.model.map_or(0.0, |model| {
         let presence = server.presence(model);
-        load_ms(settings, ask, candidate, server, presence, wanted_loads)
+        load_ms(settings, ask, candidate, server, presence, open_loads)
     });
     wait_ms(settings, ask, server) + zone_ms + load_ms - prefix * settings.prefix_ms
 }
@@ -88,13 +88,13 @@
     candidate: Candidate,
     server: &Server,
     presence: Option<Presence>,
-    wanted_loads: u64,
+    open_loads: u64,
 ) -> f64 {
-    let queue_ms = wanted_loads as f64 * settings.load_interval_ms;
+    let queue_ms = open_loads as f64 * settings.load_interval_ms;
     let stall_ms = settings.load_ms + queue_ms;
     match presence {
         Some(Presence::Loaded) => return 0.0,
-        Some(Presence::Loading) => return settings.load_ms * LOAD_REST,
+        Some(Presence::Loading) => return stall_ms * LOAD_REST,
         Some(Presence::Expected { since_ms }) => {
             let age_ms = ask.now_ms.saturating_sub(since_ms);
             if age_ms < settings.expect_ms {
--- a/core/src/placement/servers.rs
+++ b/core/src/placement/servers.rs
@@ -29,7 +29,8 @@
     pub(super) seen: (u64, u64),
     /// Slots that are free or hold an adapter on which nothing runs.
     pub(super) open_slots: u32,
-    pub(super) wanted_loads: u32,
+    /// Loads that have not ended, by the last digest.
+    pub(super) open_loads: u32,
     pub(super) run_ms: u32,
     /// Adapters that this instance believes to be there. Invariant: the same pairs as in
     /// [`Residency`](super::residency::Residency).
@@ -51,7 +52,7 @@
             others: 0,
             seen: (0, 0),
             open_slots: spec.slots,
-            wanted_loads: 0,
+            open_loads: 0,
             run_ms: 0,
             models: Vec::new(),
             restarted_ms: None,
@@ -83,7 +84,7 @@
         let all = digest.waiting.saturating_add(digest.running);
         self.others = all.saturating_sub(self.own);
         self.open_slots = digest.open_slots;
-        self.wanted_loads = digest.wanted_loads;
+        self.open_loads = digest.open_loads();
         self.run_ms = digest.run_ms;
     }
 }
--- a/core/tests/placement.rs
+++ b/core/tests/placement.rs
@@ -126,6 +126,24 @@
     assert!((2..=4).contains(&used.len()), "{used:?}");
 }
 
+/// While the weight store is busy, a wait at the holder is shorter than a further load.
+#[test]
+fn loads_in_flight_hold_back_replicas() {
+    let chosen = |loads: u64| {
+        let mut placement = placement(18);
+        let mut busy = digest("s7", 1, &["a"]);
+        busy.running = 4;
+        busy.waiting = 1;
+        placement.observe(&busy, 0);
+        let mut loading = digest("s8", 1, &[]);
+        loading.loading = (1..=loads).collect();
+        placement.observe(&loading, 0);
+        choose(&mut placement, "a", 0).server
+    };
+    assert_ne!(&*chosen(0), "s7");
+    assert_eq!(&*chosen(8), "s7");
+}
+
 /// Requests that wait for one load go to the same server.
 #[test]
 fn load_under_way_is_shared() {
