--- a/daemon/src/instance.rs
+++ b/daemon/src/instance.rs
@@ -10,7 +10,7 @@
 use mimosabay_core::name::{InstanceId, Name};
 use mimosabay_core::retry::RetryBudget;
 use mimosabay_http::Client;
-use mimosabay_operator::Settings;
+use mimosabay_operator::{Settings, SloRecorder};
 use mimosabay_peer::{Envelope, Message, Peer, Secret};
 use mimosabay_platform::Platform;
 use tokio::sync::watch;
@@ -25,7 +25,8 @@
 /// Tables that all tasks share.
 ///
 /// Lock order: `config`, `membership`, `proof`, `owned`, the queue of one owned server, `peers`,
-/// `placing`, `retry_budget`. A task that holds one takes only later ones, and holds none over an await.
+/// `placing`, `retry_budget`, `slo`. A task that holds one takes only later ones, and holds none
+/// over an await.
 pub struct Tables {
     /// The configuration in force.
     pub config: RwLock<ConfigTable>,
@@ -41,6 +42,8 @@
     pub placing: Mutex<Placing>,
     /// Retries that may be made.
     pub retry_budget: Mutex<RetryBudget>,
+    /// Service-level counters that are not stored yet.
+    pub slo: Mutex<SloRecorder>,
 }
 
 /// One instance.
@@ -88,6 +91,7 @@
             peers: Mutex::default(),
             placing: Mutex::new(Placing::new(settings.policy.placement, id.incarnation)),
             retry_budget: Mutex::default(),
+            slo: Mutex::new(SloRecorder::new(id.incarnation)),
         };
         let instance = Self {
             id,
@@ -132,6 +136,11 @@
         visit(&mut self.tables.placing.lock().expect("placing lock"))
     }
 
+    /// Reads or adds to the service-level counters.
+    pub fn with_slo<T>(&self, visit: impl FnOnce(&mut SloRecorder) -> T) -> T {
+        visit(&mut self.tables.slo.lock().expect("service-level lock"))
+    }
+
     /// Whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::SeqCst)
