--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -14,6 +14,7 @@
 //! ```
 
 pub mod admission;
+pub mod backoff;
 pub mod bucket;
 pub mod budget;
 pub mod config;
@@ -25,6 +26,7 @@
 pub mod membership;
 pub mod name;
 pub mod ownership;
+pub mod placement;
 pub mod queue;
 pub mod rendezvous;
 pub mod request;
--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -11,6 +11,7 @@
 use crate::freshness::PeerFreshness;
 use crate::name::{InstanceId, Name};
 use crate::ownership::Candidate;
+use crate::placement::digest::ServerDigest;
 
 /// Peers that an instance watches by heartbeats of its own.
 pub const MAX_WATCHED: usize = 8;
@@ -49,6 +50,8 @@
         pub config_digest: u64,
         /// What it learned of others.
         pub rumours: Vec<Rumour>,
+        /// State of the backend servers that it owns.
+        pub digests: Vec<ServerDigest>,
     }
 
     /// What a peer says of an instance.
--- a/core/tests/membership.rs
+++ b/core/tests/membership.rs
@@ -86,6 +86,7 @@
             },
             config_digest: 0,
             rumours: member.take_rumours(),
+            digests: Vec::new(),
         }
     }
 
@@ -170,6 +171,7 @@
         },
         config_digest: 0,
         rumours: Vec::new(),
+        digests: Vec::new(),
     };
     site.members[0].heartbeat(&id(7), &beat, 10);
     assert!(
--- a/daemon/src/heartbeat.rs
+++ b/daemon/src/heartbeat.rs
@@ -12,6 +12,7 @@
 
 use crate::config_sync;
 use crate::instance::Instance;
+use crate::placing;
 
 /// Time between two reads of the platform's list.
 const LIST_PERIOD_MS: u64 = 1_000;
@@ -53,12 +54,14 @@
 pub fn heartbeat(instance: &Instance) -> Heartbeat {
     let freshness = instance.freshness();
     let config_digest = instance.with_config(ConfigTable::digest);
+    let digests = placing::digests(instance);
     instance.with_membership(|membership| Heartbeat {
         sender: membership.me(instance.is_stopping()),
         reaches_store: instance.reaches_store(),
         freshness,
         config_digest,
         rumours: membership.take_rumours(),
+        digests,
     })
 }
 
@@ -102,6 +105,7 @@
 ) {
     let now_ms = instance.now_ms();
     instance.with_membership(|membership| membership.heartbeat(from, heartbeat, now_ms));
+    placing::observe(instance, &heartbeat.digests);
     config_sync::heard(instance, address, heartbeat, asked_ms).await;
 }
 
--- a/daemon/src/inbound.rs
+++ b/daemon/src/inbound.rs
@@ -12,6 +12,7 @@
 use crate::heartbeat;
 use crate::instance::Instance;
 use crate::owner;
+use crate::placing;
 use crate::route;
 
 /// Answers one message.
@@ -57,6 +58,7 @@
 fn take_heartbeat(instance: &Arc<Instance>, from: &InstanceId, heartbeat: &Heartbeat) {
     let now_ms = instance.now_ms();
     instance.with_membership(|membership| membership.heartbeat(from, heartbeat, now_ms));
+    placing::observe(instance, &heartbeat.digests);
     if let Some(above_revision) = config_sync::missing_above(instance, heartbeat) {
         let instance = instance.clone();
         let address = heartbeat.sender.peer_address.clone();
--- a/daemon/src/instance.rs
+++ b/daemon/src/instance.rs
@@ -18,6 +18,7 @@
 use crate::clock::{Clock, new_incarnation};
 use crate::metrics::Metrics;
 use crate::owner::OwnedServer;
+use crate::placing::Placing;
 use crate::timer::Timer;
 use crate::workers::{Waiting, Workers};
 
@@ -27,7 +28,8 @@
 /// Tables that all tasks share.
 ///
 /// Lock order: `config`, `membership`, `proof`, `owned`, the queue of one owned server, `peers`,
-/// `retry_budget`, `slo`, `accepted_here`. A task that holds one takes only later ones, and holds none over an await.
+/// `placing`, `retry_budget`, `slo`, `accepted_here`. A task that holds one takes only later ones, and
+/// holds none over an await.
 pub struct Tables {
     /// The configuration in force.
     pub config: RwLock<ConfigTable>,
@@ -39,6 +41,8 @@
     pub owned: Mutex<HashMap<Name, Arc<OwnedServer>>>,
     /// Connections to other instances, by address.
     pub peers: Mutex<HashMap<Name, Peer>>,
+    /// What is known for the choice of backend servers.
+    pub placing: Mutex<Placing>,
     /// Retries that may be made.
     pub retry_budget: Mutex<RetryBudget>,
     /// Service-level counters that are not stored yet.
@@ -94,6 +98,7 @@
             proof: Mutex::new(FreshnessProof::new(settings.timing.config_stale_ms)),
             owned: Mutex::default(),
             peers: Mutex::default(),
+            placing: Mutex::new(Placing::new(settings.policy.placement, id.incarnation)),
             retry_budget: Mutex::default(),
             slo: Mutex::new(SloRecorder::new(id.incarnation)),
             accepted_here: Mutex::default(),
@@ -143,6 +148,11 @@
         visit(&mut self.tables.membership.lock().expect("membership lock"))
     }
 
+    /// Reads or changes what is known for the choice of backend servers.
+    pub fn with_placing<T>(&self, visit: impl FnOnce(&mut Placing) -> T) -> T {
+        visit(&mut self.tables.placing.lock().expect("placing lock"))
+    }
+
     /// Reads or adds to the service-level counters.
     pub fn with_slo<T>(&self, visit: impl FnOnce(&mut SloRecorder) -> T) -> T {
         visit(&mut self.tables.slo.lock().expect("service-level lock"))
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod orders;
 pub mod owner;
 pub mod pace;
+pub mod placing;
 pub mod rollout;
 pub mod route;
 pub mod run;
