--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod config;
 pub mod macros;
 pub mod name;
+pub mod once;
 pub mod queue;
 pub mod rendezvous;
 pub mod request;
--- /dev/null
+++ b/core/src/once/run.rs
@@ -0,0 +1,102 @@
+//! Runs of keyed requests at the instance that dispatches them.
+
+use std::collections::HashMap;
+
+use super::answer::RecordedAnswer;
+use super::entry::{Claimant, KeyId};
+use super::event::{Begin, Ticket};
+
+/// How far a run has come.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum RunState {
+    /// Its claim is being recorded.
+    Claiming,
+    /// Its claim is recorded; it may be dispatched until this monotonic time.
+    Permitted { until_ms: u64 },
+    /// It was dispatched.
+    Dispatched,
+    /// It has ended and its outcome is still to be recorded; `None` if nobody knows its answer.
+    Ended { answer: Option<RecordedAnswer> },
+}
+
+/// One run and those who wait for its answer.
+#[derive(Clone, Debug)]
+pub(super) struct Run {
+    /// The request that runs.
+    pub(super) first: Begin,
+    pub(super) claimant: Claimant,
+    /// When the claim was wanted, in milliseconds.
+    pub(super) began_ms: u64,
+    pub(super) state: RunState,
+    /// Requests with the same key that wait. Invariant: once the claim is recorded, all of them
+    /// ask for the same work.
+    pub(super) attached: Vec<Begin>,
+}
+
+/// Runs by key. Invariant: at most one run for each key.
+#[derive(Debug, Default)]
+pub(super) struct RunTable {
+    runs: HashMap<KeyId, Run>,
+    /// Invariant: holds exactly the tickets of `runs` that have not ended.
+    keys: HashMap<Ticket, KeyId>,
+}
+
+impl RunTable {
+    pub(super) fn insert(&mut self, key: KeyId, run: Run) {
+        self.keys.insert(run.first.ticket, key.clone());
+        self.runs.insert(key, run);
+    }
+
+    pub(super) fn by_key(&mut self, key: &KeyId) -> Option<&mut Run> {
+        self.runs.get_mut(key)
+    }
+
+    pub(super) fn key_of(&self, ticket: Ticket) -> Option<KeyId> {
+        self.keys.get(&ticket).cloned()
+    }
+
+    /// The run whose first request has this ticket.
+    pub(super) fn by_ticket(&mut self, ticket: Ticket) -> Option<&mut Run> {
+        let key = self.keys.get(&ticket)?;
+        self.runs.get_mut(key)
+    }
+
+    pub(super) fn key_of_claimant(&self, claimant: &Claimant) -> Option<KeyId> {
+        let mut runs = self.runs.iter();
+        let (key, _) = runs.find(|(_, run)| run.claimant == *claimant)?;
+        Some(key.clone())
+    }
+
+    /// Marks a run as ended and returns who waits for its answer.
+    pub(super) fn end(&mut self, ticket: Ticket, answer: Option<RecordedAnswer>) -> Vec<Begin> {
+        let Some(run) = self.by_ticket(ticket) else {
+            return Vec::new();
+        };
+        run.state = RunState::Ended { answer };
+        let attached = std::mem::take(&mut run.attached);
+        self.keys.remove(&ticket);
+        attached
+    }
+
+    pub(super) fn remove(&mut self, key: &KeyId) -> Option<Run> {
+        let run = self.runs.remove(key)?;
+        self.keys.remove(&run.first.ticket);
+        Some(run)
+    }
+
+    /// Removes a waiting repeat; returns whether it was one.
+    pub(super) fn detach(&mut self, ticket: Ticket) -> bool {
+        for run in self.runs.values_mut() {
+            let before = run.attached.len();
+            run.attached.retain(|other| other.ticket != ticket);
+            if run.attached.len() < before {
+                return true;
+            }
+        }
+        false
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = (&KeyId, &Run)> {
+        self.runs.iter()
+    }
+}
--- /dev/null
+++ b/core/src/once/verdict.rs
@@ -0,0 +1,52 @@
+//! Answers to requests that do not run themselves.
+
+use crate::request::{Code, Ran, Refusal};
+
+use super::RETRY_AFTER_MS;
+use super::answer::RecordedAnswer;
+use super::entry::{Entry, Outcome};
+
+/// The answer to a request that does not run itself.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// The answer of the run with the same key.
+    Recorded(RecordedAnswer),
+    /// Why there is no answer, and whether the work may have run.
+    Refused(Refusal),
+}
+
+/// What a request with the key of `entry` is told.
+pub(super) fn verdict_of(entry: &Entry, fingerprint: u64) -> Verdict {
+    if entry.fingerprint != fingerprint {
+        return Verdict::Refused(key_reused());
+    }
+    match &entry.outcome {
+        Some(Outcome::Finished {
+            answer: Some(answer),
+        }) => Verdict::Recorded(answer.clone()),
+        Some(Outcome::Finished { answer: None }) => Verdict::Refused(Refusal {
+            ran: Ran::Yes,
+            ..Refusal::in_doubt(Code::InDoubt, "it ran; the answer was too large to record")
+        }),
+        Some(Outcome::Unknown) => Verdict::Refused(outcome_lost()),
+        None => Verdict::Refused(
+            Refusal::in_doubt(Code::InDoubt, "a request with this key was dispatched")
+                .retry_after_ms(RETRY_AFTER_MS),
+        ),
+    }
+}
+
+pub(super) fn key_reused() -> Refusal {
+    Refusal::not_run(
+        Code::KeyReused,
+        "the idempotency key was used with another body",
+    )
+}
+
+pub(super) fn outcome_lost() -> Refusal {
+    Refusal::in_doubt(Code::InDoubt, "it was dispatched and its answer is lost")
+}
+
+pub(super) fn store_unavailable(message: &'static str) -> Refusal {
+    Refusal::not_run(Code::StoreUnavailable, message).retry_after_ms(RETRY_AFTER_MS)
+}
--- /dev/null
+++ b/core/tests/once/store.rs
@@ -0,0 +1,81 @@
+//! A model of the store: versions, conditional writes, and calls that land late.
+
+use std::collections::BTreeMap;
+
+use mimosabay_core::name::Name;
+use mimosabay_core::once::{Archive, Entry, Head, StoreCall, StoreFailure};
+
+/// The answer that a call gets once it has reached the store.
+#[derive(Clone, Debug)]
+pub(crate) enum StoreAnswer {
+    Head(Option<(u64, Head)>),
+    Archive(Option<Archive>),
+    Written(Result<u64, StoreFailure>),
+}
+
+#[derive(Default)]
+pub(crate) struct Store {
+    revision: u64,
+    pub(crate) heads: BTreeMap<u32, (u64, Head)>,
+    pub(crate) archives: BTreeMap<Name, Archive>,
+    pub(crate) conflicts: u64,
+    pub(crate) writes: u64,
+}
+
+impl Store {
+    pub(crate) fn apply(&mut self, shard: u32, call: &StoreCall) -> StoreAnswer {
+        match call {
+            StoreCall::ReadHead => StoreAnswer::Head(self.heads.get(&shard).cloned()),
+            StoreCall::ReadArchive { name } => {
+                StoreAnswer::Archive(self.archives.get(name).cloned())
+            }
+            StoreCall::WriteHead { base, head } => {
+                StoreAnswer::Written(self.write_head(shard, *base, head))
+            }
+            StoreCall::WriteArchive { name, archive } => {
+                self.revision += 1;
+                let old = self.archives.insert(name.clone(), archive.clone());
+                assert!(old.is_none(), "archive {name} written twice");
+                StoreAnswer::Written(Ok(self.revision))
+            }
+        }
+    }
+
+    pub(crate) fn delete_archive(&mut self, name: &Name) {
+        for (_, head) in self.heads.values() {
+            let referred = head.archives.iter().any(|archive| archive.name == *name);
+            assert!(!referred, "archive {name} is in force");
+        }
+        self.archives.remove(name);
+    }
+
+    /// All entries in force.
+    pub(crate) fn entries(&self) -> Vec<Entry> {
+        let mut entries = Vec::new();
+        for (_, head) in self.heads.values() {
+            for archive in &head.archives {
+                let archive = &self.archives[&archive.name];
+                entries.extend(archive.entries.iter().cloned());
+            }
+            entries.extend(head.entries.iter().cloned());
+        }
+        entries
+    }
+
+    fn write_head(
+        &mut self,
+        shard: u32,
+        base: Option<u64>,
+        head: &Head,
+    ) -> Result<u64, StoreFailure> {
+        let version = self.heads.get(&shard).map(|(version, _)| *version);
+        if version != base {
+            self.conflicts += 1;
+            return Err(StoreFailure::Conflict);
+        }
+        self.writes += 1;
+        self.revision += 1;
+        self.heads.insert(shard, (self.revision, head.clone()));
+        Ok(self.revision)
+    }
+}
