--- /dev/null
+++ b/daemon/src/instance.rs
@@ -0,0 +1,215 @@
+//! One instance: its identity, its shared tables and its links to the outside.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, RwLock};
+
+use mimosabay_core::config::ConfigTable;
+use mimosabay_core::freshness::{Freshness, FreshnessProof, PeerFreshness};
+use mimosabay_core::membership::{Listed, Membership, MembershipSettings};
+use mimosabay_core::name::{InstanceId, Name};
+use mimosabay_core::retry::RetryBudget;
+use mimosabay_http::Client;
+use mimosabay_operator::Settings;
+use mimosabay_peer::{Envelope, Message, Peer, Secret};
+use mimosabay_platform::Platform;
+use tokio::sync::watch;
+
+use crate::clock::{Clock, new_incarnation};
+use crate::metrics::Metrics;
+use crate::owner::OwnedServer;
+use crate::timer::Timer;
+use crate::workers::{Waiting, Workers};
+
+/// Tables that all tasks share.
+///
+/// Lock order: `config`, `membership`, `proof`, `owned`, the queue of one owned server, `peers`,
+/// `retry_budget`. A task that holds one takes only later ones, and holds none over an await.
+pub struct Tables {
+    /// The configuration in force.
+    pub config: RwLock<ConfigTable>,
+    /// What is known of the other instances.
+    pub membership: Mutex<Membership>,
+    /// Proofs that the configuration is fresh.
+    pub proof: Mutex<FreshnessProof>,
+    /// Backend servers that this instance dispatches to.
+    pub owned: Mutex<HashMap<Name, Arc<OwnedServer>>>,
+    /// Connections to other instances, by address.
+    pub peers: Mutex<HashMap<Name, Peer>>,
+    /// Retries that may be made.
+    pub retry_budget: Mutex<RetryBudget>,
+}
+
+/// One instance.
+pub struct Instance {
+    /// This process.
+    pub id: InstanceId,
+    /// The settings it was started with.
+    pub settings: Settings,
+    /// Its clock.
+    pub clock: Clock,
+    /// Its timer service.
+    pub timer: Timer,
+    /// Tables that all tasks share.
+    pub tables: Tables,
+    /// The platform.
+    pub platform: Platform,
+    /// Connections to backend servers.
+    pub http: Client,
+    /// Workers for orders to backend servers.
+    pub workers: Workers,
+    /// Counters and times.
+    pub metrics: Metrics,
+    /// Configuration revision, for those who wait for a change.
+    pub config_changed: watch::Sender<u64>,
+    /// Whether a planned stop has begun.
+    pub stopping: AtomicBool,
+    /// Requests that this instance answers or runs.
+    pub open_requests: watch::Sender<u64>,
+    secret: Secret,
+}
+
+impl Instance {
+    /// Builds an instance; nothing runs yet.
+    pub fn new(settings: Settings, clock: Clock, timer: Timer) -> (Arc<Self>, Waiting) {
+        let (workers, waiting) = Workers::new();
+        let membership_settings = MembershipSettings {
+            peer_timeout_ms: settings.timing.peer_timeout_ms,
+        };
+        let tables = Tables {
+            config: RwLock::default(),
+            membership: Mutex::new(Membership::new(listed(&settings), membership_settings)),
+            proof: Mutex::new(FreshnessProof::new(settings.timing.config_stale_ms)),
+            owned: Mutex::default(),
+            peers: Mutex::default(),
+            retry_budget: Mutex::default(),
+        };
+        let instance = Self {
+            id: InstanceId::new(settings.instance.name.clone(), new_incarnation()),
+            clock,
+            timer,
+            tables,
+            platform: Platform::new(&settings.platform.address.to_string()),
+            http: Client::new(),
+            workers,
+            metrics: Metrics::new(&settings.metrics),
+            config_changed: watch::Sender::new(0),
+            stopping: AtomicBool::new(false),
+            open_requests: watch::Sender::new(0),
+            secret: Secret::new(settings.peers.secret.reveal()),
+            settings,
+        };
+        (Arc::new(instance), waiting)
+    }
+
+    /// Milliseconds since the start of this process.
+    pub fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
+    /// The secret that peers prove to know.
+    pub fn secret(&self) -> Secret {
+        self.secret.clone()
+    }
+
+    /// Reads the configuration.
+    pub fn with_config<T>(&self, read: impl FnOnce(&ConfigTable) -> T) -> T {
+        read(&self.tables.config.read().expect("config lock"))
+    }
+
+    /// Reads or changes what is known of the other instances.
+    pub fn with_membership<T>(&self, visit: impl FnOnce(&mut Membership) -> T) -> T {
+        visit(&mut self.tables.membership.lock().expect("membership lock"))
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
+    }
+
+    /// Reads or adds to the proofs that the configuration is fresh.
+    pub fn with_proof<T>(&self, visit: impl FnOnce(&mut FreshnessProof) -> T) -> T {
+        visit(&mut self.tables.proof.lock().expect("freshness lock"))
+    }
+
+    /// Whether the configuration is fresh enough to admit requests by it.
+    pub fn is_fresh(&self) -> bool {
+        let hears_majority = self.with_membership(|membership| membership.hears_majority());
+        let state = self.with_proof(|proof| proof.state(self.now_ms(), hears_majority));
+        matches!(state, Freshness::Fresh | Freshness::StoreAway)
+    }
+
+    /// How fresh the configuration is, to be told to peers.
+    pub fn freshness(&self) -> PeerFreshness {
+        let revision = self.with_config(ConfigTable::revision);
+        let age_ms = self.with_proof(|proof| proof.age_ms(self.now_ms()));
+        PeerFreshness { revision, age_ms }
+    }
+
+    /// The backend servers that this instance dispatches to.
+    pub fn owned_servers(&self) -> Vec<Arc<OwnedServer>> {
+        self.tables
+            .owned
+            .lock()
+            .expect("owned lock")
+            .values()
+            .cloned()
+            .collect()
+    }
+
+    /// Removes a backend server that another instance owns now.
+    pub fn forget_owned(&self, server: &Arc<OwnedServer>) {
+        let mut owned = self.tables.owned.lock().expect("owned lock");
+        if owned
+            .get(&server.name)
+            .is_some_and(|known| Arc::ptr_eq(known, server))
+        {
+            owned.remove(&server.name);
+        }
+    }
+
+    /// The connection to the instance at `address`.
+    pub fn peer(&self, address: &Name) -> Peer {
+        let mut peers = self.tables.peers.lock().expect("peers lock");
+        peers
+            .entry(address.clone())
+            .or_insert_with(|| Peer::new(&**address, self.secret()))
+            .clone()
+    }
+
+    /// Puts this process's name on a message.
+    pub fn envelope(&self, message: Message) -> Envelope {
+        Envelope {
+            from: self.id.clone(),
+            message,
+        }
+    }
+
+    /// Counts a request as open until the returned value is dropped.
+    pub fn open_request(self: &Arc<Self>) -> OpenRequest {
+        self.open_requests.send_modify(|open| *open += 1);
+        OpenRequest {
+            instance: self.clone(),
+        }
+    }
+}
+
+/// A request that is counted as open.
+pub struct OpenRequest {
+    instance: Arc<Instance>,
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.instance.open_requests.send_modify(|open| *open -= 1);
+    }
+}
+
+fn listed(settings: &Settings) -> Listed {
+    Listed {
+        name: settings.instance.name.clone(),
+        peer_address: settings.instance.peer_address.to_string().into(),
+        zone: settings.instance.zone.clone(),
+        leaving: false,
+    }
+}
--- a/peer/src/message.rs
+++ b/peer/src/message.rs
@@ -1,6 +1,7 @@
 //! Messages between instances.
 
 use mimosabay_core::config::Accepted;
+use mimosabay_core::membership::Heartbeat;
 use mimosabay_core::name::{InstanceId, Name};
 use mimosabay_core::request::{Request, RunEvent};
 
@@ -24,12 +25,9 @@
             request: Box<Request>,
         },
         /// I am alive. Answered by [`Reply::Heartbeat`].
-        Heartbeat {
-            /// Largest configuration revision of the sender.
-            config_revision: u64,
-            /// Whether the sender is about to stop.
-            leaving: bool,
-        },
+        Heartbeat(Heartbeat),
+        /// I am about to end. Answered by [`Reply::Done`].
+        Goodbye,
         /// Send the configuration above a revision. Answered by [`Reply::Config`].
         PullConfig {
             /// The revision.
@@ -45,10 +43,8 @@
         Heartbeat {
             /// The answering process.
             from: InstanceId,
-            /// Its largest configuration revision.
-            config_revision: u64,
-            /// Whether it is about to stop.
-            leaving: bool,
+            /// What it knows.
+            heartbeat: Heartbeat,
         },
         /// Entries of the configuration.
         Config(Vec<Accepted>),
