--- a/core/src/once/journal.rs
+++ b/core/src/once/journal.rs
@@ -55,6 +55,11 @@
         self.clock.observe(unix_ms, sent_ms, now_ms);
     }
 
+    /// Whether the store's time is known.
+    pub fn knows_time(&self) -> bool {
+        self.clock.unix_ms(0).is_some()
+    }
+
     /// A request wants to be dispatched. It ends in [`Action::Permit`] or [`Action::Answer`].
     pub fn begin(&mut self, begin: Begin, now_ms: u64) -> Vec<Action> {
         if begin.key.key.len() > MAX_KEY_BYTES {
--- a/core/src/once/mod.rs
+++ b/core/src/once/mod.rs
@@ -32,7 +32,7 @@
 pub use head::{Archive, ArchiveRef, Head};
 pub use journal::Journal;
 pub use store_call::{StoreCall, StoreFailure};
-pub use verdict::Verdict;
+pub use verdict::{Verdict, running_elsewhere};
 
 /// Number of shards. Every instance uses the same number for as long as the store keeps entries.
 pub const SHARDS: u32 = 64;
--- a/core/src/once/verdict.rs
+++ b/core/src/once/verdict.rs
@@ -1,5 +1,6 @@
 //! Answers to requests that do not run themselves.
 
+use crate::name::InstanceId;
 use crate::request::{Code, Ran, Refusal};
 
 use super::RETRY_AFTER_MS;
@@ -13,6 +14,14 @@
     Recorded(RecordedAnswer),
     /// Why there is no answer, and whether the work may have run.
     Refused(Refusal),
+    /// Another process may be running the work, and it may be over soon.
+    Running(InstanceId),
+}
+
+/// The refusal of a request whose work may be running elsewhere.
+pub fn running_elsewhere() -> Refusal {
+    Refusal::in_doubt(Code::InDoubt, "a request with this key was dispatched")
+        .retry_after_ms(RETRY_AFTER_MS)
 }
 
 /// What a request with the key of `entry` is told.
@@ -29,10 +38,7 @@
             ..Refusal::in_doubt(Code::InDoubt, "it ran; the answer was too large to record")
         }),
         Some(Outcome::Unknown) => Verdict::Refused(outcome_lost()),
-        None => Verdict::Refused(
-            Refusal::in_doubt(Code::InDoubt, "a request with this key was dispatched")
-                .retry_after_ms(RETRY_AFTER_MS),
-        ),
+        None => Verdict::Running(entry.claimant.dispatcher.clone()),
     }
 }
 
--- a/core/src/retry.rs
+++ b/core/src/retry.rs
@@ -57,10 +57,13 @@
 
 /// Decides after attempt number `attempt` (from 1) ended in `refusal`.
 ///
-/// A request that may have run is tried again only if it is idempotent. One that has not run is
-/// tried again unless another attempt would end alike.
+/// A request that may have run is tried again only if it is idempotent, or if it has an idempotency
+/// key and the instance that dispatched it failed. One that has not run is tried again unless
+/// another attempt would end alike.
 pub fn decide(repeat: Repeat, refusal: Refusal, attempt: u32, budget: &mut RetryBudget) -> Next {
-    let may_repeat = refusal.ran == Ran::No || repeat == Repeat::Idempotent;
+    // The journal tells whether the work of a key ran, so asking again cannot run it twice.
+    let asks_journal = repeat == Repeat::Keyed && refusal.code == Code::InstanceFailed;
+    let may_repeat = refusal.ran == Ran::No || repeat == Repeat::Idempotent || asks_journal;
     if may_repeat && attempt < MAX_ATTEMPTS && is_transient(refusal.code) && budget.take() {
         return Next::Retry;
     }
--- a/daemon/src/inbound.rs
+++ b/daemon/src/inbound.rs
@@ -67,7 +67,7 @@
 }
 
 async fn run(instance: Arc<Instance>, server: Name, request: Request, mut responder: Responder) {
-    if !route::is_owner(&instance, &server) {
+    if !route::takes(&instance, &server, &request.work) {
         let refusal = Refusal::not_run(Code::NotOwner, "another instance owns the server");
         let event = RunEvent::Refused { refusal };
         // The sender finds the owner itself; if it is gone there is nobody to tell.
--- a/daemon/src/instance.rs
+++ b/daemon/src/instance.rs
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 
 use crate::clock::{Clock, new_incarnation};
+use crate::journal::KeyedRuns;
 use crate::metrics::Metrics;
 use crate::owner::OwnedServer;
 use crate::timer::Timer;
@@ -52,6 +53,8 @@
     pub timer: Timer,
     /// Tables that all tasks share.
     pub tables: Tables,
+    /// Runs of requests with an idempotency key. Its lock is taken alone.
+    pub keyed: KeyedRuns,
     /// The platform.
     pub platform: Platform,
     /// Connections to backend servers.
@@ -84,8 +87,10 @@
             peers: Mutex::default(),
             retry_budget: Mutex::default(),
         };
+        let id = InstanceId::new(settings.instance.name.clone(), new_incarnation());
         let instance = Self {
-            id: InstanceId::new(settings.instance.name.clone(), new_incarnation()),
+            keyed: KeyedRuns::new(id.clone()),
+            id,
             clock,
             timer,
             tables,
--- /dev/null
+++ b/daemon/src/journal.rs
@@ -0,0 +1,429 @@
+//! Keyed requests: the journal in the store, and the runs that it permits.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use mimosabay_core::membership::Member;
+use mimosabay_core::name::{InstanceId, Name};
+use mimosabay_core::once::{
+    Action, Begin, Dispatch, Journal, KeyId, Settings, StoreCall, StoreFailure, Ticket, Verdict,
+    running_elsewhere,
+};
+use mimosabay_core::request::{Code, Refusal, Request, RunEvent, Usage};
+use mimosabay_platform::{Category, Error, Platform, Precondition};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::sleep;
+use tracing::{debug, warn};
+
+use crate::instance::Instance;
+use crate::recording::Recording;
+
+/// Kind of the journal's objects in the store.
+const KIND: &str = "journal";
+/// Time between two readings of the store's time.
+const CLOCK_PERIOD_MS: u64 = 30_000;
+/// Time until a key that another instance holds is looked up again; it doubles each time.
+const FIRST_PAUSE_MS: u64 = 100;
+/// Longest time until such a key is looked up again.
+const MAX_PAUSE_MS: u64 = 1_000;
+/// Time between two ticks of the journal.
+const TICK_PERIOD_MS: u64 = 20;
+
+/// The journal of one instance and those who wait for it.
+pub struct KeyedRuns {
+    /// Taken alone, never over an await.
+    state: Mutex<State>,
+}
+
+struct State {
+    journal: Journal,
+    waiting: HashMap<Ticket, oneshot::Sender<Answer>>,
+    last_ticket: Ticket,
+}
+
+/// What the journal says to a request.
+enum Answer {
+    /// It may run, after one more check.
+    Permit,
+    /// It is answered without a run.
+    Verdict(Verdict),
+}
+
+/// A request that the journal knows. Dropping it gives the request up.
+struct Open {
+    instance: Arc<Instance>,
+    ticket: Ticket,
+    ended: bool,
+}
+
+impl KeyedRuns {
+    /// Builds the journal of a process.
+    pub fn new(instance: InstanceId) -> Self {
+        let state = State {
+            journal: Journal::new(instance, Settings::default()),
+            waiting: HashMap::new(),
+            last_ticket: 0,
+        };
+        Self {
+            state: Mutex::new(state),
+        }
+    }
+
+    /// Whether every run has ended and is recorded.
+    pub fn is_settled(&self) -> bool {
+        self.with(|state| state.journal.is_settled())
+    }
+
+    fn with<T>(&self, visit: impl FnOnce(&mut State) -> T) -> T {
+        visit(&mut self.state.lock().expect("journal lock"))
+    }
+}
+
+/// Runs a request with an idempotency key at most once: `dispatch` is called if the journal has
+/// recorded that this attempt may run, and otherwise the request gets the answer of its key.
+///
+/// # Errors
+///
+/// A refusal that says whether the work may have run.
+pub async fn run(
+    instance: &Arc<Instance>,
+    request: &Request,
+    deadline_ms: u64,
+    sender: &mpsc::Sender<RunEvent>,
+    dispatch: impl AsyncFnOnce(mpsc::Sender<RunEvent>) -> Result<Usage, Refusal>,
+) -> Result<Usage, Refusal> {
+    let Some(key) = &request.idempotency_key else {
+        let refusal = Refusal::not_run(Code::BadRequest, "no idempotency key");
+        return Err(refusal);
+    };
+    let key = KeyId::new(request.organisation.clone(), key.clone());
+    let mut open = match permit(instance, request, &key, deadline_ms).await {
+        Ok(open) => open,
+        Err(verdict) => return give(verdict, sender).await,
+    };
+    if let Some(verdict) = open.check_dispatch() {
+        return give(verdict, sender).await;
+    }
+    let (recording, tee) = Recording::start(sender.clone());
+    let ended = dispatch(tee).await;
+    let recorded = recording.finish(&request.work).await;
+    open.end(&ended, recorded);
+    ended
+}
+
+/// Ticks the journal until the process ends.
+pub async fn run_ticks(instance: Arc<Instance>) {
+    let mut ticks = instance.timer.subscribe(TICK_PERIOD_MS);
+    while ticks.recv().await.is_some() {
+        let now_ms = instance.now_ms();
+        visit(&instance, |journal| {
+            let due = journal.wake_ms().is_some_and(|wake_ms| wake_ms <= now_ms);
+            if due {
+                journal.tick(now_ms)
+            } else {
+                Vec::new()
+            }
+        });
+    }
+}
+
+/// Returns once the outcomes of all keyed runs are recorded.
+pub async fn settled(instance: &Arc<Instance>) {
+    let mut ticks = instance.timer.subscribe(TICK_PERIOD_MS);
+    while !instance.keyed.is_settled() {
+        if ticks.recv().await.is_none() {
+            return;
+        }
+    }
+}
+
+/// Follows the store's time until the process ends.
+pub async fn run_clock(instance: Arc<Instance>) {
+    let mut ticks = instance.timer.subscribe(CLOCK_PERIOD_MS);
+    loop {
+        observe_clock(&instance).await;
+        if ticks.recv().await.is_none() {
+            return;
+        }
+    }
+}
+
+/// Waits for the permission to dispatch. While another instance may be running the work, it is
+/// asked again, as long as that instance lives.
+async fn permit(
+    instance: &Arc<Instance>,
+    request: &Request,
+    key: &KeyId,
+    deadline_ms: u64,
+) -> Result<Open, Verdict> {
+    let mut pause_ms = FIRST_PAUSE_MS;
+    loop {
+        let (mut open, answer) = begin(instance, request, key.clone(), deadline_ms);
+        // The sender is only dropped unused when the process ends.
+        let verdict = match answer.await.unwrap_or_else(|_| Answer::stopped()) {
+            Answer::Permit => return Ok(open),
+            Answer::Verdict(verdict) => verdict,
+        };
+        open.ended = true;
+        let Verdict::Running(dispatcher) = &verdict else {
+            return Err(verdict);
+        };
+        let in_time = instance.now_ms() + pause_ms < deadline_ms;
+        if !in_time || !may_live(instance, dispatcher) {
+            return Err(verdict);
+        }
+        sleep(Duration::from_millis(pause_ms)).await;
+        pause_ms = (pause_ms * 2).min(MAX_PAUSE_MS);
+    }
+}
+
+fn may_live(instance: &Instance, process: &InstanceId) -> bool {
+    instance.with_membership(|membership| {
+        let same = |member: &Member| {
+            let incarnation = member.incarnation;
+            let heard = incarnation == process.incarnation || incarnation == 0;
+            member.listed.name == process.name && heard
+        };
+        membership.live().any(same)
+    })
+}
+
+fn begin(
+    instance: &Arc<Instance>,
+    request: &Request,
+    key: KeyId,
+    deadline_ms: u64,
+) -> (Open, oneshot::Receiver<Answer>) {
+    let (sender, answer) = oneshot::channel();
+    let ticket = instance.keyed.with(|state| {
+        state.last_ticket += 1;
+        state.waiting.insert(state.last_ticket, sender);
+        state.last_ticket
+    });
+    let begin = Begin {
+        ticket,
+        key,
+        fingerprint: request.fingerprint,
+        request: request.id.clone(),
+        deadline_ms,
+    };
+    let now_ms = instance.now_ms();
+    visit(instance, |journal| journal.begin(begin, now_ms));
+    let open = Open {
+        instance: instance.clone(),
+        ticket,
+        ended: false,
+    };
+    (open, answer)
+}
+
+impl Open {
+    /// The last check before sending; a verdict means that nothing may be sent.
+    fn check_dispatch(&mut self) -> Option<Verdict> {
+        let (ticket, now_ms) = (self.ticket, self.instance.now_ms());
+        let dispatch = self
+            .instance
+            .keyed
+            .with(|state| state.journal.dispatch(ticket, now_ms));
+        let Dispatch::Stop(actions) = dispatch else {
+            return None;
+        };
+        self.ended = true;
+        visit(&self.instance, |_| actions);
+        let refusal = Refusal::not_run(Code::Timeout, "too late to dispatch");
+        Some(Verdict::Refused(refusal))
+    }
+
+    fn end(mut self, ended: &Result<Usage, Refusal>, recorded: crate::recording::Recorded) {
+        self.ended = true;
+        let end = recorded.into_end(ended);
+        let (ticket, now_ms) = (self.ticket, self.instance.now_ms());
+        visit(&self.instance, |journal| journal.ended(ticket, end, now_ms));
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        let (ticket, now_ms) = (self.ticket, self.instance.now_ms());
+        self.instance
+            .keyed
+            .with(|state| state.waiting.remove(&ticket));
+        visit(&self.instance, |journal| {
+            let mut actions = journal.cancel(ticket, now_ms);
+            // Has no effect unless it was dispatched.
+            actions.extend(journal.ended(ticket, mimosabay_core::once::End::Unknown, now_ms));
+            actions
+        });
+    }
+}
+
+impl Answer {
+    fn stopped() -> Self {
+        let refusal = Refusal::not_run(Code::InstanceFailed, "the instance stops");
+        Answer::Verdict(Verdict::Refused(refusal))
+    }
+}
+
+/// Hands the answer of another run on.
+async fn give(verdict: Verdict, sender: &mpsc::Sender<RunEvent>) -> Result<Usage, Refusal> {
+    let answer = match verdict {
+        Verdict::Refused(refusal) => return Err(refusal),
+        Verdict::Running(_) => return Err(running_elsewhere()),
+        Verdict::Recorded(answer) => answer,
+    };
+    let mut used = Usage::default();
+    for event in answer.to_events() {
+        if let RunEvent::Finished { usage } = event {
+            used = usage;
+            continue;
+        }
+        // A reader that left is noticed by its own side.
+        let _ = sender.send(event).await;
+    }
+    Ok(used)
+}
+
+/// Changes the journal and carries out what follows from it.
+fn visit(instance: &Arc<Instance>, change: impl FnOnce(&mut Journal) -> Vec<Action>) {
+    instance.keyed.with(|state| {
+        for action in change(&mut state.journal) {
+            match action {
+                Action::Store { shard, call } => {
+                    tokio::spawn(call_store(instance.clone(), shard, call));
+                }
+                Action::DeleteArchive(archive) => {
+                    let instance = instance.clone();
+                    tokio::spawn(async move {
+                        let platform = &instance.platform;
+                        let deleted = platform.delete(KIND, &archive.name, archive.version).await;
+                        if let Err(cause) = deleted {
+                            debug!(archive = %archive.name, %cause, "archive not deleted");
+                        }
+                    });
+                }
+                Action::Permit { ticket } => state.tell(ticket, Answer::Permit),
+                Action::Answer { ticket, verdict } => {
+                    state.tell(ticket, Answer::Verdict(verdict));
+                }
+            }
+        }
+    });
+}
+
+impl State {
+    fn tell(&mut self, ticket: Ticket, answer: Answer) {
+        if let Some(waiting) = self.waiting.remove(&ticket) {
+            // A request that stopped waiting gives itself up when its `Open` is dropped.
+            let _ = waiting.send(answer);
+        }
+    }
+}
+
+async fn call_store(instance: Arc<Instance>, shard: u32, call: StoreCall) {
+    let platform = &instance.platform;
+    let head_name = format!("head-{shard}");
+    match call {
+        StoreCall::ReadHead => {
+            if !instance.keyed.with(|state| state.journal.knows_time()) {
+                observe_clock(&instance).await;
+            }
+            let found = read(platform, &head_name).await;
+            let now_ms = instance.now_ms();
+            visit(&instance, |journal| journal.head_read(shard, found, now_ms));
+        }
+        StoreCall::ReadArchive { name } => {
+            let found = read(platform, &name).await;
+            let found = found.map(|found| found.map(|(_, archive)| archive));
+            let now_ms = instance.now_ms();
+            visit(&instance, |journal| {
+                journal.archive_read(shard, found, now_ms)
+            });
+        }
+        StoreCall::WriteHead { base, head } => {
+            instance.metrics.count("journal.write");
+            let precondition = base.map_or(Precondition::Absent, Precondition::Version);
+            let written = write(platform, &head_name, &head, precondition).await;
+            if written == Err(StoreFailure::Conflict) {
+                instance.metrics.count("journal.conflict");
+            }
+            let now_ms = instance.now_ms();
+            visit(&instance, |journal| {
+                journal.head_written(shard, written, now_ms)
+            });
+        }
+        StoreCall::WriteArchive { name, archive } => {
+            let written = write(platform, &name, &archive, Precondition::Absent).await;
+            let now_ms = instance.now_ms();
+            visit(&instance, |journal| {
+                journal.archive_written(shard, written, now_ms)
+            });
+        }
+    }
+}
+
+async fn observe_clock(instance: &Arc<Instance>) {
+    let sent_ms = instance.now_ms();
+    match instance.platform.unix_ms().await {
+        Ok(unix_ms) => {
+            let now_ms = instance.now_ms();
+            instance
+                .keyed
+                .with(|state| state.journal.observe_clock(unix_ms, sent_ms, now_ms));
+        }
+        Err(cause) => debug!(%cause, "the store's time is not known"),
+    }
+}
+
+async fn read<T: DeserializeOwned>(
+    platform: &Platform,
+    name: &str,
+) -> Result<Option<(u64, T)>, StoreFailure> {
+    match platform.get(KIND, name).await {
+        Ok(object) => {
+            let value = T::deserialize(object.value).map_err(|cause| {
+                warn!(name, %cause, "cannot read an object of the journal");
+                StoreFailure::Unavailable
+            })?;
+            Ok(Some((object.version, value)))
+        }
+        Err(cause) if cause.classify() == Category::NotFound => Ok(None),
+        Err(cause) => Err(failure(&cause)),
+    }
+}
+
+async fn write(
+    platform: &Platform,
+    name: &str,
+    value: &impl Serialize,
+    precondition: Precondition,
+) -> Result<u64, StoreFailure> {
+    let value = serde_json::to_value(value).map_err(|cause| {
+        warn!(name, %cause, "cannot write an object of the journal");
+        StoreFailure::Unavailable
+    })?;
+    let written = platform.put(KIND, name, &value, precondition).await;
+    let object = written.map_err(|cause| failure(&cause))?;
+    Ok(object.version)
+}
+
+fn failure(cause: &Error) -> StoreFailure {
+    match cause.classify() {
+        // An object that is gone has no longer the version that the write needs.
+        Category::Conflict | Category::NotFound => StoreFailure::Conflict,
+        Category::Unavailable | Category::TooLarge | Category::Gone => StoreFailure::Unavailable,
+        Category::Unknown | Category::Protocol => StoreFailure::Unknown,
+    }
+}
+
+/// Name of the instance that should record the keys of a shard, so that writes rarely conflict.
+pub fn home_item(request: &Request) -> Option<Name> {
+    let key = request.idempotency_key.as_ref()?;
+    let key = KeyId::new(request.organisation.clone(), key.clone());
+    Some(format!("journal-{}", key.shard()).into())
+}
--- a/daemon/src/owner.rs
+++ b/daemon/src/owner.rs
@@ -20,6 +20,7 @@
 
 use crate::dispatch;
 use crate::instance::Instance;
+use crate::journal;
 use crate::monitor;
 use crate::orders;
 use crate::takeover;
@@ -481,7 +482,10 @@
             let owned = owned_server(instance, server)?;
             takeover::claim(instance, &owned).await?;
             let mut turn = owned.turn(instance, request, model, deadline_ms).await?;
-            let dispatched = dispatch_turn(instance, request, &turn, deadline_ms, sender).await;
+            let dispatched = once(instance, request, deadline_ms, sender, async |sender| {
+                dispatch_turn(instance, request, &turn, deadline_ms, &sender).await
+            })
+            .await;
             if dispatched
                 .as_ref()
                 .is_err_and(|refusal| refusal.code == Code::LoadFailed)
@@ -492,12 +496,29 @@
             dispatched
         }
         Work::Plain { .. } => {
-            check_still_wanted(instance, request, deadline_ms)?;
-            dispatch::plain(instance, server, request, deadline_ms, sender).await
+            once(instance, request, deadline_ms, sender, async |sender| {
+                check_still_wanted(instance, request, deadline_ms)?;
+                dispatch::plain(instance, server, request, deadline_ms, &sender).await
+            })
+            .await
         }
     }
 }
 
+/// Dispatches a request, with the journal's permission if it has an idempotency key.
+async fn once(
+    instance: &Arc<Instance>,
+    request: &Request,
+    deadline_ms: u64,
+    sender: &mpsc::Sender<RunEvent>,
+    dispatch: impl AsyncFnOnce(mpsc::Sender<RunEvent>) -> Result<Usage, Refusal>,
+) -> Result<Usage, Refusal> {
+    match request.repeat {
+        Repeat::Keyed => journal::run(instance, request, deadline_ms, sender, dispatch).await,
+        Repeat::Idempotent | Repeat::Once => dispatch(sender.clone()).await,
+    }
+}
+
 async fn dispatch_turn(
     instance: &Arc<Instance>,
     request: &Request,
--- /dev/null
+++ b/daemon/src/recording.rs
@@ -0,0 +1,93 @@
+//! Keeping the answer of a run while it is passed on.
+
+use mimosabay_core::name::Name;
+use mimosabay_core::once::{Body, End, RecordedAnswer};
+use mimosabay_core::request::{Ran, Refusal, RunEvent, Usage, Work};
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+/// Events that are buffered between a run and its recording.
+const EVENT_BUFFER: usize = 64;
+
+/// Passes the events of a run on and keeps its answer.
+pub struct Recording {
+    task: JoinHandle<Recorded>,
+}
+
+/// What a run has answered.
+#[derive(Default)]
+pub struct Recorded {
+    plain: bool,
+    status: u16,
+    content_type: Option<Name>,
+    handle: Option<Name>,
+    data: Vec<u8>,
+}
+
+impl Recording {
+    /// Starts to pass events on to `reader`; the run sends them to the returned sender.
+    pub fn start(reader: mpsc::Sender<RunEvent>) -> (Self, mpsc::Sender<RunEvent>) {
+        let (sender, mut events) = mpsc::channel(EVENT_BUFFER);
+        let task = tokio::spawn(async move {
+            let mut recorded = Recorded::default();
+            while let Some(event) = events.recv().await {
+                recorded.take(&event);
+                // The answer is kept even if its reader left.
+                let _ = reader.send(event).await;
+            }
+            recorded
+        });
+        (Self { task }, sender)
+    }
+
+    /// The answer, once the run has dropped its sender.
+    pub async fn finish(self, work: &Work) -> Recorded {
+        // A recording ends with its run and does not panic.
+        let recorded = self.task.await.unwrap_or_default();
+        Recorded {
+            plain: matches!(work, Work::Plain { .. }),
+            ..recorded
+        }
+    }
+}
+
+impl Recorded {
+    /// How the run ended, for the journal.
+    pub fn into_end(self, ended: &Result<Usage, Refusal>) -> End {
+        match ended {
+            Ok(usage) => End::Finished(self.into_answer(*usage)),
+            Err(refusal) if refusal.ran == Ran::No => End::NotRun(refusal.clone()),
+            Err(_) => End::Unknown,
+        }
+    }
+
+    fn into_answer(self, usage: Usage) -> RecordedAnswer {
+        if self.plain {
+            return RecordedAnswer::Plain {
+                status: self.status,
+                content_type: self.content_type.unwrap_or_else(|| "".into()),
+                body: Body::new(&self.data),
+            };
+        }
+        RecordedAnswer::Generated {
+            handle: self.handle.unwrap_or_else(|| "".into()),
+            text: String::from_utf8_lossy(&self.data).into_owned(),
+            usage,
+        }
+    }
+
+    fn take(&mut self, event: &RunEvent) {
+        match event {
+            RunEvent::Started { handle } => self.handle = Some(handle.clone()),
+            RunEvent::Head {
+                status,
+                content_type,
+            } => {
+                self.status = *status;
+                self.content_type = Some(content_type.clone());
+            }
+            RunEvent::Chunk { data, .. } => self.data.extend_from_slice(data),
+            RunEvent::Finished { .. } | RunEvent::Refused { .. } => {}
+        }
+    }
+}
--- a/daemon/src/route.rs
+++ b/daemon/src/route.rs
@@ -7,10 +7,11 @@
 use mimosabay_core::name::Name;
 use mimosabay_core::ownership;
 use mimosabay_core::rendezvous;
-use mimosabay_core::request::{Code, Refusal, Request, RunEvent, Work};
+use mimosabay_core::request::{Code, Refusal, Repeat, Request, RunEvent, Work};
 use mimosabay_peer::{Category, Error, Message, Replies, Reply};
 
 use crate::instance::Instance;
+use crate::journal;
 use crate::owner::{self, LocalRun};
 
 /// When a repeat is worth trying after an instance failed.
@@ -75,7 +76,9 @@
 ) -> Result<Run, Refusal> {
     let owner = match &request.work {
         Work::Generate { .. } => owner(instance, &server),
-        // Plain services have no state that one dispatcher would have to look after.
+        // Plain services have no state that one dispatcher would have to look after, but keys are
+        // recorded with fewer conflicts by one instance for each shard of the journal.
+        Work::Plain { .. } if request.repeat == Repeat::Keyed => home(instance, &request),
         Work::Plain { .. } => None,
     };
     match owner.filter(|owner| owner.name != instance.id.name) {
@@ -108,6 +111,29 @@
     owner(instance, server).is_none_or(|owner| owner.name == instance.id.name)
 }
 
+/// Whether this instance may dispatch a request that another instance sent.
+pub fn takes(instance: &Instance, server: &Name, work: &Work) -> bool {
+    match work {
+        Work::Generate { .. } => is_owner(instance, server),
+        // The store arbitrates keys, whichever instance records them.
+        Work::Plain { .. } => true,
+    }
+}
+
+/// The instance that records the key of a request; `None` if no instance is known.
+fn home(instance: &Instance, request: &Request) -> Option<Listed> {
+    let item = journal::home_item(request)?;
+    instance.with_membership(|membership| {
+        let candidates = membership.candidates(instance.is_stopping());
+        let names = candidates.iter().map(|candidate| &*candidate.name);
+        let name = rendezvous::choose(&item, names)?;
+        if *name == *instance.id.name {
+            return Some(membership.me(false));
+        }
+        Some(membership.member(name)?.listed.clone())
+    })
+}
+
 /// The instance that owns the server; `None` if no instance is known to take new work.
 pub fn owner(instance: &Instance, server: &Name) -> Option<Listed> {
     let zone = instance.with_config(|config| Some(config.server(server)?.zone.clone()))?;
--- a/daemon/src/stop.rs
+++ b/daemon/src/stop.rs
@@ -10,6 +10,7 @@
 
 use crate::heartbeat;
 use crate::instance::Instance;
+use crate::journal;
 
 /// Waits for the order to stop (`SIGTERM` or `SIGINT`).
 ///
@@ -48,5 +49,9 @@
             "requests are still open"
         );
     }
+    let recorded = timeout(limit, journal::settled(instance)).await.is_ok();
+    if !recorded {
+        warn!("outcomes of keyed requests are not recorded");
+    }
     heartbeat::say_goodbye(instance).await;
 }
--- a/daemon/src/supervise.rs
+++ b/daemon/src/supervise.rs
@@ -30,6 +30,8 @@
     has_head: bool,
     /// Whether a backend server was heard to have started.
     started: bool,
+    /// Whether an attempt ended without proof that it did not run.
+    may_have_run: bool,
 }
 
 /// Runs a request until its final answer has been handed to `sender`.
@@ -92,6 +94,7 @@
         if blames_server(refusal.code) {
             failed.extend(server);
         }
+        progress.may_have_run |= refusal.ran != Ran::No;
         let next = with_retry_budget(instance, |budget| {
             retry::decide(request.repeat, refusal, attempt, budget)
         });
@@ -158,6 +161,7 @@
             text: Vec::new(),
             has_head: false,
             started: false,
+            may_have_run: false,
         }
     }
 
@@ -205,7 +209,7 @@
 
     /// An earlier attempt may have run even if the last one has not.
     fn truthful(&self, refusal: Refusal) -> Refusal {
-        let ran = if self.started {
+        let ran = if self.started || self.may_have_run {
             refusal.ran.max(Ran::Unknown)
         } else {
             refusal.ran
