Decide which work is refused after it crashed backend servers

Cause: a request that crashes each engine that runs it would be sent again by its caller and walk through the fleet.

Ruled out: counters (cannot be merged), refusal after the first crash (refuses every neighbour), deleting a cleared suspect (a late message brings it back).

Change: a table of crashes for each fingerprint that merges as a set union; the second crash puts the work under quarantine; two suspects never share a server; work that finishes is cleared; entries expire. The drivers of quarantine are not written yet.

Conclusion: the decision is whole, its wiring is not.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod name;
 pub mod once;
 pub mod ownership;
+pub mod quarantine;
 pub mod queue;
 pub mod rendezvous;
 pub mod request;
