--- a/daemon/src/journal.rs
+++ b/daemon/src/journal.rs
@@ -4,7 +4,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use mimosabay_core::membership::Member;
 use mimosabay_core::name::{InstanceId, Name};
 use mimosabay_core::once::{
     Action, Begin, Dispatch, Journal, KeyId, Settings, StoreCall, StoreFailure, Ticket, Verdict,
@@ -29,6 +28,8 @@
 const FIRST_PAUSE_MS: u64 = 100;
 /// Longest time until such a key is looked up again.
 const MAX_PAUSE_MS: u64 = 1_000;
+/// Time for which a repeat waits for a process that is not heard: it may be new or just ended.
+const UNHEARD_WAIT_MS: u64 = 3_000;
 /// Time between two ticks of the journal.
 const TICK_PERIOD_MS: u64 = 20;
 
@@ -159,6 +160,7 @@
     key: &KeyId,
     deadline_ms: u64,
 ) -> Result<Open, Verdict> {
+    let started_ms = instance.now_ms();
     let mut pause_ms = FIRST_PAUSE_MS;
     loop {
         let (mut open, answer) = begin(instance, request, key.clone(), deadline_ms);
@@ -171,8 +173,12 @@
         let Verdict::Running(dispatcher) = &verdict else {
             return Err(verdict);
         };
-        let in_time = instance.now_ms() + pause_ms < deadline_ms;
-        if !in_time || !may_live(instance, dispatcher) {
+        let until_ms = match liveness(instance, dispatcher) {
+            Liveness::Live => deadline_ms,
+            Liveness::Unheard => deadline_ms.min(started_ms + UNHEARD_WAIT_MS),
+            Liveness::Gone => return Err(verdict),
+        };
+        if instance.now_ms() + pause_ms >= until_ms {
             return Err(verdict);
         }
         sleep(Duration::from_millis(pause_ms)).await;
@@ -180,14 +186,33 @@
     }
 }
 
-fn may_live(instance: &Instance, process: &InstanceId) -> bool {
-    instance.with_membership(|membership| {
-        let same = |member: &Member| {
-            let incarnation = member.incarnation;
-            let heard = incarnation == process.incarnation || incarnation == 0;
-            member.listed.name == process.name && heard
+/// Whether a process runs, as far as this instance knows.
+enum Liveness {
+    Live,
+    /// It has not been heard, or not yet.
+    Unheard,
+    Gone,
+}
+
+fn liveness(instance: &Instance, process: &InstanceId) -> Liveness {
+    if process.name == instance.id.name {
+        // A claim of this process that no run belongs to is about to be released.
+        return if *process == instance.id {
+            Liveness::Live
+        } else {
+            Liveness::Gone
         };
-        membership.live().any(same)
+    }
+    instance.with_membership(|membership| {
+        let is_heard = membership.live().any(|member| {
+            member.listed.name == process.name && member.incarnation == process.incarnation
+        });
+        let is_listed = membership.member(&process.name).is_some();
+        match (is_heard, is_listed && membership.is_gone(process)) {
+            (true, _) => Liveness::Live,
+            (false, true) => Liveness::Gone,
+            (false, false) => Liveness::Unheard,
+        }
     })
 }
 
--- a/daemon/src/stop.rs
+++ b/daemon/src/stop.rs
@@ -11,6 +11,7 @@
 use crate::heartbeat;
 use crate::instance::Instance;
 use crate::journal;
+use crate::service_level;
 
 /// Waits for the order to stop (`SIGTERM` or `SIGINT`).
 ///
@@ -53,5 +54,6 @@
     if !recorded {
         warn!("outcomes of keyed requests are not recorded");
     }
+    service_level::flush(instance).await;
     heartbeat::say_goodbye(instance).await;
 }
