--- a/daemon/src/instance.rs
+++ b/daemon/src/instance.rs
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 
 use crate::clock::{Clock, new_incarnation};
+use crate::journal::KeyedRuns;
 use crate::metrics::Metrics;
 use crate::owner::OwnedServer;
 use crate::placing::Placing;
@@ -63,6 +64,8 @@
     pub timer: Timer,
     /// Tables that all tasks share.
     pub tables: Tables,
+    /// Runs of requests with an idempotency key. Its lock is taken alone.
+    pub keyed: KeyedRuns,
     /// The platform.
     pub platform: Platform,
     /// Connections to backend servers.
@@ -103,7 +106,9 @@
             slo: Mutex::new(SloRecorder::new(id.incarnation)),
             accepted_here: Mutex::default(),
         };
+        let id = InstanceId::new(settings.instance.name.clone(), new_incarnation());
         let instance = Self {
+            keyed: KeyedRuns::new(id.clone()),
             id,
             clock,
             timer,
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -13,7 +13,8 @@
 use crate::instance::Instance;
 use crate::timer::Timer;
 use crate::{
-    acceptor, config_sync, heartbeat, inbound, owner, rollout, service_level, stop, takeover,
+    acceptor, config_sync, heartbeat, inbound, journal, owner, rollout, service_level, stop,
+    takeover,
 };
 
 /// Runs an instance until its planned stop is done.
@@ -60,6 +61,8 @@
     tokio::spawn(rollout::run(instance.clone()));
     tokio::spawn(service_level::run(instance.clone()));
     tokio::spawn(owner::run_ticks(instance.clone()));
+    tokio::spawn(journal::run_ticks(instance.clone()));
+    tokio::spawn(journal::run_clock(instance.clone()));
     tokio::spawn(takeover::run_release(instance.clone()));
 }
 
