Require a proof of membership before a share is used, and test single situations

Cause: a process that was paused or cut off from the store may have been taken off the roster while its native share still counted here. A pause limit of 10 s did not cover shorter pauses.

Ruled out: a lease on the store (no budget in an outage of the store).

Change: a process uses or lends its share only for a loan's time after a read of the roster or after a fellow member said that it acts on no newer version. A share freed by a removal is used only after the last proof, its loans and their grants are over. The random histories now also remove paused instances, cut single links and the way to the store, and use bursts as small as half a second.

--- a/core/src/budget/mod.rs
+++ b/core/src/budget/mod.rs
@@ -22,7 +22,7 @@
 //! budgets.configure(&"clinic".into(), limit, 1, 0);
 //! let roster = Roster::default().join(&me).unwrap();
 //! let roster = roster.confirm(&me, roster.version).unwrap();
-//! budgets.set_roster(&roster, 0);
+//! budgets.set_roster(&roster, 0, 0);
 //!
 //! assert_eq!(budgets.charge(&"clinic".into(), 7, 100, 0, 1_000), Charge::Granted);
 //! budgets.settle(&"clinic".into(), 7, 60, 1_500);
@@ -113,6 +113,14 @@
     shrunk_ms: u64,
     /// Version that this process acts on.
     version: u64,
+    /// The other members of that version.
+    fellows: Vec<InstanceId>,
+    /// Own time until which this process is known to be on the roster.
+    proven_until_ms: u64,
+    /// Whether it is known now. Invariant: the same in every budget.
+    is_proven: bool,
+    /// Whether a peer knows a newer roster.
+    is_behind: bool,
     last_ask: u64,
     /// Own time of the last call, to find pauses.
     called_ms: u64,
@@ -130,6 +138,10 @@
             share: 0.0,
             shrunk_ms: 0,
             version: 0,
+            fellows: Vec::new(),
+            proven_until_ms: 0,
+            is_proven: false,
+            is_behind: false,
             last_ask: 0,
             called_ms: now_ms,
             has_left: false,
@@ -140,10 +152,11 @@
     pub fn configure(&mut self, organisation: &Name, limit: Limit, generation: u64, now_ms: u64) {
         self.observe(now_ms);
         let share = self.share;
+        let is_proven = self.is_proven;
         let budget = self
             .by_organisation
             .entry(organisation.clone())
-            .or_insert_with(|| Budget::new(share, limit, now_ms));
+            .or_insert_with(|| Budget::new(share, is_proven, limit, now_ms));
         if generation > budget.generation {
             budget.generation = generation;
             budget.is_removed = false;
@@ -164,19 +177,51 @@
         }
     }
 
-    /// Takes in a roster read from the store. An older one is ignored.
-    pub fn set_roster(&mut self, roster: &Roster, now_ms: u64) {
+    /// Takes in a roster that was asked of the store at `asked_ms`. An older one is ignored.
+    pub fn set_roster(&mut self, roster: &Roster, asked_ms: u64, now_ms: u64) {
         self.observe(now_ms);
         if roster.version < self.version {
             return;
         }
-        let share = roster.share_of(&self.me);
         let confirmed = roster.member(&self.me).map_or(0, |me| me.confirmed_version);
         if roster.version > self.version && roster.removed_version > confirmed {
-            self.shrunk_ms = self.shrunk_ms.max(now_ms + self.settings.lender_loan_ms());
+            let removal_ms = now_ms + self.settings.removal_ms();
+            self.shrunk_ms = self.shrunk_ms.max(removal_ms);
         }
         self.version = roster.version;
-        self.set_share(share, now_ms);
+        self.is_behind = false;
+        let ids = roster.members.iter().map(|member| member.id.clone());
+        self.fellows = ids.filter(|id| *id != self.me).collect();
+        self.set_share(roster.share_of(&self.me), now_ms);
+        self.prove(asked_ms);
+        if self.fellows.is_empty() {
+            // Nobody else could use the share; only a pause ends this.
+            self.proven_until_ms = u64::MAX;
+        }
+    }
+
+    /// A peer has said, in answer to a question at `asked_ms`, which roster version it acts on.
+    ///
+    /// A share that is freed by a removal is used only some time after every remaining member
+    /// acts on that version. So a fellow member that does not yet act on a newer version proves
+    /// that the own share is still the own one; no store is needed for that.
+    pub fn heard(&mut self, from: &InstanceId, version: u64, asked_ms: u64, now_ms: u64) {
+        self.observe(now_ms);
+        if version > self.version {
+            self.is_behind = true;
+        } else if self.fellows.contains(from) {
+            self.prove(asked_ms);
+        }
+    }
+
+    /// Roster version that this process acts on, to be told to peers.
+    pub fn roster_version(&self) -> u64 {
+        self.version
+    }
+
+    /// Whether the roster should be read now: a newer one exists, or nobody proves this one.
+    pub fn wants_roster(&self, now_ms: u64) -> bool {
+        self.is_behind || now_ms + self.settings.proof_ms() / 2 >= self.proven_until_ms
     }
 
     /// The roster version that may be confirmed: nothing of this process exceeds what it allows.
@@ -315,17 +360,32 @@
         }
     }
 
-    /// Finds a pause of this process.
+    /// Ends the proof if it is too old, or if the process was paused and stands alone.
     fn observe(&mut self, now_ms: u64) {
         let passed_ms = now_ms.saturating_sub(self.called_ms);
         self.called_ms = self.called_ms.max(now_ms);
-        if passed_ms < self.settings.pause_limit_ms {
-            return;
+        if self.proven_until_ms == u64::MAX && passed_ms >= self.settings.proof_ms() {
+            self.proven_until_ms = 0;
         }
-        self.share = 0.0;
-        for budget in self.by_organisation.values_mut() {
-            budget.account.advance(budget.limit, now_ms);
-            budget.account.native.drop_held(now_ms);
+        self.apply_proof();
+    }
+
+    fn prove(&mut self, asked_ms: u64) {
+        let until_ms = asked_ms + self.settings.proof_ms();
+        self.proven_until_ms = match self.proven_until_ms {
+            u64::MAX => until_ms,
+            earlier_ms => earlier_ms.max(until_ms),
+        };
+        self.apply_proof();
+    }
+
+    fn apply_proof(&mut self) {
+        let is_proven = self.called_ms < self.proven_until_ms;
+        if is_proven != self.is_proven {
+            self.is_proven = is_proven;
+            for budget in self.by_organisation.values_mut() {
+                budget.account.native.set_proven(is_proven);
+            }
         }
     }
 
@@ -464,12 +524,14 @@
 }
 
 impl Budget {
-    fn new(share: f64, limit: Limit, now_ms: u64) -> Self {
+    fn new(share: f64, is_proven: bool, limit: Limit, now_ms: u64) -> Self {
+        let mut account = Account::new(share, limit, now_ms);
+        account.native.set_proven(is_proven);
         Self {
             limit,
             generation: 0,
             is_removed: false,
-            account: Account::new(share, limit, now_ms),
+            account,
             pool: Pool::new(now_ms),
         }
     }
--- a/core/src/budget/settings.rs
+++ b/core/src/budget/settings.rs
@@ -29,9 +29,6 @@
         pub drift_percent: u64,
         /// Time of demand that a member keeps in granted tokens.
         pub prefetch_ms: u64,
-        /// Time without a call after which the process counts as paused: it may have been taken
-        /// off the roster, so that its native share rests until it has read the roster again.
-        pub pause_limit_ms: u64,
     }
 }
 
@@ -45,7 +42,6 @@
             grant_ms: 500,
             drift_percent: 3,
             prefetch_ms: 500,
-            pause_limit_ms: 10_000,
         }
     }
 }
@@ -57,6 +53,17 @@
         self.with_drift(self.loan_ms + self.grant_ms)
     }
 
+    /// Time from a proof that the process is on the roster for which it uses or lends its share.
+    pub fn proof_ms(&self) -> u64 {
+        self.loan_ms + self.grant_ms
+    }
+
+    /// Time after which nothing of the share of a removed member is in use: its last proof, the
+    /// loans that it made on it, and the grants made under these.
+    pub fn removal_ms(&self) -> u64 {
+        self.with_drift(self.proof_ms() + self.loan_ms + self.grant_ms)
+    }
+
     /// Time from its answer after which a coordinator knows that granted tokens are not in use.
     pub fn lender_grant_ms(&self) -> u64 {
         self.with_drift(self.grant_ms)
--- a/core/src/budget/share.rs
+++ b/core/src/budget/share.rs
@@ -11,6 +11,9 @@
 pub(super) struct NativeShare {
     /// The share, a part of 1.
     share: f64,
+    /// Whether the process is known to be on the roster now. Invariant: nothing is spent, lent or
+    /// prolonged while it is not.
+    is_proven: bool,
     state: State,
     /// Number of times that the share was lent. A charge made in an earlier period is not
     /// refunded, because its tokens may have been used elsewhere since.
@@ -35,6 +38,7 @@
     pub(super) fn empty(share: f64, limit: Limit, now_ms: u64) -> Self {
         let mut native = Self {
             share,
+            is_proven: false,
             state: State::Held(Reserve::empty(0.0, 0.0, now_ms)),
             epoch: 0,
         };
@@ -64,20 +68,16 @@
         }
     }
 
-    /// Drops what is held, because the process may have been taken off the roster meanwhile.
-    pub(super) fn drop_held(&mut self, now_ms: u64) {
-        if let State::Held(reserve) = &mut self.state {
-            *reserve = Reserve::empty(0.0, 0.0, now_ms);
-        }
-        self.share = 0.0;
-        self.epoch += 1;
+    /// Whether the process is known to be on the roster now.
+    pub(super) fn set_proven(&mut self, is_proven: bool) {
+        self.is_proven = is_proven;
     }
 
-    /// The reserve, while the share is held.
+    /// The reserve, while the share is held and may be used.
     pub(super) fn held(&self) -> Option<&Reserve> {
         match &self.state {
-            State::Held(reserve) => Some(reserve),
-            State::Lent { .. } => None,
+            State::Held(reserve) if self.is_proven => Some(reserve),
+            State::Held(_) | State::Lent { .. } => None,
         }
     }
 
@@ -105,11 +105,11 @@
     /// Takes up to `tokens`; returns what was taken, the mark and the epoch.
     pub(super) fn take(&mut self, tokens: f64) -> (f64, u64, u64) {
         match &mut self.state {
-            State::Held(reserve) => {
+            State::Held(reserve) if self.is_proven => {
                 let (taken, mark) = reserve.take(tokens);
                 (taken, mark, self.epoch)
             }
-            State::Lent { .. } => (0.0, 0, self.epoch),
+            State::Held(_) | State::Lent { .. } => (0.0, 0, self.epoch),
         }
     }
 
@@ -132,6 +132,9 @@
         settings: &BudgetSettings,
         now_ms: u64,
     ) {
+        if !self.is_proven {
+            return;
+        }
         let until_ms = now_ms + settings.lender_loan_ms();
         match &mut self.state {
             State::Held(reserve) if self.share > 0.0 => {
--- a/core/tests/budget/bound.rs
+++ b/core/tests/budget/bound.rs
@@ -6,10 +6,9 @@
 use arbtest::arbtest;
 use mimosabay_core::budget::{BudgetPolicy, BudgetSettings, Limit};
 
-const LIMIT: Limit = Limit {
-    rate_per_s: 1_000.0,
-    burst_tokens: 4_000.0,
-};
+const RATE_PER_S: f64 = 1_000.0;
+/// Bursts from half a second of the rate, of which grants in use make up much, to seconds.
+const BURSTS_TOKENS: [f64; 3] = [500.0, 1_000.0, 4_000.0];
 /// Length of the random input, in the low half of an arbtest seed.
 const INPUT_BYTES: u64 = 60_000;
 
@@ -49,7 +48,7 @@
         let history = |u: &mut Unstructured| {
             let fleet = one_history(chaos, policy, u)?;
             spent_tokens += fleet.spent_tokens();
-            created_tokens += LIMIT.rate_per_s * fleet.now_ms as f64 / 1_000.0;
+            created_tokens += RATE_PER_S * fleet.now_ms as f64 / 1_000.0;
             Ok(())
         };
         arbtest(history).seed(seed).run();
@@ -66,7 +65,11 @@
         policy,
         ..BudgetSettings::default()
     };
-    let mut fleet = Fleet::new(settings, chaos, LIMIT);
+    let limit = Limit {
+        burst_tokens: *u.choose(&BURSTS_TOKENS)?,
+        rate_per_s: RATE_PER_S,
+    };
+    let mut fleet = Fleet::new(settings, chaos, limit);
     for _ in 0..u.int_in_range(2..=5)? {
         fleet.start(u.int_in_range(-10_000..=10_000)?);
     }
--- a/core/tests/budget/fleet.rs
+++ b/core/tests/budget/fleet.rs
@@ -11,6 +11,7 @@
 
 /// Time after which no instance acts on an older limit: a full grant, by the slowest clock.
 const LIMIT_GRACE_MS: u64 = 800;
+const HEARTBEAT_MS: u64 = 200;
 /// Fastest and slowest clock.
 const MAX_DRIFT_PPM: i64 = 10_000;
 
@@ -47,6 +48,9 @@
     drift_ppm: i64,
     started_ms: u64,
     frozen_until_ms: u64,
+    /// Time until which the store does not answer this instance.
+    cut_off_until_ms: u64,
+    heartbeat_ms: u64,
     /// First roster of the history that a read may return.
     oldest_roster: usize,
     generation: usize,
@@ -64,6 +68,8 @@
     nodes: Vec<Node>,
     gone: Vec<InstanceId>,
     wire: Vec<Packet>,
+    /// Pairs between which messages are lost, and until when.
+    cuts: Vec<(InstanceId, InstanceId, u64)>,
     rosters: Vec<Arc<Roster>>,
     store_is_up: bool,
     next_incarnation: u64,
@@ -84,6 +90,7 @@
             nodes: Vec::new(),
             gone: Vec::new(),
             wire: Vec::new(),
+            cuts: Vec::new(),
             rosters: vec![Arc::default()],
             store_is_up: true,
             next_incarnation: 1,
@@ -108,6 +115,8 @@
             drift_ppm,
             started_ms: self.now_ms,
             frozen_until_ms: 0,
+            cut_off_until_ms: 0,
+            heartbeat_ms: 0,
             oldest_roster: 0,
             generation: 0,
             open: Vec::new(),
@@ -147,14 +156,36 @@
                 let now_ms = self.nodes[index].local_ms(self.now_ms);
                 let sends = self.nodes[index].budgets.tick(now_ms);
                 self.send(index, sends, u)?;
+                self.beat(index, u)?;
             }
         }
         Ok(())
     }
 
+    /// An instance hears from another which roster version that one acts on.
+    fn beat(&mut self, index: usize, u: &mut Unstructured) -> Result<()> {
+        if self.nodes[index].heartbeat_ms + HEARTBEAT_MS > self.now_ms {
+            return Ok(());
+        }
+        self.nodes[index].heartbeat_ms = self.now_ms;
+        let count = self.nodes.len();
+        let turn = usize::try_from(self.now_ms / HEARTBEAT_MS).expect("time is short");
+        let other = (index + 1 + turn % (count - 1).max(1)) % count;
+        let is_lost = self.chaos.loss_percent > 0 && u.ratio(self.chaos.loss_percent, 100)?;
+        if other != index && self.is_awake(other) && !is_lost {
+            let from = self.nodes[other].id.clone();
+            let version = self.nodes[other].budgets.roster_version();
+            let node = &mut self.nodes[index];
+            let now_ms = node.local_ms(self.now_ms);
+            node.budgets.heard(&from, version, now_ms, now_ms);
+        }
+        Ok(())
+    }
+
     /// An instance reads the roster and changes it where it has to.
     pub(crate) fn sync_roster(&mut self, index: usize, u: &mut Unstructured) -> Result<()> {
-        if !self.store_is_up || !self.is_awake(index) {
+        let is_cut_off = self.nodes[index].cut_off_until_ms > self.now_ms;
+        if !self.store_is_up || is_cut_off || !self.is_awake(index) {
             return Ok(());
         }
         let newest = self.rosters.len() - 1;
@@ -163,16 +194,27 @@
         let oldest = node.oldest_roster.max(newest.saturating_sub(2));
         let read = newest - u.int_in_range(0..=newest - oldest)?;
         node.oldest_roster = read;
-        node.budgets.set_roster(&self.rosters[read], now_ms);
+        node.budgets.set_roster(&self.rosters[read], now_ms, now_ms);
         // The store refuses a change that is not based on its newest version.
         if read != newest {
             return Ok(());
         }
         let roster = &self.rosters[newest];
+        // The platform may also take an instance off its list that is only paused.
+        let now = self.now_ms;
+        let paused = |node: &&Node| node.frozen_until_ms > now;
+        let paused: Vec<_> = self
+            .nodes
+            .iter()
+            .filter(paused)
+            .map(|node| &node.id)
+            .collect();
+        let is_gone = |id: &InstanceId| self.gone.contains(id) || paused.contains(&id);
+        let node = &self.nodes[index];
         let confirmable = node.budgets.confirmable_version(now_ms);
         let changed = roster
             .join(&node.id)
-            .or_else(|| roster.remove(|id| self.gone.contains(id)))
+            .or_else(|| roster.remove(is_gone))
             .or_else(|| roster.confirm(&node.id, confirmable?));
         self.rosters.extend(changed.map(Arc::new));
         Ok(())
@@ -268,6 +310,16 @@
             }
             951..=954 => self.freeze(index, u.int_in_range(1..=60_000)?),
             955 => self.store_is_up = false,
+            964..=969 => {
+                let other = u.choose_index(self.nodes.len())?;
+                let until_ms = self.now_ms + u.int_in_range(500..=8_000)?;
+                let [a, b] = [index, other].map(|index| self.nodes[index].id.clone());
+                self.cuts.push((a, b, until_ms));
+            }
+            962..=963 => {
+                let time_ms = u.int_in_range(1..=20_000)?;
+                self.nodes[index].cut_off_until_ms = self.now_ms + time_ms;
+            }
             956..=960 => self.store_is_up = true,
             961 if self.limits.len() < 4 => self.random_limit(u)?,
             _ => {}
@@ -293,11 +345,12 @@
 
     fn random_charge(&mut self, index: usize, u: &mut Unstructured) -> Result<()> {
         let burst = self.limits[0].burst_tokens as u64;
+        let most = (burst / 16).max(1);
         let tokens = match u.int_in_range(0..=19_u8)? {
             0 => burst,
             1 => u.int_in_range(1..=burst)?,
             2 => return self.drain(index),
-            _ => u.int_in_range(1..=burst / 16)?,
+            _ => u.int_in_range(1..=most)?,
         };
         let waiting = Waiting {
             ticket: self.ticket(),
@@ -411,7 +464,13 @@
     fn send(&mut self, index: usize, sends: Vec<Send>, u: &mut Unstructured) -> Result<()> {
         let from = self.nodes[index].id.clone();
         self.message_count += sends.len();
+        let now_ms = self.now_ms;
+        self.cuts.retain(|(.., until_ms)| *until_ms > now_ms);
         for send in sends {
+            let is_cut = |(a, b, _): &(InstanceId, InstanceId, u64)| *a == from && *b == send.to;
+            if self.cuts.iter().any(is_cut) {
+                continue;
+            }
             let mut copies = 1;
             if self.chaos.loss_percent > 0 && u.ratio(self.chaos.loss_percent, 100)? {
                 copies = 0;
--- a/core/tests/budget/main.rs
+++ b/core/tests/budget/main.rs
@@ -9,4 +9,5 @@
 mod bound;
 mod fleet;
 mod oracle;
+mod scenario;
 mod usage;
--- /dev/null
+++ b/core/tests/budget/scenario.rs
@@ -0,0 +1,300 @@
+//! Single situations, step by step, between a member and a coordinator.
+
+use mimosabay_core::budget::{BudgetMessage, BudgetSettings, Budgets, Charge, Limit, Send as Sent};
+use mimosabay_core::name::{InstanceId, Name};
+use mimosabay_core::roster::Roster;
+
+const LIMIT: Limit = Limit {
+    rate_per_s: 100.0,
+    burst_tokens: 1_000.0,
+};
+/// Time in which an empty budget becomes full.
+const FULL_MS: u64 = 10_500;
+const STEP_MS: u64 = 50;
+
+/// Two instances without delays between them.
+struct Pair {
+    now_ms: u64,
+    nodes: Vec<Budgets>,
+    roster: Roster,
+    org: Name,
+    next_ticket: u64,
+}
+
+impl Pair {
+    /// Both are on the roster, and the budget is full.
+    fn full(limit: Limit) -> Self {
+        let ids = [InstanceId::new("a", 1), InstanceId::new("b", 1)];
+        let mut roster = Roster::default();
+        for id in &ids {
+            roster = roster.join(id).expect("joins");
+        }
+        for id in &ids {
+            roster = roster.confirm(id, roster.version).expect("confirms");
+        }
+        let org: Name = "org".into();
+        let mut nodes = Vec::new();
+        for id in &ids {
+            let mut node = Budgets::new(id.clone(), BudgetSettings::default(), 0);
+            node.configure(&org, limit, 1, 0);
+            node.set_peers(ids.to_vec(), 0);
+            nodes.push(node);
+        }
+        let mut pair = Self {
+            now_ms: 0,
+            nodes,
+            roster,
+            org,
+            next_ticket: 0,
+        };
+        pair.run(FULL_MS);
+        pair
+    }
+
+    fn id(index: usize) -> InstanceId {
+        InstanceId::new(["a", "b"][index], 1)
+    }
+
+    fn run(&mut self, time_ms: u64) {
+        for _ in 0..time_ms / STEP_MS {
+            self.now_ms += STEP_MS;
+            self.exchange(&[]);
+        }
+    }
+
+    /// Everyone reads the roster and sends what is due, until nothing more is; messages from
+    /// those in `mute` are lost.
+    fn exchange(&mut self, mute: &[usize]) -> Vec<(usize, Sent)> {
+        let mut seen = Vec::new();
+        for index in 0..self.nodes.len() {
+            self.nodes[index].set_roster(&self.roster, self.now_ms, self.now_ms);
+            let sends = self.nodes[index].tick(self.now_ms);
+            self.deliver(index, sends, mute, &mut seen);
+        }
+        seen
+    }
+
+    fn deliver(
+        &mut self,
+        from: usize,
+        sends: Vec<Sent>,
+        mute: &[usize],
+        seen: &mut Vec<(usize, Sent)>,
+    ) {
+        for send in sends {
+            seen.push((from, send.clone()));
+            if mute.contains(&from) {
+                continue;
+            }
+            let to = usize::from(&*send.to.name == "b");
+            let back = self.nodes[to].on_message(&Self::id(from), send.message, self.now_ms);
+            self.deliver(to, back, mute, seen);
+        }
+    }
+
+    fn coordinator(&self) -> usize {
+        let id = self.nodes[0].coordinator(&self.org).expect("peers");
+        usize::from(&*id.name == "b")
+    }
+
+    /// Tries a request for up to `max_wait_ms`; returns its ticket if it is granted.
+    fn charge(&mut self, index: usize, tokens: u64, max_wait_ms: u64) -> Option<u64> {
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        let deadline_ms = self.now_ms + max_wait_ms;
+        loop {
+            let left_ms = deadline_ms.saturating_sub(self.now_ms);
+            let org = self.org.clone();
+            match self.nodes[index].charge(&org, ticket, tokens, left_ms, self.now_ms) {
+                Charge::Granted => return Some(ticket),
+                Charge::Wait { .. } => {
+                    self.now_ms += 10;
+                    self.exchange(&[]);
+                }
+                Charge::Refused { .. } | Charge::TooLarge => return None,
+            }
+        }
+    }
+
+    fn settle(&mut self, index: usize, ticket: u64, used: u64) {
+        let org = self.org.clone();
+        self.nodes[index].settle(&org, ticket, used, self.now_ms);
+    }
+
+    /// Largest request that an instance would be granted now, in steps of 10 tokens.
+    fn usable(&mut self, index: usize) -> u64 {
+        let tokens = (1..=100).rev().map(|tens| tens * 10);
+        for tokens in tokens {
+            if let Some(ticket) = self.charge(index, tokens, 60) {
+                self.settle(index, ticket, 0);
+                return tokens;
+            }
+        }
+        0
+    }
+}
+
+fn unused_tokens_come_back(by_coordinator: bool) {
+    let mut pair = Pair::full(LIMIT);
+    let index = if by_coordinator {
+        pair.coordinator()
+    } else {
+        1 - pair.coordinator()
+    };
+    let ticket = pair.charge(index, 1_000, 200).expect("granted");
+    pair.run(1_000);
+    pair.settle(index, ticket, 300);
+    pair.run(600);
+    let usable = pair.usable(index);
+    assert!((800..=910).contains(&usable), "{usable}");
+}
+
+mimosabay_core::cases! {
+    unused_tokens_come_back;
+    unused_tokens_of_a_member_come_back: (false);
+    unused_tokens_of_the_coordinator_come_back: (true);
+}
+
+/// Two full bursts are charged one after the other and neither is used. Only one may come back:
+/// had neither been charged, the bucket would just have been full.
+#[test]
+fn refunds_of_two_bursts_give_back_one() {
+    let mut pair = Pair::full(LIMIT);
+    let index = 1 - pair.coordinator();
+    let first = pair.charge(index, 1_000, 200).expect("granted");
+    pair.run(FULL_MS);
+    let second = pair.charge(index, 1_000, 200).expect("granted");
+    pair.run(500);
+    pair.settle(index, first, 0);
+    pair.run(600);
+    let usable = pair.usable(index);
+    assert!(usable <= 130, "{usable}");
+    pair.settle(index, second, 0);
+    pair.run(600);
+    let usable = pair.usable(index);
+    assert!(usable >= 950, "{usable}");
+}
+
+#[test]
+fn a_repeated_ask_refunds_once() {
+    let mut pair = Pair::full(LIMIT);
+    let (coordinator, member) = (pair.coordinator(), 1 - pair.coordinator());
+    let unused = pair.charge(member, 200, 200).expect("granted");
+    pair.charge(member, 600, 200).expect("granted");
+    pair.run(500);
+    pair.settle(member, unused, 0);
+    let mut refunding = None;
+    while refunding.is_none() {
+        pair.now_ms += STEP_MS;
+        let seen = pair.exchange(&[]);
+        let has_refund = |(from, send): &(usize, Sent)| match &send.message {
+            BudgetMessage::Asks(asks) => {
+                *from == member && asks.iter().any(|ask| !ask.refunds.is_empty())
+            }
+            BudgetMessage::Answers(_) => false,
+        };
+        refunding = seen.into_iter().find(has_refund);
+    }
+    let message = refunding.expect("found").1.message;
+    for _ in 0..3 {
+        let from = Pair::id(member);
+        pair.nodes[coordinator].on_message(&from, message.clone(), pair.now_ms);
+    }
+    let usable = pair.usable(member);
+    assert!((400..=550).contains(&usable), "{usable}");
+}
+
+/// What one instance holds ungranted does not make room for more tokens elsewhere.
+#[test]
+fn granted_tokens_count_against_the_burst() {
+    let mut pair = Pair::full(LIMIT);
+    let (coordinator, member) = (pair.coordinator(), 1 - pair.coordinator());
+    let org = pair.org.clone();
+    // The member is granted what it waits for and uses it just before the grant ends.
+    let charge = pair.nodes[member].charge(&org, 77, 1_000, 500, pair.now_ms);
+    assert!(matches!(charge, Charge::Wait { .. }), "{charge:?}");
+    pair.exchange(&[]);
+    for _ in 0..8 {
+        pair.now_ms += STEP_MS;
+        pair.nodes[coordinator].set_roster(&pair.roster, pair.now_ms, pair.now_ms);
+        pair.nodes[coordinator].tick(pair.now_ms);
+    }
+    let member_charge = pair.nodes[member].charge(&org, 77, 1_000, 500, pair.now_ms);
+    assert_eq!(member_charge, Charge::Granted);
+    let here = pair.nodes[coordinator].charge(&org, 78, 30, 0, pair.now_ms);
+    assert_ne!(here, Charge::Granted);
+    let _ = pair.nodes[coordinator].charge(&org, 78, 30, 100, pair.now_ms);
+    pair.nodes[coordinator].tick(pair.now_ms);
+    let here = pair.nodes[coordinator].charge(&org, 78, 30, 0, pair.now_ms);
+    assert_ne!(here, Charge::Granted);
+}
+
+#[test]
+fn a_paused_process_acts_on_nothing_expired() {
+    let mut pair = Pair::full(LIMIT);
+    let member = 1 - pair.coordinator();
+    let org = pair.org.clone();
+    let _ = pair.nodes[member].charge(&org, 77, 500, 500, pair.now_ms);
+    pair.exchange(&[]);
+    let thawed_ms = pair.now_ms + 60_000;
+    let charge = pair.nodes[member].charge(&org, 77, 1, 0, thawed_ms);
+    assert!(matches!(charge, Charge::Refused { .. }), "{charge:?}");
+}
+
+#[test]
+fn a_coordinator_that_leaves_hands_its_tokens_over() {
+    let mut pair = Pair::full(LIMIT);
+    let (coordinator, member) = (pair.coordinator(), 1 - pair.coordinator());
+    let now_ms = pair.now_ms;
+    pair.nodes[member].set_peers([Pair::id(member)], now_ms);
+    pair.nodes[coordinator].set_peers([Pair::id(member)], now_ms);
+    pair.run(600);
+    let sends = pair.nodes[coordinator].leave(pair.now_ms);
+    pair.deliver(coordinator, sends, &[], &mut Vec::new());
+    pair.exchange(&[]);
+    assert!(pair.charge(member, 950, 300).is_some());
+}
+
+#[test]
+fn a_removed_organisation_is_refused_and_starts_empty_when_it_is_back() {
+    let mut pair = Pair::full(LIMIT);
+    let org = pair.org.clone();
+    let now_ms = pair.now_ms;
+    for node in &mut pair.nodes {
+        node.remove(&org, 2, now_ms);
+    }
+    assert_eq!(pair.charge(0, 1, 0), None);
+    for node in &mut pair.nodes {
+        node.configure(&org, LIMIT, 1, now_ms);
+    }
+    assert_eq!(pair.charge(0, 1, 0), None);
+    for node in &mut pair.nodes {
+        node.configure(&org, LIMIT, 3, now_ms);
+    }
+    assert_eq!(pair.charge(0, 500, 1_000), None);
+    pair.run(FULL_MS);
+    assert!(pair.charge(0, 950, 500).is_some());
+}
+
+/// A budget that hardly refills counts what is in use: tokens come back when it ends.
+#[test]
+fn a_budget_without_rate_counts_what_is_in_flight() {
+    let limit = Limit {
+        rate_per_s: 0.8,
+        burst_tokens: 8.0,
+    };
+    let mut pair = Pair::full(limit);
+    let mut open: Vec<(usize, u64)> = Vec::new();
+    for index in [0, 1, 0, 1, 0, 1, 0, 1] {
+        let ticket = pair.charge(index, 1, 500).expect("granted");
+        open.push((index, ticket));
+    }
+    assert_eq!(pair.charge(0, 1, 400), None);
+    for (index, ticket) in open.split_off(4) {
+        pair.settle(index, ticket, 0);
+    }
+    pair.run(700);
+    for index in [1, 0, 1, 0] {
+        assert!(pair.charge(index, 1, 500).is_some());
+    }
+}
