Charge requests and adapter loads against the fleet-wide budgets

Cause: rate and burst of an organisation were configured but nothing enforced them, and adapter loads were not limited over the fleet.

Change: the daemon keeps the roster object in the store by conditional update, exchanges budget messages on peer streams, charges the declared maximum before the first attempt and settles with the usage after the last. A request waits up to 3 s, and at most half of its time, instead of being refused; the final answer carries Retry-After. An adapter load takes a token of the weight store's rate and a place in flight. A planned stop gives loans and grants back and leaves the roster. An instance that is cut off says not_ready instead of over_rate. The peer message Budget and its reply are new.

--- a/core/src/budget/account.rs
+++ b/core/src/budget/account.rs
@@ -27,6 +27,7 @@
     /// Coordinator's time of its ask for the share.
     loan_asked_ms: u64,
     free_tokens: f64,
+    lent_share: f64,
     scarce: bool,
 }
 
@@ -127,6 +128,13 @@
         }
     }
 
+    /// Whether neither the own share nor a coordinator can give tokens.
+    pub(super) fn is_cut_off(&self, settings: &BudgetSettings, now_ms: u64) -> bool {
+        let can_grant =
+            |told: &Told| told.lent_share > 0.0 && told.heard_ms + settings.proof_ms() > now_ms;
+        !self.native.is_lendable() && !self.told.as_ref().is_some_and(can_grant)
+    }
+
     /// The next ask should not wait for its time.
     pub(super) fn hurry(&mut self) {
         self.urgent = true;
@@ -268,6 +276,7 @@
                 heard_ms: now_ms,
                 loan_asked_ms,
                 free_tokens: answer.free_tokens,
+                lent_share: answer.lent_share,
                 scarce: answer.scarce,
             });
         }
--- a/core/src/budget/message.rs
+++ b/core/src/budget/message.rs
@@ -83,6 +83,8 @@
         pub mark: u64,
         /// Tokens of the pool that nobody waits for; negative if more are waited for.
         pub free_tokens: f64,
+        /// Sum of the shares that are lent to the coordinator.
+        pub lent_share: f64,
         /// Whether some request waits for tokens, so that none should be kept for later.
         pub scarce: bool,
         /// The coordinator asks for the member's share; its own time, to be repeated.
@@ -111,6 +113,7 @@
             extended: false,
             mark: 0,
             free_tokens: 0.0,
+            lent_share: 0.0,
             scarce: false,
             loan_asked_ms: None,
             returned_loan: Some(loan),
--- a/core/src/budget/mod.rs
+++ b/core/src/budget/mod.rs
@@ -85,6 +85,11 @@
         /// When a repeat is worth trying, from now.
         retry_after_ms: u64,
     },
+    /// This process is cut off: it may not use its share and has heard of no coordinator.
+    Unavailable {
+        /// When a repeat is worth trying, from now.
+        retry_after_ms: u64,
+    },
     /// More tokens than the burst; no repeat can succeed.
     TooLarge,
 }
@@ -97,6 +102,7 @@
     generation: u64,
     /// Whether the organisation is gone. The rest is kept until nothing is lent or held.
     is_removed: bool,
+    policy: BudgetPolicy,
     account: Account,
     pool: Pool,
 }
@@ -153,10 +159,11 @@
         self.observe(now_ms);
         let share = self.share;
         let is_proven = self.is_proven;
+        let policy = self.settings.policy;
         let budget = self
             .by_organisation
             .entry(organisation.clone())
-            .or_insert_with(|| Budget::new(share, is_proven, limit, now_ms));
+            .or_insert_with(|| Budget::new(policy, share, is_proven, limit, now_ms));
         if generation > budget.generation {
             budget.generation = generation;
             budget.is_removed = false;
@@ -164,6 +171,13 @@
         }
     }
 
+    /// Sets how the budget of an organisation is divided, if other than by the settings.
+    pub fn set_policy(&mut self, organisation: &Name, policy: BudgetPolicy) {
+        if let Some(budget) = self.by_organisation.get_mut(organisation) {
+            budget.policy = policy;
+        }
+    }
+
     /// Removes an organisation: its requests are refused from now on.
     pub fn remove(&mut self, organisation: &Name, generation: u64, now_ms: u64) {
         self.observe(now_ms);
@@ -221,7 +235,12 @@
 
     /// Whether the roster should be read now: a newer one exists, or nobody proves this one.
     pub fn wants_roster(&self, now_ms: u64) -> bool {
-        self.is_behind || now_ms + self.settings.proof_ms() / 2 >= self.proven_until_ms
+        self.is_behind || now_ms >= self.proven_until_ms
+    }
+
+    /// Whether a fellow member should be asked for its version: the last proof ends soon.
+    pub fn wants_proof(&self, now_ms: u64) -> bool {
+        now_ms + self.settings.proof_ms() * 2 / 3 >= self.proven_until_ms
     }
 
     /// The roster version that may be confirmed: nothing of this process exceeds what it allows.
@@ -278,9 +297,17 @@
         }
         let limit = budget.limit;
         budget.account.advance(limit, now_ms);
-        budget
+        let charge = budget
             .account
-            .charge(claim, next_ask, limit, is_alone, now_ms)
+            .charge(claim, next_ask, limit, is_alone, now_ms);
+        match charge {
+            Charge::Refused { retry_after_ms }
+                if budget.account.is_cut_off(&self.settings, now_ms) =>
+            {
+                Charge::Unavailable { retry_after_ms }
+            }
+            charge => charge,
+        }
     }
 
     /// Ends the charge of `ticket`: `used` tokens were really used.
@@ -319,7 +346,7 @@
     pub fn tick(&mut self, now_ms: u64) -> Vec<Send> {
         self.observe(now_ms);
         let mut outbox = Outbox::default();
-        if self.settings.policy == BudgetPolicy::Lending && !self.has_left {
+        if !self.has_left {
             self.ask_all(&mut outbox, now_ms);
         }
         self.forget_removed(now_ms);
@@ -332,15 +359,19 @@
         self.observe(now_ms);
         self.has_left = true;
         let mut outbox = Outbox::default();
-        if self.settings.policy == BudgetPolicy::Lending {
-            self.give_back_all(&mut outbox, now_ms);
-        }
+        self.give_back_all(&mut outbox, now_ms);
         self.deliver(outbox, now_ms)
     }
 
+    /// Whether [`Budgets::leave`] was called.
+    pub fn has_left(&self) -> bool {
+        self.has_left
+    }
+
     /// The coordinator of an organisation, as this process sees it.
     pub fn coordinator(&self, organisation: &Name) -> Option<&InstanceId> {
-        if self.settings.policy == BudgetPolicy::StaticShare {
+        let budget = self.by_organisation.get(organisation)?;
+        if budget.policy == BudgetPolicy::StaticShare {
             return None;
         }
         let names = self.peers.keys().map(|name| &**name);
@@ -524,13 +555,14 @@
 }
 
 impl Budget {
-    fn new(share: f64, is_proven: bool, limit: Limit, now_ms: u64) -> Self {
+    fn new(policy: BudgetPolicy, share: f64, is_proven: bool, limit: Limit, now_ms: u64) -> Self {
         let mut account = Account::new(share, limit, now_ms);
         account.native.set_proven(is_proven);
         Self {
             limit,
             generation: 0,
             is_removed: false,
+            policy,
             account,
             pool: Pool::new(now_ms),
         }
--- a/core/src/budget/pool.rs
+++ b/core/src/budget/pool.rs
@@ -95,6 +95,7 @@
             extended: granted.is_some(),
             mark: self.holdings[from].answer_mark(),
             free_tokens: self.free_tokens(settings, now_ms),
+            lent_share: self.loans.share(),
             scarce: self.is_scarce(settings, now_ms),
             loan_asked_ms: (!is_recall).then_some(now_ms),
             returned_loan,
--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -312,6 +312,12 @@
         candidates
     }
 
+    /// Processes that answer and take new work, without this one.
+    pub fn processes(&self) -> impl Iterator<Item = InstanceId> {
+        let live = self.live().filter(|member| member.incarnation > 0);
+        live.map(|member| InstanceId::new(member.listed.name.clone(), member.incarnation))
+    }
+
     /// Number of the current view; another one means that the candidates may have changed.
     pub fn version(&self) -> u64 {
         self.version
--- a/core/tests/budget/scenario.rs
+++ b/core/tests/budget/scenario.rs
@@ -111,7 +111,9 @@
                     self.now_ms += 10;
                     self.exchange(&[]);
                 }
-                Charge::Refused { .. } | Charge::TooLarge => return None,
+                Charge::Refused { .. } | Charge::Unavailable { .. } | Charge::TooLarge => {
+                    return None;
+                }
             }
         }
     }
@@ -229,6 +231,56 @@
     assert_ne!(here, Charge::Granted);
 }
 
+/// Only the coordinator goes on for a while.
+fn coordinator_alone(pair: &mut Pair, time_ms: u64) {
+    let coordinator = pair.coordinator();
+    for _ in 0..time_ms / STEP_MS {
+        pair.now_ms += STEP_MS;
+        let (roster, now_ms) = (pair.roster.clone(), pair.now_ms);
+        pair.nodes[coordinator].set_roster(&roster, now_ms, now_ms);
+        pair.nodes[coordinator].tick(now_ms);
+    }
+}
+
+#[test]
+fn a_grant_that_arrives_late_is_worth_nothing() {
+    let mut pair = Pair::full(LIMIT);
+    let (coordinator, member) = (pair.coordinator(), 1 - pair.coordinator());
+    let org = pair.org.clone();
+    let _ = pair.nodes[member].charge(&org, 77, 500, 500, pair.now_ms);
+    let asks = pair.nodes[member].tick(pair.now_ms);
+    let mut answers = Vec::new();
+    for ask in asks {
+        let from = Pair::id(member);
+        answers.extend(pair.nodes[coordinator].on_message(&from, ask.message, pair.now_ms));
+    }
+    assert!(!answers.is_empty());
+    coordinator_alone(&mut pair, 1_000);
+    for answer in answers {
+        let from = Pair::id(coordinator);
+        pair.nodes[member].on_message(&from, answer.message, pair.now_ms);
+    }
+    let charge = pair.nodes[member].charge(&org, 77, 500, 0, pair.now_ms);
+    assert!(matches!(charge, Charge::Refused { .. }), "{charge:?}");
+}
+
+/// Both hold half of the budget; the coordinator uses the other half only while it is lent.
+#[test]
+fn a_loan_that_is_not_prolonged_ends() {
+    let mut pair = Pair::full(LIMIT);
+    let coordinator = pair.coordinator();
+    let org = pair.org.clone();
+    coordinator_alone(&mut pair, 1_000);
+    let _ = pair.nodes[coordinator].charge(&org, 77, 600, 100, pair.now_ms);
+    pair.nodes[coordinator].tick(pair.now_ms);
+    let charge = pair.nodes[coordinator].charge(&org, 77, 600, 0, pair.now_ms);
+    assert!(matches!(charge, Charge::Refused { .. }), "{charge:?}");
+    let _ = pair.nodes[coordinator].charge(&org, 78, 450, 100, pair.now_ms);
+    pair.nodes[coordinator].tick(pair.now_ms);
+    let charge = pair.nodes[coordinator].charge(&org, 78, 450, 0, pair.now_ms);
+    assert_eq!(charge, Charge::Granted);
+}
+
 #[test]
 fn a_paused_process_acts_on_nothing_expired() {
     let mut pair = Pair::full(LIMIT);
@@ -238,7 +290,7 @@
     pair.exchange(&[]);
     let thawed_ms = pair.now_ms + 60_000;
     let charge = pair.nodes[member].charge(&org, 77, 1, 0, thawed_ms);
-    assert!(matches!(charge, Charge::Refused { .. }), "{charge:?}");
+    assert!(matches!(charge, Charge::Unavailable { .. }), "{charge:?}");
 }
 
 #[test]
--- a/core/tests/budget/usage.rs
+++ b/core/tests/budget/usage.rs
@@ -59,7 +59,7 @@
         match fleet.charge(index, ticket, tokens, left_ms) {
             Charge::Granted => return Some(fleet.now_ms - started_ms),
             Charge::Wait { .. } => fleet.step(STEP_MS, u).expect("input"),
-            Charge::Refused { .. } | Charge::TooLarge => return None,
+            Charge::Refused { .. } | Charge::Unavailable { .. } | Charge::TooLarge => return None,
         }
     }
 }
@@ -130,7 +130,7 @@
                 outcome.granted_tokens += arrival.tokens;
                 outcome.longest_wait_ms = outcome.longest_wait_ms.max(waited_ms);
             }
-            Charge::Refused { .. } | Charge::TooLarge => {
+            Charge::Refused { .. } | Charge::Unavailable { .. } | Charge::TooLarge => {
                 outcome.longest_refusal_ms = outcome.longest_refusal_ms.max(waited_ms);
                 if arrival.is_within_rate {
                     outcome.refused_within_rate += 1;
--- /dev/null
+++ b/daemon/src/budget_messages.rs
@@ -0,0 +1,96 @@
+//! Messages about budgets between instances.
+
+use std::sync::Arc;
+
+use mimosabay_core::budget::{BudgetMessage, Send};
+use mimosabay_core::name::{InstanceId, Name};
+use mimosabay_peer::{Message, Reply};
+
+use crate::instance::Instance;
+
+/// Time after which a message or its answer is worth nothing any more.
+const TIMEOUT_MS: u64 = 400;
+
+/// Answers a message of another process.
+pub fn answer(
+    instance: &Arc<Instance>,
+    from: &InstanceId,
+    to: &InstanceId,
+    message: Option<BudgetMessage>,
+) -> Reply {
+    if *to != instance.id {
+        return Reply::Done;
+    }
+    let sends = message.map_or_else(Vec::new, |message| take_in(instance, from, message));
+    let (back, others): (Vec<_>, Vec<_>) = sends.into_iter().partition(|send| send.to == *from);
+    send_all(instance, others);
+    Reply::Budget {
+        roster_version: instance.budgets.visit(|budgets| budgets.roster_version()),
+        message: back.into_iter().next().map(|send| send.message),
+    }
+}
+
+/// A message carried its sender's roster version. Unlike an answer it proves nothing about now,
+/// but it may be newer than the own one.
+pub fn heard_version(instance: &Instance, from: &InstanceId, roster_version: u64) {
+    let now_ms = instance.now_ms();
+    instance
+        .budgets
+        .visit(|budgets| budgets.heard(from, roster_version, 0, now_ms));
+}
+
+/// Sends messages in the background.
+pub fn send_all(instance: &Arc<Instance>, sends: Vec<Send>) {
+    for Send { to, message } in sends {
+        let instance = instance.clone();
+        tokio::spawn(async move {
+            ask(&instance, &to, Some(message)).await;
+        });
+    }
+}
+
+/// Sends a message, or only asks for the roster version, and takes in the answer. One that is
+/// lost is made good by the next.
+pub async fn ask(instance: &Arc<Instance>, to: &InstanceId, message: Option<BudgetMessage>) {
+    let Some(address) = address(instance, to) else {
+        return;
+    };
+    let asked_ms = instance.now_ms();
+    let envelope = instance.envelope(Message::Budget {
+        to: to.clone(),
+        roster_version: instance.budgets.visit(|budgets| budgets.roster_version()),
+        message,
+    });
+    let reply = instance.peer(&address).ask(&envelope, TIMEOUT_MS).await;
+    let Ok(Reply::Budget {
+        roster_version,
+        message,
+    }) = reply
+    else {
+        return;
+    };
+    let now_ms = instance.now_ms();
+    instance
+        .budgets
+        .visit(|budgets| budgets.heard(to, roster_version, asked_ms, now_ms));
+    if let Some(message) = message {
+        let sends = take_in(instance, to, message);
+        send_all(instance, sends);
+    }
+}
+
+fn take_in(instance: &Instance, from: &InstanceId, message: BudgetMessage) -> Vec<Send> {
+    let now_ms = instance.now_ms();
+    let sends = instance
+        .budgets
+        .visit(|budgets| budgets.on_message(from, message, now_ms));
+    instance.budgets.wake_waiting();
+    sends
+}
+
+fn address(instance: &Instance, to: &InstanceId) -> Option<Name> {
+    instance.with_membership(|membership| {
+        let member = membership.member(&to.name)?;
+        Some(member.listed.peer_address.clone())
+    })
+}
--- /dev/null
+++ b/daemon/src/budgets.rs
@@ -0,0 +1,393 @@
+//! Budgets of organisations and of the weight store.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use mimosabay_core::budget::{BudgetPolicy, BudgetSettings, Budgets, Charge, Limit, Ticket};
+use mimosabay_core::config::ConfigTable;
+use mimosabay_core::name::{InstanceId, Name};
+use mimosabay_core::request::{Code, Ran, Refusal, Request, Usage, Work};
+use mimosabay_core::resource::{Kind, Spec};
+use mimosabay_operator::BudgetPolicy as PolicySetting;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+use crate::budget_messages;
+use crate::instance::Instance;
+
+/// Time between two looks at what is due.
+const TICK_MS: u64 = 25;
+/// Longest wait of a request for its tokens. It covers the time in which shares that rest with a
+/// dead coordinator come back.
+const MAX_WAIT_MS: u64 = 3_000;
+/// Part of a request's time that it may wait for its tokens.
+const WAIT_DIVISOR: u64 = 2;
+/// Time between reading the clock and the charge above which the process counts as paused.
+const PAUSED_MS: u64 = 10;
+/// What a plain call is charged.
+const PLAIN_CALL_TOKENS: u64 = 1;
+/// Longest wait of an adapter load for the weight store.
+const MAX_LOAD_WAIT_MS: u64 = 10_000;
+/// Budget of the starts of adapter loads. No organisation can have this name.
+const LOADS: &str = ".loads";
+/// Budget of the adapter loads in flight.
+const LOADS_IN_FLIGHT: &str = ".loads-in-flight";
+/// Time in which places of loads come back whose instance died.
+const LOST_LOADS_S: f64 = 10.0;
+
+/// The budgets of one instance.
+pub struct BudgetTable {
+    /// Lock order: taken last, and alone.
+    budgets: Mutex<Budgets>,
+    next_ticket: AtomicU64,
+    answered: Notify,
+    seen: Mutex<Seen>,
+}
+
+/// What was last taken over from the other tables.
+#[derive(Default)]
+struct Seen {
+    config_revision: u64,
+    membership: Option<(u64, bool)>,
+    organisations: Vec<Name>,
+}
+
+/// A charge that waits for its settlement. Dropped without one, all of it counts as used.
+pub struct Charged {
+    instance: Arc<Instance>,
+    budget: Name,
+    ticket: Ticket,
+    charged_tokens: u64,
+    used_tokens: u64,
+}
+
+/// Leave to load one adapter, for as long as it is kept.
+pub struct LoadPermit {
+    _in_flight: Charged,
+}
+
+impl BudgetTable {
+    /// Builds the budgets of a process.
+    pub fn new(id: InstanceId, policy: PolicySetting) -> Self {
+        let settings = BudgetSettings {
+            policy: match policy {
+                PolicySetting::Lending => BudgetPolicy::Lending,
+                PolicySetting::StaticShare => BudgetPolicy::StaticShare,
+            },
+            ..BudgetSettings::default()
+        };
+        Self {
+            budgets: Mutex::new(Budgets::new(id, settings, 0)),
+            next_ticket: AtomicU64::new(1),
+            answered: Notify::new(),
+            seen: Mutex::default(),
+        }
+    }
+
+    /// Reads or changes the budgets.
+    pub fn visit<T>(&self, visit: impl FnOnce(&mut Budgets) -> T) -> T {
+        visit(&mut self.budgets.lock().expect("budgets lock"))
+    }
+
+    /// Lets waiting requests try again.
+    pub fn wake_waiting(&self) {
+        self.answered.notify_waiters();
+    }
+}
+
+/// Keeps the budgets going until the process ends.
+pub async fn run(instance: Arc<Instance>) {
+    let mut ticks = instance.timer.subscribe(TICK_MS);
+    while ticks.recv().await.is_some() {
+        tick(&instance);
+    }
+}
+
+/// Ends this process's part in all budgets, in order.
+pub async fn leave(instance: &Arc<Instance>) {
+    let now_ms = instance.now_ms();
+    let sends = instance.budgets.visit(|budgets| budgets.leave(now_ms));
+    let sent = sends
+        .iter()
+        .map(|send| budget_messages::ask(instance, &send.to, Some(send.message.clone())));
+    futures::future::join_all(sent).await;
+}
+
+/// Charges a request for the most that it may use.
+///
+/// Waits a little for tokens that are expected in time, instead of refusing at once.
+///
+/// # Errors
+///
+/// A refusal if the organisation's rate and burst are used up.
+pub async fn charge(
+    instance: &Arc<Instance>,
+    request: &Request,
+    deadline_ms: u64,
+) -> Result<Option<Charged>, Refusal> {
+    if request.organisation.is_empty() {
+        return Ok(None);
+    }
+    let tokens = match &request.work {
+        Work::Generate { max_tokens, .. } => *max_tokens,
+        Work::Plain { .. } => PLAIN_CALL_TOKENS,
+    };
+    let left_ms = deadline_ms.saturating_sub(instance.now_ms());
+    let max_wait_ms = MAX_WAIT_MS.min(left_ms / WAIT_DIVISOR);
+    let charged = take(instance, &request.organisation, tokens, max_wait_ms).await;
+    charged.map(Some).map_err(|refused| refused.refusal())
+}
+
+/// Waits until one more adapter may be loaded; `None` if that takes too long.
+pub async fn load_permit(instance: &Arc<Instance>) -> Option<LoadPermit> {
+    let places: Name = LOADS_IN_FLIGHT.into();
+    let in_flight = take(instance, &places, 1, MAX_LOAD_WAIT_MS).await;
+    let mut in_flight = in_flight.ok()?;
+    // A place in flight is free again once the load has ended.
+    in_flight.used_tokens = 0;
+    let starts: Name = LOADS.into();
+    let start = take(instance, &starts, 1, MAX_LOAD_WAIT_MS).await;
+    let start = start.ok()?;
+    drop(start);
+    Some(LoadPermit {
+        _in_flight: in_flight,
+    })
+}
+
+impl Charged {
+    /// The request ended with an answer.
+    pub fn settle(mut self, usage: Usage) {
+        self.used_tokens = match usage.total_tokens() {
+            0 => self.charged_tokens,
+            used => used,
+        };
+    }
+
+    /// The request ended without an answer.
+    pub fn settle_refused(mut self, ran: Ran) {
+        if ran == Ran::No {
+            self.used_tokens = 0;
+        }
+    }
+}
+
+impl Drop for Charged {
+    fn drop(&mut self) {
+        let now_ms = self.instance.now_ms();
+        let (budget, ticket, used) = (&self.budget, self.ticket, self.used_tokens);
+        self.instance
+            .budgets
+            .visit(|budgets| budgets.settle(budget, ticket, used, now_ms));
+    }
+}
+
+/// Why a charge was not made.
+enum Refused {
+    OverRate { retry_after_ms: u64 },
+    Unavailable { retry_after_ms: u64 },
+    TooLarge,
+}
+
+impl Refused {
+    fn refusal(&self) -> Refusal {
+        match self {
+            Refused::OverRate { retry_after_ms } => {
+                let message = "the organisation's rate and burst are used up";
+                Refusal::not_run(Code::OverRate, message).retry_after_ms(*retry_after_ms)
+            }
+            Refused::Unavailable { retry_after_ms } => {
+                let message = "this instance has no part in the organisation's budget";
+                Refusal::not_run(Code::NotReady, message).retry_after_ms(*retry_after_ms)
+            }
+            Refused::TooLarge => {
+                let message = "the request may use more tokens than the organisation's burst";
+                Refusal::not_run(Code::TooLarge, message)
+            }
+        }
+    }
+}
+
+/// A request that waits; it leaves the line when it is dropped.
+struct InLine<'a> {
+    table: &'a BudgetTable,
+    budget: &'a Name,
+    ticket: Ticket,
+}
+
+impl Drop for InLine<'_> {
+    fn drop(&mut self) {
+        self.table
+            .visit(|budgets| budgets.abandon(self.budget, self.ticket));
+    }
+}
+
+async fn take(
+    instance: &Arc<Instance>,
+    budget: &Name,
+    tokens: u64,
+    max_wait_ms: u64,
+) -> Result<Charged, Refused> {
+    refresh(instance);
+    let table = &instance.budgets;
+    let ticket = table.next_ticket.fetch_add(1, Ordering::Relaxed);
+    let _line = InLine {
+        table,
+        budget,
+        ticket,
+    };
+    let deadline_ms = instance.now_ms() + max_wait_ms;
+    loop {
+        let answered = table.answered.notified();
+        tokio::pin!(answered);
+        answered.as_mut().enable();
+        match try_charge(instance, budget, ticket, tokens, deadline_ms) {
+            Charge::Granted => {
+                return Ok(Charged {
+                    instance: instance.clone(),
+                    budget: budget.clone(),
+                    ticket,
+                    charged_tokens: tokens,
+                    used_tokens: tokens,
+                });
+            }
+            Charge::Wait { wait_ms } => {
+                tick(instance);
+                // Whether an answer or the time ends the wait, the charge is tried again.
+                let _ = timeout(Duration::from_millis(wait_ms), answered).await;
+            }
+            Charge::Refused { retry_after_ms } => {
+                return Err(Refused::OverRate { retry_after_ms });
+            }
+            Charge::Unavailable { retry_after_ms } => {
+                return Err(Refused::Unavailable { retry_after_ms });
+            }
+            Charge::TooLarge => return Err(Refused::TooLarge),
+        }
+    }
+}
+
+/// Charges once. A charge during which the process was paused is given up unused, because its
+/// tokens may have expired meanwhile.
+fn try_charge(
+    instance: &Instance,
+    budget: &Name,
+    ticket: Ticket,
+    tokens: u64,
+    deadline_ms: u64,
+) -> Charge {
+    instance.budgets.visit(|budgets| {
+        let now_ms = instance.now_ms();
+        let left_ms = deadline_ms.saturating_sub(now_ms);
+        let charge = budgets.charge(budget, ticket, tokens, left_ms, now_ms);
+        let after_ms = instance.now_ms();
+        if charge == Charge::Granted && after_ms >= now_ms + PAUSED_MS {
+            budgets.settle(budget, ticket, 0, after_ms);
+            return Charge::Wait { wait_ms: 0 };
+        }
+        charge
+    })
+}
+
+fn tick(instance: &Arc<Instance>) {
+    refresh(instance);
+    let now_ms = instance.now_ms();
+    let sends = instance.budgets.visit(|budgets| budgets.tick(now_ms));
+    budget_messages::send_all(instance, sends);
+}
+
+/// Takes over what has changed in the configuration and in the view of peers.
+fn refresh(instance: &Instance) {
+    let config_revision = instance.with_config(ConfigTable::revision);
+    let is_stopping = instance.is_stopping();
+    let membership = instance.with_membership(|membership| membership.version());
+    let mut seen = instance.budgets.seen.lock().expect("seen lock");
+    let is_first = seen.membership.is_none();
+    if is_first || seen.config_revision != config_revision {
+        seen.config_revision = config_revision;
+        take_over_config(instance, &mut seen);
+    }
+    if seen.membership != Some((membership, is_stopping)) {
+        seen.membership = Some((membership, is_stopping));
+        take_over_peers(instance, is_stopping);
+    }
+}
+
+fn take_over_peers(instance: &Instance, is_stopping: bool) {
+    let mut peers: Vec<InstanceId> =
+        instance.with_membership(|membership| membership.processes().collect());
+    if !is_stopping {
+        peers.push(instance.id.clone());
+    }
+    let now_ms = instance.now_ms();
+    instance
+        .budgets
+        .visit(|budgets| budgets.set_peers(peers, now_ms));
+}
+
+fn take_over_config(instance: &Instance, seen: &mut Seen) {
+    let (limits, loads, gone) = instance.with_config(|config| {
+        let limits = organisation_limits(config);
+        let names = std::mem::take(&mut seen.organisations);
+        let gone: Vec<(Name, u64)> = names
+            .into_iter()
+            .filter(|name| config.organisation(name).is_none())
+            .filter_map(|name| {
+                let revision = config.entry(Kind::Organisation, &name)?.revision;
+                Some((name, revision))
+            })
+            .collect();
+        (limits, load_limits(config), gone)
+    });
+    seen.organisations = limits.iter().map(|(name, ..)| name.clone()).collect();
+    let now_ms = instance.now_ms();
+    instance.budgets.visit(|budgets| {
+        for (name, limit, generation) in &limits {
+            budgets.configure(name, *limit, *generation, now_ms);
+        }
+        for (name, limit, generation) in &loads {
+            budgets.configure(name, *limit, *generation, now_ms);
+            // A part of so small a budget would not admit a single load.
+            budgets.set_policy(name, BudgetPolicy::Lending);
+        }
+        for (name, generation) in &gone {
+            budgets.remove(name, *generation, now_ms);
+        }
+    });
+}
+
+fn organisation_limits(config: &ConfigTable) -> Vec<(Name, Limit, u64)> {
+    let mut limits = Vec::new();
+    for (name, spec) in config.of_kind(Kind::Organisation) {
+        if let Spec::Organisation(spec) = spec
+            && let Some(entry) = config.entry(Kind::Organisation, name)
+        {
+            let limit = Limit {
+                rate_per_s: spec.rate_tokens_per_s as f64,
+                burst_tokens: spec.burst_tokens as f64,
+            };
+            limits.push((name.clone(), limit, entry.revision));
+        }
+    }
+    limits
+}
+
+fn load_limits(config: &ConfigTable) -> Vec<(Name, Limit, u64)> {
+    let Some(site) = config.site() else {
+        return Vec::new();
+    };
+    // Any change of the configuration may be one of the site; the same limit again does no harm.
+    let generation = config.revision();
+    let starts = Limit {
+        rate_per_s: site.loads_per_s as f64,
+        burst_tokens: site.loads_per_s.max(1) as f64,
+    };
+    let in_flight = Limit {
+        rate_per_s: site.loads_in_flight as f64 / LOST_LOADS_S,
+        burst_tokens: site.loads_in_flight as f64,
+    };
+    vec![
+        (LOADS.into(), starts, generation),
+        (LOADS_IN_FLIGHT.into(), in_flight, generation),
+    ]
+}
--- a/daemon/src/inbound.rs
+++ b/daemon/src/inbound.rs
@@ -9,6 +9,7 @@
 use mimosabay_peer::{Inbound, Message, Reply, Responder};
 use tracing::debug;
 
+use crate::budget_messages;
 use crate::config_sync;
 use crate::heartbeat;
 use crate::instance::Instance;
@@ -50,6 +51,14 @@
         Message::PullConfig { above_revision } => {
             Reply::Config(config_sync::entries_above(instance, above_revision))
         }
+        Message::Budget {
+            to,
+            roster_version,
+            message,
+        } => {
+            budget_messages::heard_version(instance, from, roster_version);
+            budget_messages::answer(instance, from, &to, message)
+        }
         Message::Run { .. } => unreachable!("a run has replies of its own"),
     }
 }
--- a/daemon/src/instance.rs
+++ b/daemon/src/instance.rs
@@ -15,6 +15,7 @@
 use mimosabay_platform::Platform;
 use tokio::sync::watch;
 
+use crate::budgets::BudgetTable;
 use crate::clock::{Clock, new_incarnation};
 use crate::metrics::Metrics;
 use crate::owner::OwnedServer;
@@ -24,7 +25,7 @@
 /// Tables that all tasks share.
 ///
 /// Lock order: `config`, `membership`, `proof`, `owned`, the queue of one owned server, `peers`,
-/// `retry_budget`. A task that holds one takes only later ones, and holds none over an await.
+/// `retry_budget`, then [`Instance::budgets`]. A task that holds one takes only later ones, and holds none over an await.
 pub struct Tables {
     /// The configuration in force.
     pub config: RwLock<ConfigTable>,
@@ -52,6 +53,8 @@
     pub timer: Timer,
     /// Tables that all tasks share.
     pub tables: Tables,
+    /// Budgets of organisations and of the weight store.
+    pub budgets: BudgetTable,
     /// The platform.
     pub platform: Platform,
     /// Connections to backend servers.
@@ -84,8 +87,10 @@
             peers: Mutex::default(),
             retry_budget: Mutex::default(),
         };
+        let id = InstanceId::new(settings.instance.name.clone(), new_incarnation());
         let instance = Self {
-            id: InstanceId::new(settings.instance.name.clone(), new_incarnation()),
+            budgets: BudgetTable::new(id.clone(), settings.policy.budget),
+            id,
             clock,
             timer,
             tables,
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -3,12 +3,14 @@
 //! An instance takes in calls ([`entry`]), sees each to its final answer ([`supervise`]), finds
 //! the backend server and its owner ([`route`]), and dispatches to the servers that it owns itself
 //! ([`owner`], [`dispatch`]). Beside that it follows the configuration ([`config_sync`]), knows the
-//! other instances ([`heartbeat`]) and may hold the role of the [`acceptor`].
+//! other instances ([`heartbeat`]), shares the budgets with them ([`budgets`], [`roster`]) and may hold the role of the [`acceptor`].
 
 // A poisoned lock and an impossible event are broken invariants: the process stops.
 #![allow(clippy::missing_panics_doc)]
 
 pub mod acceptor;
+pub mod budget_messages;
+pub mod budgets;
 pub mod clock;
 pub mod config_sync;
 pub mod dispatch;
@@ -21,6 +23,7 @@
 pub mod monitor;
 pub mod orders;
 pub mod owner;
+pub mod roster;
 pub mod route;
 pub mod run;
 pub mod stop;
--- a/daemon/src/orders.rs
+++ b/daemon/src/orders.rs
@@ -9,6 +9,7 @@
 use tokio::time::sleep;
 use tracing::{info, warn};
 
+use crate::budgets;
 use crate::instance::Instance;
 use crate::owner::OwnedServer;
 use crate::takeover;
@@ -94,13 +95,15 @@
     model: &AdapterVersion,
     handle: Name,
 ) {
+    let permit = budgets::load_permit(instance).await;
     let started_ms = instance.now_ms();
-    let loaded = match source(instance, model) {
+    let loaded = match source(instance, model).filter(|_| permit.is_some()) {
         Some(source) => load_with_retries(server, source, &handle)
             .await
             .map_err(Some),
         None => Err(None),
     };
+    drop(permit);
     let took_ms = instance.now_ms() - started_ms;
     instance.metrics.time("adapter_load", took_ms);
     match loaded {
--- /dev/null
+++ b/daemon/src/roster.rs
@@ -0,0 +1,209 @@
+//! The roster object of the store: who holds a share of every budget.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use mimosabay_core::membership::State;
+use mimosabay_core::name::InstanceId;
+use mimosabay_core::roster::Roster;
+use mimosabay_platform::{Category, Error, Precondition};
+use tracing::{info, warn};
+
+use crate::budget_messages;
+use crate::instance::Instance;
+
+/// Kind and name of the roster object.
+const KIND: &str = "roster";
+const NAME: &str = "members";
+/// Time between two looks at whether the roster should be read.
+const PERIOD_MS: u64 = 250;
+/// Time after which the roster is read in any case.
+const READ_PERIOD_MS: u64 = 5_000;
+/// Time without being listed or heard after which a process counts as gone. The list lags, so
+/// that a new process may not be on it yet.
+const ABSENT_MS: u64 = 5_000;
+/// Changes that one look makes: joining, removing others, confirming.
+const MAX_CHANGES: usize = 3;
+/// Attempts at leaving the roster.
+const LEAVE_ATTEMPTS: usize = 5;
+
+/// Keeps this process on the roster until it leaves.
+pub async fn run(instance: Arc<Instance>) {
+    let mut ticks = instance.timer.subscribe(PERIOD_MS);
+    let mut follower = Follower::default();
+    loop {
+        follower.step(&instance).await;
+        if ticks.recv().await.is_none() {
+            return;
+        }
+    }
+}
+
+/// Takes this process off the roster. Call when it uses no budget any more.
+pub async fn leave(instance: &Instance) {
+    for _ in 0..LEAVE_ATTEMPTS {
+        let left = change(instance, |roster| roster.remove(|id| *id == instance.id)).await;
+        match left {
+            Ok(_) => return,
+            Err(cause) if cause.classify() == Category::Conflict => {}
+            Err(cause) => {
+                // Others take it off once the platform's list says that it is gone.
+                warn!(%cause, "cannot leave the roster");
+                return;
+            }
+        }
+    }
+}
+
+#[derive(Default)]
+struct Follower {
+    roster: Roster,
+    read_ms: Option<u64>,
+    /// Members that are neither listed nor heard, and since when.
+    absent: HashMap<InstanceId, u64>,
+}
+
+impl Follower {
+    async fn step(&mut self, instance: &Arc<Instance>) {
+        self.note_absent(instance);
+        let before = self.roster.version;
+        for _ in 0..MAX_CHANGES {
+            if !self.should_read(instance) {
+                break;
+            }
+            self.read(instance).await;
+        }
+        let wants_proof = instance
+            .budgets
+            .visit(|budgets| budgets.wants_proof(instance.now_ms()));
+        // Fellows hear of a new version by being asked.
+        if wants_proof || self.roster.version != before {
+            self.ask_fellows(instance).await;
+        }
+    }
+
+    fn should_read(&self, instance: &Instance) -> bool {
+        let now_ms = instance.now_ms();
+        let is_old = self
+            .read_ms
+            .is_none_or(|read_ms| read_ms + READ_PERIOD_MS <= now_ms);
+        let wants = instance
+            .budgets
+            .visit(|budgets| budgets.wants_roster(now_ms));
+        is_old || wants || self.wanted(instance, &self.roster).is_some()
+    }
+
+    async fn read(&mut self, instance: &Instance) {
+        match change(instance, |roster| self.wanted(instance, roster)).await {
+            Ok(roster) => {
+                if roster.version != self.roster.version {
+                    let (version, members) = (roster.version, roster.members.len());
+                    info!(version, members, "roster read");
+                }
+                self.roster = roster;
+                self.read_ms = Some(instance.now_ms());
+            }
+            // Someone else was faster; the next look reads what became of it.
+            Err(cause) if cause.classify() == Category::Conflict => self.read_ms = None,
+            Err(cause) => warn!(%cause, "cannot follow the roster"),
+        }
+    }
+
+    /// The change that this process has to make.
+    fn wanted(&self, instance: &Instance, roster: &Roster) -> Option<Roster> {
+        let now_ms = instance.now_ms();
+        let (confirmable, has_left) = instance
+            .budgets
+            .visit(|budgets| (budgets.confirmable_version(now_ms), budgets.has_left()));
+        if has_left {
+            return None;
+        }
+        roster
+            .join(&instance.id)
+            .or_else(|| roster.remove(|id| self.is_gone(instance, id)))
+            .or_else(|| roster.confirm(&instance.id, confirmable?))
+    }
+
+    fn is_gone(&self, instance: &Instance, id: &InstanceId) -> bool {
+        if *id == instance.id {
+            return false;
+        }
+        let known = instance.with_membership(|membership| {
+            let member = membership.member(&id.name)?;
+            Some((member.incarnation, member.state))
+        });
+        match known {
+            // The platform runs one process of an instance at a time.
+            Some((incarnation, _)) if incarnation > id.incarnation => true,
+            Some((incarnation, state)) => incarnation == id.incarnation && state == State::Gone,
+            None => {
+                let since_ms = self.absent.get(id);
+                since_ms.is_some_and(|since_ms| since_ms + ABSENT_MS <= instance.now_ms())
+            }
+        }
+    }
+
+    fn note_absent(&mut self, instance: &Instance) {
+        let now_ms = instance.now_ms();
+        let is_known = |id: &InstanceId| {
+            *id == instance.id
+                || instance.with_membership(|membership| membership.member(&id.name).is_some())
+        };
+        self.absent.retain(|id, _| !is_known(id));
+        for member in &self.roster.members {
+            if !is_known(&member.id) {
+                self.absent.entry(member.id.clone()).or_insert(now_ms);
+            }
+        }
+    }
+
+    /// A fellow that acts on no newer version proves that this process is still on the roster,
+    /// also while the store is away.
+    async fn ask_fellows(&self, instance: &Arc<Instance>) {
+        let members = self.roster.members.iter().map(|member| &member.id);
+        let fellows = members.filter(|id| **id != instance.id);
+        let asked = fellows.map(|id| budget_messages::ask(instance, id, None));
+        futures::future::join_all(asked).await;
+    }
+}
+
+/// Reads the roster, writes the change that is wanted, if any, and returns what holds now.
+async fn change(
+    instance: &Instance,
+    wanted: impl Fn(&Roster) -> Option<Roster>,
+) -> Result<Roster, Error> {
+    let asked_ms = instance.now_ms();
+    let (roster, precondition) = match instance.platform.get(KIND, NAME).await {
+        Ok(object) => {
+            let Ok(roster) = serde_json::from_value(object.value) else {
+                warn!("the roster cannot be read");
+                return Ok(Roster::default());
+            };
+            (roster, Precondition::Version(object.version))
+        }
+        Err(cause) if cause.classify() == Category::NotFound => {
+            (Roster::default(), Precondition::Absent)
+        }
+        Err(cause) => return Err(cause),
+    };
+    take_in(instance, &roster, asked_ms);
+    let Some(next) = wanted(&roster) else {
+        return Ok(roster);
+    };
+    let asked_ms = instance.now_ms();
+    let value = serde_json::to_value(&next).expect("a roster has string keys only");
+    instance
+        .platform
+        .put(KIND, NAME, &value, precondition)
+        .await?;
+    take_in(instance, &next, asked_ms);
+    Ok(next)
+}
+
+fn take_in(instance: &Instance, roster: &Roster, asked_ms: u64) {
+    let now_ms = instance.now_ms();
+    instance
+        .budgets
+        .visit(|budgets| budgets.set_roster(roster, asked_ms, now_ms));
+    instance.budgets.wake_waiting();
+}
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -12,7 +12,7 @@
 use crate::entry::Entry;
 use crate::instance::Instance;
 use crate::timer::Timer;
-use crate::{acceptor, config_sync, heartbeat, inbound, owner, stop, takeover};
+use crate::{acceptor, budgets, config_sync, heartbeat, inbound, owner, roster, stop, takeover};
 
 /// Runs an instance until its planned stop is done.
 ///
@@ -55,6 +55,8 @@
     tokio::spawn(heartbeat::run(instance.clone()));
     tokio::spawn(config_sync::run(instance.clone()));
     tokio::spawn(acceptor::run(instance.clone()));
+    tokio::spawn(budgets::run(instance.clone()));
+    tokio::spawn(roster::run(instance.clone()));
     tokio::spawn(owner::run_ticks(instance.clone()));
     tokio::spawn(takeover::run_release(instance.clone()));
 }
--- a/daemon/src/stop.rs
+++ b/daemon/src/stop.rs
@@ -8,8 +8,10 @@
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
 
+use crate::budgets;
 use crate::heartbeat;
 use crate::instance::Instance;
+use crate::roster;
 
 /// Waits for the order to stop (`SIGTERM` or `SIGINT`).
 ///
@@ -48,5 +50,7 @@
             "requests are still open"
         );
     }
+    budgets::leave(instance).await;
+    roster::leave(instance).await;
     heartbeat::say_goodbye(instance).await;
 }
--- a/daemon/src/supervise.rs
+++ b/daemon/src/supervise.rs
@@ -10,6 +10,7 @@
 use tokio::time::{sleep, timeout_at};
 use tracing::info;
 
+use crate::budgets;
 use crate::instance::Instance;
 use crate::route::{self, Run};
 
@@ -58,7 +59,7 @@
     sender: &mpsc::Sender<RunEvent>,
 ) -> Result<Usage, Refusal> {
     tokio::select! {
-        ended = attempts(instance, request, sender) => ended,
+        ended = charged(instance, request, sender) => ended,
         // Work that may not be repeated runs to its end, so that its outcome is recorded.
         () = sender.closed(), if request.repeat == Repeat::Idempotent => {
             Err(Refusal::in_doubt(Code::Cancelled, "the caller left"))
@@ -66,12 +67,30 @@
     }
 }
 
-async fn attempts(
+/// Charges the organisation before the first attempt and settles after the last.
+async fn charged(
     instance: &Arc<Instance>,
     request: &Request,
     sender: &mpsc::Sender<RunEvent>,
 ) -> Result<Usage, Refusal> {
     let deadline_ms = instance.now_ms() + request.timeout_ms;
+    let charged = budgets::charge(instance, request, deadline_ms).await?;
+    let ended = attempts(instance, request, deadline_ms, sender).await;
+    if let Some(charged) = charged {
+        match &ended {
+            Ok(usage) => charged.settle(*usage),
+            Err(refusal) => charged.settle_refused(refusal.ran),
+        }
+    }
+    ended
+}
+
+async fn attempts(
+    instance: &Arc<Instance>,
+    request: &Request,
+    deadline_ms: u64,
+    sender: &mpsc::Sender<RunEvent>,
+) -> Result<Usage, Refusal> {
     let mut progress = Progress::new();
     let mut failed: Vec<Name> = Vec::new();
     with_retry_budget(instance, retry::RetryBudget::request);
--- a/peer/src/message.rs
+++ b/peer/src/message.rs
@@ -1,5 +1,6 @@
 //! Messages between instances.
 
+use mimosabay_core::budget::BudgetMessage;
 use mimosabay_core::config::Accepted;
 use mimosabay_core::membership::Heartbeat;
 use mimosabay_core::name::{InstanceId, Name};
@@ -33,6 +34,16 @@
             /// The revision.
             above_revision: u64,
         },
+        /// Lending and granting of budgets. Answered by [`Reply::Budget`].
+        Budget {
+            /// The process that is meant. A later process of the same instance ignores it, because
+            /// the message refers to the earlier one's clock.
+            to: InstanceId,
+            /// Version of the roster that the sender acts on.
+            roster_version: u64,
+            /// What it is told; nothing if only its roster version is asked for.
+            message: Option<BudgetMessage>,
+        },
     }
 
     /// What an instance answers.
@@ -48,6 +59,13 @@
         },
         /// Entries of the configuration.
         Config(Vec<Accepted>),
+        /// Lending and granting of budgets.
+        Budget {
+            /// Version of the roster that the answering process acts on.
+            roster_version: u64,
+            /// What it says in return.
+            message: Option<BudgetMessage>,
+        },
         /// The message was taken; there is nothing to say.
         Done,
     }
