--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -12,7 +12,10 @@
 use crate::entry::Entry;
 use crate::instance::Instance;
 use crate::timer::Timer;
-use crate::{acceptor, budgets, config_sync, heartbeat, inbound, owner, roster, stop, takeover};
+use crate::{
+    acceptor, budgets, config_sync, heartbeat, inbound, owner, rollout, roster, service_level,
+    stop, takeover,
+};
 
 /// Runs an instance until its planned stop is done.
 ///
@@ -57,6 +60,8 @@
     tokio::spawn(acceptor::run(instance.clone()));
     tokio::spawn(budgets::run(instance.clone()));
     tokio::spawn(roster::run(instance.clone()));
+    tokio::spawn(rollout::run(instance.clone()));
+    tokio::spawn(service_level::run(instance.clone()));
     tokio::spawn(owner::run_ticks(instance.clone()));
     tokio::spawn(takeover::run_release(instance.clone()));
 }
--- a/daemon/src/stop.rs
+++ b/daemon/src/stop.rs
@@ -12,6 +12,7 @@
 use crate::heartbeat;
 use crate::instance::Instance;
 use crate::roster;
+use crate::service_level;
 
 /// Waits for the order to stop (`SIGTERM` or `SIGINT`).
 ///
@@ -52,5 +53,6 @@
     }
     budgets::leave(instance).await;
     roster::leave(instance).await;
+    service_level::flush(instance).await;
     heartbeat::say_goodbye(instance).await;
 }
--- a/daemon/src/takeover.rs
+++ b/daemon/src/takeover.rs
@@ -104,7 +104,7 @@
 fn carry_out(instance: &Instance, server: &Arc<OwnedServer>, plan: Plan) {
     for (model, handle) in plan.adopt {
         info!(server = %server.name, %handle, "adopted an adapter");
-        server.visit(instance, |queue, now_ms| queue.adopt(model, now_ms));
+        server.visit(instance, |queue, now_ms| queue.adopt(&model, now_ms));
     }
     for model in plan.evictable {
         server.visit(instance, |queue, now_ms| {
@@ -151,17 +151,14 @@
 /// Turns away what waits; once nothing runs any more, the server is forgotten.
 fn release(instance: &Instance, server: &Arc<OwnedServer>) {
     server.turn_away();
-    let (is_idle, handles) = {
-        let state = server.state.lock().expect("owned server lock");
-        let handles = state.handles.values().cloned().collect::<Vec<_>>();
-        (
-            state.queue.running() == 0 && !state.queue.loads_any(),
-            handles,
-        )
+    let handles: Vec<_> = {
+        let mut state = server.state.lock().expect("owned server lock");
+        if state.queue.running() > 0 || state.queue.loads_any() {
+            return;
+        }
+        state.is_released = true;
+        state.handles.values().cloned().collect()
     };
-    if !is_idle {
-        return;
-    }
     info!(server = %server.name, "released a backend server");
     instance.forget_owned(server);
     if !server.checks_fencing {
