--- a/daemon/src/budgets.rs
+++ b/daemon/src/budgets.rs
@@ -202,7 +202,8 @@
             }
             Refused::TooLarge => {
                 let message = "the request may use more tokens than the organisation's burst";
-                Refusal::not_run(Code::TooLarge, message)
+                // No repeat can succeed, so that no time for one is named.
+                Refusal::not_run(Code::OverRate, message)
             }
         }
     }
