--- a/daemon/src/instance.rs
+++ b/daemon/src/instance.rs
@@ -15,6 +15,7 @@
 use mimosabay_platform::{Object, Platform};
 use tokio::sync::watch;
 
+use crate::budgets::BudgetTable;
 use crate::clock::{Clock, new_incarnation};
 use crate::journal::KeyedRuns;
 use crate::metrics::Metrics;
@@ -29,8 +30,8 @@
 /// Tables that all tasks share.
 ///
 /// Lock order: `config`, `membership`, `proof`, `owned`, the queue of one owned server, `peers`,
-/// `placing`, `retry_budget`, `slo`, `accepted_here`. A task that holds one takes only later ones, and
-/// holds none over an await.
+/// `placing`, `retry_budget`, `slo`, `accepted_here`, then [`Instance::budgets`]. A task that holds one
+/// takes only later ones, and holds none over an await.
 pub struct Tables {
     /// The configuration in force.
     pub config: RwLock<ConfigTable>,
@@ -66,6 +67,8 @@
     pub tables: Tables,
     /// Runs of requests with an idempotency key. Its lock is taken alone.
     pub keyed: KeyedRuns,
+    /// Budgets of organisations and of the weight store.
+    pub budgets: BudgetTable,
     /// The platform.
     pub platform: Platform,
     /// Connections to backend servers.
@@ -106,9 +109,9 @@
             slo: Mutex::new(SloRecorder::new(id.incarnation)),
             accepted_here: Mutex::default(),
         };
-        let id = InstanceId::new(settings.instance.name.clone(), new_incarnation());
         let instance = Self {
             keyed: KeyedRuns::new(id.clone()),
+            budgets: BudgetTable::new(id.clone(), settings.policy.budget),
             id,
             clock,
             timer,
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -13,8 +13,8 @@
 use crate::instance::Instance;
 use crate::timer::Timer;
 use crate::{
-    acceptor, config_sync, heartbeat, inbound, journal, owner, rollout, service_level, stop,
-    takeover,
+    acceptor, budgets, config_sync, heartbeat, inbound, journal, owner, rollout, roster,
+    service_level, stop, takeover,
 };
 
 /// Runs an instance until its planned stop is done.
@@ -58,6 +58,8 @@
     tokio::spawn(heartbeat::run(instance.clone()));
     tokio::spawn(config_sync::run(instance.clone()));
     tokio::spawn(acceptor::run(instance.clone()));
+    tokio::spawn(budgets::run(instance.clone()));
+    tokio::spawn(roster::run(instance.clone()));
     tokio::spawn(rollout::run(instance.clone()));
     tokio::spawn(service_level::run(instance.clone()));
     tokio::spawn(owner::run_ticks(instance.clone()));
--- a/daemon/src/stop.rs
+++ b/daemon/src/stop.rs
@@ -8,9 +8,11 @@
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
 
+use crate::budgets;
 use crate::heartbeat;
 use crate::instance::Instance;
 use crate::journal;
+use crate::roster;
 use crate::service_level;
 
 /// Waits for the order to stop (`SIGTERM` or `SIGINT`).
@@ -54,6 +56,8 @@
     if !recorded {
         warn!("outcomes of keyed requests are not recorded");
     }
+    budgets::leave(instance).await;
+    roster::leave(instance).await;
     service_level::flush(instance).await;
     heartbeat::say_goodbye(instance).await;
 }
