--- a/standin/src/harness.rs
+++ b/standin/src/harness.rs
@@ -5,6 +5,7 @@
 //! go on then; what is under test is returned as a value.
 
 mod binary;
+mod bookings;
 mod caller;
 mod control;
 mod instance;
@@ -15,10 +16,11 @@
 mod wait;
 
 pub use binary::find_binary;
+pub use bookings::{Attempt, BookingEnd, BookingRecord, Bookings};
 pub use caller::{Caller, Failure, OpenStream, Part, Reply};
 pub use control::Control;
 pub use instance::InstanceProcess;
-pub use load::{Balancer, CallEnd, CallRecord, Load, LoadOptions};
+pub use load::{Ask, Balancer, CallEnd, CallRecord, Load, LoadOptions};
 pub use process::Process;
 pub use relay::Relay;
 pub use site::{EngineServer, PlainServer, Site, SiteOptions};
--- /dev/null
+++ b/standin/src/harness/bookings.rs
@@ -0,0 +1,161 @@
+//! Concurrent callers that book, some with an idempotency key, behind a balancer.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use super::caller::{Caller, Failure, Reply};
+use super::load::Balancer;
+
+const BOOK: &str = "/orders/book";
+/// Times that a keyed booking is sent before its caller gives up.
+const MAX_ATTEMPTS: usize = 5;
+/// Pause of a caller without a ready instance, and before it sends a booking again.
+const PAUSE_MS: u64 = 50;
+
+/// What one attempt at a booking came to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BookingEnd {
+    /// It was booked under this number.
+    Booked(u64),
+    /// The system refused it.
+    Refused {
+        /// Code of the error.
+        code: String,
+        /// Whether it ran, by the error.
+        ran: String,
+    },
+    /// The connection broke.
+    Broken(String),
+}
+
+/// One attempt at a booking.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    /// Address of the instance that it was sent to.
+    pub address: String,
+    /// What it came to.
+    pub end: BookingEnd,
+}
+
+/// One booking with all attempts at it.
+#[derive(Clone, Debug)]
+pub struct BookingRecord {
+    /// Its body, unique among all bookings of a test.
+    pub order: String,
+    /// Whether it had an idempotency key.
+    pub is_keyed: bool,
+    /// Attempts, oldest first; one if it had no key.
+    pub attempts: Vec<Attempt>,
+}
+
+/// Callers at work. Dropping it stops them.
+#[derive(Debug)]
+pub struct Bookings {
+    stop: watch::Sender<bool>,
+    callers: JoinSet<()>,
+    records: Arc<Mutex<Vec<BookingRecord>>>,
+}
+
+struct BookingCaller {
+    index: usize,
+    is_keyed: bool,
+    balancer: Balancer,
+    records: Arc<Mutex<Vec<BookingRecord>>>,
+    stopped: watch::Receiver<bool>,
+}
+
+impl Bookings {
+    /// Starts the callers, every second one with idempotency keys.
+    pub fn start(balancer: &Balancer, callers: usize) -> Self {
+        let (stop, stopped) = watch::channel(false);
+        let records: Arc<Mutex<Vec<BookingRecord>>> = Arc::default();
+        let mut tasks = JoinSet::new();
+        for index in 0..callers {
+            let caller = BookingCaller {
+                index,
+                is_keyed: index.is_multiple_of(2),
+                balancer: balancer.clone(),
+                records: records.clone(),
+                stopped: stopped.clone(),
+            };
+            tasks.spawn(caller.run());
+        }
+        Self {
+            stop,
+            callers: tasks,
+            records,
+        }
+    }
+
+    /// Lets the open bookings end and returns all.
+    pub async fn stop(mut self) -> Vec<BookingRecord> {
+        self.stop.send_replace(true);
+        while self.callers.join_next().await.is_some() {}
+        let mut records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut *records)
+    }
+}
+
+impl BookingCaller {
+    async fn run(self) {
+        for count in 0.. {
+            if *self.stopped.borrow() {
+                return;
+            }
+            let order = format!("order {count} of booker {}", self.index);
+            let attempts = self.book(&order).await;
+            let record = BookingRecord {
+                order,
+                is_keyed: self.is_keyed,
+                attempts,
+            };
+            let mut records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
+            records.push(record);
+        }
+    }
+
+    /// Books until the outcome is known or, without a key, once.
+    async fn book(&self, order: &str) -> Vec<Attempt> {
+        let mut attempts = Vec::new();
+        let max_attempts = if self.is_keyed { MAX_ATTEMPTS } else { 1 };
+        while attempts.len() < max_attempts {
+            let Some(address) = self.balancer.next() else {
+                sleep(Duration::from_millis(PAUSE_MS)).await;
+                continue;
+            };
+            let end = self.try_once(&address, order).await;
+            let is_booked = matches!(end, BookingEnd::Booked(_));
+            attempts.push(Attempt { address, end });
+            if is_booked {
+                break;
+            }
+            sleep(Duration::from_millis(PAUSE_MS)).await;
+        }
+        attempts
+    }
+
+    async fn try_once(&self, address: &str, order: &str) -> BookingEnd {
+        let mut caller = Caller::new(address).key(super::CLINICS_KEY);
+        if self.is_keyed {
+            caller = caller.header("idempotency-key", &order.replace(' ', "-"));
+        }
+        judge(caller.post(BOOK, order).await)
+    }
+}
+
+fn judge(answer: Result<Reply, Failure>) -> BookingEnd {
+    match answer {
+        Ok(reply) if reply.status == 200 => {
+            BookingEnd::Booked(reply.body["booking"].as_u64().unwrap_or_default())
+        }
+        Ok(reply) => BookingEnd::Refused {
+            code: reply.code().to_owned(),
+            ran: reply.ran().to_owned(),
+        },
+        Err(failure) => BookingEnd::Broken(failure.cause),
+    }
+}
--- a/standin/src/harness/load.rs
+++ b/standin/src/harness/load.rs
@@ -7,10 +7,11 @@
 
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 use super::caller::{Caller, Failure};
 use super::wait::wait_for;
+use crate::clock::unix_ms;
 use crate::text;
 
 /// Time between two looks of the balancer at an instance.
@@ -36,6 +37,8 @@
 /// What callers ask for.
 #[derive(Clone, Debug)]
 pub struct LoadOptions {
+    /// First word of all prompts, unique among the loads of a test.
+    pub label: &'static str,
     /// Callers, each with one call at a time.
     pub callers: usize,
     /// Key of all callers.
@@ -46,8 +49,21 @@
     pub max_tokens: u64,
 }
 
+/// A generation to ask for.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Model as a caller names it.
+    pub model: &'static str,
+    /// Source of the weights that it stands for.
+    pub source: &'static str,
+    /// Prompt.
+    pub prompt: String,
+    /// Tokens of the answer.
+    pub max_tokens: u64,
+}
+
 /// What one call came to.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CallEnd {
     /// The answer was whole and right.
     Whole,
@@ -59,6 +75,8 @@
         code: String,
         /// Whether it ran, by the error.
         ran: String,
+        /// Whether the error says when a repeat is worth trying.
+        has_retry_after: bool,
         /// Whether the text before it was the beginning of the right answer.
         prefix_right: bool,
     },
@@ -76,9 +94,11 @@
 pub struct CallRecord {
     /// Its prompt, unique among the calls of a load.
     pub prompt: String,
+    /// Source of the weights that it has to run on.
+    pub source: &'static str,
     /// Address of the instance that it was sent to.
     pub address: String,
-    /// When it was sent, in milliseconds since the start of the load.
+    /// When it was sent, in milliseconds since the Unix epoch.
     pub sent_ms: u64,
     /// When it ended.
     pub ended_ms: u64,
@@ -98,7 +118,6 @@
     index: usize,
     options: LoadOptions,
     balancer: Balancer,
-    start: Instant,
     records: Arc<Mutex<Vec<CallRecord>>>,
 }
 
@@ -137,6 +156,7 @@
 impl Default for LoadOptions {
     fn default() -> Self {
         Self {
+            label: "load",
             callers: 12,
             key: super::CLINICS_KEY,
             models: vec![
@@ -155,13 +175,11 @@
         let (stop, stopped) = watch::channel(false);
         let records: Arc<Mutex<Vec<CallRecord>>> = Arc::default();
         let mut callers = JoinSet::new();
-        let start = Instant::now();
         for index in 0..options.callers {
             let caller = LoadCaller {
                 index,
                 options: options.clone(),
                 balancer: balancer.clone(),
-                start,
                 records: records.clone(),
             };
             callers.spawn(caller.run(stopped.clone()));
@@ -173,6 +191,11 @@
         }
     }
 
+    /// Number of calls that have ended.
+    pub fn ended(&self) -> usize {
+        lock(&self.records).len()
+    }
+
     /// Waits until `count` more calls have ended.
     ///
     /// # Panics
@@ -212,29 +235,43 @@
     async fn call(&self, count: usize, address: String) {
         let models = &self.options.models;
         let (model, source) = models[(self.index + count) % models.len()];
-        let prompt = format!("order {count} of caller {}", self.index);
-        let max_tokens = self.options.max_tokens;
-        let caller = Caller::new(&address).key(self.options.key);
-        let sent_ms = self.elapsed_ms();
-        let ended = if count.is_multiple_of(2) {
-            caller.stream(model, &prompt, max_tokens).await
+        let call = Ask {
+            model,
+            source,
+            prompt: format!(
+                "{} order {count} of caller {}",
+                self.options.label, self.index
+            ),
+            max_tokens: self.options.max_tokens,
+        };
+        let is_streamed = count.is_multiple_of(2);
+        let record = call.send(address, self.options.key, is_streamed).await;
+        lock(&self.records).push(record);
+    }
+}
+
+impl Ask {
+    /// Sends the call to the instance at `address` and waits for its end.
+    pub async fn send(self, address: String, key: &str, is_streamed: bool) -> CallRecord {
+        let caller = Caller::new(&address).key(key);
+        let sent_ms = unix_ms();
+        let ended = if is_streamed {
+            caller
+                .stream(self.model, &self.prompt, self.max_tokens)
+                .await
         } else {
-            let reply = caller.complete(model, &prompt, max_tokens).await;
-            reply.and_then(super::Reply::into_text)
+            let reply = caller.complete(self.model, &self.prompt, self.max_tokens);
+            reply.await.and_then(super::Reply::into_text)
         };
-        let expected = text::answer(source, &prompt, max_tokens);
-        let record = CallRecord {
-            prompt,
+        let expected = text::answer(self.source, &self.prompt, self.max_tokens);
+        CallRecord {
+            prompt: self.prompt,
+            source: self.source,
             address,
             sent_ms,
-            ended_ms: self.elapsed_ms(),
+            ended_ms: unix_ms(),
             end: judge(ended, &expected),
-        };
-        lock(&self.records).push(record);
-    }
-
-    fn elapsed_ms(&self) -> u64 {
-        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
+        }
     }
 }
 
@@ -249,6 +286,7 @@
         Err(failure) => CallEnd::Refused {
             code: failure.code().to_owned(),
             ran: failure.ran().to_owned(),
+            has_retry_after: failure.error["retry_after_ms"].is_u64(),
             prefix_right: expected.starts_with(&failure.text),
         },
     }
--- a/standin/src/harness/site.rs
+++ b/standin/src/harness/site.rs
@@ -83,6 +83,8 @@
     pub engines: Vec<EngineServer>,
     /// Plain services.
     pub plains: Vec<PlainServer>,
+    /// What the weight store tells, if the site has one.
+    pub weights_control: Option<Control>,
     /// Instances. Those that were killed stay in place.
     pub instances: Vec<InstanceProcess>,
     /// Link of each instance to the platform, by index of the instance.
@@ -314,6 +316,7 @@
             platform_address,
             engines,
             plains,
+            weights_control: weight_store.map(Control::new),
             instances: Vec::new(),
             platform_links: Vec::new(),
             peer_links: Vec::new(),
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod harness;
 pub mod plain;
 pub mod platform;
+pub mod proof;
 pub mod text;
 pub mod weights;
 
--- a/standin/src/plain.rs
+++ b/standin/src/plain.rs
@@ -53,6 +53,8 @@
         pub path: String,
         /// All headers.
         pub headers: Vec<(String, String)>,
+        /// Body.
+        pub body: String,
         /// When it arrived, in milliseconds since the Unix epoch.
         pub at_ms: u64,
     }
@@ -151,6 +153,7 @@
             method: call.method.as_str().into(),
             path: call.uri.to_string(),
             headers: call.header_list(),
+            body: String::from_utf8_lossy(&call.body).into_owned(),
             at_ms: unix_ms(),
         });
         self.options.call_ms + state.faults.slow_ms
--- /dev/null
+++ b/standin/src/proof.rs
@@ -0,0 +1,13 @@
+//! Proofs by faults: a site under load meets faults at a given step, everybody records what they
+//! saw, and one checker per promise judges the history.
+
+mod checker;
+mod fault;
+mod history;
+mod inject;
+mod scenario;
+
+pub use checker::{Promise, Violation, check};
+pub use fault::{Fault, Step, excluded};
+pub use history::{Change, Group, History};
+pub use scenario::{Outcome, Scenario};
--- /dev/null
+++ b/standin/src/proof/checker.rs
@@ -0,0 +1,287 @@
+//! One checker per promise. Each judges a history as the promise is worded, and gives the benefit
+//! of the doubt only where the history does not tell in which order two things happened.
+
+use std::collections::{HashMap, HashSet};
+
+use crate::engine::RunRecord;
+use crate::harness::{Attempt, BookingEnd, CallEnd, CallRecord};
+use crate::text::count_tokens;
+
+use super::history::{Change, Group, History};
+
+/// Time in which an accepted change has to be in force everywhere.
+const IN_FORCE_MS: u64 = 3_000;
+
+mimosabay_core::key_record! {
+    /// What must always hold.
+    #[derive(Copy)]
+    #[serde(rename_all = "snake_case")]
+    pub enum Promise {
+        /// Each request runs on the adapter and version it asked for.
+        Adapter,
+        /// An adapter that is serving a request is never evicted.
+        Eviction,
+        /// A request runs only for the organisation of its key, which no server sees, and a
+        /// withdrawn key stops working.
+        Organisation,
+        /// No organisation gets more than its rate and burst.
+        Rate,
+        /// Every caller receives the whole answer to its own request.
+        WholeAnswer,
+        /// A refusal that says "not run" is true.
+        TruthfulRefusal,
+        /// A request that may not be repeated runs at most once.
+        AtMostOnce,
+        /// A leaving server gets no new work.
+        LeavingServer,
+        /// A planned stop, or anything but a kill, cuts off no request.
+        NothingCut,
+        /// What operators wrote is accepted and the system comes back.
+        Configuration,
+    }
+
+    /// A broken promise.
+    pub struct Violation {
+        /// Which.
+        pub promise: Promise,
+        /// What was seen.
+        pub seen: String,
+    }
+}
+
+impl Promise {
+    /// All promises.
+    pub const ALL: [Promise; 10] = [
+        Promise::Adapter,
+        Promise::Eviction,
+        Promise::Organisation,
+        Promise::Rate,
+        Promise::WholeAnswer,
+        Promise::TruthfulRefusal,
+        Promise::AtMostOnce,
+        Promise::LeavingServer,
+        Promise::NothingCut,
+        Promise::Configuration,
+    ];
+}
+
+/// Judges a history by all promises.
+pub fn check(history: &History) -> Vec<Violation> {
+    let judge = |promise| {
+        let seen = match promise {
+            Promise::Adapter => adapter(history),
+            Promise::Eviction => engine_violations(history, "unloaded"),
+            Promise::Organisation => organisation(history),
+            Promise::Rate => history
+                .groups
+                .iter()
+                .filter_map(|g| rate(g, history))
+                .collect(),
+            Promise::WholeAnswer => whole_answer(history),
+            Promise::TruthfulRefusal => truthful_refusal(history),
+            Promise::AtMostOnce => at_most_once(history),
+            Promise::LeavingServer => leaving_server(history),
+            Promise::NothingCut => nothing_cut(history),
+            Promise::Configuration => history.unsettled.clone(),
+        };
+        seen.into_iter()
+            .map(move |seen| Violation { promise, seen })
+    };
+    Promise::ALL.into_iter().flat_map(judge).collect()
+}
+
+fn adapter(history: &History) -> Vec<String> {
+    let asked: HashMap<&str, &str> = history
+        .calls()
+        .map(|call| (&*call.prompt, call.source))
+        .collect();
+    let runs = history.runs().map(|(_, run)| run);
+    let wrong = runs.filter(|run| asked.get(&*run.prompt) != Some(&&*run.source));
+    wrong
+        .map(|run| format!("`{}` ran on {}", run.prompt, run.source))
+        .collect()
+}
+
+fn engine_violations(history: &History, start: &str) -> Vec<String> {
+    let engines = history.engines.iter();
+    let all = engines.flat_map(|(_, record)| &record.violations);
+    all.filter(|seen| seen.starts_with(start))
+        .cloned()
+        .collect()
+}
+
+fn organisation(history: &History) -> Vec<String> {
+    let on_engines = history.runs().flat_map(|(_, run)| &run.headers);
+    let calls = history.plains.iter().flat_map(|record| &record.calls);
+    let on_plains = calls.flat_map(|call| &call.headers);
+    let leaked = on_engines
+        .chain(on_plains)
+        .filter(|(_, value)| history.keys.iter().any(|key| value.contains(key)))
+        .map(|(name, _)| format!("a backend server saw a key in {name}"));
+    let mut seen: Vec<String> = leaked.collect();
+    if let Some(change) = &history.withdrawn {
+        seen.extend(after_withdrawal(history, change));
+    }
+    seen
+}
+
+fn after_withdrawal(history: &History, change: &Change) -> Vec<String> {
+    let limit_ms = change.accepted_ms + IN_FORCE_MS;
+    let groups = history.groups.iter();
+    let calls = groups
+        .filter(|group| group.organisation == &*change.name)
+        .flat_map(|group| &group.calls);
+    let prompts: HashSet<&str> = calls.map(|call| &*call.prompt).collect();
+    history
+        .runs()
+        .filter(|(_, run)| run.started_ms >= limit_ms && prompts.contains(&*run.prompt))
+        .map(|(_, run)| {
+            let late_ms = run.started_ms - change.accepted_ms;
+            format!("`{}` started {late_ms} ms after the withdrawal", run.prompt)
+        })
+        .collect()
+}
+
+/// Over each interval, counts the calls that were asked for and had run within it: their charge
+/// certainly lies within it too.
+fn rate(group: &Group, history: &History) -> Option<String> {
+    let mut used: Vec<(u64, u64, u64)> = usage(group, history);
+    used.sort_by_key(|(_, ended_ms, _)| *ended_ms);
+    let mut starts: Vec<u64> = used.iter().map(|(asked_ms, ..)| *asked_ms).collect();
+    starts.sort_unstable();
+    starts.dedup();
+    for from_ms in starts {
+        let mut tokens = 0;
+        for (_, ended_ms, used_tokens) in used.iter().filter(|(asked, ..)| *asked >= from_ms) {
+            tokens += used_tokens;
+            let time_ms = ended_ms - from_ms;
+            let refill = (group.rate_tokens_per_s * time_ms).div_ceil(1_000);
+            if tokens > group.burst_tokens + refill {
+                let organisation = group.organisation;
+                return Some(format!(
+                    "{organisation} used {tokens} tokens in {time_ms} ms"
+                ));
+            }
+        }
+    }
+    None
+}
+
+/// When each call was asked for, when its last run ended, and the tokens of all its runs.
+fn usage(group: &Group, history: &History) -> Vec<(u64, u64, u64)> {
+    let mut runs: HashMap<&str, Vec<&RunRecord>> = HashMap::new();
+    for (_, run) in history.runs() {
+        runs.entry(&run.prompt).or_default().push(run);
+    }
+    let of_call = |call: &CallRecord| {
+        // A repeat after a fault is the system's own; the caller is charged for one run.
+        let runs = runs.get(&*call.prompt)?;
+        let last = runs.iter().max_by_key(|run| run.started_ms)?;
+        let tokens = last.resumed_tokens + last.generated_tokens + count_tokens(&call.prompt);
+        Some((call.sent_ms, last.ended_ms?.max(call.sent_ms), tokens))
+    };
+    group.calls.iter().filter_map(of_call).collect()
+}
+
+fn whole_answer(history: &History) -> Vec<String> {
+    let is_wrong = |call: &&CallRecord| match &call.end {
+        CallEnd::Whole => false,
+        CallEnd::Wrong(_) => true,
+        CallEnd::Refused { prefix_right, .. } | CallEnd::Broken { prefix_right, .. } => {
+            !prefix_right
+        }
+    };
+    let wrong = history.calls().filter(is_wrong);
+    let mut seen: Vec<String> = wrong
+        .map(|call| format!("`{}` got {:?}", call.prompt, call.end))
+        .collect();
+    seen.extend(engine_violations(history, "a run on"));
+    seen
+}
+
+fn truthful_refusal(history: &History) -> Vec<String> {
+    let ran: HashSet<&str> = history.runs().map(|(_, run)| &*run.prompt).collect();
+    let says_no =
+        |call: &&CallRecord| matches!(&call.end, CallEnd::Refused { ran, .. } if ran == "no");
+    let generations = history
+        .calls()
+        .filter(says_no)
+        .map(|call| &*call.prompt)
+        .filter(|prompt| ran.contains(prompt));
+    let calls = history.plains.iter().flat_map(|record| &record.calls);
+    let called: HashSet<&str> = calls.map(|call| &*call.body).collect();
+    let attempt_says_no =
+        |attempt: &Attempt| matches!(&attempt.end, BookingEnd::Refused { ran, .. } if ran == "no");
+    let bookings = history
+        .bookings
+        .iter()
+        .filter(|made| made.attempts.iter().all(attempt_says_no))
+        .map(|made| &*made.order)
+        .filter(|order| called.contains(order));
+    generations
+        .chain(bookings)
+        .map(|asked| format!("`{asked}` ran and was said not to have"))
+        .collect()
+}
+
+fn at_most_once(history: &History) -> Vec<String> {
+    let mut counts: HashMap<&str, usize> = HashMap::new();
+    for call in history.plains.iter().flat_map(|record| &record.calls) {
+        if call.path.ends_with("/book") {
+            *counts.entry(&call.body).or_default() += 1;
+        }
+    }
+    let repeated = counts.into_iter().filter(|(_, count)| *count > 1);
+    let mut seen: Vec<String> = repeated
+        .map(|(order, count)| format!("`{order}` was sent {count} times"))
+        .collect();
+    let made = history.plains.iter().flat_map(|record| &record.bookings);
+    let made: HashSet<&str> = made.map(|booking| &*booking.body).collect();
+    for record in &history.bookings {
+        let mut ends = record.attempts.iter().map(|attempt| &attempt.end);
+        let is_booked = ends.any(|end| matches!(end, BookingEnd::Booked(_)));
+        if is_booked && !made.contains(&*record.order) {
+            seen.push(format!("`{}` was confirmed and not made", record.order));
+        }
+    }
+    seen.sort_unstable();
+    seen
+}
+
+fn leaving_server(history: &History) -> Vec<String> {
+    let Some(change) = &history.leaving else {
+        return Vec::new();
+    };
+    let limit_ms = change.accepted_ms + IN_FORCE_MS;
+    history
+        .runs()
+        .filter(|(server, run)| **server == change.name && run.started_ms >= limit_ms)
+        .map(|(_, run)| {
+            let late_ms = run.started_ms - change.accepted_ms;
+            format!(
+                "`{}` started {late_ms} ms after the server was leaving",
+                run.prompt
+            )
+        })
+        .collect()
+}
+
+fn nothing_cut(history: &History) -> Vec<String> {
+    let broken = history.calls().filter_map(|call| match &call.end {
+        CallEnd::Broken { cause, .. } => Some((&call.address, &call.prompt, cause)),
+        _ => None,
+    });
+    let attempts = history
+        .bookings
+        .iter()
+        .flat_map(|record| record.attempts.iter().map(move |attempt| (record, attempt)));
+    let broken_bookings = attempts.filter_map(|(record, attempt)| match &attempt.end {
+        BookingEnd::Broken(cause) => Some((&attempt.address, &record.order, cause)),
+        _ => None,
+    });
+    broken
+        .chain(broken_bookings)
+        .filter(|(address, ..)| !history.killed.contains(address))
+        .map(|(address, asked, cause)| format!("`{asked}` at {address}: {cause}"))
+        .collect()
+}
--- /dev/null
+++ b/standin/src/proof/inject.rs
@@ -0,0 +1,216 @@
+//! Bringing about a fault, and taking it back.
+
+use std::time::Duration;
+
+use mimosabay_core::resource::Kind;
+use mimosabay_operator::key;
+use rand::Rng;
+use rand::rngs::StdRng;
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+use super::fault::Fault;
+use super::history::{Change, History};
+use crate::clock::unix_ms;
+use crate::harness::{Ask, Balancer, CLINICS_KEY, CallRecord, MARKETS_KEY, Site};
+
+/// Shortest and longest time that a fault lasts.
+const HOLD_MS: std::ops::Range<u64> = 300..1_800;
+/// Time that the list of instances shows one that was killed.
+const LIST_LAG_MS: u64 = 500;
+/// The same under [`Fault::ListLag`].
+const LONG_LIST_LAG_MS: u64 = 5_000;
+/// Time after which a change has to be in force, and some in which it is seen to be.
+const IN_FORCE_MS: u64 = 4_000;
+/// Text that crashes an engine under [`Fault::PoisonRequest`].
+const POISON: &str = "poison";
+
+/// Brings about a fault, lets it last and takes it back.
+pub(super) async fn inject(
+    fault: Fault,
+    site: &mut Site,
+    balancer: &Balancer,
+    random: &mut StdRng,
+    history: &mut History,
+) {
+    let running: Vec<usize> = (0..site.instances.len())
+        .filter(|index| site.instances[*index].process.ended().is_none())
+        .collect();
+    let instance = running[random.random_range(0..running.len())];
+    let server = random.random_range(0..site.engines.len());
+    let hold = Duration::from_millis(random.random_range(HOLD_MS));
+    match fault {
+        Fault::KillInstance => kill(site, balancer, instance, LIST_LAG_MS, history).await,
+        Fault::ListLag => kill(site, balancer, instance, LONG_LIST_LAG_MS, history).await,
+        Fault::StopInstance => stop(site, balancer, instance, history).await,
+        Fault::FreezeInstance => {
+            site.instances[instance].process.freeze();
+            sleep(hold).await;
+            site.instances[instance].process.thaw();
+        }
+        Fault::CutStoreLink => {
+            site.platform_links[instance].cut();
+            sleep(hold).await;
+            site.platform_links[instance].mend();
+        }
+        Fault::SilenceStoreLink => {
+            site.platform_links[instance].silence();
+            sleep(hold).await;
+            site.platform_links[instance].mend();
+        }
+        Fault::SilenceStoreConnections => site.platform_links[instance].silence_open(),
+        Fault::CutPeerLink => {
+            site.peer_links[instance].cut();
+            sleep(hold).await;
+            site.peer_links[instance].mend();
+        }
+        Fault::SilencePeerLink => {
+            site.peer_links[instance].silence();
+            sleep(hold).await;
+            site.peer_links[instance].mend();
+        }
+        Fault::SilencePeerConnections => site.peer_links[instance].silence_open(),
+        Fault::WithdrawnKey => history.withdrawn = withdraw(site).await,
+        Fault::ServerLeaves => history.leaving = leave(site, server).await,
+        Fault::OperatorRace => race(site).await,
+        Fault::StoreDown
+        | Fault::StoreSilent
+        | Fault::StoreSlow
+        | Fault::StoreLosesAnswers
+        | Fault::WatchGap => {
+            site.platform_control.faults(&order(fault)).await;
+            sleep(hold).await;
+            site.clear_faults().await;
+        }
+        Fault::PoisonRequest => {
+            for server in &site.engines {
+                server.control.faults(&order(fault)).await;
+            }
+            history.single_calls.push(poison(site, instance).await);
+        }
+        Fault::LoadFailure
+        | Fault::EngineRestart
+        | Fault::EngineDown
+        | Fault::EngineSilent
+        | Fault::SilenceEngineConnections
+        | Fault::EngineSlow => {
+            site.engines[server].control.faults(&order(fault)).await;
+            sleep(hold).await;
+        }
+        Fault::PlainCrash | Fault::PlainLosesAnswers | Fault::SilencePlainConnections => {
+            site.plains[0].control.faults(&order(fault)).await;
+            sleep(hold).await;
+        }
+    }
+    site.clear_faults().await;
+}
+
+fn order(fault: Fault) -> Value {
+    match fault {
+        Fault::StoreDown => json!({ "down": true }),
+        Fault::StoreSlow => json!({ "slow_ms": 300 }),
+        Fault::StoreLosesAnswers => json!({ "lose_answers": 5 }),
+        Fault::WatchGap => json!({ "skip_watches": 3, "skip_kind": "accepted" }),
+        Fault::LoadFailure => json!({ "fail_loads": 2 }),
+        Fault::EngineRestart => json!({ "restart": true }),
+        Fault::EngineDown => json!({ "restart": true, "down_ms": 1_000 }),
+        Fault::StoreSilent | Fault::EngineSilent => json!({ "silent": true }),
+        Fault::EngineSlow => json!({ "slow_ms": 20 }),
+        Fault::PoisonRequest => json!({ "crash_on_prompt": POISON, "crash_after_tokens": 1 }),
+        Fault::PlainCrash => json!({ "crash_before": 3 }),
+        Fault::PlainLosesAnswers => json!({ "lose_answers": 3 }),
+        Fault::SilenceEngineConnections | Fault::SilencePlainConnections => {
+            json!({ "silence_open": true })
+        }
+        _ => json!({}),
+    }
+}
+
+async fn kill(
+    site: &mut Site,
+    balancer: &Balancer,
+    instance: usize,
+    lag_ms: u64,
+    history: &mut History,
+) {
+    let address = site.instances[instance].listed.caller_address.to_string();
+    history.killed.push(address);
+    site.instances[instance].process.kill();
+    site.unlist(instance, lag_ms).await;
+    replace(site, balancer).await;
+}
+
+/// Stops an instance in order, once another has taken its place.
+pub(super) async fn stop(
+    site: &mut Site,
+    balancer: &Balancer,
+    instance: usize,
+    history: &mut History,
+) {
+    replace(site, balancer).await;
+    site.instances[instance].process.terminate();
+    let ended = site.instances[instance].process.wait_ended().await;
+    if !ended.success() {
+        let name = site.instances[instance].name();
+        history.unsettled.push(format!("{name} ended with {ended}"));
+    }
+    site.unlist(instance, LIST_LAG_MS).await;
+}
+
+async fn replace(site: &mut Site, balancer: &Balancer) {
+    let name = format!("instance-{}", site.instances.len());
+    let new = site.add_instance(&name).await;
+    site.wait_instance_ready(new).await;
+    balancer.add(&site.instances[new].listed.caller_address);
+}
+
+async fn withdraw(site: &Site) -> Option<Change> {
+    let spec = json!({
+        "organisation": "markets",
+        "sha256": key::hash(MARKETS_KEY),
+        "withdrawn": true,
+    });
+    site.apply(Kind::Key, "markets-key", spec).await.ok()?;
+    let accepted_ms = unix_ms();
+    sleep(Duration::from_millis(IN_FORCE_MS)).await;
+    Some(Change {
+        name: "markets".into(),
+        accepted_ms,
+    })
+}
+
+async fn leave(site: &Site, server: usize) -> Option<Change> {
+    site.write_engine(server, true).await;
+    site.wait_accepted().await;
+    let accepted_ms = unix_ms();
+    sleep(Duration::from_millis(IN_FORCE_MS)).await;
+    Some(Change {
+        name: site.engines[server].name.as_str().into(),
+        accepted_ms,
+    })
+}
+
+async fn race(site: &Site) {
+    let writes = (1..=4).map(|weight| {
+        let spec = json!({
+            "rate_tokens_per_s": 1_000_000,
+            "burst_tokens": 1_000_000,
+            "weight": weight,
+        });
+        async move { site.write(Kind::Organisation, "clinics", &spec).await }
+    });
+    futures::future::join_all(writes).await;
+    site.wait_accepted().await;
+}
+
+/// Sends a request that crashes engines.
+async fn poison(site: &Site, instance: usize) -> CallRecord {
+    let call = Ask {
+        model: "tender",
+        source: "store://tender/2",
+        prompt: POISON.to_owned(),
+        max_tokens: 8,
+    };
+    let address = site.instances[instance].listed.caller_address.to_string();
+    call.send(address, CLINICS_KEY, false).await
+}
--- /dev/null
+++ b/standin/src/proof/scenario.rs
@@ -0,0 +1,301 @@
+//! One scenario: a site under load, faults at a step, and the verdict.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use mimosabay_core::resource::Kind;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use serde_json::json;
+use tokio::time::sleep;
+
+use super::checker::{Violation, check};
+use super::fault::{Fault, Step};
+use super::history::{Group, History};
+use super::inject;
+use crate::engine;
+use crate::harness::{
+    Balancer, Bookings, CLINICS_KEY, CallEnd, Load, LoadOptions, MARKETS_KEY, Site, SiteOptions,
+    wait_up_to,
+};
+use crate::plain;
+use crate::weights;
+
+/// Rate and burst of the organisation that sends more than its rate.
+const MARKETS_LIMIT: (u64, u64) = (200, 400);
+const CLINICS_LIMIT: (u64, u64) = (1_000_000, 1_000_000);
+/// Calls that end before the fault and after it.
+const CALLS: usize = 60;
+/// Time in which a step has to come about, and in which calls have to end after the fault.
+const LIMIT_MS: u64 = 20_000;
+/// Time between the order to stop and the fault at [`Step::Handover`].
+const HANDOVER_MS: u64 = 100;
+
+/// Faults that strike one after the other at a step.
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    /// The faults.
+    pub faults: Vec<Fault>,
+    /// When they strike.
+    pub step: Step,
+    /// Fixes which instance and server they strike, and for how long.
+    pub seed: u64,
+}
+
+mimosabay_core::record! {
+    /// What a scenario came to.
+    pub struct Outcome {
+        /// The faults.
+        pub faults: Vec<Fault>,
+        /// When they struck.
+        pub step: Step,
+        /// The seed.
+        pub seed: u64,
+        /// Generations.
+        pub calls: usize,
+        /// Generations that were answered whole.
+        pub whole: usize,
+        /// Refused generations within rate, by code.
+        pub refused: BTreeMap<String, usize>,
+        /// Bookings made.
+        pub bookings: usize,
+        /// Broken promises.
+        pub violations: Vec<Violation>,
+    }
+}
+
+impl Scenario {
+    /// Runs the scenario on a site of its own.
+    pub async fn run(&self) -> Outcome {
+        let mut site = Site::start(options()).await;
+        let (rate, burst) = MARKETS_LIMIT;
+        let spec = json!({ "rate_tokens_per_s": rate, "burst_tokens": burst });
+        site.write(Kind::Organisation, "markets", &spec).await;
+        site.wait_accepted().await;
+        let history = self.run_on(&mut site).await;
+        self.judge(&history)
+    }
+
+    async fn run_on(&self, site: &mut Site) -> History {
+        let mut random = StdRng::seed_from_u64(self.seed);
+        let mut history = History {
+            keys: vec![CLINICS_KEY, MARKETS_KEY],
+            ..History::default()
+        };
+        let balancer = site.balancer();
+        let clinics = Load::start(&balancer, &load("clinics", CLINICS_KEY, 10));
+        let markets = Load::start(&balancer, &load("markets", MARKETS_KEY, 3));
+        let bookings = Bookings::start(&balancer, 4);
+        wait_calls(&clinics, "calls before the fault", &mut history).await;
+        self.strike(site, &balancer, &mut random, &mut history)
+            .await;
+        wait_calls(&clinics, "calls after the fault", &mut history).await;
+        history.groups = vec![
+            group("clinics", CLINICS_LIMIT, clinics).await,
+            group("markets", MARKETS_LIMIT, markets).await,
+        ];
+        history.bookings = bookings.stop().await;
+        settle(site, &mut history).await;
+        collect(site, &mut history).await;
+        history
+    }
+
+    async fn strike(
+        &self,
+        site: &mut Site,
+        balancer: &Balancer,
+        random: &mut StdRng,
+        history: &mut History,
+    ) {
+        if wait_step(self.step, site).await.is_none() {
+            let unmet = format!("step {:?} did not come about", self.step);
+            history.unsettled.push(unmet);
+        }
+        for fault in &self.faults {
+            inject::inject(*fault, site, balancer, random, history).await;
+        }
+    }
+
+    fn judge(&self, history: &History) -> Outcome {
+        let mut refused = BTreeMap::new();
+        for call in history.calls() {
+            match &call.end {
+                CallEnd::Refused { code, .. } if code != "over_rate" => {
+                    *refused.entry(code.clone()).or_default() += 1;
+                }
+                _ => {}
+            }
+        }
+        let whole = history.calls().filter(|call| call.end == CallEnd::Whole);
+        let made = history.plains.iter().map(|record| record.bookings.len());
+        Outcome {
+            faults: self.faults.clone(),
+            step: self.step,
+            seed: self.seed,
+            calls: history.calls().count(),
+            whole: whole.count(),
+            refused,
+            bookings: made.sum(),
+            violations: check(history),
+        }
+    }
+}
+
+fn options() -> SiteOptions {
+    let engine = |check_fencing| engine::Options {
+        slots: 2,
+        batch: 4,
+        token_us: 2_000,
+        check_fencing,
+        report_lag_ms: 100,
+        ..engine::Options::default()
+    };
+    let weights = weights::Options {
+        rate_loads_per_s: 0,
+        load_ms: 60,
+        ..weights::Options::default()
+    };
+    SiteOptions {
+        engines: vec![engine(true), engine(false)],
+        plains: vec![plain::Options { call_ms: 20 }],
+        weights: Some(weights),
+        ..SiteOptions::default()
+    }
+}
+
+fn load(label: &'static str, key: &'static str, callers: usize) -> LoadOptions {
+    LoadOptions {
+        label,
+        callers,
+        key,
+        ..LoadOptions::default()
+    }
+}
+
+async fn group(organisation: &'static str, limit: (u64, u64), load: Load) -> Group {
+    Group {
+        organisation,
+        rate_tokens_per_s: limit.0,
+        burst_tokens: limit.1,
+        calls: load.stop().await,
+    }
+}
+
+async fn wait_calls(load: &Load, what: &str, history: &mut History) {
+    let before = load.ended();
+    let ended = wait_up_to(LIMIT_MS, async || {
+        (load.ended() >= before + CALLS).then_some(())
+    });
+    if ended.await.is_none() {
+        let count = load.ended() - before;
+        let stalled = format!("{what}: {count} of {CALLS} within {LIMIT_MS} ms");
+        history.unsettled.push(stalled);
+    }
+}
+
+/// Waits until the system is at a step; `None` if it does not get there.
+async fn wait_step(step: Step, site: &mut Site) -> Option<()> {
+    match step {
+        Step::Admission => Some(()),
+        Step::Queueing => {
+            wait_up_to(LIMIT_MS, async || is_queueing(site).await.then_some(())).await
+        }
+        Step::Loading => wait_up_to(LIMIT_MS, async || is_loading(site).await.then_some(())).await,
+        Step::Streaming => {
+            let is_streaming = |run: &engine::RunRecord| {
+                run.ended_ms.is_none() && (3..15).contains(&run.generated_tokens)
+            };
+            wait_up_to(LIMIT_MS, async || {
+                site.runs().await.iter().any(is_streaming).then_some(())
+            })
+            .await
+        }
+        Step::Booking => {
+            wait_up_to(LIMIT_MS, async || {
+                let record = site.plains[0].record().await;
+                (record.calls.len() > record.bookings.len()).then_some(())
+            })
+            .await
+        }
+        Step::Settlement => {
+            let before = ended_runs(site).await;
+            wait_up_to(LIMIT_MS, async || {
+                (ended_runs(site).await > before).then_some(())
+            })
+            .await
+        }
+        Step::Handover => {
+            site.instances[0].process.terminate();
+            sleep(Duration::from_millis(HANDOVER_MS)).await;
+            Some(())
+        }
+        Step::Acceptance => {
+            let (rate, burst) = CLINICS_LIMIT;
+            let spec = json!({ "rate_tokens_per_s": rate, "burst_tokens": burst, "weight": 3 });
+            site.write(Kind::Organisation, "clinics", &spec).await;
+            Some(())
+        }
+    }
+}
+
+async fn is_queueing(site: &Site) -> bool {
+    let runs = site.engines[0].record().await.runs;
+    let running = runs.iter().filter(|run| run.ended_ms.is_none());
+    running.count() >= 4
+}
+
+async fn is_loading(site: &Site) -> bool {
+    let Some(control) = &site.weights_control else {
+        return false;
+    };
+    let counts: weights::Stats = control.read("stats").await;
+    counts.in_flight > 0
+}
+
+async fn ended_runs(site: &Site) -> usize {
+    let runs = site.runs().await;
+    runs.iter().filter(|run| run.ended_ms.is_some()).count()
+}
+
+/// After the faults, every instance that runs is ready and all resources are accepted.
+async fn settle(site: &mut Site, history: &mut History) {
+    for index in 0..site.instances.len() {
+        let instance = &mut site.instances[index];
+        if instance.process.ended().is_some() {
+            continue;
+        }
+        let ready = wait_up_to(LIMIT_MS, async || {
+            let is_over = instance.process.ended().is_some() || instance.is_ready().await;
+            is_over.then_some(())
+        });
+        if ready.await.is_none() {
+            let name = instance.name();
+            history.unsettled.push(format!("{name} is not ready again"));
+        }
+    }
+    let accepted = tokio::time::timeout(Duration::from_millis(LIMIT_MS), site.wait_accepted());
+    if accepted.await.is_err() {
+        history
+            .unsettled
+            .push("a change was not accepted".to_owned());
+    }
+    let ended = wait_up_to(LIMIT_MS, async || {
+        let runs = site.runs().await;
+        runs.iter().all(|run| run.ended_ms.is_some()).then_some(())
+    });
+    if ended.await.is_none() {
+        history
+            .unsettled
+            .push("a run goes on after its caller is done".to_owned());
+    }
+}
+
+async fn collect(site: &Site, history: &mut History) {
+    for server in &site.engines {
+        let name = server.name.as_str().into();
+        history.engines.push((name, server.record().await));
+    }
+    for server in &site.plains {
+        history.plains.push(server.record().await);
+    }
+}
--- a/standin/tests/standins.rs
+++ b/standin/tests/standins.rs
@@ -48,7 +48,7 @@
             .unwrap();
         let deleted = platform.delete("key", "a", second.version).await.unwrap();
         let batch = platform.watch(&["key"], 0, 0).await.unwrap();
-        assert_eq!(batch.events, [deleted.clone()]);
+        assert_eq!(batch.events, std::slice::from_ref(&deleted));
         assert_eq!(batch.revision, deleted.version);
         control.faults(&json!({ "compact": true })).await;
         let gone = platform.watch(&["key"], 0, 0).await.unwrap_err();
