--- a/standin/src/harness/site.rs
+++ b/standin/src/harness/site.rs
@@ -9,6 +9,7 @@
 use mimosabay_platform::{Category, Object, Platform, Precondition};
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
+use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio::task::JoinSet;
 
 use super::caller::Caller;
@@ -20,6 +21,9 @@
 use super::{CLINICS_KEY, MARKETS_KEY, PEER_SECRET};
 use crate::{engine, plain, platform, weights};
 
+/// Sites that run at once in one test program, so that they do not starve each other.
+static PERMITS: Semaphore = Semaphore::const_new(4);
+
 /// Pool of the engines of a test site.
 const ENGINE_POOL: &str = "assistant";
 /// Pool of the plain services of a test site.
@@ -95,6 +99,7 @@
     folder: PathBuf,
     /// Stand-ins that run in this process.
     standins: JoinSet<()>,
+    _permit: SemaphorePermit<'static>,
 }
 
 impl Default for SiteOptions {
@@ -275,6 +280,8 @@
     }
 
     async fn start_standins(options: SiteOptions) -> Self {
+        let permit = PERMITS.acquire().await;
+        let permit = permit.expect("the permits are never closed");
         let mut standins = JoinSet::new();
         let (listener, platform_address) = bind().await;
         standins.spawn(platform::serve(listener, options.platform.clone()));
@@ -323,6 +330,7 @@
             options,
             folder: new_folder(),
             standins,
+            _permit: permit,
         }
     }
 
--- a/standin/src/proof/scenario.rs
+++ b/standin/src/proof/scenario.rs
@@ -67,7 +67,7 @@
 impl Scenario {
     /// Runs the scenario on a site of its own.
     pub async fn run(&self) -> Outcome {
-        let mut site = Site::start(options()).await;
+        let mut site = Site::start(options(self.step)).await;
         let (rate, burst) = MARKETS_LIMIT;
         let spec = json!({ "rate_tokens_per_s": rate, "burst_tokens": burst });
         site.write(Kind::Organisation, "markets", &spec).await;
@@ -141,9 +141,11 @@
     }
 }
 
-fn options() -> SiteOptions {
+fn options(step: Step) -> SiteOptions {
+    // With one slot each, adapters are loaded all the time.
+    let slots = if step == Step::Loading { 1 } else { 2 };
     let engine = |check_fencing| engine::Options {
-        slots: 2,
+        slots,
         batch: 4,
         token_us: 2_000,
         check_fencing,
