Bound plain calls of test sites, print violations as they are found

Cause: a call to a plain service on a connection that went silent waits for the route's deadline, 60 s by default, so that scenarios took minutes.

--- a/standin/src/bin/mimosabay-faults.rs
+++ b/standin/src/bin/mimosabay-faults.rs
@@ -98,6 +98,9 @@
                 outcome.calls,
                 outcome.violations.len()
             );
+            for violation in &outcome.violations {
+                eprintln!("      {:?}: {}", violation.promise, violation.seen);
+            }
         })
         .collect()
         .await
@@ -127,9 +130,6 @@
             outcome.bookings,
             outcome.violations.len()
         );
-        for violation in &outcome.violations {
-            println!("      {:?}: {}", violation.promise, violation.seen);
-        }
     }
     println!("{} scenarios, {violations} violations", outcomes.len());
 }
--- a/standin/src/harness/site.rs
+++ b/standin/src/harness/site.rs
@@ -26,6 +26,8 @@
 
 /// Pool of the engines of a test site.
 const ENGINE_POOL: &str = "assistant";
+/// Time after which a call to a plain service is given up.
+const PLAIN_TIMEOUT_MS: u64 = 5_000;
 /// Pool of the plain services of a test site.
 const PLAIN_POOL: &str = "desk";
 /// Base model of a test site.
@@ -403,7 +405,8 @@
         let drafting = json!({ "target": { "model": { "adapter": "tender", "version": "1" } } });
         self.write(Kind::Route, "drafting", &drafting).await;
         let orders = json!({ "target": { "plain": {
-            "pool": PLAIN_POOL, "path_prefix": "/orders" } } });
+            "pool": PLAIN_POOL, "path_prefix": "/orders" } },
+            "timeout_ms": PLAIN_TIMEOUT_MS });
         self.write(Kind::Route, "orders", &orders).await;
         let notices = json!({ "target": { "plain": {
             "pool": PLAIN_POOL, "path_prefix": "/notices" } }, "open": true });
