Be ready only with a part in the budgets, give up at once when out of date

Ruled out: a larger refill for places in flight, which would no longer bound them. Change: loads are limited by their rate alone; waiting and failed requests get their final answer as soon as the instance is out of date; readiness waits for a part in the budgets.

--- a/core/src/budget/mod.rs
+++ b/core/src/budget/mod.rs
@@ -238,6 +238,13 @@
         self.is_behind || now_ms >= self.proven_until_ms
     }
 
+    /// Whether this process has a share or is lent by a coordinator, so that it can admit requests.
+    /// True as well while no organisation is known.
+    pub fn has_part(&self, now_ms: u64) -> bool {
+        let mut budgets = self.by_organisation.values();
+        budgets.all(|budget| !budget.account.is_cut_off(&self.settings, now_ms))
+    }
+
     /// Whether a fellow member should be asked for its version: the last proof ends soon.
     pub fn wants_proof(&self, now_ms: u64) -> bool {
         now_ms + self.settings.proof_ms() * 2 / 3 >= self.proven_until_ms
--- a/daemon/src/budgets.rs
+++ b/daemon/src/budgets.rs
@@ -11,7 +11,7 @@
 use mimosabay_core::resource::{Kind, Spec};
 use mimosabay_operator::BudgetPolicy as PolicySetting;
 use tokio::sync::Notify;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::budget_messages;
 use crate::instance::Instance;
@@ -31,10 +31,8 @@
 const MAX_LOAD_WAIT_MS: u64 = 10_000;
 /// Budget of the starts of adapter loads. No organisation can have this name.
 const LOADS: &str = ".loads";
-/// Budget of the adapter loads in flight.
-const LOADS_IN_FLIGHT: &str = ".loads-in-flight";
-/// Time in which places of loads come back whose instance died.
-const LOST_LOADS_S: f64 = 10.0;
+/// Pause before a load by an instance that has no part in the budget of loads.
+const UNSHARED_LOAD_PAUSE_MS: u64 = 250;
 
 /// The budgets of one instance.
 pub struct BudgetTable {
@@ -62,11 +60,6 @@
     used_tokens: u64,
 }
 
-/// Leave to load one adapter, for as long as it is kept.
-pub struct LoadPermit {
-    _in_flight: Charged,
-}
-
 impl BudgetTable {
     /// Builds the budgets of a process.
     pub fn new(id: InstanceId, policy: PolicySetting) -> Self {
@@ -139,20 +132,29 @@
     charged.map(Some).map_err(|refused| refused.refusal())
 }
 
-/// Waits until one more adapter may be loaded; `None` if that takes too long.
-pub async fn load_permit(instance: &Arc<Instance>) -> Option<LoadPermit> {
-    let places: Name = LOADS_IN_FLIGHT.into();
-    let in_flight = take(instance, &places, 1, MAX_LOAD_WAIT_MS).await;
-    let mut in_flight = in_flight.ok()?;
-    // A place in flight is free again once the load has ended.
-    in_flight.used_tokens = 0;
+/// Waits until one more adapter may be loaded; returns whether that came in time.
+///
+/// The rate alone also bounds the loads in flight: at full speed a load takes a fraction of a
+/// second. An instance without a part in the budget loads after a pause, because the weight store
+/// limits itself and a stalled request helps nobody.
+pub async fn may_load(instance: &Arc<Instance>) -> bool {
     let starts: Name = LOADS.into();
-    let start = take(instance, &starts, 1, MAX_LOAD_WAIT_MS).await;
-    let start = start.ok()?;
-    drop(start);
-    Some(LoadPermit {
-        _in_flight: in_flight,
-    })
+    match take(instance, &starts, 1, MAX_LOAD_WAIT_MS).await {
+        // Dropped without a settlement, the load counts as used.
+        Ok(_) => true,
+        Err(Refused::Unavailable { .. }) => {
+            sleep(Duration::from_millis(UNSHARED_LOAD_PAUSE_MS)).await;
+            true
+        }
+        Err(Refused::OverRate { .. } | Refused::TooLarge) => false,
+    }
+}
+
+/// Whether this instance can admit requests by the organisations' budgets.
+pub fn has_part(instance: &Instance) -> bool {
+    instance
+        .budgets
+        .visit(|budgets| budgets.has_part(instance.now_ms()))
 }
 
 impl Charged {
@@ -383,12 +385,5 @@
         rate_per_s: site.loads_per_s as f64,
         burst_tokens: site.loads_per_s.max(1) as f64,
     };
-    let in_flight = Limit {
-        rate_per_s: site.loads_in_flight as f64 / LOST_LOADS_S,
-        burst_tokens: site.loads_in_flight as f64,
-    };
-    vec![
-        (LOADS.into(), starts, generation),
-        (LOADS_IN_FLIGHT.into(), in_flight, generation),
-    ]
+    vec![(LOADS.into(), starts, generation)]
 }
--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -13,6 +13,7 @@
 use mimosabay_core::resource::Kind;
 use tokio::sync::mpsc;
 
+use crate::budgets;
 use crate::clock::unix_ms;
 use crate::instance::Instance;
 use crate::service_level;
@@ -136,7 +137,8 @@
     }
 
     fn is_ready(&self) -> bool {
-        self.instance.is_fresh() && !self.instance.is_stopping()
+        let instance = &self.instance;
+        instance.is_fresh() && !instance.is_stopping() && budgets::has_part(instance)
     }
 
     fn sunset_date(&self) -> Option<Name> {
--- a/daemon/src/orders.rs
+++ b/daemon/src/orders.rs
@@ -95,15 +95,14 @@
     model: &AdapterVersion,
     handle: Name,
 ) {
-    let permit = budgets::load_permit(instance).await;
+    let may_load = budgets::may_load(instance).await;
     let started_ms = instance.now_ms();
-    let loaded = match source(instance, model).filter(|_| permit.is_some()) {
+    let loaded = match source(instance, model).filter(|_| may_load) {
         Some(source) => load_with_retries(server, source, &handle)
             .await
             .map_err(Some),
         None => Err(None),
     };
-    drop(permit);
     let took_ms = instance.now_ms() - started_ms;
     instance.metrics.time("adapter_load", took_ms);
     match loaded {
--- a/daemon/src/owner.rs
+++ b/daemon/src/owner.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use mimosabay_backend::Engine;
 use mimosabay_core::admission;
@@ -17,6 +18,7 @@
 use mimosabay_operator::{EvictionPolicy, QueuePolicy};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
+use tokio::time::interval;
 
 use crate::dispatch;
 use crate::instance::Instance;
@@ -31,6 +33,8 @@
 const RETRY_AFTER_MS: u64 = 500;
 /// Bits of a load number below the time at which the server was taken over.
 const LOAD_NUMBER_BITS: u32 = 20;
+/// Time between two looks at whether a waiting request may still run.
+const FRESH_CHECK_PERIOD_MS: u64 = 250;
 /// Time between two ticks of the queues.
 const TICK_PERIOD_MS: u64 = 50;
 
@@ -565,8 +569,10 @@
 ) -> Result<Grant, Refusal> {
     let mut config_changed = instance.config_changed.subscribe();
     let mut answers = server.answers.subscribe();
+    let mut fresh_checks = interval(Duration::from_millis(FRESH_CHECK_PERIOD_MS));
     loop {
         tokio::select! {
+            _ = fresh_checks.tick() => check_fresh(instance)?,
             turn = &mut granted => {
                 return turn.unwrap_or_else(|_| Err(no_server("the queue was given up")));
             }
@@ -586,11 +592,7 @@
     request: &Request,
     deadline_ms: u64,
 ) -> Result<(), Refusal> {
-    // A process that was frozen may have missed that the key was withdrawn.
-    if !instance.is_fresh() {
-        let refusal = Refusal::not_run(Code::NotReady, "the configuration may be out of date");
-        return Err(refusal.retry_after_ms(RETRY_AFTER_MS));
-    }
+    check_fresh(instance)?;
     check_key(instance, request)?;
     if instance.now_ms() < deadline_ms {
         return Ok(());
@@ -599,6 +601,19 @@
     Err(refusal.retry_after_ms(RETRY_AFTER_MS))
 }
 
+/// A process that was frozen or cut off may have missed that the key was withdrawn.
+///
+/// # Errors
+///
+/// A refusal if requests must not be admitted by the configuration in force.
+pub fn check_fresh(instance: &Instance) -> Result<(), Refusal> {
+    if instance.is_fresh() {
+        return Ok(());
+    }
+    let refusal = Refusal::not_run(Code::NotReady, "the configuration may be out of date");
+    Err(refusal.retry_after_ms(RETRY_AFTER_MS))
+}
+
 fn check_key(instance: &Instance, request: &Request) -> Result<(), Refusal> {
     if instance.with_config(|config| admission::key_works(config, &request.key)) {
         return Ok(());
--- a/daemon/src/supervise.rs
+++ b/daemon/src/supervise.rs
@@ -12,6 +12,7 @@
 
 use crate::budgets;
 use crate::instance::Instance;
+use crate::owner;
 use crate::pace::Pace;
 use crate::placing;
 use crate::route::{self, Run};
@@ -132,6 +133,8 @@
         if let Next::GiveUp(refusal) = next {
             return Err(progress.truthful(refusal));
         }
+        // A key may have been withdrawn meanwhile without this instance hearing of it.
+        owner::check_fresh(instance).map_err(|refusal| progress.truthful(refusal))?;
         instance.metrics.count("request.retried");
         sleep(Duration::from_millis(
             FIRST_PAUSE_MS << attempt.min(MOST_DOUBLINGS),
