Be ready only once the organisations' budgets are known

Cause: a fresh instance had taken no organisation over when it was asked, so that it was ready and then refused (once instances_killed_while_it_runs_leave_the_key_in_doubt, not_ready instead of in_doubt). The test also left killed instances on the platform's list, where their shares stay theirs; it now takes them off, and expects the same answer. Ruled out: giving a joiner the shares of instances that are only silent; a frozen one may thaw. Change: readiness takes the configuration over first.

--- a/daemon/src/budgets.rs
+++ b/daemon/src/budgets.rs
@@ -152,6 +152,7 @@
 
 /// Whether this instance can admit requests by the organisations' budgets.
 pub fn has_part(instance: &Instance) -> bool {
+    refresh(instance);
     instance
         .budgets
         .visit(|budgets| budgets.has_part(instance.now_ms()))
--- a/daemon/tests/once.rs
+++ b/daemon/tests/once.rs
@@ -130,8 +130,10 @@
             (!record.calls.is_empty()).then_some(())
         })
         .await;
-        for instance in &mut site.instances {
-            instance.process.kill();
+        for index in 0..site.instances.len() {
+            site.instances[index].process.kill();
+            // Until the platform has taken them off its list, their budget cannot be given to others.
+            site.unlist(index, 0).await;
         }
         call.await.expect("the call ends").expect_err("cut off");
         let index = site.add_instance("instance-3").await;
