Measure what control costs an instance against four dimensions

Cause: docs/CAPACITY.md needs measured slopes. Change: mimosabay-slopes starts a site for each of four sizes of each dimension and fits lines. Conclusion: builds; not run yet.

--- a/core/src/once/event.rs
+++ b/core/src/once/event.rs
@@ -58,7 +58,8 @@
     },
     /// Delete an archive; the outcome does not matter.
     DeleteArchive(ArchiveRef),
-    /// Call [`Journal::dispatch`] for the request, and send it only if that says so.
+    /// Call [`Journal::dispatch`](super::Journal::dispatch) for the request, and send it only if that
+    /// says so.
     Permit {
         /// The request.
         ticket: Ticket,
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod plain;
 pub mod platform;
 pub mod proof;
+pub mod slopes;
 pub mod text;
 pub mod weights;
 
