Instances read large configurations from the store, not through the placer

Its answers to updates took longer than the 500 ms that they may take, so they were asked for again with one version more; after 1.1 s most instances gave the placer up, and the next one began with the same debt. Traced from configuration_in_force and placer_started of all instances. Ruled out: slow machines as the cause (the first placer was lost at 7.0 s, before any was slow); replacing placers too eagerly (their answers really did not come). Change: a log of copies keeps the latest change of each object only; changes over 32 KB at once are not passed on, the instance is told to read the kind itself; one that cannot read it from the store says so and gets them whole. The log's own tests: arbtest over copies of few objects. Conclusion: what is told to all instances through one of them has to be small.

--- a/core/src/cell/message.rs
+++ b/core/src/cell/message.rs
@@ -3,7 +3,7 @@
 use crate::name::Name;
 use crate::prompt::Prompt;
 use crate::quarantine::{Crash, Fingerprint};
-use crate::replica::ReplicaKind;
+use crate::replica::KnownRevision;
 
 crate::key_record! {
     /// A request at the instance that took it.
@@ -103,8 +103,8 @@
         pub standings_version: u64,
         /// All requests under way, told once to each new placer.
         pub runs: Option<Vec<AdoptedRun>>,
-        /// Revisions of the instance's copies of the store.
-        pub known: Vec<(ReplicaKind, u64)>,
+        /// The instance's copies of the store.
+        pub known: Vec<KnownRevision>,
         /// Where other instances reach this one.
         pub address: Name,
         /// Version of the list of instances that it knows.
--- a/core/src/replica.rs
+++ b/core/src/replica.rs
@@ -3,11 +3,20 @@
 //! Each call of the store is paid for, so one instance watches it and the others take the changes
 //! from that one. A copy is as of a revision of the store; changes after a revision can be taken
 //! from any instance whose log reaches back that far.
+//!
+//! A large object is not passed on: with many instances, the one that passes it on would be busy with
+//! nothing else. The others are told that there is news, and read it from the store themselves. Only
+//! an instance that does not reach the store gets all from its peer.
 
 use std::collections::VecDeque;
 
+use crate::name::Name;
+
 /// Changes that a log keeps.
 const MAX_EVENTS: usize = 512;
+/// Total size of the changes that are passed on at once, in bytes; the size of a list of some tens
+/// of servers.
+pub const MAX_PASSED_ON_BYTES: usize = 32_768;
 
 crate::key_record! {
     /// What is copied.
@@ -25,6 +34,8 @@
 crate::record! {
     /// A change of one object.
     pub struct ReplicaEvent {
+        /// Name of the object.
+        pub name: Name,
         /// The object as JSON.
         pub object: String,
         /// Whether it is gone.
@@ -44,14 +55,40 @@
     }
 }
 
-/// The latest changes of one kind.
+crate::record! {
+    /// Up to where an instance has a copy of one kind.
+    pub struct KnownRevision {
+        /// What is copied.
+        pub kind: ReplicaKind,
+        /// Revision of the copy; 0 if there is none.
+        pub revision: u64,
+        /// Whether the instance cannot read the kind from the store.
+        pub is_cut_off: bool,
+    }
+}
+
+/// What a log has for a copy.
+#[derive(Clone, Debug, PartialEq)]
+pub enum News {
+    /// The copy is up to date, or there is none.
+    None,
+    /// The changes that the copy misses.
+    Changes(ReplicaUpdate),
+    /// The changes are too large to be passed on.
+    TooLarge,
+    /// The log does not reach back to the copy.
+    Uncovered,
+}
+
+/// The latest change of each object of one kind.
 #[derive(Clone, Debug, Default)]
 pub struct ReplicaLog {
-    /// The log holds all changes after this revision.
+    /// The log holds the latest change of all objects that changed after this revision.
     start: u64,
     /// Revision up to which changes are known. Invariant: at least `start`.
     revision: u64,
-    /// Changes with the revision at which they were known, oldest first.
+    /// Changes with the revision at which they were known, oldest first. Invariant: one for each
+    /// object.
     events: VecDeque<(u64, ReplicaEvent)>,
 }
 
@@ -76,8 +113,10 @@
             return;
         }
         self.revision = revision;
-        self.events
-            .extend(events.into_iter().map(|event| (revision, event)));
+        for event in events {
+            self.events.retain(|(_, known)| known.name != event.name);
+            self.events.push_back((revision, event));
+        }
         while self.events.len() > MAX_EVENTS {
             if let Some((dropped, _)) = self.events.pop_front() {
                 self.start = dropped;
@@ -85,26 +124,30 @@
         }
     }
 
-    /// Changes for a copy as of `after`; `None` if there are none, or the log does not reach back
-    /// that far.
-    pub fn since(&self, kind: ReplicaKind, after: u64) -> Option<ReplicaUpdate> {
-        if !self.covers(after) || after >= self.revision {
-            return None;
+    /// What an instance with this copy has to know.
+    pub fn news(&self, known: &KnownRevision) -> News {
+        let after = known.revision;
+        if after == 0 || after >= self.revision {
+            return News::None;
+        }
+        if after < self.start {
+            return News::Uncovered;
         }
-        let events = self.events.iter().filter(|(revision, _)| *revision > after);
-        Some(ReplicaUpdate {
-            kind,
+        let events = self.events.iter();
+        let missed = events.filter(|(revision, _)| *revision > after);
+        let missed = missed.map(|(_, event)| event);
+        let size_bytes: usize = missed.clone().map(|event| event.object.len()).sum();
+        if size_bytes > MAX_PASSED_ON_BYTES && !known.is_cut_off {
+            return News::TooLarge;
+        }
+        News::Changes(ReplicaUpdate {
+            kind: known.kind,
             after,
             revision: self.revision,
-            events: events.map(|(_, event)| event.clone()).collect(),
+            events: missed.cloned().collect(),
         })
     }
 
-    /// Whether the log reaches back to a copy as of `after`.
-    pub fn covers(&self, after: u64) -> bool {
-        after >= self.start
-    }
-
     /// Whether an update continues this copy.
     pub fn accepts(&self, update: &ReplicaUpdate) -> bool {
         update.after == self.revision
--- a/core/tests/replica.rs
+++ b/core/tests/replica.rs
@@ -1,26 +1,58 @@
 //! Copies of the store that are passed on.
 
+use std::collections::BTreeMap;
+
 use arbtest::arbtest;
-use mimosabay_core::replica::{ReplicaEvent, ReplicaKind, ReplicaLog};
+use mimosabay_core::name::Name;
+use mimosabay_core::replica::{
+    KnownRevision, MAX_PASSED_ON_BYTES, News, ReplicaEvent, ReplicaKind, ReplicaLog, ReplicaUpdate,
+};
 
 const KIND: ReplicaKind = ReplicaKind::Servers;
 
 fn event(number: u64) -> ReplicaEvent {
     ReplicaEvent {
+        name: number.to_string().into(),
         object: number.to_string(),
         is_deleted: false,
     }
 }
 
+/// A change of one of few objects.
+fn change(object: u64, number: u64) -> ReplicaEvent {
+    ReplicaEvent {
+        name: object.to_string().into(),
+        object: number.to_string(),
+        is_deleted: false,
+    }
+}
+
+fn large(number: u64) -> ReplicaEvent {
+    ReplicaEvent {
+        name: number.to_string().into(),
+        object: "x".repeat(MAX_PASSED_ON_BYTES),
+        is_deleted: false,
+    }
+}
+
+fn known(revision: u64) -> KnownRevision {
+    KnownRevision {
+        kind: KIND,
+        revision,
+        is_cut_off: false,
+    }
+}
+
+fn since(log: &ReplicaLog, after: u64) -> Option<ReplicaUpdate> {
+    match log.news(&known(after)) {
+        News::Changes(update) => Some(update),
+        News::None | News::TooLarge | News::Uncovered => None,
+    }
+}
+
 fn objects(log: &ReplicaLog, after: u64) -> Option<Vec<String>> {
-    let update = log.since(KIND, after)?;
-    Some(
-        update
-            .events
-            .into_iter()
-            .map(|event| event.object)
-            .collect(),
-    )
+    let events = since(log, after)?.events.into_iter();
+    Some(events.map(|event| event.object).collect())
 }
 
 #[test]
@@ -40,8 +72,8 @@
     log.reset(10);
     log.record(12, [event(1)]);
     assert_eq!(objects(&log, 9), None);
-    assert!(!log.covers(9));
-    assert!(log.covers(10));
+    assert_eq!(log.news(&known(9)), News::Uncovered);
+    assert_eq!(log.news(&known(12)), News::None);
 }
 
 #[test]
@@ -55,6 +87,36 @@
     assert_eq!(objects(&log, 1_997).unwrap(), ["1998", "1999"]);
 }
 
+#[test]
+fn copy_gets_the_latest_change_of_an_object_only() {
+    let mut log = ReplicaLog::default();
+    log.reset(10);
+    log.record(11, [change(1, 100), change(2, 200)]);
+    log.record(12, [change(1, 101)]);
+    log.record(13, [change(1, 102)]);
+    assert_eq!(objects(&log, 10).unwrap(), ["200", "102"]);
+    assert_eq!(objects(&log, 12).unwrap(), ["102"]);
+}
+
+#[test]
+fn large_changes_are_passed_on_only_to_who_cannot_read_them() {
+    let mut log = ReplicaLog::default();
+    log.reset(10);
+    log.record(11, [large(1)]);
+    assert!(since(&log, 10).is_some());
+    log.record(12, [change(2, 200)]);
+    assert_eq!(log.news(&known(10)), News::TooLarge);
+    assert_eq!(objects(&log, 11).unwrap(), ["200"]);
+    let cut_off = KnownRevision {
+        is_cut_off: true,
+        ..known(10)
+    };
+    let News::Changes(update) = log.news(&cut_off) else {
+        panic!("the copy cannot be read elsewhere");
+    };
+    assert_eq!(update.events.len(), 2);
+}
+
 #[test]
 fn older_news_is_ignored() {
     let mut log = ReplicaLog::default();
@@ -68,7 +130,7 @@
     let mut log = ReplicaLog::default();
     log.reset(10);
     log.record(12, [event(1)]);
-    let update = log.since(KIND, 10).unwrap();
+    let update = since(&log, 10).unwrap();
     let mut copy = ReplicaLog::default();
     copy.reset(10);
     assert!(copy.accepts(&update));
@@ -102,9 +164,42 @@
     });
 }
 
+/// Copies that are fed at any time, some from the store itself, end with the state of the store.
+#[test]
+fn copies_agree_in_the_end() {
+    arbtest(|choices| {
+        let mut logs = vec![ReplicaLog::default(); 3];
+        let mut states = vec![BTreeMap::new(); 3];
+        for log in &mut logs {
+            log.reset(1);
+        }
+        for number in 2..60 {
+            let event = change(choices.int_in_range(0..=4)?, number);
+            states[0].insert(event.name.clone(), event.object.clone());
+            logs[0].record(number, [event]);
+            let to = choices.int_in_range(1..=2)?;
+            let from = choices.int_in_range(0..=to - 1)?;
+            feed(&mut logs, &mut states, from, to);
+        }
+        feed(&mut logs, &mut states, 0, 1);
+        feed(&mut logs, &mut states, 1, 2);
+        assert_eq!(states[1], states[0]);
+        assert_eq!(states[2], states[0]);
+        Ok(())
+    });
+}
+
+fn feed(logs: &mut [ReplicaLog], states: &mut [BTreeMap<Name, String>], from: usize, to: usize) {
+    if let Some(update) = since(&logs[from], logs[to].revision()) {
+        let changes = update.events.iter();
+        states[to].extend(changes.map(|event| (event.name.clone(), event.object.clone())));
+        logs[to].record(update.revision, update.events);
+    }
+}
+
 fn pull(logs: &mut [ReplicaLog], taken: &mut [Vec<String>], to: usize) {
     let after = logs[to].revision();
-    if let Some(update) = logs[to - 1].since(KIND, after) {
+    if let Some(update) = since(&logs[to - 1], after) {
         assert!(logs[to].accepts(&update));
         taken[to].extend(update.events.iter().map(|event| event.object.clone()));
         logs[to].record(update.revision, update.events);
--- /dev/null
+++ b/daemon/src/gateway/copies.rs
@@ -0,0 +1,101 @@
+//! Copies of what the store holds, and what this instance has still to read of it.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+
+use mimosabay_core::replica::{KnownRevision, News, ReplicaKind, ReplicaLog};
+use tokio::sync::Notify;
+
+/// Kinds of objects that are passed on.
+const KINDS: [ReplicaKind; 3] = [
+    ReplicaKind::Configuration,
+    ReplicaKind::Servers,
+    ReplicaKind::Releases,
+];
+
+/// The copies of an instance.
+#[derive(Default)]
+pub(crate) struct Copies {
+    table: Mutex<HashMap<ReplicaKind, Entry>>,
+    /// Wakes those that follow a kind which has to be read.
+    unread: Notify,
+}
+
+#[derive(Default)]
+struct Entry {
+    log: ReplicaLog,
+    /// Whether there are changes that the placer does not pass on.
+    has_unread: bool,
+    /// Whether the last call of the store for this kind has failed.
+    is_cut_off: bool,
+}
+
+impl Copies {
+    /// Revision up to which a kind is known; 0 if it has to be listed.
+    pub(crate) fn revision(&self, kind: ReplicaKind) -> u64 {
+        self.with_log(kind, |log| log.revision())
+    }
+
+    /// A kind has to be listed again.
+    pub(crate) fn forget(&self, kind: ReplicaKind) {
+        self.with_log(kind, |log| *log = ReplicaLog::default());
+    }
+
+    pub(crate) fn with_log<T>(
+        &self,
+        kind: ReplicaKind,
+        act: impl FnOnce(&mut ReplicaLog) -> T,
+    ) -> T {
+        self.with(kind, |entry| act(&mut entry.log))
+    }
+
+    /// Up to where each kind is known.
+    pub(crate) fn known(&self) -> Vec<KnownRevision> {
+        let kinds = KINDS.into_iter();
+        kinds
+            .map(|kind| {
+                self.with(kind, |entry| KnownRevision {
+                    kind,
+                    revision: entry.log.revision(),
+                    is_cut_off: entry.is_cut_off,
+                })
+            })
+            .collect()
+    }
+
+    /// What another instance has to know.
+    pub(crate) fn news(&self, known: &KnownRevision) -> News {
+        self.with_log(known.kind, |log| log.news(known))
+    }
+
+    /// There are changes that the placer does not pass on.
+    pub(crate) fn set_unread(&self, kind: ReplicaKind) {
+        self.with(kind, |entry| entry.has_unread = true);
+        self.unread.notify_waiters();
+    }
+
+    /// All changes that are known of were taken over.
+    pub(crate) fn set_read(&self, kind: ReplicaKind) {
+        self.with(kind, |entry| entry.has_unread = false);
+    }
+
+    /// Whether the kind has to be read though the placer passes changes on.
+    pub(crate) fn has_unread(&self, kind: ReplicaKind) -> bool {
+        self.with(kind, |entry| entry.has_unread)
+    }
+
+    /// Returns once some kind has to be read.
+    pub(crate) async fn unread(&self) {
+        self.unread.notified().await;
+    }
+
+    /// A call of the store for this kind has failed, or one has succeeded.
+    pub(crate) fn set_cut_off(&self, kind: ReplicaKind, is_cut_off: bool) {
+        self.with(kind, |entry| entry.is_cut_off = is_cut_off);
+    }
+
+    fn with<T>(&self, kind: ReplicaKind, act: impl FnOnce(&mut Entry) -> T) -> T {
+        let mut table = self.table.lock().expect("copies lock");
+        act(table.entry(kind).or_default())
+    }
+}
--- a/daemon/src/gateway/link.rs
+++ b/daemon/src/gateway/link.rs
@@ -19,7 +19,6 @@
 
 use super::placer::Placer;
 use super::state::State;
-use super::updates;
 
 /// Time without any answer after which requests no longer wait for the placer, in milliseconds.
 pub(super) const BYPASS_AFTER_MS: u64 = 600;
@@ -393,7 +392,7 @@
             cleared,
             standings_version: state.suspects.version(),
             runs: is_new_placer.then(|| self.placed_runs()),
-            known: updates::known_revisions(state),
+            known: state.copies.known(),
             address: self.own_address.clone(),
             members_version: state.members.version(),
         }
--- a/daemon/src/gateway/replicate.rs
+++ b/daemon/src/gateway/replicate.rs
@@ -12,7 +12,9 @@
 
 /// Takes over a whole list.
 pub(crate) fn take_list(state: &State, kind: ReplicaKind, listing: &Listing) {
-    state.with_replica(kind, |log| log.reset(listing.revision));
+    state
+        .copies
+        .with_log(kind, |log| log.reset(listing.revision));
     if kind == ReplicaKind::Servers {
         let entries = listing.objects.iter();
         let list: Vec<_> = entries.filter_map(discovery::backend).collect();
@@ -32,7 +34,7 @@
 
 /// Takes over changes that the store told.
 pub(crate) fn take_changes(state: &State, kind: ReplicaKind, changes: &Changes) {
-    if changes.revision <= state.replica_revision(kind) {
+    if changes.revision <= state.copies.revision(kind) {
         return;
     }
     let told = changes.events.iter();
@@ -41,20 +43,25 @@
         .filter_map(replica_event)
         .collect();
     take_events(state, kind, &changes.events);
-    state.with_replica(kind, |log| log.record(changes.revision, told));
+    state
+        .copies
+        .with_log(kind, |log| log.record(changes.revision, told));
 }
 
 /// Takes over changes that another instance told.
 pub(crate) fn take_update(state: &State, update: ReplicaUpdate) {
-    let is_accepted = state.with_replica(update.kind, |log| log.accepts(&update));
+    let is_accepted = state
+        .copies
+        .with_log(update.kind, |log| log.accepts(&update));
     if !is_accepted {
         return;
     }
     let events: Vec<Event> = update.events.iter().filter_map(stored_event).collect();
     take_events(state, update.kind, &events);
-    state.with_replica(update.kind, |log| {
+    state.copies.with_log(update.kind, |log| {
         log.record(update.revision, update.events);
     });
+    state.copies.set_read(update.kind);
 }
 
 fn take_events(state: &State, kind: ReplicaKind, events: &[Event]) {
@@ -92,6 +99,7 @@
 fn replica_event(event: &Event) -> Option<ReplicaEvent> {
     let object = serde_json::to_string(&event.object).ok()?;
     Some(ReplicaEvent {
+        name: event.object.metadata.name.clone(),
         object,
         is_deleted: event.deleted,
     })
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -8,7 +8,6 @@
 use mimosabay_core::cell::{AdapterKey, Rates};
 use mimosabay_core::name::Name;
 use mimosabay_core::plain::PlainServers;
-use mimosabay_core::replica::{ReplicaKind, ReplicaLog};
 use mimosabay_core::retry_share::RetryShare;
 use mimosabay_core::site::Site;
 use mimosabay_peer::Members;
@@ -19,6 +18,7 @@
 use tracing_appender::non_blocking::ErrorCounter;
 
 use super::backends::Backends;
+use super::copies::Copies;
 use super::link::Link;
 use super::members::MemberList;
 use super::metrics::Metrics;
@@ -54,8 +54,7 @@
     pub(crate) metrics: Metrics,
     /// Whether backend servers were listed since the start.
     knows_backends: AtomicBool,
-    /// Copies of the store that are passed on.
-    replicas: Mutex<HashMap<ReplicaKind, ReplicaLog>>,
+    pub(crate) copies: Copies,
     /// Number of outages of the store that have ended.
     pub(crate) outages: watch::Sender<u64>,
     /// When the store has last answered a watch of the servers, in milliseconds.
@@ -103,7 +102,7 @@
             phase: watch::Sender::new(Phase::Serving),
             metrics: Metrics::new(left_out_lines),
             knows_backends: AtomicBool::new(false),
-            replicas: Mutex::default(),
+            copies: Copies::default(),
             outages: watch::Sender::new(0),
             store_reached_ms: AtomicU64::new(0),
             next_number: AtomicU64::new(1),
@@ -188,25 +187,6 @@
         self.knows_backends.store(true, Ordering::Relaxed);
     }
 
-    /// Revision up to which a kind is known; 0 if it has to be listed.
-    pub(crate) fn replica_revision(&self, kind: ReplicaKind) -> u64 {
-        self.with_replica(kind, |log| log.revision())
-    }
-
-    /// A kind has to be listed again.
-    pub(crate) fn forget_replica(&self, kind: ReplicaKind) {
-        self.with_replica(kind, |log| *log = ReplicaLog::default());
-    }
-
-    pub(crate) fn with_replica<T>(
-        &self,
-        kind: ReplicaKind,
-        act: impl FnOnce(&mut ReplicaLog) -> T,
-    ) -> T {
-        let mut replicas = self.replicas.lock().expect("replicas lock");
-        act(replicas.entry(kind).or_default())
-    }
-
     /// The store has answered a watch of the servers.
     pub(crate) fn store_reached(&self, now_ms: u64) {
         self.store_reached_ms.store(now_ms, Ordering::Relaxed);
--- a/daemon/src/gateway/updates.rs
+++ b/daemon/src/gateway/updates.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use mimosabay_core::cell::Update;
-use mimosabay_core::replica::ReplicaKind;
+use mimosabay_core::replica::News;
 use mimosabay_peer::{Category, Message, Reply, VersionedStandings};
 use tokio::time::{Instant, sleep, timeout};
 use tracing::{info, warn};
@@ -23,13 +23,6 @@
 const UPDATE_TIMEOUT_MS: u64 = 500;
 /// Age of the placer's last answer of the store up to which its copies are fresh, in milliseconds.
 const STORE_FRESH_MS: u64 = 1_100;
-/// Kinds of objects that are passed on.
-const REPLICA_KINDS: [ReplicaKind; 3] = [
-    ReplicaKind::Configuration,
-    ReplicaKind::Servers,
-    ReplicaKind::Releases,
-];
-
 /// Sends updates to the placer until the process ends.
 pub(crate) async fn run(state: Arc<State>) {
     let link = &state.link;
@@ -66,6 +59,7 @@
                     reaches_store,
                     replicas,
                     uncovered,
+                    too_large,
                     members,
                     standings,
                 }) => {
@@ -81,7 +75,10 @@
                         replicate::take_update(state, replica);
                     }
                     for kind in uncovered {
-                        state.forget_replica(kind);
+                        state.copies.forget(kind);
+                    }
+                    for kind in too_large {
+                        state.copies.set_unread(kind);
                     }
                 }
                 Ok(_) => {
@@ -113,29 +110,25 @@
     }
 }
 
-/// Revisions of the copies of the store.
-pub(super) fn known_revisions(state: &State) -> Vec<(ReplicaKind, u64)> {
-    let kinds = REPLICA_KINDS.into_iter();
-    kinds
-        .map(|kind| (kind, state.replica_revision(kind)))
-        .collect()
-}
-
 /// The placer's answer to an update: what the sender does not know yet.
 pub(crate) fn answer(state: &State, update: &Update) -> Reply {
     state.members.heard(&update.address, state.now_ms());
-    let known = update.known.iter();
-    let replicas =
-        known.filter_map(|(kind, after)| state.with_replica(*kind, |log| log.since(*kind, *after)));
-    let uncovered = update
-        .known
-        .iter()
-        .filter(|(kind, after)| *after > 0 && !state.with_replica(*kind, |log| log.covers(*after)));
-    let uncovered = uncovered.map(|(kind, _)| *kind);
+    let mut replicas = Vec::new();
+    let mut uncovered = Vec::new();
+    let mut too_large = Vec::new();
+    for known in &update.known {
+        match state.copies.news(known) {
+            News::None => {}
+            News::Changes(changes) => replicas.push(changes),
+            News::TooLarge => too_large.push(known.kind),
+            News::Uncovered => uncovered.push(known.kind),
+        }
+    }
     Reply::Updated {
         reaches_store: state.store_age_ms() <= STORE_FRESH_MS,
-        replicas: replicas.collect(),
-        uncovered: uncovered.collect(),
+        replicas,
+        uncovered,
+        too_large,
         members: state.members.news(update.members_version),
         standings: standings(state, update),
     }
--- a/daemon/src/gateway/watch.rs
+++ b/daemon/src/gateway/watch.rs
@@ -7,7 +7,7 @@
 use mimosabay_core::replica::ReplicaKind;
 use mimosabay_platform::store::{Changes, Listing};
 use mimosabay_platform::{Category, Error, words};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
 
 use super::metrics::Dependency;
@@ -100,11 +100,15 @@
 impl Follower {
     async fn step(&mut self) {
         if let Kind::Replicated(kind) = self.kind {
-            self.revision = self.state.replica_revision(kind);
+            self.revision = self.state.copies.revision(kind);
             let fresh_ms = self.state.link.relay_fresh_ms(self.state.now_ms());
-            if self.revision > 0 && fresh_ms > 0 {
+            let has_unread = self.state.copies.has_unread(kind);
+            if self.revision > 0 && fresh_ms > 0 && !has_unread {
                 self.relayed();
-                sleep(Duration::from_millis(fresh_ms.min(RELAY_CHECK_MS))).await;
+                self.state.copies.set_cut_off(kind, false);
+                let pause = Duration::from_millis(fresh_ms.min(RELAY_CHECK_MS));
+                // Either way it is time to look again.
+                let _ = timeout(pause, self.state.copies.unread()).await;
                 return;
             }
         }
@@ -173,7 +177,7 @@
     fn forget(&mut self) {
         self.revision = 0;
         if let Kind::Replicated(kind) = self.kind {
-            self.state.forget_replica(kind);
+            self.state.copies.forget(kind);
         }
     }
 
@@ -211,6 +215,10 @@
     /// The store has answered.
     fn reached(&mut self) {
         let now_ms = self.state.now_ms();
+        if let Kind::Replicated(kind) = self.kind {
+            self.state.copies.set_read(kind);
+            self.state.copies.set_cut_off(kind, false);
+        }
         if self.kind.is_servers() {
             self.state.store_reached(now_ms);
         }
@@ -235,6 +243,9 @@
             self.state.metrics.dependency_lost(Dependency::Store);
         }
         self.failures += 1;
+        if let Kind::Replicated(kind) = self.kind {
+            self.state.copies.set_cut_off(kind, true);
+        }
         sleep(Duration::from_millis(self.pause_ms)).await;
         self.pause_ms = (self.pause_ms * 2).min(RETRY_PAUSE_MS.1);
     }
--- a/daemon/tests/gateway/configuration.rs
+++ b/daemon/tests/gateway/configuration.rs
@@ -1,8 +1,12 @@
 //! Changes of the configuration.
 
+use mimosabay_core::cell::Update;
+use mimosabay_core::name::InstanceId;
+use mimosabay_core::replica::{KnownRevision, ReplicaKind};
+use mimosabay_peer::{Envelope, Message, Peer, Reply, Secret};
 use mimosabay_standin::fleet::{DESK, ENGINES, FleetOptions, FleetSite, KEY};
 use mimosabay_standin::harness::{block_on, wait_for};
-use serde_json::json;
+use serde_json::{Value, json};
 
 /// Waits until a lookup through each instance is answered with `status`.
 async fn wait_status(site: &FleetSite, path: &str, status: u16) {
@@ -102,3 +106,81 @@
         }
     });
 }
+
+/// Adds so many routes that the configuration is large.
+fn add_routes(configuration: &mut Value, version: u64) {
+    let routes = configuration["routes"].as_array_mut().expect("routes");
+    let first = routes[3].clone();
+    for number in 0..400 {
+        let mut route = first.clone();
+        route["pathPrefix"] = json!(format!("/more/{version}/{number}/"));
+        route["name"] = json!(format!("more-{number}"));
+        routes.push(route);
+    }
+}
+
+/// What an instance that knows the store up to `known_revision` gets from the placer.
+async fn told_by_placer(site: &FleetSite, known_revision: u64) -> Reply {
+    let address = site.placer_address().expect("a placer");
+    let update = Update {
+        entry: 1,
+        ended: Vec::new(),
+        charges: Vec::new(),
+        crashes: Vec::new(),
+        cleared: Vec::new(),
+        standings_version: 0,
+        runs: None,
+        known: vec![KnownRevision {
+            kind: ReplicaKind::Configuration,
+            revision: known_revision,
+            is_cut_off: false,
+        }],
+        address: "127.0.0.1:1".into(),
+        members_version: 0,
+    };
+    let peer = Peer::new(&*address, Secret::new("mimosabay-on-platform"));
+    let envelope = Envelope {
+        from: InstanceId::new("test", 1),
+        message: Message::Update(Box::new(update)),
+    };
+    peer.ask(&envelope, 5_000).await.expect("an answer")
+}
+
+fn size_bytes(reply: &Reply) -> usize {
+    let Reply::Updated { replicas, .. } = reply else {
+        panic!("not the answer to an update: {reply:?}");
+    };
+    let events = replicas.iter().flat_map(|replica| &replica.events);
+    events.map(|event| event.object.len()).sum()
+}
+
+#[test]
+fn large_configurations_do_not_pass_through_the_placer() {
+    block_on(async {
+        let site = FleetSite::start(FleetOptions::default()).await;
+        let known_revision = site.configure(5, |_| {});
+        for version in 6..=12 {
+            site.configure(version, |it| add_routes(it, version));
+        }
+        wait_status(&site, "/more/12/399/x", 200).await;
+        let reply = told_by_placer(&site, known_revision).await;
+        assert!(size_bytes(&reply) < 65_536, "{} bytes", size_bytes(&reply));
+    });
+}
+
+#[test]
+fn instance_without_store_gets_large_configurations_from_the_placer() {
+    block_on(async {
+        let options = FleetOptions {
+            has_links: true,
+            ..FleetOptions::default()
+        };
+        let site = FleetSite::start(options).await;
+        let other = 1 - site.wait_placer().await;
+        site.store_links[other].cut();
+        site.configure(6, |it| add_routes(it, 6));
+        wait_status(&site, "/more/6/399/x", 200).await;
+        site.configure(7, |it| add_routes(it, 7));
+        wait_status(&site, "/more/7/399/x", 200).await;
+    });
+}
--- a/peer/src/message.rs
+++ b/peer/src/message.rs
@@ -105,6 +105,8 @@
             /// Kinds that the sender has to list itself, because the placer does not know what led
             /// to their present state.
             uncovered: Vec<ReplicaKind>,
+            /// Kinds whose changes the sender has to read itself, because they are large.
+            too_large: Vec<ReplicaKind>,
             /// The instances, if the sender knows another version of the list.
             members: Option<Members>,
             /// Requests that ran on servers that crashed, if the sender knows another version.
--- a/standin/src/fleet/site.rs
+++ b/standin/src/fleet/site.rs
@@ -139,11 +139,11 @@
         site
     }
 
-    /// Writes a version of the configuration after `change`.
-    pub fn configure(&self, version: u64, change: impl FnOnce(&mut Value)) {
+    /// Writes a version of the configuration after `change`; returns the store's revision.
+    pub fn configure(&self, version: u64, change: impl FnOnce(&mut Value)) -> u64 {
         let mut configuration = configuration(version, &self.options);
         change(&mut configuration);
-        self.store.put("config", "main", &configuration);
+        self.store.put("config", "main", &configuration)
     }
 
     /// A caller of an instance with the organisation's key.
@@ -200,6 +200,12 @@
             .position(|instance| instance.name == name)
     }
 
+    /// Where the instance that places requests listens for other instances.
+    pub fn placer_address(&self) -> Option<String> {
+        let record = self.store.spec("placers", "cell-0")?;
+        Some(record["address"].as_str()?.to_owned())
+    }
+
     /// Starts the process of an instance again.
     pub fn restart(&mut self, index: usize) {
         let instance = &mut self.instances[index];
