Tell unused tokens of a budget at once, refuse by fresh news only, wait for tokens held elsewhere

Cause (known red charge_is_settled_with_what_ran, traced from the state at each refusal): - a charge was refunded only after an ask that reported it and its answer's mark, two asks of 250 ms; - a request was refused by an answer that was older than the end of the request before it; - what other members held for later did not count, and they kept it until their ask after the next; - a member that does not know the founded roster yet, or has not heard its fellows, saw shares that are not lent as not there. Change: unused tokens of a charge that no ask has reported go back with the next ask as tokens that were held all the time; a twentieth of the burst or more makes that ask due at once; an answer by which a request is refused was asked for after it came, or 100 ms passed without one; answers tell what other members hold, and members that hear of scarcity give back what they hold for later at once; shares of living members that are not lent count as coming. Waits for either end after two periods of asks. Scenario a_loan_that_is_not_prolonged_ends charged the same ticket twice if the first try was granted; it now asks once and checks the same amounts. Tests: three scenarios, all red with the code before.

--- a/core/src/budget/account.rs
+++ b/core/src/budget/account.rs
@@ -16,19 +16,29 @@
 const MAX_WAIT_MS: u64 = 50;
 /// Shortest time between two asks while the same requests wait.
 const URGENT_GAP_MS: u64 = 20;
+/// Asks of another member until it has given back what it holds for later: it hears with the first
+/// that tokens are scarce.
+const GIVE_BACK_ASKS: u64 = 2;
 /// Part of the wanted tokens above which a member gives tokens back.
 const KEEP_FACTOR: f64 = 1.5;
+/// Part of the burst from which on unused tokens are given back at once: a request elsewhere may be
+/// refused for want of them.
+const LARGE_REFUND_PART: f64 = 0.05;
 
 /// What a coordinator said of its pool.
 #[derive(Debug)]
 struct Told {
     by: InstanceId,
+    /// Own time of the ask.
+    asked_ms: u64,
     /// Own time of the answer.
     heard_ms: u64,
     /// Coordinator's time of its ask for the share.
     loan_asked_ms: u64,
     free_tokens: f64,
     lent_share: f64,
+    /// Tokens that other members hold, which give them back when some are waited for.
+    elsewhere_tokens: f64,
     scarce: bool,
 }
 
@@ -40,6 +50,15 @@
     pub(super) max_wait_ms: u64,
 }
 
+/// Where a member can get tokens.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Reach {
+    /// Only from its own share.
+    OwnShare,
+    /// From the coordinator, to whom the members that live lend `live_share` together.
+    Coordinator { live_share: f64 },
+}
+
 /// A member's side of one budget.
 #[derive(Debug)]
 pub(super) struct Account {
@@ -55,10 +74,10 @@
     /// Backlog that the coordinator was told with the last ask.
     asked_backlog_tokens: f64,
     asked_ms: u64,
-    /// Own time at which the share was filled with its part of a burst that nobody had used.
-    founded_ms: Option<u64>,
     /// Whether the state changed so that an ask should not wait for its time.
     urgent: bool,
+    /// Unused tokens that no coordinator was told of yet.
+    untold_refund_tokens: f64,
 }
 
 impl Account {
@@ -73,17 +92,14 @@
             told: None,
             asked_backlog_tokens: 0.0,
             asked_ms: 0,
-            founded_ms: None,
             urgent: false,
+            untold_refund_tokens: 0.0,
         }
     }
 
     /// Refills and drops what has expired.
     pub(super) fn advance(&mut self, limit: Limit, now_ms: u64) {
         self.native.advance(limit, now_ms);
-        if self.native.is_founded() {
-            self.founded_ms.get_or_insert(now_ms);
-        }
         for wallet in &mut self.wallets {
             wallet.expire(now_ms);
         }
@@ -98,7 +114,7 @@
         next_ask: u64,
         limit: Limit,
         settings: &BudgetSettings,
-        is_alone: bool,
+        reach: Reach,
         now_ms: u64,
     ) -> Charge {
         let ticket = claim.ticket;
@@ -109,8 +125,13 @@
             self.take(ticket, claim.tokens, next_ask, now_ms);
             return Charge::Granted;
         }
-        let expected_wait_ms = self.expected_wait_ms(missing, limit, settings, is_alone, now_ms);
-        if expected_wait_ms > claim.max_wait_ms || claim.max_wait_ms == 0 {
+        let since_ms = self.waiters.since_ms(ticket).unwrap_or(now_ms);
+        let waited_ms = now_ms - since_ms;
+        let expected_wait_ms =
+            self.expected_wait_ms(missing, waited_ms, limit, settings, reach, now_ms);
+        let is_late = expected_wait_ms > claim.max_wait_ms;
+        let is_certain = self.knows_enough(since_ms, reach, settings, now_ms);
+        if claim.max_wait_ms == 0 || (is_late && is_certain) {
             self.waiters.leave(ticket);
             let retry_after_ms = expected_wait_ms.max(MAX_WAIT_MS);
             return Charge::Refused { retry_after_ms };
@@ -125,17 +146,23 @@
 
     /// Ends a charge of which `used` tokens were used.
     pub(super) fn settle(&mut self, ticket: Ticket, used: f64, limit: Limit) {
-        let Some((unused, beyond)) = self.charges.settle(ticket, used) else {
+        let Some(settled) = self.charges.settle(ticket, used) else {
             return;
         };
-        self.debt_tokens = (self.debt_tokens + beyond).min(limit.burst_tokens);
-        for piece in unused {
+        self.debt_tokens = (self.debt_tokens + settled.beyond_tokens).min(limit.burst_tokens);
+        self.untold_refund_tokens += settled.refund_tokens;
+        for piece in settled.native {
             if let Source::Native { epoch, mark } = piece.source {
                 self.native.refund(epoch, mark, piece.tokens);
             }
         }
     }
 
+    /// Whether so many unused tokens are kept from others that an ask should not wait for its time.
+    pub(super) fn has_large_refund(&self, limit: Limit) -> bool {
+        self.untold_refund_tokens > limit.burst_tokens * LARGE_REFUND_PART
+    }
+
     /// Whether neither the own share nor a coordinator can give tokens.
     pub(super) fn is_cut_off(&self, settings: &BudgetSettings, now_ms: u64) -> bool {
         let can_grant =
@@ -157,6 +184,7 @@
     pub(super) fn is_due(
         &self,
         coordinator: &InstanceId,
+        limit: Limit,
         settings: &BudgetSettings,
         now_ms: u64,
     ) -> bool {
@@ -167,6 +195,9 @@
         let unanswered_ms = self.wallet(coordinator).and_then(Wallet::unanswered_ms);
         let is_answered =
             unanswered_ms.is_none_or(|sent_ms| sent_ms + settings.ask_timeout_ms <= now_ms);
+        if self.has_large_refund(limit) {
+            return is_answered;
+        }
         let is_first = self.asked_backlog_tokens <= 0.0;
         self.urgent && is_answered && (is_first || passed_ms >= URGENT_GAP_MS)
     }
@@ -203,7 +234,8 @@
         let backlog = (waiting - spendable).max(0.0);
         self.asked_backlog_tokens = backlog;
         let keep = waiting + prefetch * KEEP_FACTOR;
-        let refunds = self.charges.take_refunds(coordinator);
+        let unused = self.charges.take_unused(coordinator, ask);
+        self.untold_refund_tokens = 0.0;
         let wallet = self.wallet_mut(coordinator);
         let returned = wallet.take((spendable - keep).max(0.0));
         wallet.sent(ask, now_ms);
@@ -212,11 +244,11 @@
             ask,
             seen_ask: wallet.seen_ask,
             held_tokens: wallet.tokens(),
-            returned_tokens: returned,
+            returned_tokens: returned + unused.returned_tokens,
             shortage_tokens: (first - spendable).max(0.0).min(backlog),
             backlog_tokens: backlog,
             prefetch_tokens: (waiting + prefetch - spendable - backlog).max(0.0),
-            refunds,
+            refunds: unused.refunds,
             loan: self.native.statement(coordinator, false),
         }
     }
@@ -280,18 +312,23 @@
         let Some(wallet) = self.wallets.iter_mut().find(|w| w.coordinator == *from) else {
             return;
         };
-        if !wallet.accept(answer, settings, now_ms) {
+        let Some(asked_ms) = wallet.accept(answer, settings, now_ms) else {
             return;
-        }
+        };
         self.charges.mark(from, answer.ask, answer.mark);
         if let Some(loan_asked_ms) = answer.loan_asked_ms {
+            // What is held for later is given back at once if it is waited for.
+            let is_kept_from_others = answer.scarce && self.waiters.total_tokens() <= 0.0;
             self.urgent |= self.native.is_lendable();
+            self.urgent |= is_kept_from_others && self.spendable_tokens() > 0.0;
             self.told = Some(Told {
                 by: from.clone(),
+                asked_ms,
                 heard_ms: now_ms,
                 loan_asked_ms,
                 free_tokens: answer.free_tokens,
                 lent_share: answer.lent_share,
+                elsewhere_tokens: answer.elsewhere_tokens,
                 scarce: answer.scarce,
             });
         }
@@ -351,24 +388,44 @@
         self.demand.per_s(now_ms) * settings.prefetch_ms as f64 / 1_000.0
     }
 
+    /// Whether the request may be refused by what the coordinator said: since the request came, or
+    /// nothing for some time. Before, tokens may have come back from requests that have ended.
+    fn knows_enough(
+        &self,
+        since_ms: u64,
+        reach: Reach,
+        settings: &BudgetSettings,
+        now_ms: u64,
+    ) -> bool {
+        let is_fresh = |told: &Told| told.asked_ms >= since_ms;
+        matches!(reach, Reach::OwnShare)
+            || self.told.as_ref().is_some_and(is_fresh)
+            || since_ms + settings.ask_timeout_ms <= now_ms
+    }
+
     /// Time until `missing` more tokens can be here; 0 if nobody has said so yet.
     ///
-    /// A founder waits for what the other founders may not have lent to the coordinator yet.
+    /// A member waits for what others that live hold and do not need, or have not lent to the
+    /// coordinator yet.
     ///
     /// Counts with the whole rate, also while shares that rest with a dead coordinator are
     /// missing: they are back within a loan's time.
     fn expected_wait_ms(
         &self,
         missing: f64,
+        waited_ms: u64,
         limit: Limit,
         settings: &BudgetSettings,
-        is_alone: bool,
+        reach: Reach,
         now_ms: u64,
     ) -> u64 {
-        if is_alone {
-            let held = self.native.held();
-            return held.map_or(UNKNOWN_WAIT_MS, |held| held.wait_ms(missing));
-        }
+        let live_share = match reach {
+            Reach::OwnShare => {
+                let held = self.native.held();
+                return held.map_or(UNKNOWN_WAIT_MS, |held| held.wait_ms(missing));
+            }
+            Reach::Coordinator { live_share } => live_share,
+        };
         let Some(told) = &self.told else {
             return 0;
         };
@@ -378,21 +435,20 @@
         if untold <= 0.0 {
             return 0;
         }
-        let unlent_tokens = limit.burst_tokens * (1.0 - told.lent_share);
-        let gathering_ms = self.gathering_ms(settings, now_ms);
-        if gathering_ms > 0 && untold <= unlent_tokens {
-            return gathering_ms;
-        }
-        if limit.rate_per_s <= 0.0 {
-            return UNKNOWN_WAIT_MS;
+        let refill_ms = if limit.rate_per_s > 0.0 {
+            seconds_to_ms(untold / limit.rate_per_s)
+        } else {
+            UNKNOWN_WAIT_MS
+        };
+        let unlent_share = (live_share - told.lent_share).max(0.0);
+        let unlent_tokens = limit.burst_tokens * unlent_share;
+        let give_back_ms = settings.ask_period_ms * GIVE_BACK_ASKS;
+        let left_ms = give_back_ms.saturating_sub(waited_ms);
+        if left_ms > 0 && untold <= told.elsewhere_tokens + unlent_tokens {
+            refill_ms.min(left_ms)
+        } else {
+            refill_ms
         }
-        seconds_to_ms(untold / limit.rate_per_s)
-    }
-
-    /// Time until the other founders of the site have lent their shares, too.
-    fn gathering_ms(&self, settings: &BudgetSettings, now_ms: u64) -> u64 {
-        let until_ms = self.founded_ms.map(|ms| ms + settings.gathering_ms());
-        until_ms.unwrap_or(0).saturating_sub(now_ms)
     }
 
     fn wallet(&self, coordinator: &InstanceId) -> Option<&Wallet> {
--- a/core/src/budget/charge.rs
+++ b/core/src/budget/charge.rs
@@ -47,6 +47,26 @@
     }
 }
 
+/// What a settlement leaves.
+#[derive(Debug)]
+pub(super) struct Settled {
+    /// Unused parts of the native share.
+    pub(super) native: Vec<Piece>,
+    /// Tokens to be told to coordinators as unused.
+    pub(super) refund_tokens: f64,
+    /// Tokens that were used beyond the charge.
+    pub(super) beyond_tokens: f64,
+}
+
+/// Unused parts of charges that a coordinator can be told.
+#[derive(Debug, Default)]
+pub(super) struct Unused {
+    /// Parts of charges that it knows as spent.
+    pub(super) refunds: Vec<Refund>,
+    /// Parts of charges that it does not know of: for it these tokens were held all the time.
+    pub(super) returned_tokens: f64,
+}
+
 /// Charges that are not settled and refunds that are not sent.
 #[derive(Debug, Default)]
 pub(super) struct OpenCharges {
@@ -59,9 +79,8 @@
         self.by_ticket.entry(ticket).or_default().extend(pieces);
     }
 
-    /// Ends the charge of `ticket`, of which `used` tokens were used. Returns the unused parts of
-    /// the native share and the tokens that were used beyond the charge.
-    pub(super) fn settle(&mut self, ticket: Ticket, used: f64) -> Option<(Vec<Piece>, f64)> {
+    /// Ends the charge of `ticket`, of which `used` tokens were used.
+    pub(super) fn settle(&mut self, ticket: Ticket, used: f64) -> Option<Settled> {
         let mut pieces = self.by_ticket.remove(&ticket)?;
         let mut used = used;
         for piece in &mut pieces {
@@ -73,8 +92,13 @@
         let (native, granted): (Vec<_>, Vec<_>) = pieces
             .into_iter()
             .partition(|piece| matches!(piece.source, Source::Native { .. }));
+        let refund_tokens = granted.iter().map(|piece| piece.tokens).sum();
         self.refunds.extend(granted);
-        Some((native, used))
+        Some(Settled {
+            native,
+            refund_tokens,
+            beyond_tokens: used,
+        })
     }
 
     /// The own share is lent to `coordinator` with `ask`. What may still come back of charges on
@@ -106,21 +130,28 @@
         }
     }
 
-    /// Takes out the refunds that `coordinator` can be told, and drops those of others.
-    pub(super) fn take_refunds(&mut self, coordinator: &InstanceId) -> Vec<Refund> {
+    /// Takes out what `coordinator` can be told with `ask` of the unused parts of charges, and drops
+    /// those of others.
+    pub(super) fn take_unused(&mut self, coordinator: &InstanceId, ask: u64) -> Unused {
+        let mut unused = Unused::default();
         let mut ready = Vec::new();
         self.refunds.retain(|piece| match &piece.source {
             Source::Granted {
                 coordinator: granter,
+                first_ask,
                 mark,
-                ..
             } if granter == coordinator => {
+                if *first_ask == ask {
+                    unused.returned_tokens += piece.tokens;
+                    return false;
+                }
                 ready.extend(mark.map(|mark| (mark, piece.tokens)));
                 mark.is_none()
             }
             _ => false,
         });
-        merge(ready)
+        unused.refunds = merge(ready);
+        unused
     }
 
     pub(super) fn is_empty(&self) -> bool {
@@ -162,6 +193,7 @@
 struct Waiter {
     ticket: Ticket,
     tokens: f64,
+    since_ms: u64,
     expires_ms: u64,
 }
 
@@ -180,11 +212,19 @@
             None => self.queue.push_back(Waiter {
                 ticket,
                 tokens,
+                since_ms: now_ms,
                 expires_ms,
             }),
         }
     }
 
+    /// Since when a request waits.
+    pub(super) fn since_ms(&self, ticket: Ticket) -> Option<u64> {
+        let mut queue = self.queue.iter();
+        let waiter = queue.find(|waiter| waiter.ticket == ticket)?;
+        Some(waiter.since_ms)
+    }
+
     pub(super) fn leave(&mut self, ticket: Ticket) {
         self.queue.retain(|waiter| waiter.ticket != ticket);
     }
--- a/core/src/budget/message.rs
+++ b/core/src/budget/message.rs
@@ -29,7 +29,8 @@
         pub seen_ask: u64,
         /// Tokens granted by the receiver that the member holds unspent.
         pub held_tokens: f64,
-        /// Tokens that it held and gives back with this ask.
+        /// Tokens that it held and gives back with this ask; also unused parts of charges that were
+        /// made since the ask before.
         pub returned_tokens: f64,
         /// What the first waiting request still lacks.
         pub shortage_tokens: f64,
@@ -85,6 +86,8 @@
         pub free_tokens: f64,
         /// Sum of the shares that are lent to the coordinator.
         pub lent_share: f64,
+        /// Tokens that other members hold, as far as the coordinator knows.
+        pub elsewhere_tokens: f64,
         /// Whether some request waits for tokens, so that none should be kept for later.
         pub scarce: bool,
         /// The coordinator asks for the member's share; its own time, to be repeated.
@@ -114,6 +117,7 @@
             mark: 0,
             free_tokens: 0.0,
             lent_share: 0.0,
+            elsewhere_tokens: 0.0,
             scarce: false,
             loan_asked_ms: None,
             returned_loan: Some(loan),
--- a/core/src/budget/mod.rs
+++ b/core/src/budget/mod.rs
@@ -46,7 +46,7 @@
 use crate::name::{InstanceId, Name};
 use crate::rendezvous;
 use crate::roster::Roster;
-use account::{Account, Claim};
+use account::{Account, Claim, Reach};
 use pool::Pool;
 
 pub use charge::Ticket;
@@ -121,8 +121,11 @@
     shrunk_ms: u64,
     /// Version that this process acts on.
     version: u64,
-    /// The other members of that version.
-    fellows: Vec<InstanceId>,
+    /// Own time until which all of its members count as alive, so that they are not given up before
+    /// they were heard for the first time.
+    gathering_until_ms: u64,
+    /// The other members of that version with their shares.
+    fellows: Vec<(InstanceId, f64)>,
     /// Own time until which this process is known to be on the roster.
     proven_until_ms: u64,
     /// Whether it is known now. Invariant: the same in every budget.
@@ -147,6 +150,7 @@
             founding_part: 0.0,
             shrunk_ms: 0,
             version: 0,
+            gathering_until_ms: 0,
             fellows: Vec::new(),
             proven_until_ms: 0,
             is_proven: false,
@@ -210,10 +214,16 @@
             let removal_ms = now_ms + self.settings.removal_ms();
             self.shrunk_ms = self.shrunk_ms.max(removal_ms);
         }
+        if roster.version > self.version {
+            self.gathering_until_ms = now_ms + self.settings.proof_ms();
+        }
         self.version = roster.version;
         self.is_behind = false;
-        let ids = roster.members.iter().map(|member| member.id.clone());
-        self.fellows = ids.filter(|id| *id != self.me).collect();
+        let ids = roster.members.iter().map(|member| &member.id);
+        let fellows = ids.filter(|id| **id != self.me);
+        self.fellows = fellows
+            .map(|id| (id.clone(), roster.share_of(id)))
+            .collect();
         self.found(roster.founding_part(&self.me));
         self.set_share(roster.share_of(&self.me), now_ms);
         self.prove(asked_ms);
@@ -232,7 +242,7 @@
         self.observe(now_ms);
         if version > self.version {
             self.is_behind = true;
-        } else if self.fellows.contains(from) {
+        } else if self.fellows.iter().any(|(fellow, _)| fellow == from) {
             self.prove(asked_ms);
         }
     }
@@ -298,7 +308,12 @@
     ) -> Charge {
         self.observe(now_ms);
         let next_ask = self.last_ask + 1;
-        let is_alone = self.coordinator(organisation).is_none();
+        let reach = match self.coordinator(organisation) {
+            Some(_) => Reach::Coordinator {
+                live_share: self.live_share(now_ms),
+            },
+            None => Reach::OwnShare,
+        };
         let has_left = self.has_left;
         let budget = self.by_organisation.get_mut(organisation);
         let Some(budget) = budget.filter(|budget| !budget.is_removed && !has_left) else {
@@ -316,10 +331,9 @@
         }
         let limit = budget.limit;
         budget.account.advance(limit, now_ms);
-        let charge =
-            budget
-                .account
-                .charge(claim, next_ask, limit, &self.settings, is_alone, now_ms);
+        let charge = budget
+            .account
+            .charge(claim, next_ask, limit, &self.settings, reach, now_ms);
         match charge {
             Charge::Refused { retry_after_ms }
                 if budget.account.is_cut_off(&self.settings, now_ms) =>
@@ -334,12 +348,16 @@
     ///
     /// What was not used comes back as far as it would have fitted below the burst ever since
     /// the charge; what was used beyond the charge is taken with the next one.
-    pub fn settle(&mut self, organisation: &Name, ticket: Ticket, used: u64, now_ms: u64) {
+    ///
+    /// Returns whether [`Budgets::tick`] should be called soon, because much comes back.
+    pub fn settle(&mut self, organisation: &Name, ticket: Ticket, used: u64, now_ms: u64) -> bool {
         self.observe(now_ms);
-        if let Some(budget) = self.by_organisation.get_mut(organisation) {
-            budget.account.advance(budget.limit, now_ms);
-            budget.account.settle(ticket, used as f64, budget.limit);
-        }
+        let Some(budget) = self.by_organisation.get_mut(organisation) else {
+            return false;
+        };
+        budget.account.advance(budget.limit, now_ms);
+        budget.account.settle(ticket, used as f64, budget.limit);
+        budget.account.has_large_refund(budget.limit)
     }
 
     /// The request `ticket` no longer waits.
@@ -399,6 +417,17 @@
         self.peers.get(chosen)
     }
 
+    /// Sum of the shares of the members that live; the whole while this process knows no shares.
+    fn live_share(&self, now_ms: u64) -> f64 {
+        let is_gathering = now_ms < self.gathering_until_ms;
+        if self.share <= 0.0 {
+            return 1.0;
+        }
+        let live = self.fellows.iter();
+        let live = live.filter(|(id, _)| is_gathering || self.peers.get(&id.name) == Some(id));
+        self.share + live.map(|(_, share)| share).sum::<f64>()
+    }
+
     /// Takes note of the part of each burst that was never used by anyone else.
     fn found(&mut self, part: f64) {
         if self.founding_part >= part {
@@ -462,7 +491,9 @@
             };
             budget.account.advance(budget.limit, now_ms);
             let settings = &self.settings;
-            if budget.is_removed || !budget.account.is_due(&coordinator, settings, now_ms) {
+            let limit = budget.limit;
+            let is_due = budget.account.is_due(&coordinator, limit, settings, now_ms);
+            if budget.is_removed || !is_due {
                 continue;
             }
             let borrower = budget.account.native.lent_to().cloned();
--- a/core/src/budget/pool.rs
+++ b/core/src/budget/pool.rs
@@ -99,6 +99,7 @@
             mark: self.holdings[from].answer_mark(),
             free_tokens: self.free_tokens(settings, now_ms),
             lent_share: self.loans.share(),
+            elsewhere_tokens: self.elsewhere_tokens(from),
             scarce: self.is_scarce(settings, now_ms),
             loan_asked_ms: (!is_recall).then_some(now_ms),
             returned_loan,
@@ -176,6 +177,12 @@
         self.reserve.level_tokens() - backlog
     }
 
+    /// Tokens that members other than `member` hold.
+    fn elsewhere_tokens(&self, member: &InstanceId) -> f64 {
+        let others = self.holdings.iter().filter(|(id, _)| *id != member);
+        others.map(|(_, holding)| holding.tokens).sum()
+    }
+
     fn is_scarce(&self, settings: &BudgetSettings, now_ms: u64) -> bool {
         let owed: f64 = self
             .waiting(settings, now_ms)
--- a/core/src/budget/settings.rs
+++ b/core/src/budget/settings.rs
@@ -64,12 +64,6 @@
         self.with_drift(self.proof_ms() + self.loan_ms + self.grant_ms)
     }
 
-    /// Time after which all founders of a site have lent their shares to the coordinator. They
-    /// learn within a roster's reading of each other that they may use them.
-    pub fn gathering_ms(&self) -> u64 {
-        self.loan_ms + self.grant_ms
-    }
-
     /// Time from its answer after which a coordinator knows that granted tokens are not in use.
     pub fn lender_grant_ms(&self) -> u64 {
         self.with_drift(self.grant_ms)
--- a/core/src/budget/share.rs
+++ b/core/src/budget/share.rs
@@ -17,8 +17,6 @@
     /// Part of the burst, of 1, with which the share is filled once there is one. Invariant: nobody
     /// has used it before.
     unused_part: f64,
-    /// Whether the share was filled with such a part.
-    is_founded: bool,
     state: State,
     /// Number of times that the share was lent. A charge made in an earlier period is not
     /// refunded, because its tokens may have been used elsewhere since.
@@ -45,7 +43,6 @@
             share,
             is_proven: false,
             unused_part: 0.0,
-            is_founded: false,
             state: State::Held(Reserve::empty(0.0, 0.0, now_ms)),
             epoch: 0,
         };
@@ -78,7 +75,6 @@
                 reserve.resize(limit.rate_per_s * share, limit.burst_tokens * share);
                 if share > 0.0 && limit.burst_tokens > 0.0 {
                     let part = std::mem::take(&mut self.unused_part).min(share);
-                    self.is_founded |= part > 0.0;
                     reserve.put(limit.burst_tokens * part);
                 }
             }
@@ -104,11 +100,6 @@
         self.share > 0.0 && self.held().is_some()
     }
 
-    /// Whether the share was filled with a part of a burst that nobody had used.
-    pub(super) fn is_founded(&self) -> bool {
-        self.is_founded
-    }
-
     /// Who has the share, if it is lent.
     pub(super) fn lent_to(&self) -> Option<&InstanceId> {
         match &self.state {
--- a/core/src/budget/wallet.rs
+++ b/core/src/budget/wallet.rs
@@ -64,18 +64,16 @@
         self.sent.back().map(|&(_, sent_ms)| sent_ms)
     }
 
-    /// Takes in an answer; returns whether it is neither late nor repeated. Call after
-    /// [`Wallet::expire`].
+    /// Takes in an answer; returns the own time of the ask unless it is late or repeated. Call
+    /// after [`Wallet::expire`].
     pub(super) fn accept(
         &mut self,
         answer: &Answer,
         settings: &BudgetSettings,
         now_ms: u64,
-    ) -> bool {
-        let sent = self.sent.iter().find(|(ask, _)| *ask == answer.ask);
-        let Some(&(ask, sent_ms)) = sent else {
-            return false;
-        };
+    ) -> Option<u64> {
+        let mut sent = self.sent.iter();
+        let &(ask, sent_ms) = sent.find(|(ask, _)| *ask == answer.ask)?;
         self.sent.retain(|&(other, _)| other > ask);
         self.seen_ask = ask;
         if answer.extended {
@@ -83,7 +81,7 @@
             self.end_ms = sent_ms + settings.grant_ms;
             self.expire(now_ms);
         }
-        true
+        Some(sent_ms)
     }
 
     /// Takes up to `tokens`; returns what was taken.
--- a/core/tests/budget/scenario.rs
+++ b/core/tests/budget/scenario.rs
@@ -123,6 +123,15 @@
         self.nodes[index].settle(&org, ticket, used, self.now_ms);
     }
 
+    /// Ends a charge of which nothing was used, and sends what is due by that.
+    fn give_back(&mut self, index: usize, ticket: u64) -> Vec<Sent> {
+        let org = self.org.clone();
+        assert!(self.nodes[index].settle(&org, ticket, 0, self.now_ms));
+        let sends = self.nodes[index].tick(self.now_ms);
+        self.deliver(index, sends.clone(), &[], &mut Vec::new());
+        sends
+    }
+
     /// Largest request that an instance would be granted now, in steps of 10 tokens.
     fn usable(&mut self, index: usize) -> u64 {
         let tokens = (1..=100).rev().map(|tens| tens * 10);
@@ -268,17 +277,68 @@
 #[test]
 fn a_loan_that_is_not_prolonged_ends() {
     let mut pair = Pair::full(LIMIT);
-    let coordinator = pair.coordinator();
-    let org = pair.org.clone();
     coordinator_alone(&mut pair, 1_000);
-    let _ = pair.nodes[coordinator].charge(&org, 77, 600, 100, pair.now_ms);
-    pair.nodes[coordinator].tick(pair.now_ms);
-    let charge = pair.nodes[coordinator].charge(&org, 77, 600, 0, pair.now_ms);
+    let charge = charge_alone(&mut pair, 77, 600);
     assert!(matches!(charge, Charge::Refused { .. }), "{charge:?}");
-    let _ = pair.nodes[coordinator].charge(&org, 78, 450, 100, pair.now_ms);
-    pair.nodes[coordinator].tick(pair.now_ms);
-    let charge = pair.nodes[coordinator].charge(&org, 78, 450, 0, pair.now_ms);
-    assert_eq!(charge, Charge::Granted);
+    assert_eq!(charge_alone(&mut pair, 78, 450), Charge::Granted);
+}
+
+/// A budget that is not refilled while a test runs.
+const SLOW: Limit = Limit {
+    rate_per_s: 100.0,
+    burst_tokens: 10_000.0,
+};
+
+#[test]
+fn unused_tokens_are_told_at_once() {
+    let mut pair = Pair::full(LIMIT);
+    let member = 1 - pair.coordinator();
+    let ticket = pair.charge(member, 900, 500).expect("a full budget");
+    let sends = pair.give_back(member, ticket);
+    let BudgetMessage::Asks(asks) = &sends[0].message else {
+        panic!("not an ask: {sends:?}");
+    };
+    assert!(asks[0].returned_tokens >= 900.0, "{asks:?}");
+    assert!(pair.charge(1 - member, 900, 600).is_some());
+}
+
+#[test]
+fn request_waits_for_tokens_that_another_member_holds_for_later() {
+    let mut pair = Pair::full(SLOW);
+    pair.run(100_000);
+    let member = 1 - pair.coordinator();
+    for _ in 0..8 {
+        let ticket = pair.charge(member, 500, 500).expect("a full budget");
+        pair.settle(member, ticket, 500);
+        pair.run(100);
+    }
+    // 6,000 tokens and a little more are left, some of them with the other member.
+    assert!(pair.charge(1 - member, 6_000, 1_000).is_some());
+}
+
+#[test]
+fn request_is_refused_by_what_was_said_after_it_came() {
+    let mut pair = Pair::full(LIMIT);
+    let member = 1 - pair.coordinator();
+    let ticket = pair.charge(1 - member, 900, 500).expect("a full budget");
+    // The member hears that little is left.
+    pair.run(500);
+    pair.give_back(1 - member, ticket);
+    assert!(pair.charge(member, 900, 500).is_some());
+}
+
+/// Charges a request at the coordinator, which asks itself at most once.
+fn charge_alone(pair: &mut Pair, ticket: u64, tokens: u64) -> Charge {
+    let (org, now_ms) = (pair.org.clone(), pair.now_ms);
+    let coordinator = pair.coordinator();
+    let node = &mut pair.nodes[coordinator];
+    match node.charge(&org, ticket, tokens, 100, now_ms) {
+        Charge::Wait { .. } => {
+            node.tick(now_ms);
+            node.charge(&org, ticket, tokens, 0, now_ms)
+        }
+        charge => charge,
+    }
 }
 
 #[test]
--- a/daemon/src/budget_messages.rs
+++ b/daemon/src/budget_messages.rs
@@ -84,7 +84,7 @@
     let sends = instance
         .budgets
         .visit(|budgets| budgets.on_message(from, message, now_ms));
-    instance.budgets.wake_waiting();
+    instance.budgets.answered();
     sends
 }
 
--- a/daemon/src/budgets.rs
+++ b/daemon/src/budgets.rs
@@ -38,6 +38,8 @@
     budgets: Mutex<Budgets>,
     next_ticket: AtomicU64,
     answered: Notify,
+    /// Wakes [`run`] before its time.
+    due: Notify,
     seen: Mutex<Seen>,
 }
 
@@ -74,6 +76,7 @@
             budgets: Mutex::new(Budgets::new(id, settings, 0)),
             next_ticket: AtomicU64::new(1),
             answered: Notify::new(),
+            due: Notify::new(),
             seen: Mutex::default(),
         }
     }
@@ -83,16 +86,26 @@
         visit(&mut self.budgets.lock().expect("budgets lock"))
     }
 
-    /// Lets waiting requests try again.
-    pub fn wake_waiting(&self) {
+    /// Another process has said something: waiting requests try again, and what had to wait for an
+    /// answer is sent.
+    pub fn answered(&self) {
         self.answered.notify_waiters();
+        self.due.notify_one();
     }
 }
 
 /// Keeps the budgets going until the process ends.
 pub async fn run(instance: Arc<Instance>) {
     let mut ticks = instance.timer.subscribe(TICK_MS);
-    while ticks.recv().await.is_some() {
+    loop {
+        tokio::select! {
+            next = ticks.recv() => {
+                if next.is_none() {
+                    return;
+                }
+            }
+            () = instance.budgets.due.notified() => {}
+        }
         tick(&instance);
     }
 }
@@ -189,9 +202,11 @@
     fn drop(&mut self) {
         let now_ms = self.instance.now_ms();
         let (budget, ticket, used) = (&self.budget, self.ticket, self.used_tokens);
-        self.instance
-            .budgets
-            .visit(|budgets| budgets.settle(budget, ticket, used, now_ms));
+        let table = &self.instance.budgets;
+        let is_due = table.visit(|budgets| budgets.settle(budget, ticket, used, now_ms));
+        if is_due {
+            table.due.notify_one();
+        }
     }
 }
 
--- a/daemon/src/roster.rs
+++ b/daemon/src/roster.rs
@@ -219,5 +219,5 @@
     instance
         .budgets
         .visit(|budgets| budgets.set_roster(roster, asked_ms, now_ms));
-    instance.budgets.wake_waiting();
+    instance.budgets.answered();
 }
