Follow the servers once a second where nobody places

Change: an instance that does not place pauses for 1 s after changes of the servers instead of 0.3 s. It needs them only to send nothing to a server that leaves, which is bounded by 2 s.

--- a/daemon/src/gateway/watch.rs
+++ b/daemon/src/gateway/watch.rs
@@ -25,8 +25,12 @@
 const RELAY_CHECK_MS: u64 = 250;
 /// Bounds of the pause after a failed call, in milliseconds.
 const RETRY_PAUSE_MS: (u64, u64) = (100, 600);
-/// Pause after changes of the servers, so that those of one heartbeat come together.
-const SERVERS_PAUSE_MS: u64 = 300;
+/// Pause of the placer after changes of the servers, in milliseconds, so that those of one heartbeat
+/// come together.
+const PLACER_PAUSE_MS: u64 = 300;
+/// The same pause at other instances while the placer passes nothing on, in milliseconds. They need
+/// the entries only to send nothing to a server that is leaving.
+const SERVERS_PAUSE_MS: u64 = 1_000;
 /// Pause after changes of other kinds, in milliseconds.
 const OTHER_PAUSE_MS: u64 = 50;
 
@@ -61,11 +65,11 @@
         }
     }
 
-    fn pause_ms(self) -> u64 {
-        if self.is_servers() {
-            SERVERS_PAUSE_MS
-        } else {
-            OTHER_PAUSE_MS
+    fn pause_ms(self, is_placer: bool) -> u64 {
+        match self {
+            Self::Replicated(ReplicaKind::Servers) if is_placer => PLACER_PAUSE_MS,
+            Self::Replicated(ReplicaKind::Servers) => SERVERS_PAUSE_MS,
+            Self::Replicated(_) | Self::Placer => OTHER_PAUSE_MS,
         }
     }
 }
@@ -208,7 +212,8 @@
             }
         }
         if !is_empty {
-            sleep(Duration::from_millis(self.kind.pause_ms())).await;
+            let is_placer = self.state.link.local().is_some();
+            sleep(Duration::from_millis(self.kind.pause_ms(is_placer))).await;
         }
     }
 
--- a/daemon/tests/gateway/store.rs
+++ b/daemon/tests/gateway/store.rs
@@ -1,8 +1,11 @@
 //! Troubles of the platform's store.
 
+use std::time::{Duration, Instant};
+
 use mimosabay_standin::fleet::{FleetOptions, FleetSite};
 use mimosabay_standin::harness::{block_on, wait_for, wait_up_to};
 use serde_json::json;
+use tokio::time::sleep;
 
 async fn wait_key(site: &FleetSite, key: &str) {
     for index in 0..site.instances.len() {
@@ -150,3 +153,36 @@
         .await;
     });
 }
+
+#[test]
+fn instances_that_follow_the_servers_themselves_ask_once_a_second() {
+    block_on(async {
+        let options = FleetOptions {
+            has_links: true,
+            ..FleetOptions::default()
+        };
+        let site = FleetSite::start(options).await;
+        let placer = site.wait_placer().await;
+        site.store_links[placer].cut();
+        wait_for("a placer that misses the store", async || {
+            let log = site.instances[placer].log();
+            let mut lines = log.iter();
+            let is_lost = lines.any(|line| line["event"] == "store_lost");
+            is_lost.then_some(())
+        })
+        .await;
+        let watches_before = site.store.watches("servers");
+        let begun = Instant::now();
+        for _ in 0..40 {
+            site.engines[0].register("ready");
+            sleep(Duration::from_millis(100)).await;
+        }
+        let watches = site.store.watches("servers") - watches_before;
+        let elapsed_s = begun.elapsed().as_secs();
+        assert!(
+            watches > 0,
+            "the other instance does not follow the servers"
+        );
+        assert!(watches <= elapsed_s + 2, "{watches} in {elapsed_s} s");
+    });
+}
--- a/standin/src/fleet/store.rs
+++ b/standin/src/fleet/store.rs
@@ -38,6 +38,8 @@
     /// Writes that are carried out and not answered.
     lost_answers: u32,
     writes: u64,
+    /// Watches so far, by kind.
+    watches: BTreeMap<Name, u64>,
 }
 
 impl FleetStore {
@@ -103,6 +105,17 @@
         self.tables.lock().expect("store lock").writes
     }
 
+    /// Watches of a kind so far.
+    pub fn watches(&self, kind: &str) -> u64 {
+        let tables = self.tables.lock().expect("store lock");
+        tables.watches.get(kind).copied().unwrap_or_default()
+    }
+
+    fn count_watch(&self, kind: &str) {
+        let mut tables = self.tables.lock().expect("store lock");
+        *tables.watches.entry(kind.into()).or_default() += 1;
+    }
+
     fn with<T>(&self, act: impl FnOnce(&mut Tables) -> T) -> T {
         let mut tables = self.tables.lock().expect("store lock");
         let result = act(&mut tables);
@@ -229,6 +242,7 @@
         }
         if let Some(since) = call.number("watch") {
             let wait_ms = call.number("waitMs").unwrap_or(0);
+            self.count_watch(kind);
             return self.watch(kind, since, wait_ms).await;
         }
         match name {
