Look for shares only if a request must wait, one list of news, one test of versions

From reading the whole change once more; no behaviour changes. - The sum of the living members' shares, over all members, was taken with each charge of a budget, also where the tokens are there. A charge is tried first; only a request that lacks tokens asks who its coordinator is and what members lend. - The answer to an update sorted what it has for each kind into three lists, which the receiver walked one after the other. Now one list of kinds with their news, matched at one place beside the other ways to take copies over. - Whether a version is the newest was written out three times (choice, adapters held before, victims); all call is_current. - The time after which a refused request of quarantined work comes back stood twice; it stands with the quarantine. - A request that has left its server was released in two arms of a match; once now. - Tests: the log is asked by has_logged, the placer's record is read at one place.

--- a/core/src/budget/account.rs
+++ b/core/src/budget/account.rs
@@ -107,24 +107,27 @@
         self.waiters.expire(now_ms);
     }
 
-    /// Charges a request. Call after [`Account::advance`].
-    pub(super) fn charge(
+    /// Charges a request if its tokens are here; returns whether they are. Call after
+    /// [`Account::advance`].
+    pub(super) fn try_charge(&mut self, claim: Claim, next_ask: u64, now_ms: u64) -> bool {
+        let is_here = self.missing_tokens(claim) <= EPSILON_TOKENS;
+        if is_here {
+            self.take(claim.ticket, claim.tokens, next_ask, now_ms);
+        }
+        is_here
+    }
+
+    /// Lets a request wait whose tokens are not here, or refuses it.
+    pub(super) fn wait(
         &mut self,
         claim: Claim,
-        next_ask: u64,
         limit: Limit,
         settings: &BudgetSettings,
         reach: Reach,
         now_ms: u64,
     ) -> Charge {
         let ticket = claim.ticket;
-        let ahead = self.waiters.ahead_tokens(ticket);
-        let needed = claim.tokens + ahead + self.debt_tokens;
-        let missing = needed - self.spendable_tokens();
-        if missing <= EPSILON_TOKENS {
-            self.take(ticket, claim.tokens, next_ask, now_ms);
-            return Charge::Granted;
-        }
+        let missing = self.missing_tokens(claim);
         let since_ms = self.waiters.since_ms(ticket).unwrap_or(now_ms);
         let waited_ms = now_ms - since_ms;
         let expected_wait_ms =
@@ -375,6 +378,13 @@
         pieces
     }
 
+    /// Tokens that a request lacks, with those ahead of it.
+    fn missing_tokens(&self, claim: Claim) -> f64 {
+        let ahead = self.waiters.ahead_tokens(claim.ticket);
+        let needed = claim.tokens + ahead + self.debt_tokens;
+        needed - self.spendable_tokens()
+    }
+
     fn spendable_tokens(&self) -> f64 {
         let granted: f64 = self.wallets.iter().map(Wallet::tokens).sum();
         let held = self.native.held().map_or(0.0, Reserve::level_tokens);
--- a/core/src/budget/mod.rs
+++ b/core/src/budget/mod.rs
@@ -308,17 +308,10 @@
     ) -> Charge {
         self.observe(now_ms);
         let next_ask = self.last_ask + 1;
-        let reach = match self.coordinator(organisation) {
-            Some(_) => Reach::Coordinator {
-                live_share: self.live_share(now_ms),
-            },
-            None => Reach::OwnShare,
-        };
         let has_left = self.has_left;
         let budget = self.by_organisation.get_mut(organisation);
         let Some(budget) = budget.filter(|budget| !budget.is_removed && !has_left) else {
-            let retry_after_ms = UNKNOWN_RETRY_MS;
-            return Charge::Refused { retry_after_ms };
+            return Charge::UNKNOWN;
         };
         let claim = Claim {
             ticket,
@@ -329,11 +322,22 @@
             budget.account.abandon(ticket);
             return Charge::TooLarge;
         }
-        let limit = budget.limit;
-        budget.account.advance(limit, now_ms);
+        budget.account.advance(budget.limit, now_ms);
+        if budget.account.try_charge(claim, next_ask, now_ms) {
+            return Charge::Granted;
+        }
+        self.wait(organisation, claim, now_ms)
+    }
+
+    /// Lets a request wait whose tokens are not here, or refuses it.
+    fn wait(&mut self, organisation: &Name, claim: Claim, now_ms: u64) -> Charge {
+        let reach = self.reach(organisation, now_ms);
+        let Some(budget) = self.by_organisation.get_mut(organisation) else {
+            return Charge::UNKNOWN;
+        };
         let charge = budget
             .account
-            .charge(claim, next_ask, limit, &self.settings, reach, now_ms);
+            .wait(claim, budget.limit, &self.settings, reach, now_ms);
         match charge {
             Charge::Refused { retry_after_ms }
                 if budget.account.is_cut_off(&self.settings, now_ms) =>
@@ -417,12 +421,21 @@
         self.peers.get(chosen)
     }
 
+    fn reach(&self, organisation: &Name, now_ms: u64) -> Reach {
+        match self.coordinator(organisation) {
+            Some(_) => Reach::Coordinator {
+                live_share: self.live_share(now_ms),
+            },
+            None => Reach::OwnShare,
+        }
+    }
+
     /// Sum of the shares of the members that live; the whole while this process knows no shares.
     fn live_share(&self, now_ms: u64) -> f64 {
-        let is_gathering = now_ms < self.gathering_until_ms;
         if self.share <= 0.0 {
             return 1.0;
         }
+        let is_gathering = now_ms < self.gathering_until_ms;
         let live = self.fellows.iter();
         let live = live.filter(|(id, _)| is_gathering || self.peers.get(&id.name) == Some(id));
         self.share + live.map(|(_, share)| share).sum::<f64>()
@@ -608,6 +621,13 @@
     }
 }
 
+impl Charge {
+    /// The outcome for an organisation that is not configured here.
+    const UNKNOWN: Self = Self::Refused {
+        retry_after_ms: UNKNOWN_RETRY_MS,
+    };
+}
+
 impl Limit {
     /// The limit of an organisation that is gone.
     const NONE: Self = Self {
--- a/core/src/cell/choice.rs
+++ b/core/src/cell/choice.rs
@@ -2,7 +2,7 @@
 //!
 //! Answers a load of long prompts that share parts, on many more adapters than there are places.
 
-use super::engine::{AdapterKey, AdapterPhase, Engine, Knowledge, MAX_COMING};
+use super::engine::{AdapterKey, AdapterPhase, Engine, Knowledge, MAX_COMING, is_current};
 use super::load_speed::LoadSpeed;
 use super::read_speed::ReadSpeed;
 use crate::name::Name;
@@ -144,14 +144,6 @@
     }
 }
 
-/// Whether a held version is the newest one.
-pub(crate) fn is_current(version: u64, newest: Option<u64>) -> bool {
-    match newest {
-        Some(newest) => version >= newest,
-        None => true,
-    }
-}
-
 fn may_load(engine: &Engine, key: &AdapterKey, situation: &Situation<'_>) -> bool {
     let may_order = situation.may_order && engine.knowledge == Knowledge::Sure;
     if !may_order || engine.coming() >= MAX_COMING {
--- a/core/src/cell/ended.rs
+++ b/core/src/cell/ended.rs
@@ -20,20 +20,15 @@
 impl Cell {
     /// A request has left its server, or no longer waits.
     pub fn ended(&mut self, ended: &EndedRun, now_ms: u64) {
-        let placed = match self.waiting.remove(&ended.ticket) {
-            Some(placed) => {
-                self.release(&placed, now_ms);
-                self.refund(&placed.ask, now_ms);
-                placed
-            }
-            None => match self.running.remove(&ended.ticket) {
-                Some(placed) => {
-                    self.release(&placed, now_ms);
-                    placed
-                }
-                None => return,
-            },
+        let waiting = self.waiting.remove(&ended.ticket);
+        let was_waiting = waiting.is_some();
+        let Some(placed) = waiting.or_else(|| self.running.remove(&ended.ticket)) else {
+            return;
         };
+        self.release(&placed, now_ms);
+        if was_waiting {
+            self.refund(&placed.ask, now_ms);
+        }
         self.learn(&placed, ended);
         match ended.end {
             RunEnd::NotHeld | RunEnd::Rejected if self.is_load_late(&placed, now_ms) => {}
--- a/core/src/cell/engine.rs
+++ b/core/src/cell/engine.rs
@@ -109,9 +109,8 @@
 impl Recent {
     /// Whether it held the adapter, in the newest version if there is a newer one than the first.
     pub(crate) fn contains(&self, key: &AdapterKey, newest: Option<u64>) -> bool {
-        let is_known = |(known, version): &(AdapterKey, u64)| {
-            known == key && newest.is_none_or(|newest| *version >= newest)
-        };
+        let is_known =
+            |(known, version): &(AdapterKey, u64)| known == key && is_current(*version, newest);
         self.adapters.iter().any(is_known)
     }
 
@@ -128,6 +127,11 @@
     }
 }
 
+/// Whether a version of an adapter is the newest one. Any will do if none is named.
+pub(crate) fn is_current(version: u64, newest: Option<u64>) -> bool {
+    newest.is_none_or(|newest| version >= newest)
+}
+
 /// Whether an adapter is there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AdapterPhase {
--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -25,7 +25,7 @@
 use crate::backend::Backend;
 use crate::name::Name;
 use crate::prompt::Prompt;
-use crate::quarantine::Fingerprint;
+use crate::quarantine::{self, Fingerprint};
 use crate::site::{self, Site};
 
 pub use engine::AdapterKey;
@@ -42,10 +42,6 @@
 use read_speed::ReadSpeed;
 use suspects::Suspects;
 
-/// Time after which a caller is told to come back with a request that crashes servers, in
-/// milliseconds.
-const QUARANTINE_RETRY_MS: u64 = 30_000;
-
 /// What the placer of a cell knows, and what it has decided.
 #[derive(Debug)]
 pub struct Cell {
@@ -193,7 +189,7 @@
         if self.suspects.is_quarantined(ask.fingerprint) {
             let refusal = Refusal {
                 reason: RefusalReason::Quarantined,
-                retry_after_ms: QUARANTINE_RETRY_MS,
+                retry_after_ms: quarantine::RETRY_AFTER_MS,
             };
             self.refuse(ask.ticket, refusal);
             return;
--- a/core/src/cell/orders.rs
+++ b/core/src/cell/orders.rs
@@ -2,7 +2,7 @@
 
 use super::engine::{
     AdapterKey, AdapterPhase, Engine, HeldAdapter, Knowledge, Load, ModelPhase, PlannedOrder,
-    REPORT_LAG_MS,
+    REPORT_LAG_MS, is_current,
 };
 use super::load_speed::LoadSpeed;
 use super::{Action, Cell, EngineService, Order, OrderAnswer, OrderKind, Placed, Report};
@@ -117,7 +117,7 @@
             .map_or(0, |service| service.spec.adapter_places);
         let newest = &self.newest;
         let is_stale = |key: &AdapterKey, held: &HeldAdapter| {
-            newest.get(key).is_some_and(|newest| held.version < *newest)
+            !is_current(held.version, newest.get(key).copied())
         };
         if !engine.adapters.contains_key(&key)
             && engine.adapters.len() >= places
--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -15,6 +15,8 @@
 
 /// Time for which a crash counts, in the store's time.
 pub const CRASH_TTL_MS: u64 = 3_600_000;
+/// Time after which a caller is told to come back with work that is refused, in milliseconds.
+pub const RETRY_AFTER_MS: u64 = 30_000;
 /// Crashes with the same work running after which it is refused.
 pub const MAX_CRASHES: usize = 2;
 /// Most fingerprints in a table; those seen longest ago go first.
--- a/core/src/replica.rs
+++ b/core/src/replica.rs
@@ -65,19 +65,18 @@
         /// Whether the instance cannot read the kind from the store.
         pub is_cut_off: bool,
     }
-}
 
-/// What a log has for a copy.
-#[derive(Clone, Debug, PartialEq)]
-pub enum News {
-    /// The copy is up to date, or there is none.
-    None,
-    /// The changes that the copy misses.
-    Changes(ReplicaUpdate),
-    /// The changes are too large to be passed on.
-    TooLarge,
-    /// The log does not reach back to the copy.
-    Uncovered,
+    /// What a log has for a copy.
+    pub enum News {
+        /// The copy is up to date, or there is none.
+        None,
+        /// The changes that the copy misses.
+        Changes(ReplicaUpdate),
+        /// The changes are too large to be passed on, and have to be read from the store.
+        TooLarge,
+        /// The log does not reach back to the copy, and the kind has to be listed again.
+        Uncovered,
+    }
 }
 
 /// The latest change of each object of one kind.
--- a/daemon/src/gateway/plain_request.rs
+++ b/daemon/src/gateway/plain_request.rs
@@ -6,6 +6,7 @@
 use mimosabay_core::backend::LoadSample;
 use mimosabay_core::name::Name;
 use mimosabay_core::plain::PlainEnd;
+use mimosabay_core::quarantine;
 use mimosabay_core::site::Repeatable;
 use tracing::info;
 
@@ -17,8 +18,6 @@
 
 /// Time beyond its target latency after which an idempotent request is sent to another server.
 const PATIENCE_MS: u64 = 100;
-/// Time after which a caller comes back with a request that crashes servers, in milliseconds.
-const QUARANTINE_RETRY_MS: u64 = 30_000;
 /// Time after which a caller comes back if no server could take its request, in milliseconds.
 const RETRY_AFTER_MS: u64 = 150;
 
@@ -78,7 +77,7 @@
 /// Refuses a request that crashed several servers.
 fn quarantined(state: &State, job: &Job) -> Answer {
     let own = OwnAnswer::NotRun {
-        retry_after_ms: Some(QUARANTINE_RETRY_MS),
+        retry_after_ms: Some(quarantine::RETRY_AFTER_MS),
     };
     state.metrics.ended(own.outcome());
     info!(event = "refused", id = %job.id, reason = "Quarantined");
--- a/daemon/src/gateway/replicate.rs
+++ b/daemon/src/gateway/replicate.rs
@@ -2,7 +2,7 @@
 
 use mimosabay_core::backend::Backend;
 use mimosabay_core::name::Name;
-use mimosabay_core::replica::{ReplicaEvent, ReplicaKind, ReplicaUpdate};
+use mimosabay_core::replica::{News, ReplicaEvent, ReplicaKind, ReplicaUpdate};
 use mimosabay_platform::store::{Changes, Event, Listing, StoredObject};
 use mimosabay_platform::{configuration, discovery, words};
 use tracing::{info, warn};
@@ -48,8 +48,17 @@
         .with_log(kind, |log| log.record(changes.revision, told));
 }
 
-/// Takes over changes that another instance told.
-pub(crate) fn take_update(state: &State, update: ReplicaUpdate) {
+/// Takes over what another instance knows of a kind.
+pub(crate) fn take_news(state: &State, kind: ReplicaKind, news: News) {
+    match news {
+        News::None => {}
+        News::Changes(update) => take_update(state, update),
+        News::TooLarge => state.copies.set_unread(kind),
+        News::Uncovered => state.copies.forget(kind),
+    }
+}
+
+fn take_update(state: &State, update: ReplicaUpdate) {
     let is_accepted = state
         .copies
         .with_log(update.kind, |log| log.accepts(&update));
--- a/daemon/src/gateway/updates.rs
+++ b/daemon/src/gateway/updates.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use mimosabay_core::cell::Update;
-use mimosabay_core::replica::News;
 use mimosabay_peer::{Category, Message, Reply, VersionedStandings};
 use tokio::time::{Instant, sleep, timeout};
 use tracing::{info, warn};
@@ -57,9 +56,7 @@
             match answer {
                 Ok(Reply::Updated {
                     reaches_store,
-                    replicas,
-                    uncovered,
-                    too_large,
+                    news,
                     members,
                     standings,
                 }) => {
@@ -71,14 +68,8 @@
                     }
                     heard(state);
                     link.relayed(state, reaches_store);
-                    for replica in replicas {
-                        replicate::take_update(state, replica);
-                    }
-                    for kind in uncovered {
-                        state.copies.forget(kind);
-                    }
-                    for kind in too_large {
-                        state.copies.set_unread(kind);
+                    for (kind, news) in news {
+                        replicate::take_news(state, kind, news);
                     }
                 }
                 Ok(_) => {
@@ -113,22 +104,11 @@
 /// The placer's answer to an update: what the sender does not know yet.
 pub(crate) fn answer(state: &State, update: &Update) -> Reply {
     state.members.heard(&update.address, state.now_ms());
-    let mut replicas = Vec::new();
-    let mut uncovered = Vec::new();
-    let mut too_large = Vec::new();
-    for known in &update.known {
-        match state.copies.news(known) {
-            News::None => {}
-            News::Changes(changes) => replicas.push(changes),
-            News::TooLarge => too_large.push(known.kind),
-            News::Uncovered => uncovered.push(known.kind),
-        }
-    }
+    let news = update.known.iter();
+    let news = news.map(|known| (known.kind, state.copies.news(known)));
     Reply::Updated {
         reaches_store: state.store_age_ms() <= STORE_FRESH_MS,
-        replicas,
-        uncovered,
-        too_large,
+        news: news.collect(),
         members: state.members.news(update.members_version),
         standings: standings(state, update),
     }
--- a/daemon/tests/gateway/configuration.rs
+++ b/daemon/tests/gateway/configuration.rs
@@ -2,7 +2,7 @@
 
 use mimosabay_core::cell::Update;
 use mimosabay_core::name::InstanceId;
-use mimosabay_core::replica::{KnownRevision, ReplicaKind};
+use mimosabay_core::replica::{KnownRevision, News, ReplicaKind};
 use mimosabay_peer::{Envelope, Message, Peer, Reply, Secret};
 use mimosabay_standin::fleet::{DESK, ENGINES, FleetOptions, FleetSite, KEY};
 use mimosabay_standin::harness::{block_on, wait_for};
@@ -147,10 +147,14 @@
 }
 
 fn size_bytes(reply: &Reply) -> usize {
-    let Reply::Updated { replicas, .. } = reply else {
+    let Reply::Updated { news, .. } = reply else {
         panic!("not the answer to an update: {reply:?}");
     };
-    let events = replicas.iter().flat_map(|replica| &replica.events);
+    let changes = news.iter().filter_map(|(_, news)| match news {
+        News::Changes(changes) => Some(changes),
+        News::None | News::TooLarge | News::Uncovered => None,
+    });
+    let events = changes.flat_map(|changes| &changes.events);
     events.map(|event| event.object.len()).sum()
 }
 
--- a/daemon/tests/gateway/store.rs
+++ b/daemon/tests/gateway/store.rs
@@ -165,9 +165,7 @@
         let placer = site.wait_placer().await;
         site.store_links[placer].cut();
         wait_for("a placer that misses the store", async || {
-            let log = site.instances[placer].log();
-            let mut lines = log.iter();
-            let is_lost = lines.any(|line| line["event"] == "store_lost");
+            let is_lost = site.instances[placer].has_logged("store_lost");
             is_lost.then_some(())
         })
         .await;
--- a/peer/src/message.rs
+++ b/peer/src/message.rs
@@ -5,7 +5,7 @@
 use mimosabay_core::config::Accepted;
 use mimosabay_core::membership::Heartbeat;
 use mimosabay_core::name::{InstanceId, Name};
-use mimosabay_core::replica::{ReplicaKind, ReplicaUpdate};
+use mimosabay_core::replica::{News, ReplicaKind};
 use mimosabay_core::request::{Request, RunEvent};
 
 mimosabay_core::record! {
@@ -100,13 +100,8 @@
         Updated {
             /// Whether the placer has heard the store lately.
             reaches_store: bool,
-            /// What has changed since the revisions that the sender knows.
-            replicas: Vec<ReplicaUpdate>,
-            /// Kinds that the sender has to list itself, because the placer does not know what led
-            /// to their present state.
-            uncovered: Vec<ReplicaKind>,
-            /// Kinds whose changes the sender has to read itself, because they are large.
-            too_large: Vec<ReplicaKind>,
+            /// What has changed since the revisions that the sender knows, for each kind.
+            news: Vec<(ReplicaKind, News)>,
             /// The instances, if the sender knows another version of the list.
             members: Option<Members>,
             /// Requests that ran on servers that crashed, if the sender knows another version.
--- a/standin/src/fleet/site.rs
+++ b/standin/src/fleet/site.rs
@@ -193,7 +193,7 @@
 
     /// The instance that places requests, if it lives.
     pub fn placer(&self) -> Option<usize> {
-        let record = self.store.spec("placers", "cell-0")?;
+        let record = self.placer_record()?;
         let name = record["instance"].as_str()?;
         self.instances
             .iter()
@@ -202,10 +202,14 @@
 
     /// Where the instance that places requests listens for other instances.
     pub fn placer_address(&self) -> Option<String> {
-        let record = self.store.spec("placers", "cell-0")?;
+        let record = self.placer_record()?;
         Some(record["address"].as_str()?.to_owned())
     }
 
+    fn placer_record(&self) -> Option<Value> {
+        self.store.spec("placers", "cell-0")
+    }
+
     /// Starts the process of an instance again.
     pub fn restart(&mut self, index: usize) {
         let instance = &mut self.instances[index];
