--- a/daemon/src/gateway/suspects.rs
+++ b/daemon/src/gateway/suspects.rs
@@ -11,6 +11,7 @@
 use mimosabay_core::quarantine::{Crash, Fingerprint};
 
 use mimosabay_peer::VersionedQuarantine;
+use tracing::info;
 
 use super::backends::Snapshot;
 
@@ -55,6 +56,12 @@
             server: backend.id.clone(),
             boot: backend.started_unix_ms,
         };
+        info!(
+            event = "request_broken",
+            fingerprint,
+            server = %crash.server,
+            boot = crash.boot
+        );
         broken.push(BrokenRequest {
             fingerprint,
             crash,
@@ -85,13 +92,32 @@
         self.broken.lock().expect("broken lock").retain(|request| {
             let server = snapshot.get(&request.crash.server);
             let has_ended = server.is_none_or(|it| it.started_unix_ms != request.crash.boot);
+            let age_ms = now_ms.saturating_sub(request.broke_ms);
             if has_ended {
+                info!(
+                    event = "crash_observed",
+                    fingerprint = request.fingerprint,
+                    server = %request.crash.server,
+                    boot = request.crash.boot,
+                    is_listed = server.is_some(),
+                    age_ms
+                );
                 observed.push(ObservedCrash {
                     fingerprint: request.fingerprint,
                     crash: request.crash.clone(),
                 });
             }
-            !has_ended && now_ms.saturating_sub(request.broke_ms) <= CRASH_ATTRIBUTION_MS
+            let is_kept = age_ms <= CRASH_ATTRIBUTION_MS;
+            if !has_ended && !is_kept {
+                info!(
+                    event = "crash_undecided",
+                    fingerprint = request.fingerprint,
+                    server = %request.crash.server,
+                    boot = request.crash.boot,
+                    age_ms
+                );
+            }
+            !has_ended && is_kept
         });
         self.crashes.lock().expect("crashes lock").extend(observed);
     }
@@ -120,6 +146,12 @@
     /// Replaces the known quarantine by the placer's.
     pub(crate) fn apply(&self, received: VersionedQuarantine) {
         let VersionedQuarantine { version, snapshot } = received;
+        info!(
+            event = "quarantine_received",
+            version,
+            suspected = snapshot.suspected.len(),
+            refused = snapshot.refused.len()
+        );
         *self.known.lock().expect("known quarantine lock") = KnownQuarantine {
             version,
             suspected: snapshot.suspected.into_iter().collect(),
