--- /dev/null
+++ b/daemon/tests/poison.rs
@@ -0,0 +1,308 @@
+//! Requests that crash the servers that run them, while the instances are disturbed.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use mimosabay_standin::fleet::{
+    CrashEnd, CrashPlan, FleetOptions, FleetServer, FleetSite, RestartId,
+};
+use mimosabay_standin::harness::{block_on, wait_for};
+use serde_json::Value;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+/// Body of the requests that crash servers.
+const POISON: &str = "poison";
+/// Time after the third crash from which the instances must know about it, in milliseconds.
+const CONTACT_MS: u64 = 3_000;
+/// Number of times that the request may still reach servers after that.
+const MAX_LATE_ARRIVALS: usize = 3;
+/// Interval between two poison requests, in milliseconds.
+const POISON_INTERVAL_MS: u64 = 150;
+/// Time for which poison requests are sent, in milliseconds.
+const POISON_TIME_MS: u64 = 14_000;
+
+/// Path of the poison requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Route {
+    /// A stream that may be resumed.
+    Draft,
+    /// A stream that runs at most once.
+    DraftOnce,
+    /// A call to a plain service that runs at most once.
+    Booking,
+    /// A call to a plain service that may be retried.
+    Lookup,
+}
+
+/// What happens to the site while poison requests arrive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Disturbance {
+    None,
+    /// The placer is killed twice.
+    PlacerKilledTwice,
+    /// The placer is stopped gracefully twice.
+    PlacerStoppedTwice,
+    /// The placer is suspended twice, and resumed after it was replaced.
+    PlacerFrozenTwice,
+    /// All instances are killed and started again.
+    AllRestarted,
+    /// The store is down while servers crash.
+    StoreDown,
+    /// The store loses answers to writes while the placer is killed twice.
+    StoreLosesAnswers,
+}
+
+/// Guards against sending a request on that has crashed three servers.
+mod request_that_crashes_servers_is_sent_on {
+    use mimosabay_core::cases;
+    use mimosabay_standin::fleet::{CrashEnd, RestartId};
+
+    use super::{Disturbance, Route, poison_reaches_few_servers_after_its_third_crash};
+
+    cases! {
+        poison_reaches_few_servers_after_its_third_crash;
+        booking: (Route::Booking, CrashEnd::Close, RestartId::New, Disturbance::None);
+        booking_under_the_same_id: (Route::Booking, CrashEnd::Close, RestartId::Same, Disturbance::None);
+        booking_at_silent_servers: (Route::Booking, CrashEnd::Silence, RestartId::New, Disturbance::None);
+        booking_placer_killed: (Route::Booking, CrashEnd::Close, RestartId::New, Disturbance::PlacerKilledTwice);
+        booking_placer_stopped: (Route::Booking, CrashEnd::Close, RestartId::Same, Disturbance::PlacerStoppedTwice);
+        booking_placer_frozen: (Route::Booking, CrashEnd::Silence, RestartId::New, Disturbance::PlacerFrozenTwice);
+        booking_all_restarted: (Route::Booking, CrashEnd::Close, RestartId::New, Disturbance::AllRestarted);
+        booking_store_down: (Route::Booking, CrashEnd::Close, RestartId::New, Disturbance::StoreDown);
+        lookup: (Route::Lookup, CrashEnd::Close, RestartId::New, Disturbance::None);
+        lookup_at_silent_servers: (Route::Lookup, CrashEnd::Silence, RestartId::Same, Disturbance::None);
+        lookup_placer_killed: (Route::Lookup, CrashEnd::Close, RestartId::New, Disturbance::PlacerKilledTwice);
+        draft: (Route::Draft, CrashEnd::Close, RestartId::New, Disturbance::None);
+        draft_under_the_same_id: (Route::Draft, CrashEnd::Close, RestartId::Same, Disturbance::None);
+        draft_mid_stream: (Route::Draft, CrashEnd::CloseMidStream, RestartId::New, Disturbance::None);
+        draft_at_silent_servers: (Route::Draft, CrashEnd::Silence, RestartId::New, Disturbance::None);
+        draft_placer_killed: (Route::Draft, CrashEnd::Close, RestartId::New, Disturbance::PlacerKilledTwice);
+        draft_mid_stream_placer_stopped: (Route::Draft, CrashEnd::CloseMidStream, RestartId::Same, Disturbance::PlacerStoppedTwice);
+        draft_placer_frozen: (Route::Draft, CrashEnd::Close, RestartId::New, Disturbance::PlacerFrozenTwice);
+        draft_all_restarted: (Route::Draft, CrashEnd::Close, RestartId::New, Disturbance::AllRestarted);
+        draft_store_down: (Route::Draft, CrashEnd::Close, RestartId::New, Disturbance::StoreDown);
+        draft_once_store_loses_answers: (Route::DraftOnce, CrashEnd::Close, RestartId::New, Disturbance::StoreLosesAnswers);
+        draft_once_at_silent_servers: (Route::DraftOnce, CrashEnd::Silence, RestartId::New, Disturbance::None);
+    }
+}
+
+fn poison_reaches_few_servers_after_its_third_crash(
+    route: Route,
+    end: CrashEnd,
+    restart: RestartId,
+    disturbance: Disturbance,
+) {
+    block_on(async {
+        let mut site = start_site(end, restart).await;
+        let mut callers = PoisonCallers::new(route, &site);
+        let started = Instant::now();
+        while started.elapsed() < Duration::from_millis(POISON_TIME_MS) {
+            callers.send(&site);
+            disturb(&mut site, &mut callers, disturbance, started.elapsed()).await;
+            sleep(Duration::from_millis(POISON_INTERVAL_MS)).await;
+        }
+        callers.finish().await;
+        check_arrivals(&site);
+        check_innocent_requests(&site, &callers.live_instances()).await;
+    });
+}
+
+async fn start_site(end: CrashEnd, restart: RestartId) -> FleetSite {
+    let site = FleetSite::start(FleetOptions {
+        instances: 4,
+        engines: 6,
+        plain_servers: 4,
+        ..FleetOptions::default()
+    })
+    .await;
+    let plan = CrashPlan {
+        body: POISON,
+        end,
+        restart,
+        down_ms: 1_200,
+        entry_expiry_ms: 3_000,
+    };
+    for server in site.engines.iter().chain(&site.plain_servers) {
+        server.crash_on(plan);
+    }
+    site
+}
+
+/// Sends poison requests to the instances in turn, and does not wait for the answers.
+struct PoisonCallers {
+    route: Route,
+    number: usize,
+    open: JoinSet<()>,
+    /// Number of instances.
+    instances: usize,
+    /// When each instance that was disturbed last was, and whether it has ended since.
+    disturbed: HashMap<usize, (Instant, bool)>,
+}
+
+impl PoisonCallers {
+    fn new(route: Route, site: &FleetSite) -> Self {
+        Self {
+            route,
+            number: 0,
+            open: JoinSet::new(),
+            instances: site.instances.len(),
+            disturbed: HashMap::new(),
+        }
+    }
+
+    /// Records that an instance was disturbed; it receives no poison for [`CONTACT_MS`].
+    fn mark_disturbed(&mut self, instance: usize, has_ended: bool) {
+        self.disturbed.insert(instance, (Instant::now(), has_ended));
+    }
+
+    fn live_instances(&self) -> Vec<usize> {
+        let has_ended = |index: &usize| self.disturbed.get(index).is_some_and(|it| it.1);
+        (0..self.instances).filter(|it| !has_ended(it)).collect()
+    }
+
+    fn is_in_contact(&self, instance: usize) -> bool {
+        let contact = Duration::from_millis(CONTACT_MS);
+        let disturbed = self.disturbed.get(&instance);
+        disturbed.is_none_or(|(at, has_ended)| !has_ended && at.elapsed() > contact)
+    }
+
+    fn send(&mut self, site: &FleetSite) {
+        self.number += 1;
+        let instance = self.number % self.instances;
+        if !self.is_in_contact(instance) {
+            return;
+        }
+        let caller = site.caller(instance).prompt_text(POISON).deadline_ms(3_000);
+        let id = format!("poison-{}", self.number);
+        let route = self.route;
+        self.open.spawn(async move {
+            // The answer does not matter, as only the arrivals at servers are checked.
+            let _ = match route {
+                Route::Draft => caller.generate("/draft/x", &id, "").await,
+                Route::DraftOnce => caller.generate("/once/x", &id, "").await,
+                Route::Booking => caller.post("/book/x", &id, POISON).await,
+                Route::Lookup => caller.post("/look/x", &id, POISON).await,
+            };
+        });
+    }
+
+    async fn finish(&mut self) {
+        while self.open.join_next().await.is_some() {}
+    }
+}
+
+async fn disturb(
+    site: &mut FleetSite,
+    callers: &mut PoisonCallers,
+    disturbance: Disturbance,
+    elapsed: Duration,
+) {
+    let step = POISON_INTERVAL_MS;
+    let begins = |at_ms: u64| {
+        let elapsed_ms = u64::try_from(elapsed.as_millis()).expect("a short time");
+        let earlier_ms = elapsed_ms.saturating_sub(step);
+        earlier_ms < at_ms && at_ms <= elapsed_ms
+    };
+    match disturbance {
+        Disturbance::PlacerKilledTwice | Disturbance::StoreLosesAnswers
+            if begins(1_000) || begins(6_000) =>
+        {
+            if disturbance == Disturbance::StoreLosesAnswers {
+                site.store.lose_answers(3);
+            }
+            let placer = site.wait_placer().await;
+            site.instances[placer].process.kill();
+            callers.mark_disturbed(placer, true);
+        }
+        Disturbance::PlacerStoppedTwice if begins(1_000) || begins(6_000) => {
+            let placer = site.wait_placer().await;
+            site.instances[placer].process.terminate();
+            callers.mark_disturbed(placer, true);
+        }
+        Disturbance::PlacerFrozenTwice if begins(1_000) || begins(6_000) => {
+            let placer = site.wait_placer().await;
+            site.instances[placer].process.freeze();
+            callers.mark_disturbed(placer, false);
+        }
+        Disturbance::PlacerFrozenTwice if begins(4_500) || begins(9_500) => {
+            for instance in callers.disturbed.clone().into_keys() {
+                site.instances[instance].process.thaw();
+                callers.mark_disturbed(instance, false);
+            }
+        }
+        Disturbance::AllRestarted if begins(5_500) => {
+            for instance in &mut site.instances {
+                instance.process.kill();
+            }
+            for index in 0..site.instances.len() {
+                site.restart(index);
+                callers.mark_disturbed(index, false);
+            }
+        }
+        Disturbance::StoreDown if begins(300) => site.store.set_down(true),
+        Disturbance::StoreDown if begins(6_000) => {
+            site.store.set_down(false);
+            for index in 0..site.instances.len() {
+                callers.mark_disturbed(index, false);
+            }
+        }
+        _ => {}
+    }
+}
+
+/// Checks how often poison reached servers once the instances must have known its third crash.
+fn check_arrivals(site: &FleetSite) {
+    let servers = site.engines.iter().chain(&site.plain_servers);
+    let requests = servers.flat_map(FleetServer::requests);
+    let poison = requests.filter(|request| request.has_run && *request.body == *POISON.as_bytes());
+    let mut arrivals: Vec<Instant> = poison.map(|request| request.arrived).collect();
+    arrivals.sort_unstable();
+    assert!(arrivals.len() >= 2, "no server ran the request twice");
+    let Some(third) = arrivals.get(2).copied() else {
+        return;
+    };
+    let times: Vec<Duration> = arrivals.iter().map(|at| *at - arrivals[0]).collect();
+    let known_from = third + Duration::from_millis(CONTACT_MS);
+    let late = arrivals.iter().filter(|at| **at > known_from).count();
+    assert!(
+        late <= MAX_LATE_ARRIVALS,
+        "{late} late arrivals of {}: {times:?}\n{}",
+        arrivals.len(),
+        quarantine_log(site)
+    );
+}
+
+/// Returns the log lines about crashes and quarantine, for a failed test.
+fn quarantine_log(site: &FleetSite) -> String {
+    const EVENTS: [&str; 8] = [
+        "placer_started",
+        "placer_changed",
+        "suspects_changed",
+        "request_broken",
+        "crash_observed",
+        "crash_undecided",
+        "quarantine_received",
+        "attempt_failed",
+    ];
+    let is_relevant = |line: &Value| EVENTS.iter().any(|event| line["event"] == *event);
+    let logs = site.instances.iter().map(|instance| {
+        let lines = instance.log().into_iter().filter(is_relevant);
+        let lines: Vec<String> = lines.map(|line| line.to_string()).collect();
+        format!("{}\n{}", instance.name, lines.join("\n"))
+    });
+    logs.collect::<Vec<_>>().join("\n")
+}
+
+async fn check_innocent_requests(site: &FleetSite, instances: &[usize]) {
+    for index in instances {
+        wait_for("innocent requests are answered", async || {
+            let caller = site.caller(*index);
+            let booking = caller.post("/book/x", "good-booking", "a booking").await;
+            let draft = caller.generate("/draft/x", "good-draft", "a1").await;
+            let is_served = booking.ok()?.status == 200 && draft.ok()?.status == 200;
+            is_served.then_some(())
+        })
+        .await;
+    }
+}
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -8,12 +8,14 @@
 
 mod caller;
 mod configuration;
+mod crash;
 mod server;
 mod settings;
 mod site;
 mod store;
 
 pub use caller::{FleetCaller, FleetReply, FleetStream};
+pub use crash::{CrashEnd, CrashPlan, RestartId};
 pub use server::{Behaviour, FleetServer, ReceivedOrder, ReceivedRequest, ServerKind};
 pub use site::{DESK, ENGINES, FleetOptions, FleetSite, HOST, KEY, MODEL, ORGANISATION};
 pub use store::FleetStore;
--- a/standin/src/fleet/server.rs
+++ b/standin/src/fleet/server.rs
@@ -15,6 +15,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::sleep;
 
+use super::crash::CrashPlan;
 use super::site::MODEL;
 use super::store::FleetStore;
 use crate::reply::{self, Closed, Reply};
@@ -23,7 +24,7 @@
 /// Number of events in a complete stream.
 const EVENTS_PER_STREAM: u64 = 6;
 /// Time between the events of a stream, in milliseconds.
-const EVENT_INTERVAL_MS: u64 = 15;
+pub(super) const EVENT_INTERVAL_MS: u64 = 15;
 /// Simulated load time of an adapter, in milliseconds. Each order is answered after a tenth of it.
 const ADAPTER_LOAD_MS: u64 = 60;
 
@@ -114,17 +115,24 @@
     service: Name,
     kind: ServerKind,
     state: Arc<Mutex<State>>,
-    store: FleetStore,
-    connection_faults: ConnectionFaults,
+    pub(super) store: FleetStore,
+    pub(super) connection_faults: ConnectionFaults,
     task: Arc<Mutex<Option<AbortHandle>>>,
 }
 
 #[derive(Debug, Default)]
-struct State {
+pub(super) struct State {
     adapters: BTreeSet<String>,
     sequence: u64,
     fencing_number: u64,
-    start_count: u64,
+    pub(super) start_count: u64,
+    /// Name under which the server is registered since its last restart, if it differs from the
+    /// first one.
+    pub(super) restarted_id: Option<Name>,
+    /// Requests that crash the server, and how it crashes.
+    pub(super) crash_plan: Option<CrashPlan>,
+    /// Whether the server is down after a crash.
+    pub(super) is_crashed: bool,
     requests: Vec<ReceivedRequest>,
     orders: Vec<ReceivedOrder>,
     report_count: usize,
@@ -156,16 +164,27 @@
             connection_faults: ConnectionFaults::default(),
             task: Arc::default(),
         };
-        let task = tokio::spawn(server::serve(listener, server.clone()));
-        *server.task.lock().expect("task lock") = Some(task.abort_handle());
+        server.serve(listener);
         server.register("ready");
         server
     }
 
+    /// Serves connections of a listener until the server crashes.
+    pub(super) fn serve(&self, listener: TcpListener) {
+        let task = tokio::spawn(server::serve(listener, self.clone()));
+        *self.task.lock().expect("task lock") = Some(task.abort_handle());
+    }
+
+    /// Returns the name under which the server is registered now.
+    pub fn current_id(&self) -> Name {
+        let restarted_id = self.with_state(|state| state.restarted_id.clone());
+        restarted_id.unwrap_or_else(|| self.id.clone())
+    }
+
     /// Writes the server's registration with the given state to the store.
     pub fn register(&self, state: &str) {
         let registration = self.registration(state);
-        self.store.put("servers", &self.id, &registration);
+        self.store.put("servers", &self.current_id(), &registration);
     }
 
     /// Registers the server under another address, such as that of a relay.
@@ -197,12 +216,7 @@
 
     /// Simulates a crash and restart under the same name: clears the state and registers again.
     fn restart(&self) {
-        self.with_state(|state| {
-            state.start_count += 1;
-            state.sequence = 0;
-            state.fencing_number = 0;
-            state.adapters.clear();
-        });
+        self.with_state(State::clear);
         self.register("ready");
     }
 
@@ -248,7 +262,7 @@
         self.with_state(|state| state.adapters.clone())
     }
 
-    fn with_state<T>(&self, act: impl FnOnce(&mut State) -> T) -> T {
+    pub(super) fn with_state<T>(&self, act: impl FnOnce(&mut State) -> T) -> T {
         act(&mut self.state.lock().expect("server lock"))
     }
 
@@ -317,7 +331,7 @@
     async fn handle_request(&self, call: Call) -> Reply {
         let id = call.header("x-attempt-id").to_owned();
         let expected = call.header("x-expect-instance");
-        if !expected.is_empty() && expected != &*self.id {
+        if !expected.is_empty() && expected != &*self.current_id() {
             return self.not_executed_response(StatusCode::MISDIRECTED_REQUEST, call, &id);
         }
         if !self.holds_adapter(call.header("x-model")) {
@@ -329,8 +343,12 @@
             return self.not_executed_response(StatusCode::SERVICE_UNAVAILABLE, call, &id);
         }
         let after = call.header("last-event-id").parse().unwrap_or(0);
+        let crash_plan = self.crash_plan_for(&call);
         self.record_request(call, &id, true);
         let _running = RunningRequest::new(self);
+        if let Some(plan) = crash_plan {
+            return self.crash_while_running(plan, &id, after).await;
+        }
         match behaviour {
             Behaviour::AnswerAfter(time_ms) => sleep(Duration::from_millis(time_ms)).await,
             Behaviour::Fail => {
@@ -389,7 +407,7 @@
     }
 
     /// Streams the events after number `after`; the connection closes after event `breaks_after`.
-    fn stream_response(&self, id: &str, after: u64, breaks_after: Option<u64>) -> Reply {
+    pub(super) fn stream_response(&self, id: &str, after: u64, breaks_after: Option<u64>) -> Reply {
         let running = RunningRequest::new(self);
         let numbers = stream::iter(after + 1..=EVENTS_PER_STREAM + 1);
         let events = numbers.then(move |number| {
@@ -430,6 +448,14 @@
 }
 
 impl State {
+    /// Loses everything that a restart loses.
+    pub(super) fn clear(&mut self) {
+        self.start_count += 1;
+        self.sequence = 0;
+        self.fencing_number = 0;
+        self.adapters.clear();
+    }
+
     fn apply_order(&mut self, fields: &Value, kind: ServerKind) -> StatusCode {
         let ServerKind::Engine { adapter_slots } = kind else {
             return StatusCode::BAD_REQUEST;
