Send instances every refused request, not the first 200 by hash

Cause: the placer sent the first 200 refused fingerprints in the order of their hash. Instances decide for plain services by that list, so a request that crashes servers was sent on wherever 200 others came before it; on a site with many crashing engines the list is full of requests that only ran beside. Evidence: every_refused_request_is_reported_to_instances failed before with 200 of 1,000 fingerprints. Suspects keep their bound; a suspect that is left out is only not cleared by an answer.

--- a/core/src/cell/suspects.rs
+++ b/core/src/cell/suspects.rs
@@ -8,8 +8,8 @@
 
 /// Time within which a crash is attributed to a request whose connection broke, in milliseconds.
 const CRASH_WITHIN_MS: u64 = 3_000;
-/// Maximum number of fingerprints of each kind sent to instances.
-const MAX_REPORTED_FINGERPRINTS: usize = 200;
+/// Maximum number of fingerprints of suspects sent to instances. Refused requests are all sent.
+const MAX_REPORTED_SUSPECTS: usize = 200;
 /// Time for which a crash counts, in milliseconds.
 const CRASH_RETENTION_MS: u64 = 600_000;
 
@@ -81,14 +81,10 @@
         if !std::mem::take(&mut self.is_changed) {
             return None;
         }
-        let suspected = self.quarantine.suspected().take(MAX_REPORTED_FINGERPRINTS);
-        let refused = self
-            .quarantine
-            .quarantined()
-            .take(MAX_REPORTED_FINGERPRINTS);
+        let suspected = self.quarantine.suspected().take(MAX_REPORTED_SUSPECTS);
         Some(QuarantineSnapshot {
             suspected: suspected.collect(),
-            refused: refused.collect(),
+            refused: self.quarantine.quarantined().collect(),
         })
     }
 
--- a/core/tests/cell/suspects.rs
+++ b/core/tests/cell/suspects.rs
@@ -1,7 +1,8 @@
 //! Requests that crash the engines that run them.
 
-use mimosabay_core::cell::{Cell, RefusalReason, RunOutcome};
+use mimosabay_core::cell::{Cell, ObservedCrash, RefusalReason, RunOutcome};
 use mimosabay_core::name::Name;
+use mimosabay_core::quarantine::Crash;
 
 use crate::support::{
     ADAPTER_LIMIT, backend, confirmed, ended, granted, placement_request, refused, report,
@@ -101,3 +102,23 @@
     cell.request_placement(again, 3_100);
     assert_eq!(granted(&cell.take_actions()).len(), 1);
 }
+
+/// Guards against leaving refused requests out of what instances receive, because there are many.
+#[test]
+fn every_refused_request_is_reported_to_instances() {
+    const REFUSED: u64 = 1_000;
+    let mut cell = confirmed_cell();
+    for fingerprint in 0..REFUSED {
+        let crashes = ["one", "two"].map(|server| ObservedCrash {
+            fingerprint,
+            crash: Crash {
+                server: server.into(),
+                boot: 1,
+            },
+        });
+        cell.record_crashes(&crashes, &[], 10);
+    }
+    let snapshot = cell.take_quarantine_changes().expect("changes");
+    let refused: Vec<u64> = (0..REFUSED).collect();
+    assert_eq!(snapshot.refused, refused);
+}
