Do not clear a suspect by a server's error

Cause: an engine's 5xx was reported to the placer as an answer, and an answer clears a suspect, so that a request that crashes one server and fails at the next is never refused. Evidence: server_error_does_not_clear_a_suspect failed before (granted, not Quarantined). The outcome Failed says that the server ran the request without proof that it is harmless; it is treated as Answered otherwise.

--- a/core/src/cell/message.rs
+++ b/core/src/cell/message.rs
@@ -158,6 +158,8 @@
     pub enum RunOutcome {
         /// The request was answered.
         Answered,
+        /// The server answered with an error.
+        Failed,
         /// The server does not hold the model, the adapter or the version.
         NotHeld,
         /// The server rejected it.
--- a/core/src/cell/run_outcome.rs
+++ b/core/src/cell/run_outcome.rs
@@ -33,7 +33,7 @@
         match ended.outcome {
             RunOutcome::NotHeld | RunOutcome::Rejected if self.is_load_late(&placed, now_ms) => {}
             RunOutcome::Answered => self.suspects.clear(placed.request.fingerprint),
-            RunOutcome::Cancelled => {}
+            RunOutcome::Failed | RunOutcome::Cancelled => {}
             RunOutcome::NotHeld => self.invalidate_engine(&placed.server, now_ms, now_ms),
             RunOutcome::Rejected => self.avoid(&placed.server, AVOID_AFTER_REJECTION_MS, now_ms),
             RunOutcome::Unreachable | RunOutcome::Broken => {
--- a/core/tests/cell/suspects.rs
+++ b/core/tests/cell/suspects.rs
@@ -80,6 +80,26 @@
     assert_eq!(granted(&cell.take_actions()).len(), 1);
 }
 
+/// Guards against taking a server's error for proof that a request does not crash servers.
+#[test]
+fn server_error_does_not_clear_a_suspect() {
+    let mut cell = confirmed_cell();
+    let first = run_until_crash(&mut cell, 1, 77, 10, &[]);
+    let mut request = placement_request(2, "a1");
+    request.fingerprint = 77;
+    cell.request_placement(request, 500);
+    cell.end_run(&ended(2, RunOutcome::Failed), 600);
+    cell.take_actions();
+    run_until_crash(&mut cell, 3, 77, 1_000, &[first]);
+    let mut again = placement_request(4, "a1");
+    again.fingerprint = 77;
+    cell.request_placement(again, 2_000);
+    assert_eq!(
+        refused(&cell.take_actions()),
+        [(4, RefusalReason::Quarantined)]
+    );
+}
+
 /// Guards against quarantining a request whose servers did not crash: the links to two servers are
 /// cut while it runs there, and both servers stay live.
 #[test]
--- a/daemon/src/gateway/engine_request.rs
+++ b/daemon/src/gateway/engine_request.rs
@@ -101,7 +101,7 @@
                 let left_ms = request.job.remaining_ms(state);
                 let response = exchange::read_complete_response(state, head, left_ms).await;
                 request.excluded.push(run.server.clone());
-                run.set_outcome(RunOutcome::Answered);
+                run.set_outcome(RunOutcome::Failed);
                 request.attempts.record_failure(ExecutionStatus::Ran);
                 request.failed_response = response.ok();
                 Failure::Broken
--- a/daemon/src/gateway/link.rs
+++ b/daemon/src/gateway/link.rs
@@ -368,7 +368,10 @@
     /// Removes a request that has left its server or no longer waits, and reports it to the placer.
     pub(crate) fn end_run(&self, ended: EndedRun) {
         self.runs.lock().expect("runs lock").remove(&ended.ticket);
-        let is_urgent = !matches!(ended.outcome, RunOutcome::Answered | RunOutcome::Cancelled);
+        let is_urgent = !matches!(
+            ended.outcome,
+            RunOutcome::Answered | RunOutcome::Failed | RunOutcome::Cancelled
+        );
         self.outbox.lock().expect("outbox lock").ended.push(ended);
         if is_urgent {
             self.update_wake.notify_one();
