End a quarantine by an answer to the same work

What callers saw: a request that ran beside others at two crashes was refused for an hour and more, also where a server had answered the same work after both. Cause: work that is answered was cleared only while it had one crash, and only of the crashes known at that moment, so that the order of messages decided. Now the table holds the time of the latest answer, and crashes up to then do not count, in whatever order they become known. Work that crashes every server is never answered. Merging stays a join (maximum). Evidence: answer_ends_the_quarantine_of_work_that_does_not_crash_servers; the table before could not clear work under quarantine at all (clear_finished returned false). The tests that cleared now pass the time of the answer and check the same.

--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -242,7 +242,7 @@
             self.suspects.record_observed_crash(crash, now_ms);
         }
         for fingerprint in cleared {
-            self.suspects.clear(*fingerprint);
+            self.suspects.record_answer(*fingerprint, now_ms);
         }
     }
 
--- a/core/src/cell/run_outcome.rs
+++ b/core/src/cell/run_outcome.rs
@@ -32,7 +32,10 @@
         self.record_timings(&placed, ended);
         match ended.outcome {
             RunOutcome::NotHeld | RunOutcome::Rejected if self.is_load_late(&placed, now_ms) => {}
-            RunOutcome::Answered => self.suspects.clear(placed.request.fingerprint),
+            RunOutcome::Answered => {
+                let fingerprint = placed.request.fingerprint;
+                self.suspects.record_answer(fingerprint, now_ms);
+            }
             RunOutcome::Failed | RunOutcome::Cancelled => {}
             RunOutcome::NotHeld => self.invalidate_engine(&placed.server, now_ms, now_ms),
             RunOutcome::Rejected => self.avoid(&placed.server, AVOID_AFTER_REJECTION_MS, now_ms),
--- a/core/src/cell/suspects.rs
+++ b/core/src/cell/suspects.rs
@@ -64,9 +64,9 @@
         self.is_changed |= self.quarantine.retract_crash(&crash);
     }
 
-    /// Clears a request that was answered, as it does not crash servers.
-    pub(super) fn clear(&mut self, fingerprint: Fingerprint) {
-        self.is_changed |= self.quarantine.clear_finished(fingerprint);
+    /// Records that a request was answered, so that it does not crash servers.
+    pub(super) fn record_answer(&mut self, fingerprint: Fingerprint, now_ms: u64) {
+        self.is_changed |= self.quarantine.record_answer(fingerprint, now_ms);
     }
 
     /// Records a server crash that an instance observed after a request broke there.
--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -3,11 +3,12 @@
 //! The work of a request is identified by its fingerprint. Each crash of a server is evidence
 //! against all work that was running on it. The second crash with the same work running puts the
 //! work under quarantine. At most one suspect runs on a server at a time, so that work that does
-//! not cause crashes is not present at two of them; a suspect that finishes is cleared.
+//! not cause crashes is not present at two of them. Work that a server answers did not cause the
+//! crashes before.
 //!
-//! The table is a join of facts that are not removed before they expire: crashes and cleared
-//! crashes. Merging is commutative, associative and idempotent, so that a lost answer of the store
-//! or a repeated message between instances is harmless.
+//! The table is a join of facts that are not removed before they expire: crashes, answers and
+//! retracted crashes. Merging is commutative, associative and idempotent, so that a lost answer of
+//! the store or a repeated message between instances is harmless.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -50,10 +51,13 @@
     /// Crashes during which work with one fingerprint was running.
     #[derive(Default)]
     pub struct Evidence {
-        /// Crashes, with the time of the first observation in Unix milliseconds on the store's clock.
+        /// Crashes, with the earliest time at which the work was interrupted, in Unix milliseconds.
         pub crashes: BTreeMap<Crash, u64>,
-        /// Crashes that do not count, because the work has finished since or the crash was retracted.
-        pub cleared: BTreeSet<Crash>,
+        /// Crashes that do not count, because the server turned out to be running.
+        pub retracted: BTreeSet<Crash>,
+        /// Time of the latest answer to the work, in Unix milliseconds. Crashes up to then do not
+        /// count.
+        pub answered_unix_ms: Option<u64>,
     }
 
     /// The evidence against all work, as it is stored and sent between instances.
@@ -66,15 +70,27 @@
 }
 
 impl Evidence {
-    /// Returns the number of crashes that have not been cleared.
+    /// Returns the number of crashes that count against the work.
     fn counted_crashes(&self) -> usize {
-        let counts = |crash: &&Crash| !self.cleared.contains(*crash);
-        self.crashes.keys().filter(counts).count()
+        let counts = |(crash, unix_ms): &(&Crash, &u64)| {
+            let is_answered_since = self.answered_unix_ms >= Some(**unix_ms);
+            !is_answered_since && !self.retracted.contains(*crash)
+        };
+        self.crashes.iter().filter(counts).count()
     }
 
     fn last_unix_ms(&self) -> u64 {
         self.crashes.values().copied().max().unwrap_or_default()
     }
+
+    fn merge(&mut self, other: &Evidence) {
+        for (crash, unix_ms) in &other.crashes {
+            let known_ms = self.crashes.entry(crash.clone()).or_insert(*unix_ms);
+            *known_ms = (*known_ms).min(*unix_ms);
+        }
+        self.retracted.extend(other.retracted.iter().cloned());
+        self.answered_unix_ms = self.answered_unix_ms.max(other.answered_unix_ms);
+    }
 }
 
 impl Quarantine {
@@ -87,22 +103,21 @@
     ) {
         for fingerprint in running {
             let evidence = self.evidence.entry(fingerprint).or_default();
-            evidence.crashes.entry(crash.clone()).or_insert(unix_ms);
+            let known_ms = evidence.crashes.entry(crash.clone()).or_insert(unix_ms);
+            *known_ms = (*known_ms).min(unix_ms);
         }
         self.evict_excess();
     }
 
-    /// Clears a suspect that has finished, because it did not cause the recorded crashes. Returns
-    /// whether the table has changed. Quarantined work stays quarantined.
-    pub fn clear_finished(&mut self, fingerprint: Fingerprint) -> bool {
-        if self.status(fingerprint) != QuarantineStatus::Suspect {
-            return false;
-        }
+    /// Records that a server answered work of which the table holds a crash: the work did not cause
+    /// the crashes up to then. Returns whether the table has changed.
+    pub fn record_answer(&mut self, fingerprint: Fingerprint, unix_ms: u64) -> bool {
         let Some(evidence) = self.evidence.get_mut(&fingerprint) else {
             return false;
         };
-        evidence.cleared.extend(evidence.crashes.keys().cloned());
-        true
+        let is_newer = evidence.answered_unix_ms < Some(unix_ms);
+        evidence.answered_unix_ms = evidence.answered_unix_ms.max(Some(unix_ms));
+        is_newer
     }
 
     /// Retracts a crash of a server that turns out to be running. Returns whether the table has
@@ -111,7 +126,7 @@
         let mut is_changed = false;
         for evidence in self.evidence.values_mut() {
             if evidence.crashes.contains_key(crash) {
-                is_changed |= evidence.cleared.insert(crash.clone());
+                is_changed |= evidence.retracted.insert(crash.clone());
             }
         }
         is_changed
@@ -149,12 +164,7 @@
     pub fn merge(&mut self, other: &Quarantine) -> bool {
         let before = self.clone();
         for (fingerprint, theirs) in &other.evidence {
-            let ours = self.evidence.entry(*fingerprint).or_default();
-            for (crash, unix_ms) in &theirs.crashes {
-                let seen_ms = ours.crashes.entry(crash.clone()).or_insert(*unix_ms);
-                *seen_ms = (*seen_ms).min(*unix_ms);
-            }
-            ours.cleared.extend(theirs.cleared.iter().cloned());
+            self.evidence.entry(*fingerprint).or_default().merge(theirs);
         }
         self.evict_excess();
         *self != before
@@ -166,7 +176,9 @@
         for evidence in self.evidence.values_mut() {
             evidence.crashes.retain(|_, seen_ms| *seen_ms >= oldest_ms);
             let crashes = &evidence.crashes;
-            evidence.cleared.retain(|crash| crashes.contains_key(crash));
+            evidence
+                .retracted
+                .retain(|crash| crashes.contains_key(crash));
         }
         self.evidence
             .retain(|_, evidence| !evidence.crashes.is_empty());
@@ -221,7 +233,8 @@
     struct Row {
         fingerprint: Fingerprint,
         crashes: Vec<(Crash, u64)>,
-        cleared: Vec<Crash>,
+        retracted: Vec<Crash>,
+        answered_unix_ms: Option<u64>,
     }
 
     pub(super) fn serialize<S: Serializer>(
@@ -231,7 +244,8 @@
         let row = |(fingerprint, evidence): (&Fingerprint, &Evidence)| Row {
             fingerprint: *fingerprint,
             crashes: evidence.crashes.clone().into_iter().collect(),
-            cleared: evidence.cleared.iter().cloned().collect(),
+            retracted: evidence.retracted.iter().cloned().collect(),
+            answered_unix_ms: evidence.answered_unix_ms,
         };
         let rows: Vec<Row> = evidence.iter().map(row).collect();
         rows.serialize(serializer)
@@ -244,7 +258,8 @@
         let pair = |row: Row| {
             let evidence = Evidence {
                 crashes: row.crashes.into_iter().collect(),
-                cleared: row.cleared.into_iter().collect(),
+                retracted: row.retracted.into_iter().collect(),
+                answered_unix_ms: row.answered_unix_ms,
             };
             (row.fingerprint, evidence)
         };
--- a/core/tests/quarantine.rs
+++ b/core/tests/quarantine.rs
@@ -24,7 +24,7 @@
     table.record_crash(&crash(1), [POISON, NEIGHBOUR], 0);
     assert_eq!(table.status(POISON), QuarantineStatus::Suspect);
     assert!(!table.may_run_beside(POISON, [NEIGHBOUR]));
-    assert!(table.clear_finished(NEIGHBOUR));
+    assert!(table.record_answer(NEIGHBOUR, 1));
     table.record_crash(&crash(2), [POISON, 3], 0);
     assert_eq!(table.status(POISON), QuarantineStatus::Quarantined);
     assert_eq!(table.status(NEIGHBOUR), QuarantineStatus::Clear);
@@ -45,11 +45,26 @@
     let mut table = Quarantine::default();
     table.record_crash(&crash(1), [NEIGHBOUR], 0);
     let late = table.clone();
-    table.clear_finished(NEIGHBOUR);
+    table.record_answer(NEIGHBOUR, 1);
     assert!(!table.merge(&late));
     assert_eq!(table.status(NEIGHBOUR), QuarantineStatus::Clear);
 }
 
+/// Guards against refusing work that only ran beside others at two crashes and is answered since.
+#[test]
+fn answer_ends_the_quarantine_of_work_that_does_not_crash_servers() {
+    let mut table = Quarantine::default();
+    table.record_crash(&crash(1), [NEIGHBOUR], 5);
+    table.record_crash(&crash(2), [NEIGHBOUR], 6);
+    assert_eq!(table.status(NEIGHBOUR), QuarantineStatus::Quarantined);
+    table.record_answer(NEIGHBOUR, 7);
+    assert_eq!(table.status(NEIGHBOUR), QuarantineStatus::Clear);
+    table.record_crash(&crash(3), [NEIGHBOUR], 6);
+    assert_eq!(table.status(NEIGHBOUR), QuarantineStatus::Clear);
+    table.record_crash(&crash(4), [NEIGHBOUR], 8);
+    assert_eq!(table.status(NEIGHBOUR), QuarantineStatus::Suspect);
+}
+
 #[test]
 fn quarantine_ends_when_its_crashes_expire() {
     let mut table = Quarantine::default();
@@ -102,7 +117,7 @@
             }
             1 => {
                 let neighbour = u.int_in_range(2..=9)?;
-                tables[instance].clear_finished(neighbour);
+                tables[instance].record_answer(neighbour, crashes);
                 store.merge(&tables[instance]);
             }
             2 if !messages.is_empty() => {
