Keep evidence of crashes at the instances, and merge what a placer reports

Cause: the evidence lived in the placer's process alone. A new placer started with an empty table, reported it under a version of its own, and each instance replaced what it knew by it; observations that the old placer had accepted were never sent again. Class: state that guards a promise, held by one process, whose successor's empty state is taken for the truth.

Now each instance keeps its own evidence and sends all of it to a new placer; what it knows grows by merging a join, so a placer that knows less takes nothing away; and a placer starts from what its own process knows. Placers report changes since the version that an instance has, of work that is or was refused; suspects are no longer sent. In their place an instance that has answered refused work after its crashes reports that, which ends the refusal everywhere.

Ruled out: the store as the only keeper (away while the placer is replaced, it would lose the evidence of that time).

--- a/core/src/cell/message.rs
+++ b/core/src/cell/message.rs
@@ -2,7 +2,7 @@
 
 use crate::name::Name;
 use crate::prompt::Prompt;
-use crate::quarantine::{Crash, Fingerprint};
+use crate::quarantine::{Fingerprint, Quarantine};
 use crate::replica::KnownRevision;
 
 crate::key_record! {
@@ -95,11 +95,10 @@
         pub ended: Vec<EndedRun>,
         /// Costs of plain requests since the previous update.
         pub charges: Vec<Charge>,
-        /// Servers that terminated after the connection of a plain request broke there.
-        pub crashes: Vec<ObservedCrash>,
-        /// Suspected requests that have been answered since.
-        pub cleared: Vec<Fingerprint>,
-        /// Version of the quarantine snapshot that the instance has.
+        /// The instance's own evidence of crashes: what has changed since the previous update, or
+        /// all of it if the placer is new.
+        pub evidence: Quarantine,
+        /// Version of the quarantine that the instance has.
         pub quarantine_version: u64,
         /// All requests in progress, sent once to each new placer.
         pub runs: Option<Vec<AdoptedRun>>,
@@ -111,23 +110,6 @@
         pub members_version: u64,
     }
 
-    /// A server that terminated after the connection of a request broke there.
-    pub struct ObservedCrash {
-        /// Hash of the request's work.
-        pub fingerprint: Fingerprint,
-        /// The server and the start of it that ended in the crash.
-        pub crash: Crash,
-    }
-
-    /// Fingerprints of requests that ran on servers that crashed.
-    #[derive(Default)]
-    pub struct QuarantineSnapshot {
-        /// Requests that may have caused a crash.
-        pub suspected: Vec<Fingerprint>,
-        /// Requests that are refused.
-        pub refused: Vec<Fingerprint>,
-    }
-
     /// A request that has left its server.
     pub struct EndedRun {
         /// Identifies the attempt.
--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -25,13 +25,13 @@
 use crate::backend::Backend;
 use crate::name::Name;
 use crate::prompt::Prompt;
-use crate::quarantine::{self, Fingerprint};
+use crate::quarantine::{self, Quarantine};
 use crate::site::{self, Site};
 
 pub use engine::AdapterKey;
 pub use message::{
-    AdoptedRun, Charge, EndedRun, ObservedCrash, PlacementRequest, PlacementResponse,
-    QuarantineSnapshot, Refusal, RefusalReason, RunOutcome, Ticket, Update,
+    AdoptedRun, Charge, EndedRun, PlacementRequest, PlacementResponse, Refusal, RefusalReason,
+    RunOutcome, Ticket, Update,
 };
 pub use order::{Order, OrderAnswer, OrderKind, Report};
 pub use rates::Rates;
@@ -230,26 +230,21 @@
         }
     }
 
-    /// Records crashes observed by instances, and clears suspected requests that have been
-    /// answered.
-    pub fn record_crashes(
-        &mut self,
-        crashes: &[ObservedCrash],
-        cleared: &[Fingerprint],
-        now_ms: u64,
-    ) {
-        for crash in crashes {
-            self.suspects.record_observed_crash(crash, now_ms);
-        }
-        for fingerprint in cleared {
-            self.suspects.record_answer(*fingerprint, now_ms);
-        }
+    /// Sets the Unix time at time 0 of the times given as `now_ms`, in milliseconds. Crashes and
+    /// answers are compared with those of other instances by it.
+    pub fn set_epoch(&mut self, epoch_unix_ms: u64) {
+        self.suspects.set_epoch(epoch_unix_ms);
+    }
+
+    /// Merges evidence of crashes from an instance or from an earlier placer.
+    pub fn merge_quarantine(&mut self, quarantine: &Quarantine) {
+        self.suspects.merge(quarantine);
     }
 
-    /// Returns the fingerprints of requests that ran on crashed servers if they have changed since
+    /// Returns the evidence against work that is or was quarantined, as far as it has changed since
     /// the last call.
-    pub fn take_quarantine_changes(&mut self) -> Option<QuarantineSnapshot> {
-        self.suspects.take_quarantine_changes()
+    pub fn take_quarantine_changes(&mut self) -> Option<Quarantine> {
+        self.suspects.take_changes()
     }
 
     /// Records that an instance has been in contact.
--- a/core/src/cell/suspects.rs
+++ b/core/src/cell/suspects.rs
@@ -1,29 +1,39 @@
 //! Tracks requests that may crash engines, and refuses those that crashed several.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
-use super::message::{ObservedCrash, QuarantineSnapshot};
 use crate::name::Name;
 use crate::quarantine::{Crash, Fingerprint, Quarantine, QuarantineStatus};
 
 /// Time within which a crash is attributed to a request whose connection broke, in milliseconds.
 const CRASH_WITHIN_MS: u64 = 3_000;
-/// Maximum number of fingerprints of suspects sent to instances. Refused requests are all sent.
-const MAX_REPORTED_SUSPECTS: usize = 200;
-/// Time for which a crash counts, in milliseconds.
-const CRASH_RETENTION_MS: u64 = 600_000;
 
 /// Crash evidence against requests.
 #[derive(Debug, Default)]
 pub(super) struct Suspects {
-    /// Requests whose connection broke recently, by server, with the time in milliseconds.
-    broken: HashMap<Name, Vec<(Fingerprint, u64)>>,
+    /// Requests whose connection broke recently, by server.
+    broken: HashMap<Name, Vec<BrokenRequest>>,
     quarantine: Quarantine,
-    /// Whether instances need a new snapshot.
-    is_changed: bool,
+    /// Work whose evidence has changed since the last call of [`Suspects::take_changes`].
+    changed: BTreeSet<Fingerprint>,
+    /// Work that was reported as quarantined, so that changes of its evidence are reported too.
+    reported: BTreeSet<Fingerprint>,
+    /// Unix time at time 0 of `now_ms`, in milliseconds.
+    epoch_unix_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct BrokenRequest {
+    fingerprint: Fingerprint,
+    broke_ms: u64,
 }
 
 impl Suspects {
+    /// Sets the Unix time at time 0 of the times given as `now_ms`, in milliseconds.
+    pub(super) fn set_epoch(&mut self, epoch_unix_ms: u64) {
+        self.epoch_unix_ms = epoch_unix_ms;
+    }
+
     /// Records that the connection of a request at a server broke.
     pub(super) fn record_broken_connection(
         &mut self,
@@ -32,8 +42,11 @@
         now_ms: u64,
     ) {
         let broken = self.broken.entry(server.clone()).or_default();
-        broken.retain(|(_, at_ms)| now_ms.saturating_sub(*at_ms) <= CRASH_WITHIN_MS);
-        broken.push((fingerprint, now_ms));
+        broken.retain(|request| is_recent(request, now_ms));
+        broken.push(BrokenRequest {
+            fingerprint,
+            broke_ms: now_ms,
+        });
     }
 
     /// Records that this start of a server has ended, or appears to have.
@@ -45,14 +58,14 @@
             server: server.clone(),
             boot,
         };
-        let recent = broken
-            .into_iter()
-            .filter(|(_, at_ms)| now_ms.saturating_sub(*at_ms) <= CRASH_WITHIN_MS);
-        let fingerprints = recent.map(|(fingerprint, _)| fingerprint);
-        self.is_changed = true;
-        self.quarantine.record_crash(&crash, fingerprints, now_ms);
-        self.quarantine
-            .expire(now_ms.saturating_sub(CRASH_RETENTION_MS));
+        let recent = broken.iter().filter(|request| is_recent(request, now_ms));
+        for request in recent {
+            let unix_ms = self.epoch_unix_ms + request.broke_ms;
+            self.quarantine
+                .record_crash(&crash, [request.fingerprint], unix_ms);
+            self.changed.insert(request.fingerprint);
+        }
+        self.quarantine.expire(self.epoch_unix_ms + now_ms);
     }
 
     /// Retracts a crash: this start of the server answers, so it has not ended.
@@ -61,31 +74,34 @@
             server: server.clone(),
             boot,
         };
-        self.is_changed |= self.quarantine.retract_crash(&crash);
+        self.changed.extend(self.quarantine.retract_crash(&crash));
     }
 
     /// Records that a request was answered, so that it does not crash servers.
     pub(super) fn record_answer(&mut self, fingerprint: Fingerprint, now_ms: u64) {
-        self.is_changed |= self.quarantine.record_answer(fingerprint, now_ms);
+        let unix_ms = self.epoch_unix_ms + now_ms;
+        if self.quarantine.record_answer(fingerprint, unix_ms) {
+            self.changed.insert(fingerprint);
+        }
     }
 
-    /// Records a server crash that an instance observed after a request broke there.
-    pub(super) fn record_observed_crash(&mut self, observed: &ObservedCrash, now_ms: u64) {
-        self.is_changed = true;
-        self.quarantine
-            .record_crash(&observed.crash, [observed.fingerprint], now_ms);
+    /// Merges evidence of an instance or of an earlier placer.
+    pub(super) fn merge(&mut self, quarantine: &Quarantine) {
+        self.quarantine.merge(quarantine);
+        self.changed.extend(quarantine.fingerprints());
     }
 
-    /// Returns the snapshot for all instances if it has changed since the last call.
-    pub(super) fn take_quarantine_changes(&mut self) -> Option<QuarantineSnapshot> {
-        if !std::mem::take(&mut self.is_changed) {
+    /// Returns the evidence that has changed since the last call, of work that is or was
+    /// quarantined.
+    pub(super) fn take_changes(&mut self) -> Option<Quarantine> {
+        let mut fingerprints = std::mem::take(&mut self.changed);
+        fingerprints.retain(|it| self.reported.contains(it) || self.is_quarantined(*it));
+        if fingerprints.is_empty() {
             return None;
         }
-        let suspected = self.quarantine.suspected().take(MAX_REPORTED_SUSPECTS);
-        Some(QuarantineSnapshot {
-            suspected: suspected.collect(),
-            refused: self.quarantine.quarantined().collect(),
-        })
+        let evidence = self.quarantine.part(fingerprints.iter().copied());
+        self.reported.extend(fingerprints);
+        Some(evidence)
     }
 
     /// Returns whether a request is refused because it crashed several servers.
@@ -93,3 +109,7 @@
         self.quarantine.status(fingerprint) == QuarantineStatus::Quarantined
     }
 }
+
+fn is_recent(request: &BrokenRequest, now_ms: u64) -> bool {
+    now_ms.saturating_sub(request.broke_ms) <= CRASH_WITHIN_MS
+}
--- /dev/null
+++ b/core/src/crash_observer.rs
@@ -0,0 +1,218 @@
+//! Crashes that one instance observes, and the quarantine that it knows.
+//!
+//! An instance sends its evidence to the placer, which counts crashes over all instances. It keeps
+//! the evidence, because a new placer knows only what instances send to it. What an instance knows
+//! grows by merging: a placer that knows less takes nothing away.
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
+
+use crate::name::Name;
+use crate::quarantine::{Crash, Fingerprint, Quarantine, QuarantineStatus};
+use crate::quarantine_log::QuarantineChanges;
+
+/// Time within which a crash is attributed to a broken request, in milliseconds. The entry of a
+/// crashed server disappears only after some heartbeats.
+const ATTRIBUTION_MS: u64 = 6_000;
+/// Largest number of broken requests that are kept; the oldest are dropped first.
+const MAX_BROKEN: usize = 512;
+/// Largest number of fingerprints of own evidence that are kept; the oldest are dropped first.
+const MAX_OWN: usize = 512;
+/// Largest number of answered requests that are kept; the oldest are dropped first.
+const MAX_ANSWERS: usize = 2_048;
+
+/// The crashes, answers and quarantine that one instance knows.
+#[derive(Debug, Default)]
+pub struct CrashObserver {
+    /// Requests that broke at servers of which it is not known yet whether they have ended.
+    broken: VecDeque<BrokenRequest>,
+    /// All evidence that this instance knows, its own and that received from placers.
+    known: Quarantine,
+    /// Work to whose evidence in `known` this instance has added, oldest first.
+    own: VecDeque<Fingerprint>,
+    /// The part of `own` that the placer does not know yet.
+    unsent: BTreeSet<Fingerprint>,
+    answers: RecentAnswers,
+    /// Version of the quarantine received last.
+    version: u64,
+}
+
+/// A request whose connection to a server broke.
+#[derive(Clone, Debug)]
+struct BrokenRequest {
+    fingerprint: Fingerprint,
+    crash: Crash,
+    broke_ms: u64,
+    broke_unix_ms: u64,
+}
+
+/// A decision about a broken request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Decision {
+    /// Hash of the request's work.
+    pub fingerprint: Fingerprint,
+    /// The server and the start of it at which the request broke.
+    pub crash: Crash,
+    /// Whether that start of the server has ended. Otherwise the request is given up undecided.
+    pub has_ended: bool,
+    /// Time since the request broke, in milliseconds.
+    pub age_ms: u64,
+}
+
+impl CrashObserver {
+    /// Records that a request broke at a server.
+    pub fn record_broken(
+        &mut self,
+        fingerprint: Fingerprint,
+        crash: Crash,
+        now_ms: u64,
+        unix_ms: u64,
+    ) {
+        self.broken.push_back(BrokenRequest {
+            fingerprint,
+            crash,
+            broke_ms: now_ms,
+            broke_unix_ms: unix_ms,
+        });
+        truncate_front(&mut self.broken, MAX_BROKEN);
+    }
+
+    /// Records that a server answered a request, which proves that the request does not crash
+    /// servers.
+    pub fn record_answer(&mut self, fingerprint: Fingerprint, unix_ms: u64) {
+        self.broken
+            .retain(|request| request.fingerprint != fingerprint);
+        self.answers.insert(fingerprint, unix_ms);
+        self.report_answer(fingerprint, unix_ms);
+    }
+
+    /// Decides which broken requests ran on servers that have ended. `start_of` returns the start
+    /// time of a registered server.
+    pub fn check_servers(
+        &mut self,
+        start_of: impl Fn(&Name) -> Option<u64>,
+        now_ms: u64,
+    ) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+        for request in std::mem::take(&mut self.broken) {
+            let has_ended = start_of(&request.crash.server) != Some(request.crash.boot);
+            let age_ms = now_ms.saturating_sub(request.broke_ms);
+            if !has_ended && age_ms <= ATTRIBUTION_MS {
+                self.broken.push_back(request);
+                continue;
+            }
+            decisions.push(Decision {
+                fingerprint: request.fingerprint,
+                crash: request.crash.clone(),
+                has_ended,
+                age_ms,
+            });
+            if has_ended {
+                self.record_crash(&request);
+            }
+        }
+        decisions
+    }
+
+    /// Takes the own evidence that the placer does not know yet: all of it if the placer is new.
+    pub fn take_evidence(&mut self, is_new_placer: bool) -> Quarantine {
+        let unsent = std::mem::take(&mut self.unsent);
+        if is_new_placer {
+            self.known.part(self.own.iter().copied())
+        } else {
+            self.known.part(unsent)
+        }
+    }
+
+    /// Adds evidence that did not reach the placer to what is sent next.
+    pub fn requeue(&mut self, evidence: &Quarantine) {
+        self.unsent.extend(evidence.fingerprints());
+    }
+
+    /// Version of the quarantine received last.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Merges changes received from a placer.
+    pub fn apply(&mut self, changes: &QuarantineChanges) {
+        self.version = changes.version;
+        self.known.merge(&changes.table);
+        for fingerprint in changes.table.fingerprints() {
+            if let Some(unix_ms) = self.answers.last_unix_ms(fingerprint) {
+                self.report_answer(fingerprint, unix_ms);
+            }
+        }
+    }
+
+    /// Returns whether a request is refused because it crashed several servers.
+    pub fn is_refused(&self, fingerprint: Fingerprint) -> bool {
+        self.known.status(fingerprint) == QuarantineStatus::Quarantined
+    }
+
+    /// Returns the crashes that this instance knows, for a placer that starts in its process.
+    pub fn known(&self) -> &Quarantine {
+        &self.known
+    }
+
+    /// Removes what has expired.
+    pub fn expire(&mut self, unix_ms: u64) {
+        self.known.expire(unix_ms);
+        self.own.retain(|it| self.known.contains(*it));
+    }
+
+    fn record_crash(&mut self, request: &BrokenRequest) {
+        let fingerprint = request.fingerprint;
+        self.known
+            .record_crash(&request.crash, [fingerprint], request.broke_unix_ms);
+        self.mark_own(fingerprint);
+    }
+
+    /// Adds an answer to the evidence if a crash counts against the work.
+    fn report_answer(&mut self, fingerprint: Fingerprint, unix_ms: u64) {
+        let status = self.known.status(fingerprint);
+        let is_newer = self.known.record_answer(fingerprint, unix_ms);
+        if is_newer && status != QuarantineStatus::Clear {
+            self.mark_own(fingerprint);
+        }
+    }
+
+    fn mark_own(&mut self, fingerprint: Fingerprint) {
+        self.unsent.insert(fingerprint);
+        if !self.own.contains(&fingerprint) {
+            self.own.push_back(fingerprint);
+            truncate_front(&mut self.own, MAX_OWN);
+        }
+    }
+}
+
+/// The latest answers of this instance. Invariant: at most [`MAX_ANSWERS`] entries.
+#[derive(Debug, Default)]
+struct RecentAnswers {
+    unix_ms: HashMap<Fingerprint, u64>,
+    /// The fingerprints in `unix_ms`, in the order in which they were added.
+    order: VecDeque<Fingerprint>,
+}
+
+impl RecentAnswers {
+    fn insert(&mut self, fingerprint: Fingerprint, unix_ms: u64) {
+        if self.unix_ms.insert(fingerprint, unix_ms).is_some() {
+            return;
+        }
+        self.order.push_back(fingerprint);
+        if self.order.len() > MAX_ANSWERS
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.unix_ms.remove(&oldest);
+        }
+    }
+
+    fn last_unix_ms(&self, fingerprint: Fingerprint) -> Option<u64> {
+        self.unix_ms.get(&fingerprint).copied()
+    }
+}
+
+fn truncate_front<T>(list: &mut VecDeque<T>, max: usize) {
+    while list.len() > max {
+        list.pop_front();
+    }
+}
--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -120,16 +120,17 @@
         is_newer
     }
 
-    /// Retracts a crash of a server that turns out to be running. Returns whether the table has
-    /// changed. Quarantined work may become a suspect or clear.
-    pub fn retract_crash(&mut self, crash: &Crash) -> bool {
-        let mut is_changed = false;
-        for evidence in self.evidence.values_mut() {
-            if evidence.crashes.contains_key(crash) {
-                is_changed |= evidence.retracted.insert(crash.clone());
+    /// Retracts a crash of a server that turns out to be running. Returns the work for which this
+    /// changes the table. Quarantined work may become a suspect or clear.
+    pub fn retract_crash(&mut self, crash: &Crash) -> Vec<Fingerprint> {
+        let mut changed = Vec::new();
+        for (fingerprint, evidence) in &mut self.evidence {
+            let is_known = evidence.crashes.contains_key(crash);
+            if is_known && evidence.retracted.insert(crash.clone()) {
+                changed.push(*fingerprint);
             }
         }
-        is_changed
+        changed
     }
 
     /// Returns the quarantine status of the work.
@@ -192,12 +193,26 @@
             .filter(|fingerprint| self.status(*fingerprint) == QuarantineStatus::Quarantined)
     }
 
-    /// Returns the fingerprints of suspects.
-    pub fn suspected(&self) -> impl Iterator<Item = Fingerprint> {
-        self.evidence
-            .keys()
-            .copied()
-            .filter(|fingerprint| self.status(*fingerprint) == QuarantineStatus::Suspect)
+    /// Returns the fingerprints of all work of which the table holds a crash.
+    pub fn fingerprints(&self) -> impl Iterator<Item = Fingerprint> {
+        self.evidence.keys().copied()
+    }
+
+    /// Returns whether the table holds a crash of some work.
+    pub fn contains(&self, fingerprint: Fingerprint) -> bool {
+        self.evidence.contains_key(&fingerprint)
+    }
+
+    /// Returns the part of the table that concerns some work.
+    #[must_use]
+    pub fn part(&self, fingerprints: impl IntoIterator<Item = Fingerprint>) -> Quarantine {
+        let rows = fingerprints.into_iter().filter_map(|fingerprint| {
+            let evidence = self.evidence.get(&fingerprint)?;
+            Some((fingerprint, evidence.clone()))
+        });
+        Quarantine {
+            evidence: rows.collect(),
+        }
     }
 
     /// Returns whether the table holds no crashes.
--- a/core/tests/cell/suspects.rs
+++ b/core/tests/cell/suspects.rs
@@ -1,8 +1,9 @@
 //! Requests that crash the engines that run them.
 
-use mimosabay_core::cell::{Cell, ObservedCrash, RefusalReason, RunOutcome};
+use mimosabay_core::cell::{Cell, RefusalReason, RunOutcome};
 use mimosabay_core::name::Name;
-use mimosabay_core::quarantine::Crash;
+use mimosabay_core::quarantine::{Crash, Quarantine};
+use mimosabay_core::quarantine_log::QuarantineLog;
 
 use crate::support::{
     ADAPTER_LIMIT, backend, confirmed, ended, granted, placement_request, refused, report,
@@ -128,17 +129,37 @@
 fn every_refused_request_is_reported_to_instances() {
     const REFUSED: u64 = 1_000;
     let mut cell = confirmed_cell();
-    for fingerprint in 0..REFUSED {
-        let crashes = ["one", "two"].map(|server| ObservedCrash {
-            fingerprint,
-            crash: Crash {
-                server: server.into(),
-                boot: 1,
-            },
-        });
-        cell.record_crashes(&crashes, &[], 10);
+    let mut evidence = Quarantine::default();
+    for server in ["one", "two"] {
+        let crash = Crash {
+            server: server.into(),
+            boot: 1,
+        };
+        evidence.record_crash(&crash, 0..REFUSED, 10);
     }
-    let snapshot = cell.take_quarantine_changes().expect("changes");
+    cell.merge_quarantine(&evidence);
+    let mut log = QuarantineLog::new(1);
+    log.record(&cell.take_quarantine_changes().expect("changes"));
+    let reported = log.changes_since(0).expect("changes").table;
     let refused: Vec<u64> = (0..REFUSED).collect();
-    assert_eq!(snapshot.refused, refused);
+    assert_eq!(reported.quarantined().collect::<Vec<_>>(), refused);
+}
+
+/// Guards against a new placer that forgets what its predecessor refused.
+#[test]
+fn new_placer_refuses_what_the_previous_one_refused() {
+    let mut cell = confirmed_cell();
+    let first = run_until_crash(&mut cell, 1, 77, 10, &[]);
+    run_until_crash(&mut cell, 2, 77, 1_000, &[first]);
+    let reported = cell.take_quarantine_changes().expect("changes");
+    let mut successor = confirmed_cell();
+    successor.merge_quarantine(&reported);
+    let mut again = placement_request(3, "a1");
+    again.fingerprint = 77;
+    successor.request_placement(again, 2_000);
+    assert_eq!(
+        refused(&successor.take_actions()),
+        [(3, RefusalReason::Quarantined)]
+    );
+    assert_eq!(successor.take_quarantine_changes(), Some(reported));
 }
--- a/daemon/src/clock.rs
+++ b/daemon/src/clock.rs
@@ -9,6 +9,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     start: Instant,
+    /// Wall-clock time of the start, in milliseconds since 1970.
+    start_unix_ms: u64,
 }
 
 impl Clock {
@@ -16,9 +18,21 @@
     pub fn start() -> Self {
         Self {
             start: Instant::now(),
+            start_unix_ms: unix_ms(),
         }
     }
 
+    /// Wall-clock time at 0 ms, in milliseconds since 1970.
+    pub fn start_unix_ms(&self) -> u64 {
+        self.start_unix_ms
+    }
+
+    /// Wall-clock time in milliseconds since 1970, without the jumps of the wall clock since the
+    /// start.
+    pub fn unix_ms(&self) -> u64 {
+        self.start_unix_ms + self.now_ms()
+    }
+
     /// Milliseconds since the start; never decreases.
     pub fn now_ms(&self) -> u64 {
         millis(self.start.elapsed())
--- a/daemon/src/gateway/link.rs
+++ b/daemon/src/gateway/link.rs
@@ -401,13 +401,12 @@
         let charges = charges.collect();
         let ended = std::mem::take(&mut outbox.ended);
         drop(outbox);
-        let (crashes, cleared) = state.suspects.take_observations();
+        let evidence = state.suspects.take_evidence(is_new_placer);
         Update {
             entry: state.incarnation,
             ended,
             charges,
-            crashes,
-            cleared,
+            evidence,
             quarantine_version: state.suspects.version(),
             runs: is_new_placer.then(|| self.placed_runs()),
             known: state.replicas.known_revisions(),
--- a/daemon/src/gateway/placer.rs
+++ b/daemon/src/gateway/placer.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 
 use mimosabay_core::cell::{
-    Action, AdapterKey, Cell, Order, OrderAnswer, PlacementRequest, PlacementResponse,
-    QuarantineSnapshot, Report, Ticket, Update,
+    Action, AdapterKey, Cell, Order, OrderAnswer, PlacementRequest, PlacementResponse, Report,
+    Ticket, Update,
 };
 use mimosabay_core::name::Name;
+use mimosabay_core::quarantine_log::QuarantineLog;
 use mimosabay_core::site::Site;
 use mimosabay_platform::server::{OrderAuthority, ServerControl};
 use tokio::sync::{mpsc, oneshot};
@@ -17,9 +18,6 @@
 use super::backends::Snapshot;
 use super::state::State;
 
-/// Low bits of a quarantine version, which count the changes made by one placer. The bits above
-/// hold its fencing number.
-const VERSION_BITS: u32 = 20;
 /// Longest time between two ticks of the cell, in milliseconds.
 const MAX_TICK_MS: u64 = 250;
 
@@ -51,15 +49,18 @@
             holder: state.settings().instance.clone(),
             fencing_number,
         };
+        let mut cell = Cell::new(orders_from_ms);
+        cell.set_epoch(state.clock.start_unix_ms());
+        cell.merge_quarantine(&state.suspects.known());
         let driver = Driver {
-            cell: Cell::new(orders_from_ms),
+            cell,
             responders: HashMap::new(),
             control: ServerControl::default(),
             authority,
             inbox: placer.inbox.downgrade(),
             state,
         };
-        driver.init_quarantine_version();
+        driver.start_quarantine_log();
         tokio::spawn(driver.run(inputs));
         placer
     }
@@ -107,6 +108,7 @@
         self.apply_backends(&backends.borrow_and_update().clone());
         loop {
             self.run_actions();
+            self.publish_quarantine();
             let due = self.next_due();
             tokio::select! {
                 input = inputs.recv() => match input {
@@ -171,29 +173,25 @@
             self.cell.end_run(ended, now_ms);
         }
         self.cell.count_charges(&update.charges, now_ms);
-        self.cell
-            .record_crashes(&update.crashes, &update.cleared, now_ms);
-        if let Some(snapshot) = self.cell.take_quarantine_changes() {
-            self.publish_quarantine(snapshot);
-        }
+        self.cell.merge_quarantine(&update.evidence);
     }
 
-    /// Starts the versions of this placer's quarantine at its fencing number. Quarantines that this
-    /// process received from other placers have versions of their own.
-    fn init_quarantine_version(&self) {
-        let mut quarantine = self.state.quarantine.lock().expect("quarantine lock");
-        quarantine.version = self.authority.fencing_number << VERSION_BITS;
+    fn start_quarantine_log(&self) {
+        let log = QuarantineLog::new(self.authority.fencing_number);
+        *self.state.quarantine.lock().expect("quarantine lock") = log;
     }
 
-    fn publish_quarantine(&self, snapshot: QuarantineSnapshot) {
-        info!(
-            event = "suspects_changed",
-            suspected = snapshot.suspected.len(),
-            refused = snapshot.refused.len()
-        );
-        let mut quarantine = self.state.quarantine.lock().expect("quarantine lock");
-        quarantine.version += 1;
-        quarantine.snapshot = snapshot;
+    /// Reports changes of the quarantine to the instances.
+    fn publish_quarantine(&mut self) {
+        let Some(evidence) = self.cell.take_quarantine_changes() else {
+            return;
+        };
+        let mut log = self.state.quarantine.lock().expect("quarantine lock");
+        log.record(&evidence);
+        let refused = log.table().quarantined().count();
+        drop(log);
+        let changed = evidence.fingerprints().count();
+        info!(event = "suspects_changed", changed, refused);
     }
 
     fn apply_site(&mut self, site: Option<Arc<Site>>) {
--- a/daemon/src/gateway/plain_request.rs
+++ b/daemon/src/gateway/plain_request.rs
@@ -46,7 +46,7 @@
         let result = attempt(state, &job, &server, limit_ms).await;
         let failure = match result {
             Ok(response) if !response.status.is_server_error() => {
-                state.suspects.record_answered(fingerprint);
+                state.suspects.record_answer(fingerprint);
                 return deliver_response(state, &job, &server, response);
             }
             Ok(response) => {
@@ -58,9 +58,7 @@
                 if failure == Failure::Broken
                     && let Some(backend) = state.backend(&server)
                 {
-                    state
-                        .suspects
-                        .record_broken(fingerprint, &backend, state.now_ms());
+                    state.suspects.record_broken(fingerprint, &backend);
                 }
                 attempts.record_failure(failure.execution_status());
                 failure
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use mimosabay_core::cell::{EndedRun, RunOutcome, Update};
+use mimosabay_core::quarantine::Quarantine;
 use mimosabay_core::replica::ReplicaKind;
 use mimosabay_peer::{Inbound, Message, Reply, Responder};
 use mimosabay_platform::ProcessSettings;
@@ -91,7 +92,7 @@
         sleep(Duration::from_millis(CLEANUP_PERIOD_MS)).await;
         state.backends.remove_expired(state.now_ms());
         let snapshot = state.backends.snapshot();
-        state.suspects.record_crashes(&snapshot, state.now_ms());
+        state.suspects.check_servers(&snapshot);
         state.pool.remove_expired(|id| snapshot.contains_key(id));
         let mut plain = state.plain.lock().expect("plain lock");
         plain.retain(|id| snapshot.contains_key(id));
@@ -127,8 +128,7 @@
                             entry: ticket.entry,
                             ended: vec![ended],
                             charges: Vec::new(),
-                            crashes: Vec::new(),
-                            cleared: Vec::new(),
+                            evidence: Quarantine::default(),
                             quarantine_version: 0,
                             runs: None,
                             known: Vec::new(),
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -8,10 +8,10 @@
 use mimosabay_core::cell::{AdapterKey, Rates};
 use mimosabay_core::name::Name;
 use mimosabay_core::plain::PlainServers;
+use mimosabay_core::quarantine_log::QuarantineLog;
 use mimosabay_core::retry_share::RetryShare;
 use mimosabay_core::site::Site;
 use mimosabay_peer::Members;
-use mimosabay_peer::VersionedQuarantine;
 use mimosabay_platform::ProcessSettings;
 use mimosabay_platform::store::Store;
 use tokio::sync::watch;
@@ -44,9 +44,9 @@
     /// Rates of organisations that this instance applies while there is no placer.
     pub(crate) own_rates: Mutex<Rates>,
     pub(crate) suspects: Suspects,
-    /// Quarantine of requests that ran on servers that crashed, as kept by the placer in this
+    /// Quarantine of requests that ran on servers that crashed, as reported by the placer in this
     /// process.
-    pub(crate) quarantine: Mutex<VersionedQuarantine>,
+    pub(crate) quarantine: Mutex<QuarantineLog>,
     pub(crate) pool: Pool,
     pub(crate) link: Link,
     pub(crate) members: MemberList,
@@ -97,7 +97,7 @@
             plain: Mutex::default(),
             retries: Mutex::default(),
             own_rates: Mutex::new(Rates::for_entry()),
-            suspects: Suspects::default(),
+            suspects: Suspects::new(clock),
             quarantine: Mutex::default(),
             pool: Pool::new(clock),
             phase: watch::Sender::new(Phase::Serving),
--- a/daemon/src/gateway/suspects.rs
+++ b/daemon/src/gateway/suspects.rs
@@ -1,57 +1,32 @@
-//! Requests to plain services that may crash the servers that run them.
-//!
-//! This instance observes crashes that follow a broken request. The placer counts them over all
-//! instances and reports which requests are refused.
+//! Requests that may crash the servers that run them, as this instance knows them.
 
-use std::collections::HashSet;
-use std::sync::Mutex;
+use std::sync::{Mutex, MutexGuard};
 
 use mimosabay_core::backend::Backend;
-use mimosabay_core::cell::{ObservedCrash, Update};
-use mimosabay_core::quarantine::{Crash, Fingerprint};
-
-use mimosabay_peer::VersionedQuarantine;
+use mimosabay_core::crash_observer::CrashObserver;
+use mimosabay_core::quarantine::{Crash, Fingerprint, Quarantine};
+use mimosabay_core::quarantine_log::QuarantineChanges;
 use tracing::info;
 
 use super::backends::Snapshot;
+use crate::clock::Clock;
 
-/// Time within which a crash is attributed to a broken request, in milliseconds. The entry of a
-/// crashed server disappears only after some heartbeats.
-const CRASH_ATTRIBUTION_MS: u64 = 6_000;
-/// Largest number of broken requests that are kept; the oldest are dropped first.
-const MAX_BROKEN_REQUESTS: usize = 512;
-
-/// Requests that may crash servers, as known to this instance.
-#[derive(Default)]
+/// The crash observer of this instance.
 pub(crate) struct Suspects {
-    broken: Mutex<Vec<BrokenRequest>>,
-    crashes: Mutex<Vec<ObservedCrash>>,
-    answered: Mutex<HashSet<Fingerprint>>,
-    known: Mutex<KnownQuarantine>,
-}
-
-/// A request whose connection broke.
-struct BrokenRequest {
-    fingerprint: Fingerprint,
-    crash: Crash,
-    broke_ms: u64,
-}
-
-/// The quarantine received from the placer.
-#[derive(Default)]
-struct KnownQuarantine {
-    version: u64,
-    suspected: HashSet<Fingerprint>,
-    refused: HashSet<Fingerprint>,
+    clock: Clock,
+    observer: Mutex<CrashObserver>,
 }
 
 impl Suspects {
-    /// Records that the connection of a request to a server broke.
-    pub(crate) fn record_broken(&self, fingerprint: Fingerprint, backend: &Backend, now_ms: u64) {
-        let mut broken = self.broken.lock().expect("broken lock");
-        if broken.len() >= MAX_BROKEN_REQUESTS {
-            broken.remove(0);
+    pub(crate) fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            observer: Mutex::default(),
         }
+    }
+
+    /// Records that the connection of a request to a server broke.
+    pub(crate) fn record_broken(&self, fingerprint: Fingerprint, backend: &Backend) {
         let crash = Crash {
             server: backend.id.clone(),
             boot: backend.started_unix_ms,
@@ -62,109 +37,79 @@
             server = %crash.server,
             boot = crash.boot
         );
-        broken.push(BrokenRequest {
-            fingerprint,
-            crash,
-            broke_ms: now_ms,
-        });
+        let (now_ms, unix_ms) = (self.clock.now_ms(), self.clock.unix_ms());
+        self.observer()
+            .record_broken(fingerprint, crash, now_ms, unix_ms);
     }
 
-    /// Records that a request was answered; if the request is suspected, the placer is notified.
-    pub(crate) fn record_answered(&self, fingerprint: Fingerprint) {
-        let is_suspected = self
-            .known
-            .lock()
-            .expect("known quarantine lock")
-            .suspected
-            .contains(&fingerprint);
-        if is_suspected {
-            self.answered
-                .lock()
-                .expect("answered lock")
-                .insert(fingerprint);
-        }
+    /// Records that a server answered a request.
+    pub(crate) fn record_answer(&self, fingerprint: Fingerprint) {
+        let unix_ms = self.clock.unix_ms();
+        self.observer().record_answer(fingerprint, unix_ms);
     }
 
-    /// Records a crash for each server that has terminated or restarted since a request broke
-    /// there.
-    pub(crate) fn record_crashes(&self, snapshot: &Snapshot, now_ms: u64) {
-        let mut observed = Vec::new();
-        self.broken.lock().expect("broken lock").retain(|request| {
-            let server = snapshot.get(&request.crash.server);
-            let has_ended = server.is_none_or(|it| it.started_unix_ms != request.crash.boot);
-            let age_ms = now_ms.saturating_sub(request.broke_ms);
-            if has_ended {
-                info!(
-                    event = "crash_observed",
-                    fingerprint = request.fingerprint,
-                    server = %request.crash.server,
-                    boot = request.crash.boot,
-                    is_listed = server.is_some(),
-                    age_ms
-                );
-                observed.push(ObservedCrash {
-                    fingerprint: request.fingerprint,
-                    crash: request.crash.clone(),
-                });
-            }
-            let is_kept = age_ms <= CRASH_ATTRIBUTION_MS;
-            if !has_ended && !is_kept {
-                info!(
-                    event = "crash_undecided",
-                    fingerprint = request.fingerprint,
-                    server = %request.crash.server,
-                    boot = request.crash.boot,
-                    age_ms
-                );
-            }
-            !has_ended && is_kept
-        });
-        self.crashes.lock().expect("crashes lock").extend(observed);
+    /// Decides which broken requests ran on servers that have ended since, and removes what has
+    /// expired.
+    pub(crate) fn check_servers(&self, snapshot: &Snapshot) {
+        let start_of = |server: &_| Some(snapshot.get(server)?.started_unix_ms);
+        let mut observer = self.observer();
+        observer.expire(self.clock.unix_ms());
+        let decisions = observer.check_servers(start_of, self.clock.now_ms());
+        drop(observer);
+        for decision in decisions {
+            let event = if decision.has_ended {
+                "crash_observed"
+            } else {
+                "crash_undecided"
+            };
+            info!(
+                event,
+                fingerprint = decision.fingerprint,
+                server = %decision.crash.server,
+                boot = decision.crash.boot,
+                is_listed = snapshot.contains_key(&decision.crash.server),
+                age_ms = decision.age_ms
+            );
+        }
     }
 
-    /// Takes the crashes and the answered requests that the placer does not know yet.
-    pub(crate) fn take_observations(&self) -> (Vec<ObservedCrash>, Vec<Fingerprint>) {
-        let crashes = std::mem::take(&mut *self.crashes.lock().expect("crashes lock"));
-        let answered = std::mem::take(&mut *self.answered.lock().expect("answered lock"));
-        (crashes, answered.into_iter().collect())
+    /// Takes the own evidence that the placer does not know yet.
+    pub(crate) fn take_evidence(&self, is_new_placer: bool) -> Quarantine {
+        self.observer().take_evidence(is_new_placer)
     }
 
-    /// Queues the observations of an update that did not reach the placer again.
-    pub(crate) fn requeue(&self, update: &Update) {
-        let mut crashes = self.crashes.lock().expect("crashes lock");
-        crashes.extend(update.crashes.iter().cloned());
-        drop(crashes);
-        let mut answered = self.answered.lock().expect("answered lock");
-        answered.extend(update.cleared.iter().copied());
+    /// Adds evidence that did not reach the placer to what is sent next.
+    pub(crate) fn requeue(&self, evidence: &Quarantine) {
+        self.observer().requeue(evidence);
     }
 
     /// Version of the quarantine received from the placer.
     pub(crate) fn version(&self) -> u64 {
-        self.known.lock().expect("known quarantine lock").version
+        self.observer().version()
     }
 
-    /// Replaces the known quarantine by the placer's.
-    pub(crate) fn apply(&self, received: VersionedQuarantine) {
-        let VersionedQuarantine { version, snapshot } = received;
-        info!(
-            event = "quarantine_received",
-            version,
-            suspected = snapshot.suspected.len(),
-            refused = snapshot.refused.len()
-        );
-        *self.known.lock().expect("known quarantine lock") = KnownQuarantine {
-            version,
-            suspected: snapshot.suspected.into_iter().collect(),
-            refused: snapshot.refused.into_iter().collect(),
-        };
+    /// Merges changes received from the placer.
+    pub(crate) fn apply(&self, changes: &QuarantineChanges) {
+        let version = changes.version;
+        let received = changes.table.fingerprints().count();
+        let mut observer = self.observer();
+        observer.apply(changes);
+        let refused = observer.known().quarantined().count();
+        drop(observer);
+        info!(event = "quarantine_received", version, received, refused);
     }
 
     /// Whether a request is refused because it crashed several servers.
     pub(crate) fn is_refused(&self, fingerprint: Fingerprint) -> bool {
-        self.known
-            .lock()
-            .expect("known quarantine lock")
-            .refused
-            .contains(&fingerprint)
+        self.observer().is_refused(fingerprint)
+    }
+
+    /// All evidence that this instance knows.
+    pub(crate) fn known(&self) -> Quarantine {
+        self.observer().known().clone()
+    }
+
+    fn observer(&self) -> MutexGuard<'_, CrashObserver> {
+        self.observer.lock().expect("crash observer lock")
     }
 }
--- a/daemon/src/gateway/updates.rs
+++ b/daemon/src/gateway/updates.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use mimosabay_core::cell::Update;
-use mimosabay_peer::{Category, Message, Reply, VersionedQuarantine};
+use mimosabay_core::quarantine_log::QuarantineChanges;
+use mimosabay_peer::{Category, Message, Reply};
 use tokio::time::{Instant, sleep, timeout};
 use tracing::{info, warn};
 
@@ -47,7 +48,7 @@
             let update = link.drain_outbox(state);
             apply_own_members(state, &update);
             if let Some(quarantine) = quarantine_changes(state, &update) {
-                state.suspects.apply(quarantine);
+                state.suspects.apply(&quarantine);
             }
             placer.send_update(update);
         }
@@ -65,7 +66,7 @@
                     quarantine,
                 }) => {
                     if let Some(quarantine) = quarantine {
-                        state.suspects.apply(quarantine);
+                        state.suspects.apply(&quarantine);
                     }
                     if let Some(members) = members {
                         state.apply_members(members);
@@ -77,12 +78,12 @@
                     }
                 }
                 Ok(_) => {
-                    state.suspects.requeue(&update);
+                    state.suspects.requeue(&update.evidence);
                     link.requeue_update(update);
                     link.mark_record_stale();
                 }
                 Err(cause) => {
-                    state.suspects.requeue(&update);
+                    state.suspects.requeue(&update.evidence);
                     link.requeue_update(update);
                     record_failed_contact(state, cause.classify());
                 }
@@ -91,10 +92,10 @@
     }
 }
 
-/// The quarantine, if the sender knows another version of it.
-fn quarantine_changes(state: &State, update: &Update) -> Option<VersionedQuarantine> {
+/// Changes of the quarantine that the sender does not know.
+fn quarantine_changes(state: &State, update: &Update) -> Option<QuarantineChanges> {
     let quarantine = state.quarantine.lock().expect("quarantine lock");
-    (quarantine.version != update.quarantine_version).then(|| quarantine.clone())
+    quarantine.changes_since(update.quarantine_version)
 }
 
 /// Applies the placer's own list of instances at the placer, as the other instances do.
--- a/daemon/tests/gateway/configuration.rs
+++ b/daemon/tests/gateway/configuration.rs
@@ -2,6 +2,7 @@
 
 use mimosabay_core::cell::Update;
 use mimosabay_core::name::InstanceId;
+use mimosabay_core::quarantine::Quarantine;
 use mimosabay_core::replica::{KnownRevision, ReplicaChanges, ReplicaKind};
 use mimosabay_peer::{Envelope, Message, Peer, Reply, Secret};
 use mimosabay_standin::fleet::{DESK, ENGINES, FleetOptions, FleetSite, KEY};
@@ -126,8 +127,7 @@
         entry: 1,
         ended: Vec::new(),
         charges: Vec::new(),
-        crashes: Vec::new(),
-        cleared: Vec::new(),
+        evidence: Quarantine::default(),
         quarantine_version: 0,
         runs: None,
         known: vec![KnownRevision {
--- a/peer/src/lib.rs
+++ b/peer/src/lib.rs
@@ -15,5 +15,5 @@
 pub use auth::Secret;
 pub use client::{Peer, ReplyStream};
 pub use error::{Category, Error};
-pub use message::{Envelope, Members, Message, Reply, VersionedQuarantine};
+pub use message::{Envelope, Members, Message, Reply};
 pub use server::{Inbound, Responder, serve};
--- a/peer/src/message.rs
+++ b/peer/src/message.rs
@@ -1,10 +1,11 @@
 //! Messages between instances, encoded with `bincode`.
 
 use mimosabay_core::budget::BudgetMessage;
-use mimosabay_core::cell::{PlacementRequest, PlacementResponse, QuarantineSnapshot, Update};
+use mimosabay_core::cell::{PlacementRequest, PlacementResponse, Update};
 use mimosabay_core::config::ConfigEntry;
 use mimosabay_core::membership::Heartbeat;
 use mimosabay_core::name::{InstanceId, Name};
+use mimosabay_core::quarantine_log::QuarantineChanges;
 use mimosabay_core::replica::{ReplicaChanges, ReplicaKind};
 use mimosabay_core::request::{Request, RunEvent};
 
@@ -65,15 +66,6 @@
         pub addresses: Vec<Name>,
     }
 
-    /// Quarantine status of requests that ran on servers that crashed.
-    #[derive(Default)]
-    pub struct VersionedQuarantine {
-        /// Version of the snapshot; it changes with every change and differs between placers.
-        pub version: u64,
-        /// The requests and their quarantine status.
-        pub snapshot: QuarantineSnapshot,
-    }
-
     /// A reply to a [`Message`].
     pub enum Reply {
         /// An event of a run.
@@ -106,8 +98,8 @@
             changes: Vec<(ReplicaKind, ReplicaChanges)>,
             /// The instances, if the sender has a different version of the list.
             members: Option<Members>,
-            /// The quarantine snapshot, if the sender has a different version.
-            quarantine: Option<VersionedQuarantine>,
+            /// Changes of the quarantine, if the sender has a different version.
+            quarantine: Option<QuarantineChanges>,
         },
         /// Time since the replying instance last had contact with the placer.
         PlacerLastSeen {
