Decide a crash by the list of servers only while the list is current

Cause: an instance gave a broken request up after 6 s on the clock, although its list of servers could not change meanwhile, so every crash of an outage was forgotten. Class: absence of news taken for news. The 6 s now count only time in which the store, or a placer that reaches it, answered; after two minutes a request is given up all the same.

Ruled out: asking the store more often (no call is added).

--- a/core/src/crash_observer.rs
+++ b/core/src/crash_observer.rs
@@ -10,9 +10,13 @@
 use crate::quarantine::{Crash, Fingerprint, Quarantine, QuarantineStatus};
 use crate::quarantine_log::QuarantineChanges;
 
-/// Time within which a crash is attributed to a broken request, in milliseconds. The entry of a
-/// crashed server disappears only after some heartbeats.
+/// Time after which a server that is still registered counts as running, in milliseconds. The entry
+/// of a crashed server disappears only after some heartbeats. Only time in which the list of servers
+/// was current counts.
 const ATTRIBUTION_MS: u64 = 6_000;
+/// Time after which a broken request is given up even if the list of servers was never current, in
+/// milliseconds.
+const MAX_UNDECIDED_MS: u64 = 120_000;
 /// Largest number of broken requests that are kept; the oldest are dropped first.
 const MAX_BROKEN: usize = 512;
 /// Largest number of fingerprints of own evidence that are kept; the oldest are dropped first.
@@ -34,6 +38,8 @@
     answers: RecentAnswers,
     /// Version of the quarantine received last.
     version: u64,
+    /// Time of the last call of [`CrashObserver::check_servers`], in milliseconds.
+    checked_ms: u64,
 }
 
 /// A request whose connection to a server broke.
@@ -43,6 +49,16 @@
     crash: Crash,
     broke_ms: u64,
     broke_unix_ms: u64,
+    /// Time since then in which the list of servers was current, in milliseconds.
+    listed_ms: u64,
+}
+
+/// The registered servers, as an instance knows them.
+pub struct ServerList<F> {
+    /// Returns the start time of a registered server in Unix milliseconds.
+    pub start_of: F,
+    /// Whether the list is current. Without contact with the store it becomes outdated.
+    pub is_current: bool,
 }
 
 /// A decision about a broken request.
@@ -72,6 +88,7 @@
             crash,
             broke_ms: now_ms,
             broke_unix_ms: unix_ms,
+            listed_ms: 0,
         });
         truncate_front(&mut self.broken, MAX_BROKEN);
     }
@@ -85,18 +102,22 @@
         self.report_answer(fingerprint, unix_ms);
     }
 
-    /// Decides which broken requests ran on servers that have ended. `start_of` returns the start
-    /// time of a registered server.
+    /// Decides which broken requests ran on servers that have ended.
     pub fn check_servers(
         &mut self,
-        start_of: impl Fn(&Name) -> Option<u64>,
+        list: &ServerList<impl Fn(&Name) -> Option<u64>>,
         now_ms: u64,
     ) -> Vec<Decision> {
+        let elapsed_ms = now_ms.saturating_sub(std::mem::replace(&mut self.checked_ms, now_ms));
         let mut decisions = Vec::new();
-        for request in std::mem::take(&mut self.broken) {
-            let has_ended = start_of(&request.crash.server) != Some(request.crash.boot);
+        for mut request in std::mem::take(&mut self.broken) {
+            let has_ended = (list.start_of)(&request.crash.server) != Some(request.crash.boot);
             let age_ms = now_ms.saturating_sub(request.broke_ms);
-            if !has_ended && age_ms <= ATTRIBUTION_MS {
+            if list.is_current {
+                request.listed_ms += elapsed_ms.min(age_ms);
+            }
+            let is_kept = request.listed_ms <= ATTRIBUTION_MS && age_ms <= MAX_UNDECIDED_MS;
+            if !has_ended && is_kept {
                 self.broken.push_back(request);
                 continue;
             }
--- a/core/tests/crash_observer.rs
+++ b/core/tests/crash_observer.rs
@@ -1,6 +1,7 @@
 //! Crashes that one instance observes, and the quarantine that it knows.
 
-use mimosabay_core::crash_observer::CrashObserver;
+use mimosabay_core::crash_observer::{CrashObserver, Decision, ServerList};
+use mimosabay_core::name::Name;
 use mimosabay_core::quarantine::{Crash, Fingerprint, Quarantine, QuarantineStatus};
 use mimosabay_core::quarantine_log::QuarantineChanges;
 
@@ -30,11 +31,30 @@
     }
 }
 
+/// Checks the servers against a current list. `boot` is the start of each registered server, `None` if
+/// none is registered.
+fn check(observer: &mut CrashObserver, boot: Option<u64>, now_ms: u64) -> Vec<Decision> {
+    check_list(observer, boot, true, now_ms)
+}
+
+fn check_list(
+    observer: &mut CrashObserver,
+    boot: Option<u64>,
+    is_current: bool,
+    now_ms: u64,
+) -> Vec<Decision> {
+    let list = ServerList {
+        start_of: |_: &Name| boot,
+        is_current,
+    };
+    observer.check_servers(&list, now_ms)
+}
+
 /// An observer at which a request broke at a server that has ended.
 fn observer_of_a_crash(number: u64) -> CrashObserver {
     let mut observer = CrashObserver::default();
     observer.record_broken(POISON, crash(number), 10, 1_010);
-    let decisions = observer.check_servers(|_| None, 500);
+    let decisions = check(&mut observer, None, 500);
     assert!(decisions[0].has_ended);
     observer
 }
@@ -100,6 +120,30 @@
     let mut observer = CrashObserver::default();
     observer.record_broken(POISON, crash(1), 10, 1_010);
     observer.record_answer(POISON, 1_050);
-    assert_eq!(observer.check_servers(|_| None, 500), []);
+    assert_eq!(check(&mut observer, None, 500), []);
     assert!(observer.take_evidence(false).is_empty());
 }
+
+#[test]
+fn request_that_broke_at_a_live_server_is_given_up() {
+    let mut observer = CrashObserver::default();
+    observer.record_broken(POISON, crash(1), 0, 1_000);
+    assert_eq!(check(&mut observer, Some(1), 5_000), []);
+    let decisions = check(&mut observer, Some(1), 7_000);
+    assert_eq!(decisions.len(), 1);
+    assert!(!decisions[0].has_ended);
+    assert!(observer.take_evidence(false).is_empty());
+}
+
+/// Guards against giving up while the list of servers is outdated, because the store is away.
+#[test]
+fn crash_is_decided_after_an_outage_of_the_store() {
+    let mut observer = CrashObserver::default();
+    observer.record_broken(POISON, crash(1), 0, 1_000);
+    for now_ms in (500..=20_000).step_by(500) {
+        assert_eq!(check_list(&mut observer, Some(1), false, now_ms), []);
+    }
+    let decisions = check(&mut observer, None, 20_500);
+    assert!(decisions[0].has_ended);
+    assert!(!observer.take_evidence(false).is_empty());
+}
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -92,7 +92,8 @@
         sleep(Duration::from_millis(CLEANUP_PERIOD_MS)).await;
         state.backends.remove_expired(state.now_ms());
         let snapshot = state.backends.snapshot();
-        state.suspects.check_servers(&snapshot);
+        let is_current = state.has_current_backends();
+        state.suspects.check_servers(&snapshot, is_current);
         state.pool.remove_expired(|id| snapshot.contains_key(id));
         let mut plain = state.plain.lock().expect("plain lock");
         plain.retain(|id| snapshot.contains_key(id));
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -26,6 +26,9 @@
 use super::suspects::Suspects;
 use crate::clock::Clock;
 
+/// Largest age of the store's last response at which what it holds counts as known, in milliseconds.
+const STORE_FRESH_MS: u64 = 1_100;
+
 /// Shared by all tasks of an instance. Each lock is held for a single step, never across an await,
 /// and never while another lock is held.
 pub(crate) struct State {
@@ -194,11 +197,23 @@
     }
 
     /// Time since the store's last response to a watch of the servers, in milliseconds.
-    pub(crate) fn store_response_age_ms(&self) -> u64 {
+    fn store_response_age_ms(&self) -> u64 {
         let responded_ms = self.store_responded_ms.load(Ordering::Relaxed);
         self.now_ms().saturating_sub(responded_ms)
     }
 
+    /// Whether the list of backend servers is current: the store, or a placer that reaches it,
+    /// answered recently.
+    pub(crate) fn has_current_backends(&self) -> bool {
+        let is_relayed = self.link.relay_fresh_ms(self.now_ms()) > 0;
+        is_relayed || self.reaches_store()
+    }
+
+    /// Whether the store answered recently.
+    pub(crate) fn reaches_store(&self) -> bool {
+        self.store_response_age_ms() <= STORE_FRESH_MS
+    }
+
     /// Whether the instance is ready to receive callers.
     pub(crate) fn is_ready(&self) -> bool {
         let has_listed_backends = self.has_listed_backends.load(Ordering::Relaxed);
--- a/daemon/src/gateway/suspects.rs
+++ b/daemon/src/gateway/suspects.rs
@@ -3,7 +3,8 @@
 use std::sync::{Mutex, MutexGuard};
 
 use mimosabay_core::backend::Backend;
-use mimosabay_core::crash_observer::CrashObserver;
+use mimosabay_core::crash_observer::{CrashObserver, ServerList};
+use mimosabay_core::name::Name;
 use mimosabay_core::quarantine::{Crash, Fingerprint, Quarantine};
 use mimosabay_core::quarantine_log::QuarantineChanges;
 use tracing::info;
@@ -49,12 +50,15 @@
     }
 
     /// Decides which broken requests ran on servers that have ended since, and removes what has
-    /// expired.
-    pub(crate) fn check_servers(&self, snapshot: &Snapshot) {
-        let start_of = |server: &_| Some(snapshot.get(server)?.started_unix_ms);
+    /// expired. `is_current` tells whether the snapshot is.
+    pub(crate) fn check_servers(&self, snapshot: &Snapshot, is_current: bool) {
+        let list = ServerList {
+            start_of: |server: &Name| Some(snapshot.get(server)?.started_unix_ms),
+            is_current,
+        };
         let mut observer = self.observer();
         observer.expire(self.clock.unix_ms());
-        let decisions = observer.check_servers(start_of, self.clock.now_ms());
+        let decisions = observer.check_servers(&list, self.clock.now_ms());
         drop(observer);
         for decision in decisions {
             let event = if decision.has_ended {
--- a/daemon/src/gateway/updates.rs
+++ b/daemon/src/gateway/updates.rs
@@ -21,9 +21,6 @@
 const BATCH_INTERVAL_MS: u64 = 40;
 /// Time to wait for the reply to an update, in milliseconds.
 const UPDATE_TIMEOUT_MS: u64 = 500;
-/// Largest age of the store's last response to the placer at which the placer's replicas count as
-/// fresh, in milliseconds.
-const STORE_FRESH_MS: u64 = 1_100;
 
 /// Sends updates to the placer until the process ends.
 pub(crate) async fn run(state: Arc<State>) {
@@ -116,7 +113,7 @@
     let changes = update.known.iter();
     let changes = changes.map(|known| (known.kind, state.replicas.changes_since(known)));
     Reply::Updated {
-        reaches_store: state.store_response_age_ms() <= STORE_FRESH_MS,
+        reaches_store: state.reaches_store(),
         changes: changes.collect(),
         members: state.members.changes_since(update.members_version),
         quarantine: quarantine_changes(state, update),
