Recognise a crashed plain server by refused connections, not only by its missing entry

Cause: an instance waited until the entry of the server disappeared, three heartbeats after the crash, and only the instance that had sent the request waited: if it was killed meanwhile, the crash was never counted. Now it probes the address twice after a broken connection; two refused connections decide.

--- a/core/src/crash_observer.rs
+++ b/core/src/crash_observer.rs
@@ -14,9 +14,14 @@
 /// of a crashed server disappears only after some heartbeats. Only time in which the list of servers
 /// was current counts.
 const ATTRIBUTION_MS: u64 = 6_000;
-/// Time after which a broken request is given up even if the list of servers was never current, in
-/// milliseconds.
+/// Time after which a broken request is given up, and a crash no longer retracted, even if the list
+/// of servers was never current, in milliseconds.
 const MAX_UNDECIDED_MS: u64 = 120_000;
+/// Time after which a server that was taken for ended by refused connections, and is still
+/// registered, counts as running, in milliseconds. Longer than an entry outlives its server.
+const STILL_REGISTERED_MS: u64 = 8_000;
+/// Largest number of decided crashes that may still be retracted; the oldest are dropped first.
+const MAX_RETRACTABLE: usize = 512;
 /// Largest number of broken requests that are kept; the oldest are dropped first.
 const MAX_BROKEN: usize = 512;
 /// Largest number of fingerprints of own evidence that are kept; the oldest are dropped first.
@@ -29,6 +34,8 @@
 pub struct CrashObserver {
     /// Requests that broke at servers of which it is not known yet whether they have ended.
     broken: VecDeque<BrokenRequest>,
+    /// Crashes that this instance recorded and may still retract.
+    retractable: VecDeque<RetractableCrash>,
     /// All evidence that this instance knows, its own and that received from placers.
     known: Quarantine,
     /// Work to whose evidence in `known` this instance has added, oldest first.
@@ -53,6 +60,17 @@
     listed_ms: u64,
 }
 
+/// A crash that is retracted if the server turns out to be running.
+#[derive(Clone, Debug)]
+struct RetractableCrash {
+    crash: Crash,
+    /// Whether the server has been registered ever since the crash was recorded.
+    was_registered: bool,
+    recorded_ms: u64,
+    /// Time since then in which the list of servers was current, in milliseconds.
+    listed_ms: u64,
+}
+
 /// The registered servers, as an instance knows them.
 pub struct ServerList<F> {
     /// Returns the start time of a registered server in Unix milliseconds.
@@ -68,12 +86,23 @@
     pub fingerprint: Fingerprint,
     /// The server and the start of it at which the request broke.
     pub crash: Crash,
-    /// Whether that start of the server has ended. Otherwise the request is given up undecided.
-    pub has_ended: bool,
+    /// What became of that start of the server.
+    pub verdict: Verdict,
     /// Time since the request broke, in milliseconds.
     pub age_ms: u64,
 }
 
+/// What became of a server at which a request broke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It refuses connections.
+    RefusesConnections,
+    /// It is no longer registered, or has started again.
+    Unregistered,
+    /// It is still registered.
+    Registered,
+}
+
 impl CrashObserver {
     /// Records that a request broke at a server.
     pub fn record_broken(
@@ -109,29 +138,42 @@
         now_ms: u64,
     ) -> Vec<Decision> {
         let elapsed_ms = now_ms.saturating_sub(std::mem::replace(&mut self.checked_ms, now_ms));
+        let is_registered = |crash: &Crash| (list.start_of)(&crash.server) == Some(crash.boot);
         let mut decisions = Vec::new();
         for mut request in std::mem::take(&mut self.broken) {
-            let has_ended = (list.start_of)(&request.crash.server) != Some(request.crash.boot);
             let age_ms = now_ms.saturating_sub(request.broke_ms);
             if list.is_current {
                 request.listed_ms += elapsed_ms.min(age_ms);
             }
-            let is_kept = request.listed_ms <= ATTRIBUTION_MS && age_ms <= MAX_UNDECIDED_MS;
-            if !has_ended && is_kept {
+            let is_expired = request.listed_ms > ATTRIBUTION_MS || age_ms > MAX_UNDECIDED_MS;
+            if !is_registered(&request.crash) {
+                decisions.push(request.decision(Verdict::Unregistered, now_ms));
+                self.record_crash(&request, false, now_ms);
+            } else if is_expired {
+                decisions.push(request.decision(Verdict::Registered, now_ms));
+            } else {
                 self.broken.push_back(request);
-                continue;
-            }
-            decisions.push(Decision {
-                fingerprint: request.fingerprint,
-                crash: request.crash.clone(),
-                has_ended,
-                age_ms,
-            });
-            if has_ended {
-                self.record_crash(&request);
             }
         }
+        if list.is_current {
+            self.retract_crashes_of_live_servers(is_registered, elapsed_ms, now_ms);
+        }
+        decisions
+    }
+
+    /// Records that a server refuses connections, so that it has ended: the requests that broke there
+    /// ran at its crash.
+    pub fn record_refused_connections(&mut self, crash: &Crash, now_ms: u64) -> Vec<Decision> {
+        let broken = std::mem::take(&mut self.broken).into_iter();
+        let (ended, kept): (Vec<_>, Vec<_>) = broken.partition(|request| request.crash == *crash);
+        self.broken = kept.into();
+        for request in &ended {
+            self.record_crash(request, true, now_ms);
+        }
+        let decisions = ended.iter();
         decisions
+            .map(|request| request.decision(Verdict::RefusesConnections, now_ms))
+            .collect()
     }
 
     /// Takes the own evidence that the placer does not know yet: all of it if the placer is new.
@@ -181,11 +223,42 @@
         self.own.retain(|it| self.known.contains(*it));
     }
 
-    fn record_crash(&mut self, request: &BrokenRequest) {
+    fn record_crash(&mut self, request: &BrokenRequest, was_registered: bool, now_ms: u64) {
         let fingerprint = request.fingerprint;
         self.known
             .record_crash(&request.crash, [fingerprint], request.broke_unix_ms);
         self.mark_own(fingerprint);
+        self.retractable.push_back(RetractableCrash {
+            crash: request.crash.clone(),
+            was_registered,
+            recorded_ms: now_ms,
+            listed_ms: 0,
+        });
+        truncate_front(&mut self.retractable, MAX_RETRACTABLE);
+    }
+
+    /// Retracts the crashes of servers that returned to the list with the start of before, or that
+    /// never left it.
+    fn retract_crashes_of_live_servers(
+        &mut self,
+        is_registered: impl Fn(&Crash) -> bool,
+        elapsed_ms: u64,
+        now_ms: u64,
+    ) {
+        for mut crash in std::mem::take(&mut self.retractable) {
+            let age_ms = now_ms.saturating_sub(crash.recorded_ms);
+            crash.listed_ms += elapsed_ms.min(age_ms);
+            let is_registered = is_registered(&crash.crash);
+            crash.was_registered &= is_registered;
+            let has_lived_on = !crash.was_registered || crash.listed_ms > STILL_REGISTERED_MS;
+            if is_registered && has_lived_on {
+                for fingerprint in self.known.retract_crash(&crash.crash) {
+                    self.mark_own(fingerprint);
+                }
+            } else if age_ms <= MAX_UNDECIDED_MS {
+                self.retractable.push_back(crash);
+            }
+        }
     }
 
     /// Adds an answer to the evidence if a crash counts against the work.
@@ -206,6 +279,17 @@
     }
 }
 
+impl BrokenRequest {
+    fn decision(&self, verdict: Verdict, now_ms: u64) -> Decision {
+        Decision {
+            fingerprint: self.fingerprint,
+            crash: self.crash.clone(),
+            verdict,
+            age_ms: now_ms.saturating_sub(self.broke_ms),
+        }
+    }
+}
+
 /// The latest answers of this instance. Invariant: at most [`MAX_ANSWERS`] entries.
 #[derive(Debug, Default)]
 struct RecentAnswers {
--- a/core/tests/crash_observer.rs
+++ b/core/tests/crash_observer.rs
@@ -1,6 +1,6 @@
 //! Crashes that one instance observes, and the quarantine that it knows.
 
-use mimosabay_core::crash_observer::{CrashObserver, Decision, ServerList};
+use mimosabay_core::crash_observer::{CrashObserver, Decision, ServerList, Verdict};
 use mimosabay_core::name::Name;
 use mimosabay_core::quarantine::{Crash, Fingerprint, Quarantine, QuarantineStatus};
 use mimosabay_core::quarantine_log::QuarantineChanges;
@@ -55,7 +55,7 @@
     let mut observer = CrashObserver::default();
     observer.record_broken(POISON, crash(number), 10, 1_010);
     let decisions = check(&mut observer, None, 500);
-    assert!(decisions[0].has_ended);
+    assert_eq!(decisions[0].verdict, Verdict::Unregistered);
     observer
 }
 
@@ -131,7 +131,7 @@
     assert_eq!(check(&mut observer, Some(1), 5_000), []);
     let decisions = check(&mut observer, Some(1), 7_000);
     assert_eq!(decisions.len(), 1);
-    assert!(!decisions[0].has_ended);
+    assert_eq!(decisions[0].verdict, Verdict::Registered);
     assert!(observer.take_evidence(false).is_empty());
 }
 
@@ -144,6 +144,52 @@
         assert_eq!(check_list(&mut observer, Some(1), false, now_ms), []);
     }
     let decisions = check(&mut observer, None, 20_500);
-    assert!(decisions[0].has_ended);
+    assert_eq!(decisions[0].verdict, Verdict::Unregistered);
     assert!(!observer.take_evidence(false).is_empty());
 }
+
+/// Guards against waiting for the list of servers while the server refuses connections.
+#[test]
+fn refused_connections_decide_a_crash_at_once() {
+    let mut observer = CrashObserver::default();
+    observer.record_broken(POISON, crash(1), 0, 1_000);
+    let decisions = observer.record_refused_connections(&crash(1), 300);
+    assert_eq!(decisions[0].verdict, Verdict::RefusesConnections);
+    let evidence = observer.take_evidence(false);
+    assert_eq!(evidence.status(POISON), QuarantineStatus::Suspect);
+}
+
+/// Guards against refusing a request whose servers only refused connections for a time.
+#[test]
+fn crash_of_a_server_that_stays_registered_is_retracted() {
+    let mut observer = CrashObserver::default();
+    observer.record_broken(POISON, crash(1), 0, 1_000);
+    observer.record_refused_connections(&crash(1), 300);
+    for now_ms in (500..=10_000).step_by(500) {
+        check(&mut observer, Some(1), now_ms);
+    }
+    let evidence = observer.take_evidence(false);
+    assert_eq!(evidence.status(POISON), QuarantineStatus::Clear);
+    assert!(!evidence.is_empty());
+}
+
+/// Guards against refusing a request whose servers were only cut off from the store for a time.
+#[test]
+fn crash_of_a_server_that_returns_to_the_list_is_retracted() {
+    let mut observer = observer_of_a_crash(1);
+    check(&mut observer, None, 1_000);
+    check(&mut observer, Some(1), 1_500);
+    let evidence = observer.take_evidence(false);
+    assert_eq!(evidence.status(POISON), QuarantineStatus::Clear);
+}
+
+#[test]
+fn crash_of_a_server_that_restarted_is_not_retracted() {
+    let mut observer = observer_of_a_crash(1);
+    check(&mut observer, Some(2), 1_000);
+    for now_ms in (1_500..=20_000).step_by(500) {
+        check(&mut observer, Some(2), now_ms);
+    }
+    let evidence = observer.take_evidence(false);
+    assert_eq!(evidence.status(POISON), QuarantineStatus::Suspect);
+}
--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod body;
 mod callers;
 mod connection;
+mod crash_probe;
 mod election;
 mod engine_request;
 mod engine_run;
--- a/daemon/src/gateway/plain_request.rs
+++ b/daemon/src/gateway/plain_request.rs
@@ -11,6 +11,7 @@
 use tracing::info;
 
 use super::answer::{Answer, OwnAnswer, forward_response};
+use super::crash_probe;
 use super::exchange::{self, CompleteResponse, Failure, Outgoing};
 use super::metrics::Outcome;
 use super::request::{AttemptOptions, Job};
@@ -59,6 +60,7 @@
                     && let Some(backend) = state.backend(&server)
                 {
                     state.suspects.record_broken(fingerprint, &backend);
+                    crash_probe::start(state, &backend);
                 }
                 attempts.record_failure(failure.execution_status());
                 failure
--- a/daemon/src/gateway/suspects.rs
+++ b/daemon/src/gateway/suspects.rs
@@ -1,9 +1,10 @@
 //! Requests that may crash the servers that run them, as this instance knows them.
 
+use std::collections::HashSet;
 use std::sync::{Mutex, MutexGuard};
 
 use mimosabay_core::backend::Backend;
-use mimosabay_core::crash_observer::{CrashObserver, ServerList};
+use mimosabay_core::crash_observer::{CrashObserver, Decision, ServerList, Verdict};
 use mimosabay_core::name::Name;
 use mimosabay_core::quarantine::{Crash, Fingerprint, Quarantine};
 use mimosabay_core::quarantine_log::QuarantineChanges;
@@ -16,6 +17,8 @@
 pub(crate) struct Suspects {
     clock: Clock,
     observer: Mutex<CrashObserver>,
+    /// Servers that are being probed.
+    probed: Mutex<HashSet<Crash>>,
 }
 
 impl Suspects {
@@ -23,6 +26,7 @@
         Self {
             clock,
             observer: Mutex::default(),
+            probed: Mutex::default(),
         }
     }
 
@@ -60,20 +64,22 @@
         observer.expire(self.clock.unix_ms());
         let decisions = observer.check_servers(&list, self.clock.now_ms());
         drop(observer);
-        for decision in decisions {
-            let event = if decision.has_ended {
-                "crash_observed"
-            } else {
-                "crash_undecided"
-            };
-            info!(
-                event,
-                fingerprint = decision.fingerprint,
-                server = %decision.crash.server,
-                boot = decision.crash.boot,
-                is_listed = snapshot.contains_key(&decision.crash.server),
-                age_ms = decision.age_ms
-            );
+        log_decisions(&decisions);
+    }
+
+    /// Begins a probe of a server; returns whether there was none.
+    pub(crate) fn start_probe(&self, crash: &Crash) -> bool {
+        let mut probed = self.probed.lock().expect("probed lock");
+        probed.insert(crash.clone())
+    }
+
+    /// Ends a probe of a server.
+    pub(crate) fn finish_probe(&self, crash: &Crash, has_ended: bool) {
+        self.probed.lock().expect("probed lock").remove(crash);
+        if has_ended {
+            let now_ms = self.clock.now_ms();
+            let decisions = self.observer().record_refused_connections(crash, now_ms);
+            log_decisions(&decisions);
         }
     }
 
@@ -117,3 +123,20 @@
         self.observer.lock().expect("crash observer lock")
     }
 }
+
+fn log_decisions(decisions: &[Decision]) {
+    for decision in decisions {
+        let event = match decision.verdict {
+            Verdict::RefusesConnections | Verdict::Unregistered => "crash_observed",
+            Verdict::Registered => "crash_undecided",
+        };
+        info!(
+            event,
+            fingerprint = decision.fingerprint,
+            server = %decision.crash.server,
+            boot = decision.crash.boot,
+            verdict = ?decision.verdict,
+            age_ms = decision.age_ms
+        );
+    }
+}
