Store the quarantine, so that it outlives all instances

Now the placer stores refused work (kind quarantine, one object, at most 2,000 fingerprints, the latest crashes) when it has changed, at most once a second, with a conditional write; after a conflict or a lost answer it reads and merges first. A placer reads the object when it starts, but not at the first start of a site, where nothing is stored. Fingerprints are hexadecimal in JSON, where large numbers lose digits.

Ruled out: writing the placer's record, whose revision is the fencing number; the watched kind of that record, since each write would wake every instance's watch. Suspects are not stored: they are mostly innocent, and one crash more after a loss of all instances is the price.

--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -215,6 +215,16 @@
         }
     }
 
+    /// Returns the part of the table that concerns quarantined work: at most `max` fingerprints,
+    /// those with the latest crashes.
+    #[must_use]
+    pub fn latest_quarantined(&self, max: usize) -> Quarantine {
+        let mut fingerprints: Vec<Fingerprint> = self.quarantined().collect();
+        fingerprints.sort_by_key(|it| std::cmp::Reverse(self.evidence[it].last_unix_ms()));
+        fingerprints.truncate(max);
+        self.part(fingerprints)
+    }
+
     /// Returns whether the table holds no crashes.
     pub fn is_empty(&self) -> bool {
         self.evidence.is_empty()
@@ -246,7 +256,8 @@
 
     #[derive(Serialize, Deserialize)]
     struct Row {
-        fingerprint: Fingerprint,
+        /// Hexadecimal, because a JSON number may lose digits.
+        fingerprint: String,
         crashes: Vec<(Crash, u64)>,
         retracted: Vec<Crash>,
         answered_unix_ms: Option<u64>,
@@ -257,7 +268,7 @@
         serializer: S,
     ) -> Result<S::Ok, S::Error> {
         let row = |(fingerprint, evidence): (&Fingerprint, &Evidence)| Row {
-            fingerprint: *fingerprint,
+            fingerprint: format!("{fingerprint:x}"),
             crashes: evidence.crashes.clone().into_iter().collect(),
             retracted: evidence.retracted.iter().cloned().collect(),
             answered_unix_ms: evidence.answered_unix_ms,
@@ -271,13 +282,15 @@
     ) -> Result<BTreeMap<Fingerprint, Evidence>, D::Error> {
         let rows = Vec::<Row>::deserialize(deserializer)?;
         let pair = |row: Row| {
+            let fingerprint = Fingerprint::from_str_radix(&row.fingerprint, 16);
+            let fingerprint = fingerprint.map_err(serde::de::Error::custom)?;
             let evidence = Evidence {
                 crashes: row.crashes.into_iter().collect(),
                 retracted: row.retracted.into_iter().collect(),
                 answered_unix_ms: row.answered_unix_ms,
             };
-            (row.fingerprint, evidence)
+            Ok((fingerprint, evidence))
         };
-        Ok(rows.into_iter().map(pair).collect())
+        rows.into_iter().map(pair).collect()
     }
 }
--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod placer;
 mod plain_request;
 mod pool;
+mod quarantine_store;
 mod relay;
 mod reload;
 mod replicas;
--- a/daemon/src/gateway/placer.rs
+++ b/daemon/src/gateway/placer.rs
@@ -8,14 +8,16 @@
     Ticket, Update,
 };
 use mimosabay_core::name::Name;
+use mimosabay_core::quarantine::Quarantine;
 use mimosabay_core::quarantine_log::QuarantineLog;
 use mimosabay_core::site::Site;
 use mimosabay_platform::server::{OrderAuthority, ServerControl};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::sleep_until;
 use tracing::{debug, info, warn};
 
 use super::backends::Snapshot;
+use super::quarantine_store::QuarantineStore;
 use super::state::State;
 
 /// Longest time between two ticks of the cell, in milliseconds.
@@ -35,6 +37,7 @@
     OrderAnswered(Name, OrderAnswer),
     Reported(Name, Option<Report>),
     HoldOrders { until_ms: u64 },
+    MergeQuarantine(Quarantine),
 }
 
 impl Placer {
@@ -58,9 +61,11 @@
             control: ServerControl::default(),
             authority,
             inbox: placer.inbox.downgrade(),
+            quarantine_changes: watch::Sender::new(()),
             state,
         };
         driver.start_quarantine_log();
+        driver.start_quarantine_store();
         tokio::spawn(driver.run(inputs));
         placer
     }
@@ -95,6 +100,8 @@
     control: ServerControl,
     authority: OrderAuthority,
     inbox: mpsc::WeakUnboundedSender<Input>,
+    /// Signals changes of the quarantine to its store. Dropping it ends the store's task.
+    quarantine_changes: watch::Sender<()>,
     state: Arc<State>,
 }
 
@@ -159,6 +166,7 @@
                 self.cell.handle_report(&server, report.as_ref(), now_ms);
             }
             Input::HoldOrders { until_ms } => self.cell.hold_orders(until_ms),
+            Input::MergeQuarantine(quarantine) => self.cell.merge_quarantine(&quarantine),
         }
     }
 
@@ -181,7 +189,19 @@
         *self.state.quarantine.lock().expect("quarantine lock") = log;
     }
 
-    /// Reports changes of the quarantine to the instances.
+    fn start_quarantine_store(&self) {
+        let store = QuarantineStore::new(self.state.clone());
+        let inbox = self.inbox.clone();
+        let merge = move |quarantine| {
+            if let Some(inbox) = inbox.upgrade() {
+                // A placer that has stopped does not need the quarantine.
+                let _ = inbox.send(Input::MergeQuarantine(quarantine));
+            }
+        };
+        tokio::spawn(store.run(self.quarantine_changes.subscribe(), merge));
+    }
+
+    /// Reports changes of the quarantine to the instances and to its store.
     fn publish_quarantine(&mut self) {
         let Some(evidence) = self.cell.take_quarantine_changes() else {
             return;
@@ -192,6 +212,7 @@
         drop(log);
         let changed = evidence.fingerprints().count();
         info!(event = "suspects_changed", changed, refused);
+        self.quarantine_changes.send_replace(());
     }
 
     fn apply_site(&mut self, site: Option<Arc<Site>>) {
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -48,7 +48,8 @@
         event = "started",
         instance = %settings.instance,
         zone = %settings.zone,
-        incarnation
+        incarnation,
+        is_first_start = settings.is_first_start
     );
     let callers = listen(settings.caller_address)?;
     let ready = listen(settings.ready_address)?;
--- a/daemon/tests/gateway/store.rs
+++ b/daemon/tests/gateway/store.rs
@@ -182,3 +182,19 @@
         assert!(watches <= elapsed_s + 2, "{watches} in {elapsed_s} s");
     });
 }
+
+#[test]
+fn quarantine_is_not_stored_while_no_server_crashes() {
+    block_on(async {
+        let site = FleetSite::start(FleetOptions::default()).await;
+        let writes = site.store.write_count();
+        for number in 0..20 {
+            let id = format!("booking-{number}");
+            let caller = site.caller(number % 2);
+            let answer = caller.post("/book/x", &id, "a booking").await.unwrap();
+            assert_eq!(answer.status, 200);
+        }
+        assert_eq!(site.store.write_count(), writes);
+        assert_eq!(site.store.spec("quarantine", "cell-0"), None);
+    });
+}
--- a/daemon/tests/poison.rs
+++ b/daemon/tests/poison.rs
@@ -47,6 +47,8 @@
     PlacerFrozenTwice,
     /// All instances are killed and started again.
     AllRestarted,
+    /// The same, twice.
+    AllRestartedTwice,
     /// The store is down while servers crash.
     StoreDown,
     /// The store loses answers to writes while the placer is killed twice.
@@ -69,6 +71,7 @@
         booking_placer_stopped: (Route::Booking, CrashEnd::Close, RestartId::Same, Disturbance::PlacerStoppedTwice);
         booking_placer_frozen: (Route::Booking, CrashEnd::Silence, RestartId::New, Disturbance::PlacerFrozenTwice);
         booking_all_restarted: (Route::Booking, CrashEnd::Close, RestartId::New, Disturbance::AllRestarted);
+        booking_all_restarted_twice: (Route::Booking, CrashEnd::Close, RestartId::New, Disturbance::AllRestartedTwice);
         booking_store_down: (Route::Booking, CrashEnd::Close, RestartId::New, Disturbance::StoreDown);
         lookup: (Route::Lookup, CrashEnd::Close, RestartId::New, Disturbance::None);
         lookup_at_silent_servers: (Route::Lookup, CrashEnd::Silence, RestartId::Same, Disturbance::None);
@@ -81,6 +84,7 @@
         draft_mid_stream_placer_stopped: (Route::Draft, CrashEnd::CloseMidStream, RestartId::Same, Disturbance::PlacerStoppedTwice);
         draft_placer_frozen: (Route::Draft, CrashEnd::Close, RestartId::New, Disturbance::PlacerFrozenTwice);
         draft_all_restarted: (Route::Draft, CrashEnd::Close, RestartId::New, Disturbance::AllRestarted);
+        draft_all_restarted_twice: (Route::Draft, CrashEnd::Close, RestartId::New, Disturbance::AllRestartedTwice);
         draft_store_down: (Route::Draft, CrashEnd::Close, RestartId::New, Disturbance::StoreDown);
         draft_once_store_loses_answers: (Route::DraftOnce, CrashEnd::Close, RestartId::New, Disturbance::StoreLosesAnswers);
         draft_once_at_silent_servers: (Route::DraftOnce, CrashEnd::Silence, RestartId::New, Disturbance::None);
@@ -231,7 +235,9 @@
                 callers.mark_disturbed(instance, false);
             }
         }
-        Disturbance::AllRestarted if begins(5_500) => {
+        Disturbance::AllRestarted | Disturbance::AllRestartedTwice
+            if begins(5_500) || disturbance == Disturbance::AllRestartedTwice && begins(9_500) =>
+        {
             for instance in &mut site.instances {
                 instance.process.kill();
             }
--- a/standin/src/fleet/site.rs
+++ b/standin/src/fleet/site.rs
@@ -216,6 +216,7 @@
     pub fn restart(&mut self, index: usize) {
         let instance = &mut self.instances[index];
         instance.process.kill();
+        instance.change_settings("bootstrap = true", "bootstrap = false");
         instance.start();
     }
 
