Refuse a request that crashes engines also while there is no placer

What callers saw: while no placer could be elected (the store away, the placer gone), a request that is refused for crashing engines was sent to engines all the same. Cause: the instance's own choice of an engine did not look at the quarantine. Each instance now checks what it knows before it asks the placer or chooses itself; the fingerprint is computed once for a request. Evidence: quarantined_draft_is_refused_while_no_placer_can_be_elected failed before (502, the engine crashed) and holds now (503, not run).

--- a/daemon/src/gateway/placement.rs
+++ b/daemon/src/gateway/placement.rs
@@ -8,6 +8,7 @@
 use mimosabay_core::cell::{
     AdoptedRun, Charge, PlacementRequest, PlacementResponse, Refusal, RefusalReason, Ticket,
 };
+use mimosabay_core::quarantine;
 use tokio::time::timeout;
 use tracing::info;
 
@@ -40,20 +41,13 @@
         server: "".into(),
         prompt: request.prompt.clone(),
     });
-    let placement_request = placement_request(state, request, ticket);
-    let limit = Duration::from_millis(placement_request.left_ms);
     let requested_ms = state.now_ms();
-    let response = timeout(
-        limit,
-        state.link.request_placement(state, placement_request),
-    )
-    .await;
-    let waited_ms = state.now_ms() - requested_ms;
-    let (response, is_placed) = match response {
-        Ok(Some(response)) => (response, true),
-        Ok(None) => (place_without_placer(state, request), false),
-        Err(_) => (timed_out_refusal(), true),
+    let (response, is_placed) = if state.suspects.is_refused(request.job.fingerprint) {
+        (quarantine_refusal(), false)
+    } else {
+        request_placement(state, request, ticket).await
     };
+    let waited_ms = state.now_ms() - requested_ms;
     match response {
         PlacementResponse::Refused(refusal) => {
             info!(
@@ -109,6 +103,22 @@
     }
 }
 
+/// Returns the placement response, and whether it comes from the placer.
+async fn request_placement(
+    state: &State,
+    request: &EngineRequest,
+    ticket: Ticket,
+) -> (PlacementResponse, bool) {
+    let placement_request = placement_request(state, request, ticket);
+    let limit = Duration::from_millis(placement_request.left_ms);
+    let response = state.link.request_placement(state, placement_request);
+    match timeout(limit, response).await {
+        Ok(Some(response)) => (response, true),
+        Ok(None) => (place_without_placer(state, request), false),
+        Err(_) => (timed_out_refusal(), true),
+    }
+}
+
 fn placement_request(state: &State, request: &EngineRequest, ticket: Ticket) -> PlacementRequest {
     let job = &request.job;
     let waited_ms = state.now_ms() - job.arrived_ms;
@@ -124,10 +134,17 @@
         target_ms: job.route.target_latency_ms.saturating_sub(waited_ms),
         excluded: request.excluded.clone(),
         previous: request.previous.clone(),
-        fingerprint: job.fingerprint(),
+        fingerprint: job.fingerprint,
     }
 }
 
+fn quarantine_refusal() -> PlacementResponse {
+    PlacementResponse::Refused(Refusal {
+        reason: RefusalReason::Quarantined,
+        retry_after_ms: quarantine::RETRY_AFTER_MS,
+    })
+}
+
 fn timed_out_refusal() -> PlacementResponse {
     PlacementResponse::Refused(Refusal {
         reason: RefusalReason::Overloaded,
--- a/daemon/src/gateway/plain_request.rs
+++ b/daemon/src/gateway/plain_request.rs
@@ -25,7 +25,7 @@
 
 /// Sends a request to servers of its service until one answers.
 pub(crate) async fn run(state: &Arc<State>, job: Job) -> Answer {
-    let fingerprint = job.fingerprint();
+    let fingerprint = job.fingerprint;
     if state.suspects.is_refused(fingerprint) {
         return quarantine_refusal(state, &job);
     }
--- a/daemon/src/gateway/request.rs
+++ b/daemon/src/gateway/request.rs
@@ -9,6 +9,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use mimosabay_core::name::Name;
+use mimosabay_core::quarantine::Fingerprint;
 use mimosabay_core::site::{Denied, Organisation, Route, Service, Site};
 use mimosabay_platform::ingress::{self, ForwardOptions};
 use tokio::time::timeout;
@@ -38,6 +39,9 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Hash of path, organisation and body. A retry by the same caller has the same hash, whatever
+    /// its identifier.
+    pub(crate) fingerprint: Fingerprint,
     /// When it arrived, in milliseconds.
     pub(crate) arrived_ms: u64,
     /// Time by which it must be answered, in milliseconds.
@@ -61,17 +65,6 @@
         u8::try_from(rank).unwrap_or(u8::MAX)
     }
 
-    /// Hash of path, organisation and body. A retry by the same caller has the same hash, whatever
-    /// its identifier.
-    pub(crate) fn fingerprint(&self) -> u64 {
-        let mut hasher = DefaultHasher::new();
-        self.uri.path().hash(&mut hasher);
-        let organisation = self.organisation.as_ref().map(|it| it.name.clone());
-        organisation.hash(&mut hasher);
-        self.body.hash(&mut hasher);
-        hasher.finish()
-    }
-
     /// Headers of the request as sent to a server.
     pub(crate) fn server_headers(&self, state: &State, options: AttemptOptions) -> HeaderMap {
         let organisation = self.organisation.as_ref();
@@ -183,6 +176,7 @@
         id: id.clone(),
         route,
         service,
+        fingerprint: fingerprint(&parts.uri, organisation.as_deref(), &body),
         organisation,
         method: parts.method,
         uri: parts.uri,
@@ -194,6 +188,14 @@
     })
 }
 
+fn fingerprint(uri: &Uri, organisation: Option<&Organisation>, body: &Bytes) -> Fingerprint {
+    let mut hasher = DefaultHasher::new();
+    uri.path().hash(&mut hasher);
+    organisation.map(|it| &it.name).hash(&mut hasher);
+    body.hash(&mut hasher);
+    hasher.finish()
+}
+
 type Authorised = (Arc<Route>, Option<Arc<Organisation>>);
 
 fn authorise(site: &Site, parts: &http::request::Parts) -> Result<Authorised, OwnAnswer> {
--- a/daemon/tests/gateway/main.rs
+++ b/daemon/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod logs;
 mod path;
 mod placer;
+mod quarantine;
 mod rates;
 mod servers;
 mod stop;
