Check the quarantine before each retry at a plain service

What callers saw: a request whose first attempt was still waiting when its work was found to crash servers crashed one more by its retry. Cause: the check was made once, when the request came in.

--- a/daemon/src/gateway/plain_request.rs
+++ b/daemon/src/gateway/plain_request.rs
@@ -76,13 +76,20 @@
             left_ms = job.remaining_ms(state)
         );
         excluded.push(server);
-        let is_expired = job.remaining_ms(state) == 0;
-        if is_expired || !attempts.may_retry() || !state.try_take_retry(&job.service.name) {
+        if !try_take_retry(state, &job, &attempts) {
             return failure_answer(state, &job, &attempts, failure, failed_response);
         }
     }
 }
 
+/// Takes a retry for another attempt; returns whether the attempt may be made.
+fn try_take_retry(state: &State, job: &Job, attempts: &Attempts) -> bool {
+    job.remaining_ms(state) > 0
+        && attempts.may_retry()
+        && !state.suspects.is_refused(job.fingerprint)
+        && state.try_take_retry(&job.service.name)
+}
+
 /// Refuses a request that crashed several servers.
 fn quarantine_refusal(state: &State, job: &Job) -> Answer {
     let own_answer = OwnAnswer::NotRun {
--- a/daemon/tests/gateway/quarantine.rs
+++ b/daemon/tests/gateway/quarantine.rs
@@ -1,8 +1,10 @@
 //! Requests that crash the servers that run them.
 
-use mimosabay_standin::fleet::{CrashEnd, CrashPlan, FleetOptions, FleetSite, RestartId};
+use mimosabay_standin::fleet::{
+    Behaviour, CrashEnd, CrashPlan, FleetInstance, FleetOptions, FleetServer, FleetSite, RestartId,
+};
 use mimosabay_standin::harness::{block_on, wait_for};
-use serde_json::json;
+use serde_json::{Value, json};
 
 /// Body of the requests that crash servers.
 const POISON: &str = "poison";
@@ -73,3 +75,58 @@
         assert_eq!(site.run_count("last"), 0);
     });
 }
+
+/// Returns whether an instance knows version 2 of the configuration and that servers are leaving.
+fn knows_changes(instance: &FleetInstance, leaving: &[FleetServer]) -> bool {
+    let log = instance.log();
+    let is_in_force =
+        |line: &Value| line["event"] == "configuration_in_force" && line["version"] == 2;
+    let is_leaving = |server: &FleetServer| {
+        let mut lines = log.iter();
+        lines.any(|line| line["event"] == "server_leaving" && line["server"] == *server.id)
+    };
+    log.iter().any(is_in_force) && leaving.iter().all(is_leaving)
+}
+
+/// Guards against a retry of a request that was found to crash servers during its first attempt.
+#[test]
+fn request_that_is_quarantined_meanwhile_is_not_retried() {
+    block_on(async {
+        let site = start_site().await;
+        site.configure(2, |it| it["routes"][3]["targetLatencyMs"] = json!(3_000));
+        let [silent, others @ ..] = &site.plain_servers[..] else {
+            panic!("no plain servers");
+        };
+        silent.plan(Behaviour::Hang);
+        for server in others {
+            server.register("draining");
+            server.crash_on(PLAN);
+        }
+        wait_for("the configuration and the servers", async || {
+            let mut instances = site.instances.iter();
+            let are_known = instances.all(|instance| knows_changes(instance, others));
+            are_known.then_some(())
+        })
+        .await;
+        let caller = site.caller(0);
+        let first = tokio::spawn(async move { caller.post("/look/x", "first", POISON).await });
+        wait_for("a request that waits for its server", async || {
+            (silent.running_count() > 0).then_some(())
+        })
+        .await;
+        silent.register("draining");
+        for server in others {
+            server.register("ready");
+        }
+        wait_for("a refused request", async || {
+            let caller = site.caller(1);
+            let answer = caller.post("/look/x", "second", POISON).await.ok()?;
+            let retry_after: f64 = answer.header("retry-after").parse().ok()?;
+            (retry_after > QUARANTINE_RETRY_S).then_some(())
+        })
+        .await;
+        let answer = first.await.unwrap().unwrap();
+        assert!(answer.status >= 500, "{}", answer.status);
+        assert_eq!(site.run_count("first"), 1);
+    });
+}
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -17,5 +17,7 @@
 pub use caller::{FleetCaller, FleetReply, FleetStream};
 pub use crash::{CrashEnd, CrashPlan, RestartId};
 pub use server::{Behaviour, FleetServer, ReceivedOrder, ReceivedRequest, ServerKind};
-pub use site::{DESK, ENGINES, FleetOptions, FleetSite, HOST, KEY, MODEL, ORGANISATION};
+pub use site::{
+    DESK, ENGINES, FleetInstance, FleetOptions, FleetSite, HOST, KEY, MODEL, ORGANISATION,
+};
 pub use store::FleetStore;
