Give test sites addresses that no process being started still holds

Seen: booking_placer_frozen of the test poison ended at its start, once in 26 cases, "a ready instance: not within 30000 ms". Traced from the log that was kept: instance-2 had ended with "Address already in use". Cause: the harness checked a port by listening on it, and a process that another thread forked at that moment held the listening socket until its exec, while the instance was started. Ruled out: ephemeral ports (each test process has an IP number of its own, ports below the ephemeral range, in sequence). The check now binds without listening, which does not keep the instance from listening; another program that listens is still seen. Only suspected: that entries of KNOWN-RED.txt come from the same ("resources in force: not within 30000 ms" is a site that stays short of instances at its start); they stay listed.

--- a/standin/src/harness/instance.rs
+++ b/standin/src/harness/instance.rs
@@ -1,12 +1,13 @@
 //! Starts `mimosabayd` processes with generated settings.
 
 use std::fmt::Write;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU16, Ordering};
 
 use mimosabay_core::name::Name;
 use mimosabay_platform::{Instance, InstanceState};
+use tokio::net::TcpSocket;
 
 use super::binary::find_binary;
 use super::caller::Caller;
@@ -114,11 +115,20 @@
 ///
 /// An ephemeral port can be assigned again before the daemon listens on it. Each test process
 /// therefore has its own IP number on the loopback network and assigns its ports in sequence.
-pub(crate) fn free_address() -> Name {
+///
+/// A process that another thread is starting shares the socket that is bound here for a moment. The
+/// socket does not listen, so that the address can be bound again meanwhile.
+///
+/// # Panics
+///
+/// If no socket can be created.
+pub fn free_address() -> Name {
     loop {
         let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
         let address = SocketAddr::from((own_ip(), port));
-        if TcpListener::bind(address).is_ok() {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.set_reuseaddr(true).expect("an option of the socket");
+        if socket.bind(address).is_ok() {
             return address.to_string().into();
         }
     }
