Watch every request that a server may have run and not answered for a crash

Cause: an instance looked for a crash only after a connection to a plain service broke. A request that timed out, one whose caller gave up first, and every request to an engine were left out; for engines the placer watched alone, from what instances reported as broken, and an abandoned stream is not. Class: absence of an answer taken for the absence of a fault. Now every request that a server may have begun to run and did not answer is watched: broken, timed out, or abandoned after a second without data. The list of servers decides, and a probe if the connection broke; a server that stays registered clears it, and so does an answer to the same work.

Evidence: test poison with servers that stay silent for 4 s, longer than their callers wait (3 s). The silent cases held before only because servers were back after 1.2 s and closed the connections. Ruled out: probing after a silence (a connection to a live server costs, and a silent address tells nothing). Innocent requests: at the end of each case other requests to the same servers are answered through every instance.

--- a/daemon/src/gateway/crash_probe.rs
+++ b/daemon/src/gateway/crash_probe.rs
@@ -1,7 +1,7 @@
-//! Probes of servers at which requests broke.
+//! Finds out whether a server has crashed at which a request ended without an answer.
 //!
-//! The entry of a crashed server remains in the list for some heartbeats, but its address refuses
-//! connections at once.
+//! The entry of a crashed server remains in the list for some heartbeats, but its address mostly
+//! refuses connections at once. A server that falls silent is recognised by its missing entry.
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use mimosabay_core::backend::Backend;
-use mimosabay_core::quarantine::Crash;
+use mimosabay_core::quarantine::{Crash, Fingerprint};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
@@ -23,8 +23,48 @@
 /// Time limit of a probe, in milliseconds.
 const PROBE_TIMEOUT_MS: u64 = 350;
 
+/// Time without data from its server after which an abandoned request counts as broken, in
+/// milliseconds.
+const SILENT_MS: u64 = 1_000;
+
+/// How a request ended at a server that may have begun to run it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum RunEnd {
+    /// The server answered it.
+    Answered,
+    /// The connection broke.
+    Broken,
+    /// No answer arrived within the time of the attempt.
+    TimedOut,
+    /// The caller left, or the deadline passed, after a time without data from the server.
+    Abandoned {
+        /// That time, in milliseconds.
+        silent_ms: u64,
+    },
+}
+
+/// Records how a request ended at a server, and probes the server if the connection broke.
+pub(crate) fn record_run_end(
+    state: &Arc<State>,
+    fingerprint: Fingerprint,
+    backend: &Backend,
+    end: RunEnd,
+) {
+    match end {
+        RunEnd::Answered => state.suspects.record_answer(fingerprint),
+        RunEnd::Broken => {
+            state.suspects.record_broken(fingerprint, backend);
+            start(state, backend);
+        }
+        RunEnd::Abandoned { silent_ms } if silent_ms < SILENT_MS => {}
+        RunEnd::TimedOut | RunEnd::Abandoned { .. } => {
+            state.suspects.record_broken(fingerprint, backend);
+        }
+    }
+}
+
 /// Probes a server in a separate task, unless another task does.
-pub(crate) fn start(state: &Arc<State>, backend: &Backend) {
+fn start(state: &Arc<State>, backend: &Backend) {
     let crash = Crash {
         server: backend.id.clone(),
         boot: backend.started_unix_ms,
--- a/daemon/src/gateway/engine_request.rs
+++ b/daemon/src/gateway/engine_request.rs
@@ -165,7 +165,7 @@
         body: &request.job.body,
         request_id: &request.job.id,
     };
-    run.mark_sent();
+    run.mark_sent(&backend);
     let limit_ms = head_timeout_ms(state, request, first_event_ms);
     let sent = exchange::send(state, &backend, outgoing, limit_ms).await;
     sent.map_err(|failure| {
--- a/daemon/src/gateway/engine_run.rs
+++ b/daemon/src/gateway/engine_run.rs
@@ -2,9 +2,12 @@
 
 use std::sync::Arc;
 
+use mimosabay_core::backend::Backend;
 use mimosabay_core::cell::{EndedRun, RunOutcome, Ticket};
 use mimosabay_core::name::Name;
+use mimosabay_core::quarantine::Fingerprint;
 
+use super::crash_probe::{self, RunEnd};
 use super::state::State;
 
 /// The placer's forecast of the first event of a request.
@@ -20,8 +23,14 @@
 pub(crate) struct Run {
     state: Arc<State>,
     ticket: Ticket,
+    /// Hash of the request's work.
+    fingerprint: Fingerprint,
     pub(crate) server: Name,
+    /// The server's entry; `None` until the request is sent.
+    backend: Option<Arc<Backend>>,
     sent_ms: u64,
+    /// Time of the last data from the server, or of sending, in milliseconds.
+    last_data_ms: u64,
     forecast: Option<Forecast>,
     first_event_ms: Option<u64>,
     outcome: RunOutcome,
@@ -29,12 +38,15 @@
 
 impl Run {
     /// Creates the run of a request that waits for a placement.
-    pub(super) fn new(state: &Arc<State>, ticket: Ticket) -> Self {
+    pub(super) fn new(state: &Arc<State>, ticket: Ticket, fingerprint: Fingerprint) -> Self {
         Self {
             state: state.clone(),
             ticket,
+            fingerprint,
             server: "".into(),
+            backend: None,
             sent_ms: state.now_ms(),
+            last_data_ms: state.now_ms(),
             forecast: None,
             first_event_ms: None,
             outcome: RunOutcome::Cancelled,
@@ -46,13 +58,16 @@
         self.forecast = Some(forecast);
     }
 
-    /// Records that the request is sent now.
-    pub(super) fn mark_sent(&mut self) {
+    /// Records that the request is sent to a server now.
+    pub(super) fn mark_sent(&mut self, backend: &Arc<Backend>) {
         self.sent_ms = self.state.now_ms();
+        self.last_data_ms = self.sent_ms;
+        self.backend = Some(backend.clone());
     }
 
-    /// Records the arrival of an event, if it is the first.
-    pub(crate) fn record_first_event(&mut self) {
+    /// Records the arrival of data.
+    pub(crate) fn record_data(&mut self) {
+        self.last_data_ms = self.state.now_ms();
         if self.first_event_ms.is_none() {
             let time_ms = self.state.now_ms() - self.sent_ms;
             self.state.metrics.observe_first_event_time(time_ms);
@@ -78,6 +93,24 @@
         }
     }
 
+    /// Records how the request ended at its server, which may have crashed.
+    fn record_end(&self) {
+        let Some(backend) = &self.backend else {
+            return;
+        };
+        let silent_ms = self.state.now_ms() - self.last_data_ms;
+        let end = match self.outcome {
+            RunOutcome::Answered => RunEnd::Answered,
+            RunOutcome::Broken => RunEnd::Broken,
+            RunOutcome::Cancelled => RunEnd::Abandoned { silent_ms },
+            RunOutcome::Failed
+            | RunOutcome::NotHeld
+            | RunOutcome::Rejected
+            | RunOutcome::Unreachable => return,
+        };
+        crash_probe::record_run_end(&self.state, self.fingerprint, backend, end);
+    }
+
     /// Sets the outcome, which is reported when the run is dropped.
     pub(crate) fn set_outcome(&mut self, outcome: RunOutcome) {
         self.outcome = outcome;
@@ -86,6 +119,7 @@
 
 impl Drop for Run {
     fn drop(&mut self) {
+        self.record_end();
         self.state.link.end_run(self.as_ended());
     }
 }
--- a/daemon/src/gateway/placement.rs
+++ b/daemon/src/gateway/placement.rs
@@ -35,7 +35,7 @@
         entry: state.incarnation,
         number: state.next_request_number(),
     };
-    let mut run = Run::new(state, ticket);
+    let mut run = Run::new(state, ticket, request.job.fingerprint);
     state.link.add_run(AdoptedRun {
         ticket,
         server: "".into(),
--- a/daemon/src/gateway/plain_request.rs
+++ b/daemon/src/gateway/plain_request.rs
@@ -3,15 +3,15 @@
 use std::sync::Arc;
 
 use mimosabay_core::attempt::{Attempts, ExecutionStatus};
-use mimosabay_core::backend::LoadSample;
+use mimosabay_core::backend::{Backend, LoadSample};
 use mimosabay_core::name::Name;
 use mimosabay_core::plain::PlainOutcome;
-use mimosabay_core::quarantine;
+use mimosabay_core::quarantine::{self, Fingerprint};
 use mimosabay_core::site::RetrySafety;
 use tracing::info;
 
 use super::answer::{Answer, OwnAnswer, forward_response};
-use super::crash_probe;
+use super::crash_probe::{self, RunEnd};
 use super::exchange::{self, CompleteResponse, Failure, Outgoing};
 use super::metrics::Outcome;
 use super::request::{AttemptOptions, Job};
@@ -25,8 +25,7 @@
 
 /// Sends a request to servers of its service until one answers.
 pub(crate) async fn run(state: &Arc<State>, job: Job) -> Answer {
-    let fingerprint = job.fingerprint;
-    if state.suspects.is_refused(fingerprint) {
+    if state.suspects.is_refused(job.fingerprint) {
         return quarantine_refusal(state, &job);
     }
     record_charge(state, &job);
@@ -34,7 +33,7 @@
     let mut excluded = Vec::new();
     let mut failed_response = None;
     loop {
-        let Some(server) = choose_server(state, &job, &excluded) else {
+        let Some(backend) = choose_server(state, &job, &excluded) else {
             return failure_answer(
                 state,
                 &job,
@@ -44,10 +43,10 @@
             );
         };
         let limit_ms = attempt_limit_ms(state, &job, &attempts);
-        let result = attempt(state, &job, &server, limit_ms).await;
+        let server = backend.id.clone();
+        let result = attempt(state, &job, backend, limit_ms).await;
         let failure = match result {
             Ok(response) if !response.status.is_server_error() => {
-                state.suspects.record_answer(fingerprint);
                 return deliver_response(state, &job, &server, response);
             }
             Ok(response) => {
@@ -56,12 +55,6 @@
                 Failure::Broken
             }
             Err(failure) => {
-                if failure == Failure::Broken
-                    && let Some(backend) = state.backend(&server)
-                {
-                    state.suspects.record_broken(fingerprint, &backend);
-                    crash_probe::start(state, &backend);
-                }
                 attempts.record_failure(failure.execution_status());
                 failure
             }
@@ -108,12 +101,14 @@
     }
 }
 
-fn choose_server(state: &State, job: &Job, excluded: &[Name]) -> Option<Name> {
+fn choose_server(state: &State, job: &Job, excluded: &[Name]) -> Option<Arc<Backend>> {
     let snapshot = state.backends.snapshot();
     let servers = snapshot.values().map(|backend| &**backend);
     let servers = servers.filter(|backend| backend.service == job.service.name);
     let mut plain = state.plain.lock().expect("plain lock");
-    plain.start_request(servers, &state.settings().zone, excluded, state.now_ms())
+    let zone = &state.settings().zone;
+    let server = plain.start_request(servers, zone, excluded, state.now_ms())?;
+    snapshot.get(&server).cloned()
 }
 
 /// Time limit of an attempt. An idempotent request leaves time for another server.
@@ -128,55 +123,85 @@
     }
 }
 
-/// Records the outcome of a request at a plain server, also if its caller leaves.
+/// A request at one plain server. Dropping it records how it ended, also if its caller leaves.
 struct PlainRun<'a> {
-    state: &'a State,
-    server: &'a Name,
+    state: &'a Arc<State>,
+    fingerprint: Fingerprint,
+    backend: Arc<Backend>,
+    sent_ms: u64,
+    /// How it ended; `None` if it was abandoned.
+    result: Option<RunResult>,
+}
+
+/// How a request ended at a plain server.
+struct RunResult {
     outcome: PlainOutcome,
+    /// How it ended if the server may have begun to run it.
+    end: Option<RunEnd>,
     load: Option<LoadSample>,
 }
 
+impl RunResult {
+    fn new(result: &Result<CompleteResponse, Failure>) -> Self {
+        let (outcome, end) = match result {
+            Ok(response) if response.status.is_server_error() => (PlainOutcome::Failed, None),
+            Ok(_) => (PlainOutcome::Answered, Some(RunEnd::Answered)),
+            Err(Failure::Unreachable) => (PlainOutcome::Unreachable, None),
+            Err(Failure::NotHeld | Failure::Rejected) => (PlainOutcome::Rejected, None),
+            Err(Failure::Broken) => (PlainOutcome::Failed, Some(RunEnd::Broken)),
+            Err(Failure::TimedOut) => (PlainOutcome::Failed, Some(RunEnd::TimedOut)),
+            Err(Failure::Foreign) => (PlainOutcome::Failed, None),
+        };
+        let load = result.as_ref().ok().and_then(CompleteResponse::load);
+        Self { outcome, end, load }
+    }
+}
+
 impl Drop for PlainRun<'_> {
     fn drop(&mut self) {
         let now_ms = self.state.now_ms();
+        let abandoned = || RunResult {
+            outcome: PlainOutcome::Cancelled,
+            end: Some(RunEnd::Abandoned {
+                silent_ms: now_ms - self.sent_ms,
+            }),
+            load: None,
+        };
+        let result = self.result.take().unwrap_or_else(abandoned);
+        if let Some(end) = result.end {
+            crash_probe::record_run_end(self.state, self.fingerprint, &self.backend, end);
+        }
         let mut plain = self.state.plain.lock().expect("plain lock");
-        plain.record_outcome(self.server, self.outcome, self.load, now_ms);
+        plain.record_outcome(&self.backend.id, result.outcome, result.load, now_ms);
     }
 }
 
 async fn attempt(
-    state: &State,
+    state: &Arc<State>,
     job: &Job,
-    server: &Name,
+    backend: Arc<Backend>,
     limit_ms: u64,
 ) -> Result<CompleteResponse, Failure> {
     let mut run = PlainRun {
         state,
-        server,
-        outcome: PlainOutcome::Cancelled,
-        load: None,
-    };
-    let result = exchange_complete(state, job, server, limit_ms).await;
-    run.outcome = match &result {
-        Ok(response) if response.status.is_server_error() => PlainOutcome::Failed,
-        Ok(_) => PlainOutcome::Answered,
-        Err(Failure::Unreachable) => PlainOutcome::Unreachable,
-        Err(Failure::NotHeld | Failure::Rejected) => PlainOutcome::Rejected,
-        Err(Failure::Broken | Failure::Foreign | Failure::TimedOut) => PlainOutcome::Failed,
+        fingerprint: job.fingerprint,
+        backend,
+        sent_ms: state.now_ms(),
+        result: None,
     };
-    run.load = result.as_ref().ok().and_then(CompleteResponse::load);
+    let result = exchange_complete(state, job, &run.backend, limit_ms).await;
+    run.result = Some(RunResult::new(&result));
     result
 }
 
 async fn exchange_complete(
     state: &State,
     job: &Job,
-    server: &Name,
+    backend: &Arc<Backend>,
     limit_ms: u64,
 ) -> Result<CompleteResponse, Failure> {
-    let backend = state.backend(server).ok_or(Failure::NotHeld)?;
     let options = AttemptOptions {
-        server: server.clone(),
+        server: backend.id.clone(),
         ..AttemptOptions::default()
     };
     let outgoing = Outgoing {
@@ -187,7 +212,7 @@
         request_id: &job.id,
     };
     let until_ms = state.now_ms() + limit_ms;
-    let head = exchange::send(state, &backend, outgoing, limit_ms).await?;
+    let head = exchange::send(state, backend, outgoing, limit_ms).await?;
     let left_ms = until_ms.saturating_sub(state.now_ms());
     exchange::read_complete_response(state, head, left_ms).await
 }
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -137,7 +137,7 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
-                    run.record_first_event();
+                    run.record_data();
                     if !self.forward_events(&data).await {
                         return StreamEnd::CallerLeft;
                     }
--- a/daemon/tests/poison.rs
+++ b/daemon/tests/poison.rs
@@ -19,6 +19,10 @@
 const MAX_LATE_ARRIVALS: usize = 3;
 /// Interval between two poison requests, in milliseconds.
 const POISON_INTERVAL_MS: u64 = 150;
+/// Deadline of a poison request, in milliseconds.
+const DEADLINE_MS: u64 = 3_000;
+/// Time for which a server that crashes silently is down, in milliseconds. Its callers give up before.
+const SILENT_MS: u64 = 4_000;
 /// Time for which poison requests are sent, in milliseconds.
 const POISON_TIME_MS: u64 = 14_000;
 
@@ -75,6 +79,7 @@
         booking_store_down: (Route::Booking, CrashEnd::Close, RestartId::New, Disturbance::StoreDown);
         lookup: (Route::Lookup, CrashEnd::Close, RestartId::New, Disturbance::None);
         lookup_at_silent_servers: (Route::Lookup, CrashEnd::Silence, RestartId::Same, Disturbance::None);
+        lookup_at_silent_servers_placer_killed: (Route::Lookup, CrashEnd::Silence, RestartId::New, Disturbance::PlacerKilledTwice);
         lookup_placer_killed: (Route::Lookup, CrashEnd::Close, RestartId::New, Disturbance::PlacerKilledTwice);
         draft: (Route::Draft, CrashEnd::Close, RestartId::New, Disturbance::None);
         draft_under_the_same_id: (Route::Draft, CrashEnd::Close, RestartId::Same, Disturbance::None);
@@ -87,6 +92,7 @@
         draft_all_restarted_twice: (Route::Draft, CrashEnd::Close, RestartId::New, Disturbance::AllRestartedTwice);
         draft_store_down: (Route::Draft, CrashEnd::Close, RestartId::New, Disturbance::StoreDown);
         draft_once_store_loses_answers: (Route::DraftOnce, CrashEnd::Close, RestartId::New, Disturbance::StoreLosesAnswers);
+        draft_once_silent_mid_stream: (Route::DraftOnce, CrashEnd::SilenceMidStream, RestartId::New, Disturbance::None);
         draft_once_at_silent_servers: (Route::DraftOnce, CrashEnd::Silence, RestartId::New, Disturbance::None);
     }
 }
@@ -124,7 +130,10 @@
         body: POISON,
         end,
         restart,
-        down_ms: 1_200,
+        down_ms: match end {
+            CrashEnd::Close | CrashEnd::CloseMidStream => 1_200,
+            CrashEnd::Silence | CrashEnd::SilenceMidStream => SILENT_MS,
+        },
         entry_expiry_ms: 3_000,
     };
     for server in site.engines.iter().chain(&site.plain_servers) {
@@ -177,7 +186,10 @@
         if !self.is_in_contact(instance) {
             return;
         }
-        let caller = site.caller(instance).prompt_text(POISON).deadline_ms(3_000);
+        let caller = site
+            .caller(instance)
+            .prompt_text(POISON)
+            .deadline_ms(DEADLINE_MS);
         let id = format!("poison-{}", self.number);
         let route = self.route;
         self.open.spawn(async move {
--- a/standin/src/fleet/crash.rs
+++ b/standin/src/fleet/crash.rs
@@ -39,6 +39,14 @@
     CloseMidStream,
     /// Open and new connections stay silent.
     Silence,
+    /// As [`CrashEnd::Silence`], after the first events of the stream were sent.
+    SilenceMidStream,
+}
+
+impl CrashEnd {
+    fn is_mid_stream(self) -> bool {
+        matches!(self, Self::CloseMidStream | Self::SilenceMidStream)
+    }
 }
 
 /// Identity of a server after its restart.
@@ -65,7 +73,7 @@
     /// Runs a request that crashes the server.
     pub(super) async fn crash_while_running(&self, plan: CrashPlan, id: &str, after: u64) -> Reply {
         let server = self.clone();
-        if plan.end == CrashEnd::CloseMidStream {
+        if plan.end.is_mid_stream() {
             tokio::spawn(async move {
                 sleep(Duration::from_millis(MID_STREAM_MS)).await;
                 server.crash_and_restart(plan).await;
@@ -85,7 +93,9 @@
         let start_count = self.with_state(|state| state.start_count);
         match plan.end {
             CrashEnd::Close | CrashEnd::CloseMidStream => self.crash(),
-            CrashEnd::Silence => self.connection_faults.set_silent(true),
+            CrashEnd::Silence | CrashEnd::SilenceMidStream => {
+                self.connection_faults.set_silent(true)
+            }
         }
         tokio::spawn(self.clone().expire_entry(plan, id, start_count));
         sleep(Duration::from_millis(plan.down_ms)).await;
