--- a/standin/src/fleet/crash.rs
+++ b/standin/src/fleet/crash.rs
@@ -94,7 +94,7 @@
         match plan.end {
             CrashEnd::Close | CrashEnd::CloseMidStream => self.crash(),
             CrashEnd::Silence | CrashEnd::SilenceMidStream => {
-                self.connection_faults.set_silent(true)
+                self.connection_faults.set_silent(true);
             }
         }
         tokio::spawn(self.clone().expire_entry(plan, id, start_count));
