Tell a new placer which work the requests that it takes over belong to

Cause: runs that a new placer takes over carried no fingerprint, so that a crash under them was counted against fingerprint 0. The instance's own evidence counts later; the placer's own, which is faster, now counts too. Evidence: crash_under_a_request_of_the_previous_placer_counts fails with the fingerprint left at 0 (granted) and holds now.

--- a/core/src/cell/message.rs
+++ b/core/src/cell/message.rs
@@ -85,6 +85,8 @@
         pub server: Name,
         /// Model, adapter and size.
         pub prompt: Prompt,
+        /// Hash of the work, which identifies requests that crash servers.
+        pub fingerprint: Fingerprint,
     }
 
     /// Periodic update from an instance to the placer.
--- a/core/src/cell/placed_request.rs
+++ b/core/src/cell/placed_request.rs
@@ -32,7 +32,7 @@
             target_ms: 0,
             excluded: Vec::new(),
             previous: None,
-            fingerprint: 0,
+            fingerprint: run.fingerprint,
         };
         Self {
             request,
--- a/core/tests/cell/suspects.rs
+++ b/core/tests/cell/suspects.rs
@@ -1,6 +1,6 @@
 //! Requests that crash the engines that run them.
 
-use mimosabay_core::cell::{Cell, RefusalReason, RunOutcome};
+use mimosabay_core::cell::{AdoptedRun, Cell, RefusalReason, RunOutcome};
 use mimosabay_core::name::Name;
 use mimosabay_core::quarantine::{Crash, Quarantine};
 use mimosabay_core::quarantine_log::QuarantineLog;
@@ -163,3 +163,29 @@
     );
     assert_eq!(successor.take_quarantine_changes(), Some(reported));
 }
+
+/// Guards against a placer that does not know which request broke, because its predecessor placed it.
+#[test]
+fn crash_under_a_request_of_the_previous_placer_counts() {
+    let mut cell = confirmed_cell();
+    for (number, server) in [(1, "one"), (2, "two")] {
+        let request = placement_request(number, "a1");
+        let run = AdoptedRun {
+            ticket: request.ticket,
+            server: server.into(),
+            prompt: request.prompt,
+            fingerprint: 77,
+        };
+        cell.adopt_runs(vec![run], "zone-1", 10);
+        cell.end_run(&ended(number, RunOutcome::Broken), 20);
+        cell.take_actions();
+        cell.handle_report(&server.into(), None, 400);
+    }
+    let mut again = placement_request(3, "a1");
+    again.fingerprint = 77;
+    cell.request_placement(again, 2_000);
+    assert_eq!(
+        refused(&cell.take_actions()),
+        [(3, RefusalReason::Quarantined)]
+    );
+}
--- a/daemon/src/gateway/placement.rs
+++ b/daemon/src/gateway/placement.rs
@@ -40,6 +40,7 @@
         ticket,
         server: "".into(),
         prompt: request.prompt.clone(),
+        fingerprint: request.job.fingerprint,
     });
     let requested_ms = state.now_ms();
     let (response, is_placed) = if state.suspects.is_refused(request.job.fingerprint) {
