Measure the time to decide a crash in heartbeats of the servers

What callers would have seen: where servers renew their entries every 2 s or less often, no crash that shows by a missing entry counts, and a request that crashes servers is sent on. Cause: the 6 s after which a registered server counts as running fitted a heartbeat of 1.2 s only, whose entries expire after 3.6 s; the setting was read and not used. Five heartbeats now, seven before a crash that was taken from refused connections is retracted (6 s and 8.4 s at 1.2 s). Evidence: crash_is_decided_where_heartbeats_are_rare; with 6 s it would give up before the entry expires at 15 s. With it: refused lines name the fingerprint, so that the crashes of a refused request can be found; Crash::new in place of four copies.

--- a/core/src/cell/suspects.rs
+++ b/core/src/cell/suspects.rs
@@ -54,10 +54,7 @@
         let Some(broken) = self.broken.remove(server) else {
             return;
         };
-        let crash = Crash {
-            server: server.clone(),
-            boot,
-        };
+        let crash = Crash::new(server, boot);
         let recent = broken.iter().filter(|request| is_recent(request, now_ms));
         for request in recent {
             let unix_ms = self.epoch_unix_ms + request.broke_ms;
@@ -70,10 +67,7 @@
 
     /// Retracts a crash: this start of the server answers, so it has not ended.
     pub(super) fn retract_crash(&mut self, server: &Name, boot: u64) {
-        let crash = Crash {
-            server: server.clone(),
-            boot,
-        };
+        let crash = Crash::new(server, boot);
         self.changed.extend(self.quarantine.retract_crash(&crash));
     }
 
--- a/core/src/crash_observer.rs
+++ b/core/src/crash_observer.rs
@@ -10,16 +10,16 @@
 use crate::quarantine::{Crash, Fingerprint, Quarantine, QuarantineStatus};
 use crate::quarantine_log::QuarantineChanges;
 
-/// Time after which a server that is still registered counts as running, in milliseconds. The entry
-/// of a crashed server disappears only after some heartbeats. Only time in which the list of servers
+/// Time after which a server that is still registered counts as running, in heartbeats of the
+/// servers. The entry of a crashed server expires after three. Only time in which the list of servers
 /// was current counts.
-const ATTRIBUTION_MS: u64 = 6_000;
+const ATTRIBUTION_HEARTBEATS: u64 = 5;
 /// Time after which a broken request is given up, and a crash no longer retracted, even if the list
 /// of servers was never current, in milliseconds.
 const MAX_UNDECIDED_MS: u64 = 120_000;
 /// Time after which a server that was taken for ended by refused connections, and is still
-/// registered, counts as running, in milliseconds. Longer than an entry outlives its server.
-const STILL_REGISTERED_MS: u64 = 8_000;
+/// registered, counts as running, in heartbeats of the servers.
+const STILL_REGISTERED_HEARTBEATS: u64 = 7;
 /// Largest number of decided crashes that may still be retracted; the oldest are dropped first.
 const MAX_RETRACTABLE: usize = 512;
 /// Largest number of broken requests that are kept; the oldest are dropped first.
@@ -49,7 +49,7 @@
     checked_ms: u64,
 }
 
-/// A request whose connection to a server broke.
+/// A request that a server may have begun to run and did not answer.
 #[derive(Clone, Debug)]
 struct BrokenRequest {
     fingerprint: Fingerprint,
@@ -77,6 +77,8 @@
     pub start_of: F,
     /// Whether the list is current. Without contact with the store it becomes outdated.
     pub is_current: bool,
+    /// Interval at which servers renew their entries, in milliseconds.
+    pub heartbeat_ms: u64,
 }
 
 /// A decision about a broken request.
@@ -104,7 +106,7 @@
 }
 
 impl CrashObserver {
-    /// Records that a request broke at a server.
+    /// Records that a request ended without an answer at a server that may have begun to run it.
     pub fn record_broken(
         &mut self,
         fingerprint: Fingerprint,
@@ -139,13 +141,14 @@
     ) -> Vec<Decision> {
         let elapsed_ms = now_ms.saturating_sub(std::mem::replace(&mut self.checked_ms, now_ms));
         let is_registered = |crash: &Crash| (list.start_of)(&crash.server) == Some(crash.boot);
+        let attribution_ms = ATTRIBUTION_HEARTBEATS * list.heartbeat_ms;
         let mut decisions = Vec::new();
         for mut request in std::mem::take(&mut self.broken) {
             let age_ms = now_ms.saturating_sub(request.broke_ms);
             if list.is_current {
                 request.listed_ms += elapsed_ms.min(age_ms);
             }
-            let is_expired = request.listed_ms > ATTRIBUTION_MS || age_ms > MAX_UNDECIDED_MS;
+            let is_expired = request.listed_ms > attribution_ms || age_ms > MAX_UNDECIDED_MS;
             if !is_registered(&request.crash) {
                 decisions.push(request.decision(Verdict::Unregistered, now_ms));
                 self.record_crash(&request, false, now_ms);
@@ -156,7 +159,9 @@
             }
         }
         if list.is_current {
-            self.retract_crashes_of_live_servers(is_registered, elapsed_ms, now_ms);
+            let lived_on_ms = STILL_REGISTERED_HEARTBEATS * list.heartbeat_ms;
+            self.add_listed_time(elapsed_ms, now_ms);
+            self.retract_crashes_of_live_servers(is_registered, lived_on_ms);
         }
         decisions
     }
@@ -240,26 +245,34 @@
         truncate_front(&mut self.retractable, MAX_RETRACTABLE);
     }
 
+    /// Adds time in which the list of servers was current to the crashes that may be retracted, and
+    /// forgets the oldest of them.
+    fn add_listed_time(&mut self, elapsed_ms: u64, now_ms: u64) {
+        for crash in &mut self.retractable {
+            let age_ms = now_ms.saturating_sub(crash.recorded_ms);
+            crash.listed_ms += elapsed_ms.min(age_ms);
+        }
+        self.retractable
+            .retain(|crash| now_ms.saturating_sub(crash.recorded_ms) <= MAX_UNDECIDED_MS);
+    }
+
     /// Retracts the crashes of servers that returned to the list with the start of before, or that
-    /// never left it.
+    /// did not leave it for `lived_on_ms`.
     fn retract_crashes_of_live_servers(
         &mut self,
         is_registered: impl Fn(&Crash) -> bool,
-        elapsed_ms: u64,
-        now_ms: u64,
+        lived_on_ms: u64,
     ) {
         for mut crash in std::mem::take(&mut self.retractable) {
-            let age_ms = now_ms.saturating_sub(crash.recorded_ms);
-            crash.listed_ms += elapsed_ms.min(age_ms);
             let is_registered = is_registered(&crash.crash);
             crash.was_registered &= is_registered;
-            let has_lived_on = !crash.was_registered || crash.listed_ms > STILL_REGISTERED_MS;
-            if is_registered && has_lived_on {
-                for fingerprint in self.known.retract_crash(&crash.crash) {
-                    self.mark_own(fingerprint);
-                }
-            } else if age_ms <= MAX_UNDECIDED_MS {
+            let has_lived_on = !crash.was_registered || crash.listed_ms > lived_on_ms;
+            if !(is_registered && has_lived_on) {
                 self.retractable.push_back(crash);
+                continue;
+            }
+            for fingerprint in self.known.retract_crash(&crash.crash) {
+                self.mark_own(fingerprint);
             }
         }
     }
--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -71,6 +71,16 @@
     }
 }
 
+impl Crash {
+    /// Names the end of one start of a backend server.
+    pub fn new(server: &Name, boot: u64) -> Self {
+        Self {
+            server: server.clone(),
+            boot,
+        }
+    }
+}
+
 impl Evidence {
     /// Returns the number of crashes that count against the work.
     fn counted_crashes(&self) -> usize {
--- a/core/tests/crash_observer.rs
+++ b/core/tests/crash_observer.rs
@@ -48,6 +48,7 @@
     let list = ServerList {
         start_of: |_: &Name| boot,
         is_current,
+        heartbeat_ms: 1_200,
     };
     observer.check_servers(&list, now_ms)
 }
@@ -208,3 +209,21 @@
     let evidence = observer.take_evidence(false);
     assert_eq!(evidence.status(POISON), QuarantineStatus::Suspect);
 }
+
+/// Guards against giving up before the entries of crashed servers expire.
+#[test]
+fn crash_is_decided_where_heartbeats_are_rare() {
+    const HEARTBEAT_MS: u64 = 5_000;
+    let mut observer = CrashObserver::default();
+    observer.record_broken(POISON, crash(1), 0, 1_000);
+    let list = |boot: Option<u64>| ServerList {
+        start_of: move |_: &Name| boot,
+        is_current: true,
+        heartbeat_ms: HEARTBEAT_MS,
+    };
+    for now_ms in (500..3 * HEARTBEAT_MS).step_by(500) {
+        assert_eq!(observer.check_servers(&list(Some(1)), now_ms), []);
+    }
+    let decisions = observer.check_servers(&list(None), 3 * HEARTBEAT_MS);
+    assert_eq!(decisions[0].verdict, Verdict::Unregistered);
+}
--- a/daemon/src/gateway/crash_probe.rs
+++ b/daemon/src/gateway/crash_probe.rs
@@ -54,7 +54,7 @@
         RunEnd::Answered => state.suspects.record_answer(fingerprint),
         RunEnd::Broken => {
             state.suspects.record_broken(fingerprint, backend);
-            start(state, backend);
+            start_probe(state, backend);
         }
         RunEnd::Abandoned { silent_ms } if silent_ms < SILENT_MS => {}
         RunEnd::TimedOut | RunEnd::Abandoned { .. } => {
@@ -64,11 +64,8 @@
 }
 
 /// Probes a server in a separate task, unless another task does.
-fn start(state: &Arc<State>, backend: &Backend) {
-    let crash = Crash {
-        server: backend.id.clone(),
-        boot: backend.started_unix_ms,
-    };
+fn start_probe(state: &Arc<State>, backend: &Backend) {
+    let crash = Crash::new(&backend.id, backend.started_unix_ms);
     if !state.suspects.start_probe(&crash) {
         return;
     }
--- a/daemon/src/gateway/placement.rs
+++ b/daemon/src/gateway/placement.rs
@@ -55,6 +55,7 @@
                 event = "refused",
                 id = %request.job.id,
                 reason = ?refusal.reason,
+                fingerprint = request.job.fingerprint,
                 organisation = request.organisation(),
                 tokens = request.prompt.charged_tokens(),
                 adapter = request.prompt.adapter.as_deref().unwrap_or_default(),
--- a/daemon/src/gateway/plain_request.rs
+++ b/daemon/src/gateway/plain_request.rs
@@ -89,7 +89,12 @@
         retry_after_ms: Some(quarantine::RETRY_AFTER_MS),
     };
     state.metrics.count_outcome(own_answer.outcome());
-    info!(event = "refused", id = %job.id, reason = "Quarantined");
+    info!(
+        event = "refused",
+        id = %job.id,
+        reason = "Quarantined",
+        fingerprint = job.fingerprint
+    );
     own_answer.answer(Some(&job.id))
 }
 
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -94,7 +94,10 @@
         state.backends.remove_expired(state.now_ms());
         let snapshot = state.backends.snapshot();
         let is_current = state.has_current_backends();
-        state.suspects.check_servers(&snapshot, is_current);
+        let heartbeat_ms = state.settings().server_heartbeat_ms;
+        state
+            .suspects
+            .check_servers(&snapshot, is_current, heartbeat_ms);
         state.pool.remove_expired(|id| snapshot.contains_key(id));
         let mut plain = state.plain.lock().expect("plain lock");
         plain.retain(|id| snapshot.contains_key(id));
--- a/daemon/src/gateway/suspects.rs
+++ b/daemon/src/gateway/suspects.rs
@@ -30,12 +30,9 @@
         }
     }
 
-    /// Records that the connection of a request to a server broke.
+    /// Records that a request ended without an answer at a server that may have begun to run it.
     pub(crate) fn record_broken(&self, fingerprint: Fingerprint, backend: &Backend) {
-        let crash = Crash {
-            server: backend.id.clone(),
-            boot: backend.started_unix_ms,
-        };
+        let crash = Crash::new(&backend.id, backend.started_unix_ms);
         info!(
             event = "request_broken",
             fingerprint,
@@ -54,11 +51,13 @@
     }
 
     /// Decides which broken requests ran on servers that have ended since, and removes what has
-    /// expired. `is_current` tells whether the snapshot is.
-    pub(crate) fn check_servers(&self, snapshot: &Snapshot, is_current: bool) {
+    /// expired. `is_current` tells whether the snapshot is; servers renew their entries every
+    /// `heartbeat_ms` milliseconds.
+    pub(crate) fn check_servers(&self, snapshot: &Snapshot, is_current: bool, heartbeat_ms: u64) {
         let list = ServerList {
             start_of: |server: &Name| Some(snapshot.get(server)?.started_unix_ms),
             is_current,
+            heartbeat_ms,
         };
         let mut observer = self.observer();
         observer.expire(self.clock.unix_ms());
