Inject each disturbance of the poison test exactly once

A disturbance was injected if its time fell into the last 150 ms, so that a step that took longer, as beside load, could pass over it and the case would have tested less. Each time now falls into one step, whatever the steps take. The check, the bounds and the times are the same.

--- a/daemon/tests/poison.rs
+++ b/daemon/tests/poison.rs
@@ -43,10 +43,11 @@
     Lookup,
 }
 
-/// What happens to the site while poison requests arrive.
+/// What happens while poison requests arrive.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Disturbance {
-    None,
+enum Condition {
+    /// Nothing else.
+    Calm,
     /// The placer is killed twice.
     PlacerKilledTwice,
     /// The placer is stopped gracefully twice.
@@ -70,38 +71,38 @@
     use mimosabay_core::cases;
     use mimosabay_standin::fleet::{CrashEnd, RestartId};
 
-    use super::{Disturbance, Route, poison_reaches_few_servers_after_its_third_crash};
+    use super::{Condition, Route, poison_reaches_few_servers_after_its_third_crash};
 
     cases! {
         poison_reaches_few_servers_after_its_third_crash;
-        booking: (Route::Booking, CrashEnd::Close, RestartId::New, Disturbance::None);
-        booking_under_the_same_id: (Route::Booking, CrashEnd::Close, RestartId::Same, Disturbance::None);
-        booking_at_silent_servers: (Route::Booking, CrashEnd::Silence, RestartId::New, Disturbance::None);
-        booking_placer_killed: (Route::Booking, CrashEnd::Close, RestartId::New, Disturbance::PlacerKilledTwice);
-        booking_placer_stopped: (Route::Booking, CrashEnd::Close, RestartId::Same, Disturbance::PlacerStoppedTwice);
-        booking_placer_frozen: (Route::Booking, CrashEnd::Silence, RestartId::New, Disturbance::PlacerFrozenTwice);
-        booking_all_restarted: (Route::Booking, CrashEnd::Close, RestartId::New, Disturbance::AllRestarted);
-        booking_all_restarted_twice: (Route::Booking, CrashEnd::Close, RestartId::New, Disturbance::AllRestartedTwice);
-        booking_store_down: (Route::Booking, CrashEnd::Close, RestartId::New, Disturbance::StoreDown);
-        lookup: (Route::Lookup, CrashEnd::Close, RestartId::New, Disturbance::None);
-        lookup_at_silent_servers: (Route::Lookup, CrashEnd::Silence, RestartId::Same, Disturbance::None);
-        lookup_at_silent_servers_placer_killed: (Route::Lookup, CrashEnd::Silence, RestartId::New, Disturbance::PlacerKilledTwice);
-        lookup_placer_killed: (Route::Lookup, CrashEnd::Close, RestartId::New, Disturbance::PlacerKilledTwice);
-        several_bookings: (Route::Booking, CrashEnd::Close, RestartId::New, Disturbance::SeveralPoisons);
-        several_drafts: (Route::Draft, CrashEnd::Close, RestartId::New, Disturbance::SeveralPoisons);
-        draft: (Route::Draft, CrashEnd::Close, RestartId::New, Disturbance::None);
-        draft_under_the_same_id: (Route::Draft, CrashEnd::Close, RestartId::Same, Disturbance::None);
-        draft_mid_stream: (Route::Draft, CrashEnd::CloseMidStream, RestartId::New, Disturbance::None);
-        draft_at_silent_servers: (Route::Draft, CrashEnd::Silence, RestartId::New, Disturbance::None);
-        draft_placer_killed: (Route::Draft, CrashEnd::Close, RestartId::New, Disturbance::PlacerKilledTwice);
-        draft_mid_stream_placer_stopped: (Route::Draft, CrashEnd::CloseMidStream, RestartId::Same, Disturbance::PlacerStoppedTwice);
-        draft_placer_frozen: (Route::Draft, CrashEnd::Close, RestartId::New, Disturbance::PlacerFrozenTwice);
-        draft_all_restarted: (Route::Draft, CrashEnd::Close, RestartId::New, Disturbance::AllRestarted);
-        draft_all_restarted_twice: (Route::Draft, CrashEnd::Close, RestartId::New, Disturbance::AllRestartedTwice);
-        draft_store_down: (Route::Draft, CrashEnd::Close, RestartId::New, Disturbance::StoreDown);
-        draft_once_store_loses_answers: (Route::DraftOnce, CrashEnd::Close, RestartId::New, Disturbance::StoreLosesAnswers);
-        draft_once_silent_mid_stream: (Route::DraftOnce, CrashEnd::SilenceMidStream, RestartId::New, Disturbance::None);
-        draft_once_at_silent_servers: (Route::DraftOnce, CrashEnd::Silence, RestartId::New, Disturbance::None);
+        booking: (Route::Booking, CrashEnd::Close, RestartId::New, Condition::Calm);
+        booking_under_the_same_id: (Route::Booking, CrashEnd::Close, RestartId::Same, Condition::Calm);
+        booking_at_silent_servers: (Route::Booking, CrashEnd::Silence, RestartId::New, Condition::Calm);
+        booking_placer_killed: (Route::Booking, CrashEnd::Close, RestartId::New, Condition::PlacerKilledTwice);
+        booking_placer_stopped: (Route::Booking, CrashEnd::Close, RestartId::Same, Condition::PlacerStoppedTwice);
+        booking_placer_frozen: (Route::Booking, CrashEnd::Silence, RestartId::New, Condition::PlacerFrozenTwice);
+        booking_all_restarted: (Route::Booking, CrashEnd::Close, RestartId::New, Condition::AllRestarted);
+        booking_all_restarted_twice: (Route::Booking, CrashEnd::Close, RestartId::New, Condition::AllRestartedTwice);
+        booking_store_down: (Route::Booking, CrashEnd::Close, RestartId::New, Condition::StoreDown);
+        lookup: (Route::Lookup, CrashEnd::Close, RestartId::New, Condition::Calm);
+        lookup_at_silent_servers: (Route::Lookup, CrashEnd::Silence, RestartId::Same, Condition::Calm);
+        lookup_at_silent_servers_placer_killed: (Route::Lookup, CrashEnd::Silence, RestartId::New, Condition::PlacerKilledTwice);
+        lookup_placer_killed: (Route::Lookup, CrashEnd::Close, RestartId::New, Condition::PlacerKilledTwice);
+        several_bookings: (Route::Booking, CrashEnd::Close, RestartId::New, Condition::SeveralPoisons);
+        several_drafts: (Route::Draft, CrashEnd::Close, RestartId::New, Condition::SeveralPoisons);
+        draft: (Route::Draft, CrashEnd::Close, RestartId::New, Condition::Calm);
+        draft_under_the_same_id: (Route::Draft, CrashEnd::Close, RestartId::Same, Condition::Calm);
+        draft_mid_stream: (Route::Draft, CrashEnd::CloseMidStream, RestartId::New, Condition::Calm);
+        draft_at_silent_servers: (Route::Draft, CrashEnd::Silence, RestartId::New, Condition::Calm);
+        draft_placer_killed: (Route::Draft, CrashEnd::Close, RestartId::New, Condition::PlacerKilledTwice);
+        draft_mid_stream_placer_stopped: (Route::Draft, CrashEnd::CloseMidStream, RestartId::Same, Condition::PlacerStoppedTwice);
+        draft_placer_frozen: (Route::Draft, CrashEnd::Close, RestartId::New, Condition::PlacerFrozenTwice);
+        draft_all_restarted: (Route::Draft, CrashEnd::Close, RestartId::New, Condition::AllRestarted);
+        draft_all_restarted_twice: (Route::Draft, CrashEnd::Close, RestartId::New, Condition::AllRestartedTwice);
+        draft_store_down: (Route::Draft, CrashEnd::Close, RestartId::New, Condition::StoreDown);
+        draft_once_store_loses_answers: (Route::DraftOnce, CrashEnd::Close, RestartId::New, Condition::StoreLosesAnswers);
+        draft_once_silent_mid_stream: (Route::DraftOnce, CrashEnd::SilenceMidStream, RestartId::New, Condition::Calm);
+        draft_once_at_silent_servers: (Route::DraftOnce, CrashEnd::Silence, RestartId::New, Condition::Calm);
     }
 }
 
@@ -109,15 +110,15 @@
     route: Route,
     end: CrashEnd,
     restart: RestartId,
-    disturbance: Disturbance,
+    condition: Condition,
 ) {
     block_on(async {
         let mut site = start_site(end, restart).await;
-        let mut callers = Callers::new(route, disturbance, &site);
-        let started = Instant::now();
-        while started.elapsed() < Duration::from_millis(POISON_TIME_MS) {
+        let mut callers = Callers::new(route, condition, &site);
+        let mut timeline = Timeline::start();
+        while timeline.advance() < POISON_TIME_MS {
             callers.send(&site);
-            disturb(&mut site, &mut callers, disturbance, started.elapsed()).await;
+            disturb(&mut site, &mut callers, condition, &timeline).await;
             sleep(Duration::from_millis(POISON_INTERVAL_MS)).await;
         }
         callers.finish().await;
@@ -150,6 +151,45 @@
     site
 }
 
+/// Time since the start, in steps.
+struct Timeline {
+    start: Instant,
+    previous_ms: u64,
+    now_ms: u64,
+}
+
+impl Timeline {
+    fn start() -> Self {
+        Self {
+            start: Instant::now(),
+            previous_ms: 0,
+            now_ms: 0,
+        }
+    }
+
+    /// Begins the next step; returns the time since the start, in milliseconds.
+    fn advance(&mut self) -> u64 {
+        let elapsed_ms = self.start.elapsed().as_millis();
+        self.previous_ms = self.now_ms;
+        self.now_ms = u64::try_from(elapsed_ms).expect("a short time");
+        self.now_ms
+    }
+
+    /// Returns whether a time falls into this step. Each time falls into one step, however long the
+    /// steps take.
+    fn reaches(&self, at_ms: u64) -> bool {
+        (self.previous_ms..self.now_ms).contains(&at_ms)
+    }
+}
+
+/// A disturbance of an instance.
+#[derive(Clone, Copy)]
+struct Disturbed {
+    at: Instant,
+    /// Whether the instance has ended.
+    has_ended: bool,
+}
+
 /// Sends poison and other requests to the instances in turn, and does not wait for the answers.
 struct Callers {
     route: Route,
@@ -158,14 +198,14 @@
     open: JoinSet<()>,
     /// Number of instances.
     instances: usize,
-    /// When each instance that was disturbed last was, and whether it has ended since.
-    disturbed: HashMap<usize, (Instant, bool)>,
+    /// The latest disturbance of each instance that was disturbed.
+    disturbed: HashMap<usize, Disturbed>,
 }
 
 impl Callers {
-    fn new(route: Route, disturbance: Disturbance, site: &FleetSite) -> Self {
-        let poisons = match disturbance {
-            Disturbance::SeveralPoisons => &POISONS[..],
+    fn new(route: Route, condition: Condition, site: &FleetSite) -> Self {
+        let poisons = match condition {
+            Condition::SeveralPoisons => &POISONS[..],
             _ => &POISONS[..1],
         };
         Self {
@@ -180,18 +220,25 @@
 
     /// Records that an instance was disturbed; it receives no poison for [`CONTACT_MS`].
     fn mark_disturbed(&mut self, instance: usize, has_ended: bool) {
-        self.disturbed.insert(instance, (Instant::now(), has_ended));
+        let disturbed = Disturbed {
+            at: Instant::now(),
+            has_ended,
+        };
+        self.disturbed.insert(instance, disturbed);
     }
 
     fn live_instances(&self) -> Vec<usize> {
-        let has_ended = |index: &usize| self.disturbed.get(index).is_some_and(|it| it.1);
+        let has_ended = |index: &usize| {
+            let disturbed = self.disturbed.get(index);
+            disturbed.is_some_and(|it| it.has_ended)
+        };
         (0..self.instances).filter(|it| !has_ended(it)).collect()
     }
 
     fn is_in_contact(&self, instance: usize) -> bool {
         let contact = Duration::from_millis(CONTACT_MS);
         let disturbed = self.disturbed.get(&instance);
-        disturbed.is_none_or(|(at, has_ended)| !has_ended && at.elapsed() > contact)
+        disturbed.is_none_or(|it| !it.has_ended && it.at.elapsed() > contact)
     }
 
     fn send(&mut self, site: &FleetSite) {
@@ -232,44 +279,39 @@
 async fn disturb(
     site: &mut FleetSite,
     callers: &mut Callers,
-    disturbance: Disturbance,
-    elapsed: Duration,
+    condition: Condition,
+    timeline: &Timeline,
 ) {
-    let step = POISON_INTERVAL_MS;
-    let begins = |at_ms: u64| {
-        let elapsed_ms = u64::try_from(elapsed.as_millis()).expect("a short time");
-        let earlier_ms = elapsed_ms.saturating_sub(step);
-        earlier_ms < at_ms && at_ms <= elapsed_ms
-    };
-    match disturbance {
-        Disturbance::PlacerKilledTwice | Disturbance::StoreLosesAnswers
-            if begins(1_000) || begins(6_000) =>
+    match condition {
+        Condition::PlacerKilledTwice | Condition::StoreLosesAnswers
+            if timeline.reaches(1_000) || timeline.reaches(6_000) =>
         {
-            if disturbance == Disturbance::StoreLosesAnswers {
+            if condition == Condition::StoreLosesAnswers {
                 site.store.lose_answers(3);
             }
             let placer = site.wait_placer().await;
             site.instances[placer].process.kill();
             callers.mark_disturbed(placer, true);
         }
-        Disturbance::PlacerStoppedTwice if begins(1_000) || begins(6_000) => {
+        Condition::PlacerStoppedTwice if timeline.reaches(1_000) || timeline.reaches(6_000) => {
             let placer = site.wait_placer().await;
             site.instances[placer].process.terminate();
             callers.mark_disturbed(placer, true);
         }
-        Disturbance::PlacerFrozenTwice if begins(1_000) || begins(6_000) => {
+        Condition::PlacerFrozenTwice if timeline.reaches(1_000) || timeline.reaches(6_000) => {
             let placer = site.wait_placer().await;
             site.instances[placer].process.freeze();
             callers.mark_disturbed(placer, false);
         }
-        Disturbance::PlacerFrozenTwice if begins(4_500) || begins(9_500) => {
+        Condition::PlacerFrozenTwice if timeline.reaches(4_500) || timeline.reaches(9_500) => {
             for instance in callers.disturbed.clone().into_keys() {
                 site.instances[instance].process.thaw();
                 callers.mark_disturbed(instance, false);
             }
         }
-        Disturbance::AllRestarted | Disturbance::AllRestartedTwice
-            if begins(5_500) || disturbance == Disturbance::AllRestartedTwice && begins(9_500) =>
+        Condition::AllRestarted | Condition::AllRestartedTwice
+            if timeline.reaches(5_500)
+                || condition == Condition::AllRestartedTwice && timeline.reaches(9_500) =>
         {
             for instance in &mut site.instances {
                 instance.process.kill();
@@ -279,8 +321,8 @@
                 callers.mark_disturbed(index, false);
             }
         }
-        Disturbance::StoreDown if begins(300) => site.store.set_down(true),
-        Disturbance::StoreDown if begins(6_000) => {
+        Condition::StoreDown if timeline.reaches(300) => site.store.set_down(true),
+        Condition::StoreDown if timeline.reaches(6_000) => {
             site.store.set_down(false);
             for index in 0..site.instances.len() {
                 callers.mark_disturbed(index, false);
