Keep a server that answers out of the test of a quarantined retry

Cause, in the test: the silent server answered the second request, before the instance knew that it was leaving, and an answer now proves for ten minutes that the work crashes no server. The test waits until the instance knows, and until the other instance has received the refusal; the first attempt then ends by a closed connection, not by a time limit.

--- a/daemon/tests/gateway/quarantine.rs
+++ b/daemon/tests/gateway/quarantine.rs
@@ -4,13 +4,16 @@
     Behaviour, CrashEnd, CrashPlan, FleetInstance, FleetOptions, FleetServer, FleetSite, RestartId,
 };
 use mimosabay_standin::harness::{block_on, wait_for};
-use serde_json::{Value, json};
+use serde_json::json;
 
 /// Body of the requests that crash servers.
 const POISON: &str = "poison";
 /// Retry delay from which on an answer is a refusal of a request that crashes servers, in seconds.
 const QUARANTINE_RETRY_S: f64 = 10.0;
 
+/// Deadline of a request whose server does not answer, in milliseconds.
+const DEADLINE_MS: u64 = 18_000;
+
 const PLAN: CrashPlan = CrashPlan {
     body_prefix: POISON,
     end: CrashEnd::Close,
@@ -40,6 +43,17 @@
     .await;
 }
 
+/// Waits until an instance knows that a request is refused.
+async fn wait_until_refused_at(site: &FleetSite, index: usize) {
+    wait_for("an instance that knows the refused request", async || {
+        let log = site.instances[index].log().into_iter();
+        let mut received = log.filter(|line| line["event"] == "quarantine_received");
+        let is_known = received.any(|line| line["refused"].as_u64() > Some(0));
+        is_known.then_some(())
+    })
+    .await;
+}
+
 /// Guards against placing a request that crashes engines while there is no placer to refuse it.
 #[test]
 fn quarantined_draft_is_refused_while_no_placer_can_be_elected() {
@@ -51,14 +65,7 @@
         let placer = site.wait_placer().await;
         let other = (placer + 1) % 3;
         wait_for_refused_draft(&site, other).await;
-        wait_for("an instance that knows the refused request", async || {
-            let log = site.instances[other].log().into_iter();
-            let mut received = log.filter(|line| line["event"] == "quarantine_received");
-            received
-                .any(|line| line["refused"].as_u64() > Some(0))
-                .then_some(())
-        })
-        .await;
+        wait_until_refused_at(&site, other).await;
         site.store.set_down(true);
         site.instances[placer].process.kill();
         wait_for("a draft that is placed without a placer", async || {
@@ -76,16 +83,21 @@
     });
 }
 
-/// Returns whether an instance knows version 2 of the configuration and that servers are leaving.
-fn knows_changes(instance: &FleetInstance, leaving: &[FleetServer]) -> bool {
+/// Returns whether an instance knows version 2 of the configuration.
+fn knows_configuration(instance: &FleetInstance) -> bool {
+    let log = instance.log().into_iter();
+    let mut applied = log.filter(|line| line["event"] == "configuration_in_force");
+    applied.any(|line| line["version"] == 2)
+}
+
+/// Returns whether an instance knows that servers are leaving.
+fn knows_leaving(instance: &FleetInstance, servers: &[FleetServer]) -> bool {
     let log = instance.log();
-    let is_in_force =
-        |line: &Value| line["event"] == "configuration_in_force" && line["version"] == 2;
     let is_leaving = |server: &FleetServer| {
         let mut lines = log.iter();
         lines.any(|line| line["event"] == "server_leaving" && line["server"] == *server.id)
     };
-    log.iter().any(is_in_force) && leaving.iter().all(is_leaving)
+    servers.iter().all(is_leaving)
 }
 
 /// Guards against a retry of a request that was found to crash servers during its first attempt.
@@ -93,7 +105,10 @@
 fn request_that_is_quarantined_meanwhile_is_not_retried() {
     block_on(async {
         let site = start_site().await;
-        site.configure(2, |it| it["routes"][3]["targetLatencyMs"] = json!(3_000));
+        site.configure(2, |it| {
+            it["routes"][3]["targetLatencyMs"] = json!(DEADLINE_MS);
+            it["routes"][3]["timeoutMs"] = json!(DEADLINE_MS);
+        });
         let [silent, others @ ..] = &site.plain_servers[..] else {
             panic!("no plain servers");
         };
@@ -104,17 +119,24 @@
         }
         wait_for("the configuration and the servers", async || {
             let mut instances = site.instances.iter();
-            let are_known = instances.all(|instance| knows_changes(instance, others));
-            are_known.then_some(())
+            let are_known =
+                |it: &FleetInstance| knows_configuration(it) && knows_leaving(it, others);
+            instances.all(are_known).then_some(())
         })
         .await;
-        let caller = site.caller(0);
+        let caller = site.caller(0).deadline_ms(DEADLINE_MS);
         let first = tokio::spawn(async move { caller.post("/look/x", "first", POISON).await });
         wait_for("a request that waits for its server", async || {
             (silent.running_count() > 0).then_some(())
         })
         .await;
         silent.register("draining");
+        // It would answer another request, and so prove that the request crashes no server.
+        wait_for("an instance that avoids the silent server", async || {
+            let silent = std::slice::from_ref(silent);
+            knows_leaving(&site.instances[1], silent).then_some(())
+        })
+        .await;
         for server in others {
             server.register("ready");
         }
@@ -125,6 +147,8 @@
             (retry_after > QUARANTINE_RETRY_S).then_some(())
         })
         .await;
+        wait_until_refused_at(&site, 0).await;
+        silent.crash();
         let answer = first.await.unwrap().unwrap();
         assert!(answer.status >= 500, "{}", answer.status);
         assert_eq!(site.run_count("first"), 1);
