Report the answer that clears work to instances that refuse it by their own evidence

What callers saw: with servers that fall silent, innocent work was refused by three of four instances for good, while the fourth served it. Traced from the logs that were kept: only instance-1 had an answer to the work; it was the placer, so the placer never counted the crashes, and as the work was not quarantined there, it reported nothing of it; the others had two crashes of their own and refused. Now the placer reports all work with two crashes or more, whether they count or not, and each instance merges the answer. Evidence: answer_that_only_the_placer_knows_is_reported failed before (no changes reported) and holds now.

--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -241,8 +241,8 @@
         self.suspects.merge(quarantine);
     }
 
-    /// Returns the evidence against work that is or was quarantined, as far as it has changed since
-    /// the last call.
+    /// Returns the evidence against work with several crashes, as far as it has changed since the last
+    /// call.
     pub fn take_quarantine_changes(&mut self) -> Option<Quarantine> {
         self.suspects.take_changes()
     }
--- a/core/src/cell/suspects.rs
+++ b/core/src/cell/suspects.rs
@@ -16,8 +16,6 @@
     quarantine: Quarantine,
     /// Work whose evidence has changed since the last call of [`Suspects::take_changes`].
     changed: BTreeSet<Fingerprint>,
-    /// Work that was reported as quarantined, so that changes of its evidence are reported too.
-    reported: BTreeSet<Fingerprint>,
     /// Unix time at time 0 of `now_ms`, in milliseconds.
     epoch_unix_ms: u64,
 }
@@ -85,17 +83,15 @@
         self.changed.extend(quarantine.fingerprints());
     }
 
-    /// Returns the evidence that has changed since the last call, of work that is or was
-    /// quarantined.
+    /// Returns the evidence that has changed since the last call, of work with several crashes. An
+    /// instance may know enough of them to refuse the work, but not the answer that clears it.
     pub(super) fn take_changes(&mut self) -> Option<Quarantine> {
         let mut fingerprints = std::mem::take(&mut self.changed);
-        fingerprints.retain(|it| self.reported.contains(it) || self.is_quarantined(*it));
+        fingerprints.retain(|it| self.quarantine.has_several_crashes(*it));
         if fingerprints.is_empty() {
             return None;
         }
-        let evidence = self.quarantine.part(fingerprints.iter().copied());
-        self.reported.extend(fingerprints);
-        Some(evidence)
+        Some(self.quarantine.part(fingerprints))
     }
 
     /// Returns whether a request is refused because it crashed several servers.
--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -216,6 +216,13 @@
         self.evidence.contains_key(&fingerprint)
     }
 
+    /// Returns whether the table holds enough crashes to quarantine some work, whether they count or
+    /// not.
+    pub fn has_several_crashes(&self, fingerprint: Fingerprint) -> bool {
+        let evidence = self.evidence.get(&fingerprint);
+        evidence.is_some_and(|it| it.crashes.len() >= MAX_CRASHES)
+    }
+
     /// Returns the part of the table that concerns some work.
     #[must_use]
     pub fn part(&self, fingerprints: impl IntoIterator<Item = Fingerprint>) -> Quarantine {
--- a/core/src/quarantine_log.rs
+++ b/core/src/quarantine_log.rs
@@ -1,7 +1,7 @@
 //! The quarantine as a placer reports it to the instances.
 //!
-//! Only work that is or was quarantined is reported: an instance refuses by it, and the next placer
-//! starts from it. Each instance receives the changes since the version that it knows.
+//! Only work with several crashes is reported: an instance refuses by it, and the next placer starts
+//! from it. Each instance receives the changes since the version that it knows.
 
 use std::collections::BTreeMap;
 
--- a/core/tests/cell/suspects.rs
+++ b/core/tests/cell/suspects.rs
@@ -2,7 +2,7 @@
 
 use mimosabay_core::cell::{AdoptedRun, Cell, RefusalReason, RunOutcome};
 use mimosabay_core::name::Name;
-use mimosabay_core::quarantine::{Crash, Quarantine};
+use mimosabay_core::quarantine::{Crash, Quarantine, QuarantineStatus};
 use mimosabay_core::quarantine_log::QuarantineLog;
 
 use crate::support::{
@@ -145,6 +145,25 @@
     assert_eq!(reported.quarantined().collect::<Vec<_>>(), refused);
 }
 
+/// Guards against instances that refuse work by their own evidence and never hear of the answer that
+/// clears it.
+#[test]
+fn answer_that_only_the_placer_knows_is_reported() {
+    let mut cell = confirmed_cell();
+    let mut request = placement_request(1, "a1");
+    request.fingerprint = 77;
+    cell.request_placement(request, 100);
+    let mut evidence = Quarantine::default();
+    evidence.record_crash(&Crash::new(&"one".into(), 1), [77], 10);
+    cell.merge_quarantine(&evidence);
+    cell.end_run(&ended(1, RunOutcome::Answered), 200);
+    evidence.record_crash(&Crash::new(&"two".into(), 1), [77], 20);
+    cell.merge_quarantine(&evidence);
+    assert_eq!(evidence.status(77), QuarantineStatus::Quarantined);
+    evidence.merge(&cell.take_quarantine_changes().expect("changes"));
+    assert_eq!(evidence.status(77), QuarantineStatus::Clear);
+}
+
 /// Guards against a new placer that forgets what its predecessor refused.
 #[test]
 fn new_placer_refuses_what_the_previous_one_refused() {
