Log why a stream ends early and why its caller's connection is closed

What callers saw: answers that end without their last event, beside changes of the configuration.

stream_ended now has cause and silent_ms, and answer_cut has the reason, the attempts and the time left. explain names the reason. The values of end are as before. No decision changes.

--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -125,6 +125,7 @@
             last.text_field("reason")
         ),
         "stream_ended" => stream_end_cause(last),
+        "answer_cut" => cut_cause(entries, last),
         "failed" => failure_cause(last, &failed),
         _ => "Its outcome is not in these logs: it is running, its caller disconnected, or a \
               log is missing."
@@ -162,6 +163,18 @@
     }
 }
 
+/// Explains why the caller's connection was closed before the answer was complete.
+fn cut_cause(entries: &[LogEntry], cut: &LogEntry) -> String {
+    let streams = of_event(entries, "stream_ended");
+    let stream = streams.last().map(|stream| stream_end_cause(stream));
+    let stream = stream.unwrap_or_else(|| "It was not resumed on another server.".into());
+    match cut.text_field("reason") {
+        "NoRetry" => format!("{stream} No further attempt was allowed."),
+        "" | "TimedOut" | "CallerLeft" => stream,
+        refused => format!("{stream} The last placement request ended with {refused}."),
+    }
+}
+
 fn failure_cause(last: &LogEntry, failed: &[&LogEntry]) -> String {
     let attempts: Vec<String> = failed
         .iter()
--- a/cli/tests/tool/explain.rs
+++ b/cli/tests/tool/explain.rs
@@ -44,6 +44,9 @@
     complete_stream: (&[PLACED, ("stream_ended", r#""server":"s1","end":"Complete""#)], "complete");
     caller_left: (&[PLACED, ("stream_ended", r#""server":"s1","end":"CallerLeft""#)], "caller disconnected");
     timed_out_stream: (&[PLACED, ("stream_ended", r#""server":"s1","end":"TimedOut""#)], "timed out");
+    stream_cut_without_a_retry: (&[PLACED, ("stream_ended", r#""server":"s1","end":"Broken""#), ("answer_cut", r#""reason":"NoRetry""#)], "No further attempt");
+    stream_cut_after_a_refusal: (&[PLACED, ("stream_ended", r#""server":"s1","end":"Broken""#), ("answer_cut", r#""reason":"Refused(Overloaded)""#)], "Refused(Overloaded)");
+    timed_out_stream_that_was_cut: (&[PLACED, ("stream_ended", r#""server":"s1","end":"TimedOut""#), ("answer_cut", r#""reason":"TimedOut""#)], "timed out");
     broken_stream: (&[PLACED, ("stream_ended", r#""server":"s1","end":"Broken""#)], "server s1 broke");
     booking_with_broken_connection: (
         &[
--- a/daemon/src/gateway/engine_run.rs
+++ b/daemon/src/gateway/engine_run.rs
@@ -85,6 +85,11 @@
         self.first_event_ms
     }
 
+    /// Time since the last data from the server, or since sending, in milliseconds.
+    pub(crate) fn silent_ms(&self) -> u64 {
+        self.state.now_ms() - self.last_data_ms
+    }
+
     pub(super) fn as_ended(&self) -> EndedRun {
         EndedRun {
             ticket: self.ticket,
@@ -98,7 +103,7 @@
         let Some(backend) = &self.backend else {
             return;
         };
-        let silent_ms = self.state.now_ms() - self.last_data_ms;
+        let silent_ms = self.silent_ms();
         let end = match self.outcome {
             RunOutcome::Answered => RunEnd::Answered,
             RunOutcome::Broken => RunEnd::Broken,
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -7,7 +7,7 @@
 use http::Response;
 use http_body_util::BodyExt;
 use mimosabay_core::attempt::ExecutionStatus;
-use mimosabay_core::cell::RunOutcome;
+use mimosabay_core::cell::{RefusalReason, RunOutcome};
 use mimosabay_platform::ingress;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until, timeout};
@@ -52,8 +52,38 @@
     CallerLeft,
     /// The deadline of the request has passed.
     TimedOut,
-    /// The connection broke, or the server stalled.
-    Broken,
+    /// The server did not complete it.
+    Broken(BreakCause),
+}
+
+/// Why the stream of a server is incomplete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum BreakCause {
+    /// The connection broke.
+    ConnectionLost,
+    /// The stream ended inside an event.
+    EndedInsideEvent,
+    /// No data arrived for [`STALL_TIMEOUT_MS`].
+    Stalled,
+}
+
+impl StreamEnd {
+    /// Name in the log.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Complete => "Complete",
+            Self::CallerLeft => "CallerLeft",
+            Self::TimedOut => "TimedOut",
+            Self::Broken(_) => "Broken",
+        }
+    }
+
+    fn break_cause(self) -> Option<BreakCause> {
+        match self {
+            Self::Broken(cause) => Some(cause),
+            Self::Complete | Self::CallerLeft | Self::TimedOut => None,
+        }
+    }
 }
 
 /// Returns an answer with the head of the first server's response, and relays the events in a
@@ -92,28 +122,32 @@
                 event = "stream_ended",
                 id = %self.request.job.id,
                 %server,
-                ?end,
+                end = end.name(),
+                cause = end.break_cause().map(tracing::field::debug),
+                silent_ms = run.silent_ms(),
                 last_id = self.last_id,
                 events = self.events,
                 first_event_ms = run.first_event_ms(),
                 longest_pause_ms = self.longest_pause_ms
             );
             drop(run);
-            if end != StreamEnd::Broken {
+            if end.break_cause().is_none() {
                 self.state.metrics.count_outcome(request_outcome(end));
                 if end == StreamEnd::TimedOut {
-                    self.interrupt().await;
+                    self.interrupt(CutReason::TimedOut).await;
                 }
                 return;
             }
             self.request
                 .attempts
                 .record_failure(ExecutionStatus::Unknown);
-            let Some(next) = self.resume().await else {
-                self.state.metrics.count_outcome(Outcome::Broken);
-                return self.interrupt().await;
-            };
-            (head, run) = next;
+            match self.resume().await {
+                Ok(next) => (head, run) = next,
+                Err(reason) => {
+                    self.state.metrics.count_outcome(Outcome::Broken);
+                    return self.interrupt(reason).await;
+                }
+            }
         }
     }
 
@@ -129,7 +163,11 @@
                 frame = body.frame() => frame,
                 () = self.chunks.closed() => return StreamEnd::CallerLeft,
                 () = sleep_until(stall_deadline) => {
-                    return if stall_deadline < deadline { StreamEnd::Broken } else { StreamEnd::TimedOut };
+                    return if stall_deadline < deadline {
+                        StreamEnd::Broken(BreakCause::Stalled)
+                    } else {
+                        StreamEnd::TimedOut
+                    };
                 }
             };
             match frame {
@@ -142,10 +180,10 @@
                         return StreamEnd::CallerLeft;
                     }
                 }
-                Some(Err(_)) => return StreamEnd::Broken,
+                Some(Err(_)) => return StreamEnd::Broken(BreakCause::ConnectionLost),
                 None => {
                     if !self.splitter.take_rest().is_empty() {
-                        return StreamEnd::Broken;
+                        return StreamEnd::Broken(BreakCause::EndedInsideEvent);
                     }
                     guard.return_to_pool(&self.state);
                     return StreamEnd::Complete;
@@ -184,15 +222,15 @@
     }
 
     /// Resumes the stream at another server after the last forwarded event.
-    async fn resume(&mut self) -> Option<(ResponseHead, Run)> {
+    async fn resume(&mut self) -> Result<(ResponseHead, Run), CutReason> {
         self.splitter.clear();
         while engine_request::try_take_retry(&self.state, &self.request) {
             let left = Duration::from_millis(self.request.job.remaining_ms(&self.state));
             let next =
                 engine_request::attempt_next_server(&self.state, &mut self.request, self.last_id);
             let next = tokio::select! {
-                next = timeout(left, next) => next.ok()?,
-                () = self.chunks.closed() => return None,
+                next = timeout(left, next) => next.map_err(|_| CutReason::TimedOut)?,
+                () = self.chunks.closed() => return Err(CutReason::CallerLeft),
             };
             match next {
                 Ok((head, run)) if head.status.is_success() => {
@@ -202,28 +240,50 @@
                         server = %run.server,
                         after = self.last_id
                     );
-                    return Some((head, run));
+                    return Ok((head, run));
                 }
                 Ok(_) => self.request.attempts.record_failure(ExecutionStatus::Ran),
                 Err(AttemptError::Failed(_)) => {}
-                Err(AttemptError::Refused(_)) => return None,
+                Err(AttemptError::Refused(refusal)) => {
+                    return Err(CutReason::Refused(refusal.reason));
+                }
             }
         }
-        None
+        Err(CutReason::NoRetry)
     }
 
     /// Aborts the answer, so that it does not look complete.
-    async fn interrupt(&mut self) {
+    async fn interrupt(&mut self, reason: CutReason) {
+        info!(
+            event = "answer_cut",
+            id = %self.request.job.id,
+            ?reason,
+            attempts = self.request.attempts.count(),
+            left_ms = self.request.job.remaining_ms(&self.state)
+        );
         // A caller that has left needs no error.
         let _ = self.chunks.send(Err(Interrupted)).await;
     }
 }
 
+/// Why the answer to a caller ends before it is complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CutReason {
+    /// The caller has left.
+    CallerLeft,
+    /// The deadline of the request has passed.
+    TimedOut,
+    /// The request may not be sent again, or no retry is left.
+    NoRetry,
+    /// No other server was assigned.
+    Refused(RefusalReason),
+}
+
 fn request_outcome(end: StreamEnd) -> Outcome {
     match end {
         StreamEnd::Complete => Outcome::Answered,
         StreamEnd::CallerLeft => Outcome::CallerLeft,
-        StreamEnd::TimedOut | StreamEnd::Broken => Outcome::Broken,
+        StreamEnd::TimedOut | StreamEnd::Broken(_) => Outcome::Broken,
     }
 }
 
@@ -231,6 +291,6 @@
     match end {
         StreamEnd::Complete => RunOutcome::Answered,
         StreamEnd::CallerLeft | StreamEnd::TimedOut => RunOutcome::Cancelled,
-        StreamEnd::Broken => RunOutcome::Broken,
+        StreamEnd::Broken(_) => RunOutcome::Broken,
     }
 }
--- /dev/null
+++ b/daemon/tests/gateway/silence.rs
@@ -0,0 +1,171 @@
+//! Sound servers that fall silent for a second or two and go on.
+
+use std::time::Duration;
+
+use futures::future::join_all;
+use mimosabay_core::cases;
+use mimosabay_standin::fleet::{Behaviour, FleetOptions, FleetSite};
+use mimosabay_standin::harness::block_on;
+use tokio::time::sleep;
+
+/// Time for which a server is silent in the middle of a stream, in milliseconds.
+const PAUSE_MS: u64 = 1_900;
+/// Time for which a server reads nothing, in milliseconds.
+const READ_PAUSE_MS: u64 = 2_200;
+/// Time until a silent server sends the head of its answer, in milliseconds.
+const LATE_HEAD_MS: u64 = 2_500;
+/// Time until a silent plain server answers, in milliseconds.
+const LATE_ANSWER_MS: u64 = 1_600;
+/// Time after which the configuration changes beside a pause, in milliseconds.
+const CHANGE_AFTER_MS: u64 = 700;
+/// Number of requests at a time; more than an instance has retries.
+const REQUESTS: usize = 8;
+/// Size of a body that does not fit in the buffers of a connection, in bytes.
+const LARGE_BODY_BYTES: usize = 90_000;
+
+const MID_STREAM_PAUSE: Behaviour = Behaviour::PauseAfter {
+    events: 3,
+    pause_ms: PAUSE_MS,
+};
+
+async fn start_site(engines: usize) -> FleetSite {
+    FleetSite::start(FleetOptions {
+        engines,
+        ..FleetOptions::default()
+    })
+    .await
+}
+
+fn plan_all(site: &FleetSite, behaviour: Behaviour) {
+    for server in site.engines.iter().chain(&site.plain_servers) {
+        for _ in 0..REQUESTS {
+            server.plan(behaviour);
+        }
+    }
+}
+
+/// Publishes a version that adds a route.
+fn add_route(site: &FleetSite) {
+    site.configure(2, |configuration| {
+        let routes = configuration["routes"].as_array_mut().expect("routes");
+        let mut added = routes[0].clone();
+        added["name"] = "added".into();
+        added["pathPrefix"] = "/added/".into();
+        routes.push(added);
+    });
+}
+
+/// Guards against giving up a silent server before another one has been assigned.
+mod stream_is_not_cut_at_a_silent_server {
+    use super::{cases, check_stream};
+
+    cases! {
+        check_stream;
+        resumable: ("/draft/x", false);
+        resumable_beside_a_change_of_the_configuration: ("/draft/x", true);
+        once: ("/once/x", false);
+        once_beside_a_change_of_the_configuration: ("/once/x", true);
+    }
+}
+
+fn check_stream(path: &'static str, has_change: bool) {
+    block_on(async {
+        let site = start_site(1).await;
+        site.engines[0].plan(MID_STREAM_PAUSE);
+        let caller = site.caller(0);
+        let answer = caller.generate(path, "one", "");
+        let change = async {
+            sleep(Duration::from_millis(CHANGE_AFTER_MS)).await;
+            if has_change {
+                add_route(&site);
+            }
+        };
+        let (answer, ()) = tokio::join!(answer, change);
+        let answer = answer.expect("a complete answer");
+        assert_eq!(answer.status, 200);
+        assert_eq!(answer.event_ids(), [1, 2, 3, 4, 5, 6]);
+        assert_eq!(site.run_count("one"), 1);
+    });
+}
+
+/// Guards against cutting streams for which no retry is left.
+#[test]
+fn streams_at_silent_servers_are_not_cut_when_retries_run_out() {
+    block_on(async {
+        let site = start_site(2).await;
+        plan_all(&site, MID_STREAM_PAUSE);
+        let callers = (0..REQUESTS).map(|number| {
+            let caller = site.caller(0);
+            async move {
+                let id = format!("draft-{number}");
+                caller.generate("/draft/x", &id, "").await
+            }
+        });
+        let answers = join_all(callers).await;
+        let complete = answers.iter().flatten();
+        let complete = complete.filter(|answer| answer.event_ids() == [1, 2, 3, 4, 5, 6]);
+        assert_eq!(complete.count(), REQUESTS);
+    });
+}
+
+/// Guards against an error for a request whose silent server cannot be replaced.
+#[test]
+fn first_event_of_a_silent_server_is_awaited_if_no_other_server_is_left() {
+    block_on(async {
+        let site = start_site(1).await;
+        site.engines[0].plan(Behaviour::AnswerAfter(LATE_HEAD_MS));
+        let answer = site.caller(0).generate("/draft/x", "one", "").await;
+        let answer = answer.expect("a complete answer");
+        assert_eq!(answer.status, 200);
+        assert_eq!(site.run_count("one"), 1);
+    });
+}
+
+/// Guards against an error for a lookup whose attempt is given up although no retry is left.
+#[test]
+fn lookups_at_silent_servers_are_answered_when_retries_run_out() {
+    block_on(async {
+        let site = start_site(1).await;
+        plan_all(&site, Behaviour::AnswerAfter(LATE_ANSWER_MS));
+        let callers = (0..REQUESTS).map(|number| {
+            let caller = site.caller(0);
+            async move { caller.get("/look/x", &format!("look-{number}")).await }
+        });
+        let answers = join_all(callers).await;
+        let statuses: Vec<u16> = answers.iter().flatten().map(|it| it.status).collect();
+        assert_eq!(statuses, [200; REQUESTS]);
+    });
+}
+
+/// Guards against a connection that the kernel closes while a sound server reads nothing.
+#[test]
+fn request_is_not_lost_while_its_server_reads_nothing() {
+    block_on(async {
+        let site = start_site(1).await;
+        let body: &'static str = "x".repeat(LARGE_BODY_BYTES).leak();
+        let caller = site.caller(0).prompt_text(body);
+        site.engines[0].set_paused(true);
+        let answer = caller.generate("/once/x", "one", "");
+        let pause = async {
+            sleep(Duration::from_millis(READ_PAUSE_MS)).await;
+            site.engines[0].set_paused(false);
+        };
+        let (answer, ()) = tokio::join!(answer, pause);
+        let answer = answer.expect("a complete answer");
+        assert_eq!(answer.status, 200);
+        assert_eq!(site.run_count("one"), 1);
+    });
+}
+
+/// Guards against cutting a broken stream at the first refusal although time is left.
+#[test]
+fn broken_stream_is_resumed_once_a_server_can_be_assigned() {
+    block_on(async {
+        let site = start_site(1).await;
+        site.engines[0].plan(Behaviour::BreakAfter(3));
+        let answer = site.caller(0).generate("/draft/x", "one", "").await;
+        let answer = answer.expect("a complete answer");
+        assert_eq!(answer.status, 200);
+        assert_eq!(answer.event_ids(), [1, 2, 3, 4, 5, 6]);
+    });
+}
