Let the stand-in's servers fall silent and go on

The tests could silence a connection for good only. A server can now pause, whole or in the middle of one stream, and loses nothing; its connections have a small receive buffer, so that a sender notices that nothing is read.

--- a/standin/src/connection.rs
+++ b/standin/src/connection.rs
@@ -1,10 +1,10 @@
-//! Connections that can be silenced permanently while they stay open.
+//! Connections that can be silenced permanently, or paused, while they stay open.
 
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::task::{Context, Poll};
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll, Waker};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -16,11 +16,45 @@
     epoch: Arc<AtomicU64>,
 }
 
-/// A connection that a [`ConnectionSilencing`] can silence.
+/// Pauses connections: nothing is read or written, and nothing is lost. Clones share the state.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ConnectionPause {
+    state: Arc<Mutex<PauseState>>,
+}
+
+#[derive(Debug, Default)]
+struct PauseState {
+    is_paused: bool,
+    /// Tasks that wait for the end of the pause.
+    waiting: Vec<Waker>,
+}
+
+impl ConnectionPause {
+    /// Starts or ends the pause.
+    pub(crate) fn set_paused(&self, is_paused: bool) {
+        let mut state = self.state.lock().expect("pause lock");
+        state.is_paused = is_paused;
+        if !is_paused {
+            state.waiting.drain(..).for_each(Waker::wake);
+        }
+    }
+
+    /// Returns whether connections are paused; if so, wakes the task at the end of the pause.
+    fn is_paused(&self, context: &Context<'_>) -> bool {
+        let mut state = self.state.lock().expect("pause lock");
+        if state.is_paused {
+            state.waiting.push(context.waker().clone());
+        }
+        state.is_paused
+    }
+}
+
+/// A connection that a [`ConnectionSilencing`] can silence and a [`ConnectionPause`] can pause.
 #[derive(Debug)]
 pub(crate) struct SilenceableConnection {
     stream: TcpStream,
     silencing: ConnectionSilencing,
+    pause: ConnectionPause,
     /// Epoch in which the connection was opened; `None` if it is exempt from silencing.
     opened_in_epoch: Option<u64>,
 }
@@ -36,6 +70,7 @@
         SilenceableConnection {
             stream,
             silencing: self.clone(),
+            pause: ConnectionPause::default(),
             opened_in_epoch: Some(self.epoch.load(Ordering::Relaxed)),
         }
     }
@@ -47,9 +82,16 @@
         self.stream.peek(buffer).await
     }
 
-    /// Exempts the connection from silencing.
+    /// Makes a pause apply to the connection.
+    pub(crate) fn with_pause(mut self, pause: &ConnectionPause) -> Self {
+        self.pause = pause.clone();
+        self
+    }
+
+    /// Exempts the connection from silencing and from pauses.
     pub(crate) fn into_control(mut self) -> Self {
         self.opened_in_epoch = None;
+        self.pause = ConnectionPause::default();
         self
     }
 
@@ -66,7 +108,7 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.is_silent() {
+        if self.is_silent() || self.pause.is_paused(context) {
             return Poll::Pending;
         }
         let filled = buffer.filled().len();
@@ -90,6 +132,9 @@
         if self.is_silent() {
             return Poll::Ready(Ok(data.len()));
         }
+        if self.pause.is_paused(context) {
+            return Poll::Pending;
+        }
         Pin::new(&mut self.stream).poll_write(context, data)
     }
 
@@ -98,7 +143,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.is_silent() {
+        if self.is_silent() || self.pause.is_paused(context) {
             // The peer must not see the shutdown either.
             return Poll::Pending;
         }
--- a/standin/src/fleet/crash.rs
+++ b/standin/src/fleet/crash.rs
@@ -6,7 +6,7 @@
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
-use super::server::{EVENT_INTERVAL_MS, FleetServer};
+use super::server::{EVENT_INTERVAL_MS, FleetServer, StreamFault};
 use crate::reply::Reply;
 use crate::server::Call;
 
@@ -80,7 +80,7 @@
                 sleep(Duration::from_millis(MID_STREAM_MS)).await;
                 server.crash_and_restart(plan).await;
             });
-            return self.stream_response(id, after, None);
+            return self.stream_response(id, after, StreamFault::None);
         }
         tokio::spawn(async move { server.crash_and_restart(plan).await });
         std::future::pending().await
--- a/standin/src/fleet/server.rs
+++ b/standin/src/fleet/server.rs
@@ -11,7 +11,7 @@
 use http::{HeaderValue, Method, StatusCode};
 use mimosabay_core::name::Name;
 use serde_json::{Value, json};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::task::AbortHandle;
 use tokio::time::sleep;
 
@@ -27,6 +27,10 @@
 pub(super) const EVENT_INTERVAL_MS: u64 = 15;
 /// Simulated load time of an adapter, in milliseconds. Each order is answered after a tenth of it.
 const ADAPTER_LOAD_MS: u64 = 60;
+/// Receive buffer of a connection, in bytes. A server that does not read soon blocks the sender.
+const RECEIVE_BUFFER_BYTES: u32 = 4_096;
+/// Number of connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
 
 /// Kind of requests that a server handles.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,12 +61,30 @@
     Reject,
     /// Runs the request and closes the connection after this many events of the stream.
     BreakAfter(u64),
+    /// Runs the request and pauses in the middle of the stream.
+    PauseAfter {
+        /// Number of events before the pause.
+        events: u64,
+        /// Length of the pause, in milliseconds.
+        pause_ms: u64,
+    },
     /// Runs the request and never answers.
     Hang,
     /// Runs the request, restarts with empty state and closes the connection.
     Crash,
 }
 
+/// What happens in the middle of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum StreamFault {
+    /// Nothing.
+    None,
+    /// The connection closes after the event with this number.
+    BreakAfter(u64),
+    /// No event follows the one with number `last` for some time.
+    PauseAfter { last: u64, pause_ms: u64 },
+}
+
 /// A request that a server received.
 #[derive(Clone, Debug)]
 pub struct ReceivedRequest {
@@ -149,8 +171,7 @@
 impl FleetServer {
     /// Starts a server on a free port and registers it as ready.
     pub async fn start(store: &FleetStore, id: &str, service: &str, kind: ServerKind) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await;
-        let listener = listener.expect("a free port");
+        let listener = listen().expect("a free port");
         let server = Self {
             id: id.into(),
             address: listener.local_addr().expect("an address"),
@@ -227,6 +248,12 @@
         }
     }
 
+    /// Makes the server silent, or lets it go on. It neither reads nor writes in the meantime, and
+    /// loses nothing.
+    pub fn set_paused(&self, is_paused: bool) {
+        self.connection_faults.set_paused(is_paused);
+    }
+
     /// Queues the behaviour for the next request that has none planned yet.
     pub fn plan(&self, behaviour: Behaviour) {
         self.with_state(|state| state.planned_behaviours.push_back(behaviour));
@@ -363,14 +390,21 @@
                 return self.complete_response(StatusCode::OK, "another");
             }
             Behaviour::Hang => std::future::pending().await,
-            Behaviour::Answer | Behaviour::Reject | Behaviour::BreakAfter(_) => {}
+            Behaviour::Answer
+            | Behaviour::Reject
+            | Behaviour::BreakAfter(_)
+            | Behaviour::PauseAfter { .. } => {}
         }
         match (self.kind, behaviour) {
             (ServerKind::Plain, _) => self.complete_response(StatusCode::OK, &id),
             (ServerKind::Engine { .. }, Behaviour::BreakAfter(count)) => {
-                self.stream_response(&id, after, Some(after + count))
+                self.stream_response(&id, after, StreamFault::BreakAfter(after + count))
+            }
+            (ServerKind::Engine { .. }, Behaviour::PauseAfter { events, pause_ms }) => {
+                let last = after + events;
+                self.stream_response(&id, after, StreamFault::PauseAfter { last, pause_ms })
             }
-            (ServerKind::Engine { .. }, _) => self.stream_response(&id, after, None),
+            (ServerKind::Engine { .. }, _) => self.stream_response(&id, after, StreamFault::None),
         }
     }
 
@@ -406,16 +440,20 @@
         Ok(response)
     }
 
-    /// Streams the events after number `after`; the connection closes after event `breaks_after`.
-    pub(super) fn stream_response(&self, id: &str, after: u64, breaks_after: Option<u64>) -> Reply {
+    /// Streams the events after number `after`.
+    pub(super) fn stream_response(&self, id: &str, after: u64, fault: StreamFault) -> Reply {
         let running = RunningRequest::new(self);
         let numbers = stream::iter(after + 1..=EVENTS_PER_STREAM + 1);
         let events = numbers.then(move |number| {
             let _is_running = &running;
             async move {
                 sleep(Duration::from_millis(EVENT_INTERVAL_MS)).await;
-                if breaks_after.is_some_and(|last| number > last) {
-                    return Err(Closed);
+                match fault {
+                    StreamFault::BreakAfter(last) if number > last => return Err(Closed),
+                    StreamFault::PauseAfter { last, pause_ms } if number == last + 1 => {
+                        sleep(Duration::from_millis(pause_ms)).await;
+                    }
+                    _ => {}
                 }
                 Ok(event(number))
             }
@@ -439,6 +477,14 @@
     }
 }
 
+/// Listens on a free port.
+fn listen() -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    socket.bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+    socket.listen(BACKLOG)
+}
+
 /// Formats one event; returns no bytes after the last event.
 fn event(number: u64) -> Bytes {
     if number > EVENTS_PER_STREAM {
--- a/standin/src/server.rs
+++ b/standin/src/server.rs
@@ -15,7 +15,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 
-use crate::connection::ConnectionSilencing;
+use crate::connection::{ConnectionPause, ConnectionSilencing};
 use crate::reply::{Closed, Reply};
 
 /// Timeout for the first bytes of a connection, in milliseconds. Without them the connection cannot
@@ -39,6 +39,7 @@
 pub(crate) struct ConnectionFaults {
     silencing: ConnectionSilencing,
     silent: Arc<AtomicBool>,
+    pause: ConnectionPause,
 }
 
 /// Handles the calls of one stand-in. Clones share the state.
@@ -63,6 +64,11 @@
         }
         self.silent.store(silent, Ordering::Relaxed);
     }
+
+    /// Pauses all connections, or ends the pause. Nothing is lost.
+    pub(crate) fn set_paused(&self, is_paused: bool) {
+        self.pause.set_paused(is_paused);
+    }
 }
 
 impl Call {
@@ -127,7 +133,10 @@
 async fn serve_connection<S: Service>(stream: TcpStream, service: S) {
     let _ = stream.set_nodelay(true);
     let connection_faults = service.connection_faults().clone();
-    let connection = connection_faults.silencing.wrap(stream);
+    let connection = connection_faults
+        .silencing
+        .wrap(stream)
+        .with_pause(&connection_faults.pause);
     let Some(connection) = classify_connection(connection, &connection_faults).await else {
         return;
     };
