--- a/standin/src/fleet/server.rs
+++ b/standin/src/fleet/server.rs
@@ -170,7 +170,7 @@
 
 impl FleetServer {
     /// Starts a server on a free port and registers it as ready.
-    pub async fn start(store: &FleetStore, id: &str, service: &str, kind: ServerKind) -> Self {
+    pub fn start(store: &FleetStore, id: &str, service: &str, kind: ServerKind) -> Self {
         let listener = listen().expect("a free port");
         let server = Self {
             id: id.into(),
--- a/standin/src/fleet/site.rs
+++ b/standin/src/fleet/site.rs
@@ -255,13 +255,13 @@
         };
         for index in 0..self.options.engines {
             let id = format!("engine-{index}");
-            let server = FleetServer::start(&self.store, &id, ENGINES, kind).await;
+            let server = FleetServer::start(&self.store, &id, ENGINES, kind);
             self.relay_to_server(&server).await;
             self.engines.push(server);
         }
         for index in 0..self.options.plain_servers {
             let id = format!("desk-{index}");
-            let server = FleetServer::start(&self.store, &id, DESK, ServerKind::Plain).await;
+            let server = FleetServer::start(&self.store, &id, DESK, ServerKind::Plain);
             self.relay_to_server(&server).await;
             self.plain_servers.push(server);
         }
