Let a stand-in server listen on its address again after a crash

The listener with a small receive buffer did not set SO_REUSEADDR, unlike tokio's own, so that a crashed server could not come back while connections of before were in TIME_WAIT: quarantined_draft_is_refused_while_no_placer_can_be_elected failed 5 of 5 times.

--- a/standin/src/fleet/server.rs
+++ b/standin/src/fleet/server.rs
@@ -480,6 +480,7 @@
 /// Listens on a free port.
 fn listen() -> std::io::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
     socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
     socket.bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
     socket.listen(BACKLOG)
