Keep the connection to a silent engine until another engine is assigned

Cause: after 1.5 s without data (twice the forecast and 1.5 s for the head) the connection to the engine was closed first; only then were a retry and a placement requested. Without a retry left, or with a refused placement, nothing was left to fall back on: a stream was cut, a request without a head answered with an error. One pause of an engine stalls all its streams at once, and an instance that has just started has one retry, so that nearly all of them were cut.

Ruled out: a change of the configuration (the cases with and without one behave alike).

Change: after the same time without data a retry and a placement are requested while the connection is still read.

--- a/core/src/retry_share.rs
+++ b/core/src/retry_share.rs
@@ -55,6 +55,11 @@
         }
         is_available
     }
+
+    /// Returns a retry that was taken and not used.
+    pub fn return_retry(&mut self) {
+        self.stored = (self.stored + 1.0).min(self.max_stored);
+    }
 }
 
 /// Returns one instance's share of the burst, at least one retry. In a large fleet, the unused part of
--- a/daemon/src/gateway/engine_request.rs
+++ b/daemon/src/gateway/engine_request.rs
@@ -11,12 +11,13 @@
 
 use super::answer::{Answer, OwnAnswer, forward_response};
 use super::engine_run::Run;
-use super::exchange::{self, CompleteResponse, Failure, Outgoing, ResponseHead};
+use super::exchange::{self, CompleteResponse, Failure, ResponseHead};
 use super::metrics::Outcome;
-use super::placement::{self, Placement};
+use super::placement::{self, GrantedPlacement, Placement};
 use super::relay;
 use super::request::{AttemptOptions, Job};
 use super::state::State;
+use super::successor::{self, Awaited};
 
 /// Retry delay for a caller whose request could not be placed, in milliseconds.
 pub(super) const NO_PLACER_RETRY_MS: u64 = 500;
@@ -95,7 +96,7 @@
     request: &mut EngineRequest,
 ) -> Result<(ResponseHead, Run), Answer> {
     loop {
-        let failure = match attempt_next_server(state, request, None).await {
+        let failure = match attempt_server(state, request, None, None).await {
             Ok((head, run)) if !head.status.is_server_error() => return Ok((head, run)),
             Ok((head, mut run)) => {
                 let left_ms = request.job.remaining_ms(state);
@@ -132,82 +133,97 @@
         && state.try_take_retry(&request.job.service.name)
 }
 
-/// Makes one attempt at the server that the placer chooses.
-pub(crate) async fn attempt_next_server(
+/// Makes an attempt at the assigned server, or at the one that the placer chooses if none is assigned.
+pub(crate) async fn attempt_server(
     state: &Arc<State>,
     request: &mut EngineRequest,
+    assigned: Option<GrantedPlacement>,
     resume_after: Option<u64>,
 ) -> Result<(ResponseHead, Run), AttemptError> {
-    let (mut run, backend, version, first_event_ms) =
-        match placement::place_request(state, request).await {
-            Placement::Granted {
-                run,
-                backend,
-                version,
-                first_event_ms,
-            } => (run, backend, version, first_event_ms),
-            Placement::Refused(refusal) => return Err(AttemptError::Refused(refusal)),
-            Placement::ServerLeft => {
-                request.attempts.record_failure(ExecutionStatus::NotRun);
-                return Err(AttemptError::Failed(Failure::NotHeld));
-            }
-        };
-    let options = AttemptOptions {
-        server: backend.id.clone(),
-        urgency: Some(request.job.urgency()),
-        version,
-        resume_after,
+    let mut granted = match assigned {
+        Some(granted) => granted,
+        None => place(state, request).await?,
     };
-    let outgoing = Outgoing {
-        method: &request.job.method,
-        uri: &request.job.uri,
-        headers: request.job.server_headers(state, options),
-        body: &request.job.body,
-        request_id: &request.job.id,
-    };
-    run.mark_sent(&backend);
-    let limit_ms = head_timeout_ms(state, request, first_event_ms);
-    let sent = exchange::send(state, &backend, outgoing, limit_ms).await;
-    sent.map_err(|failure| {
-        state.metrics.count_failure(failure);
-        info!(
-            event = "attempt_failed",
-            id = %request.job.id,
-            server = %run.server,
-            ?failure,
+    loop {
+        let GrantedPlacement {
+            mut run,
+            backend,
+            version,
+            first_event_ms,
+        } = granted;
+        let options = AttemptOptions {
+            server: backend.id.clone(),
+            urgency: Some(request.job.urgency()),
             version,
-            left_ms = request.job.remaining_ms(state)
-        );
-        request.attempts.record_failure(failure.execution_status());
-        run.set_outcome(run_outcome(failure));
-        // The placer knows by itself whether a server that did not accept the request will accept
-        // it soon.
-        let was_not_taken = matches!(failure, Failure::NotHeld | Failure::Rejected);
-        let servers = if was_not_taken {
-            &mut request.refused_by
-        } else {
-            &mut request.excluded
+            resume_after,
         };
-        servers.push(run.server.clone());
-        request.previous = Some(run.as_ended());
-        AttemptError::Failed(failure)
-    })
-    .map(|head| (head, run))
+        run.mark_sent(&backend);
+        let left_ms = request.job.remaining_ms(state);
+        let outgoing = request.job.outgoing(state, options);
+        let head = exchange::send(state, &backend, outgoing, left_ms);
+        let stall_ms = first_event_ms * 2 + FIRST_EVENT_SLACK_MS;
+        match successor::await_or_replace(state, request, &backend.id, head, stall_ms).await {
+            Awaited::Current(Ok(head)) => return Ok((head, run)),
+            Awaited::Current(Err(failure)) => {
+                record_failed_attempt(state, request, &mut run, version, failure);
+                exclude(request, run.server.clone(), failure);
+                return Err(AttemptError::Failed(failure));
+            }
+            Awaited::Successor(next) => {
+                record_failed_attempt(state, request, &mut run, version, Failure::TimedOut);
+                granted = next;
+            }
+        }
+    }
 }
 
-/// Time limit for the response head. A request that may be retried does not spend all its time on a
-/// stalled server.
-fn head_timeout_ms(state: &State, request: &EngineRequest, first_event_ms: u64) -> u64 {
-    let left_ms = request.job.remaining_ms(state);
-    let mut next = request.attempts.clone();
-    next.record_failure(ExecutionStatus::Unknown);
-    if next.may_retry() {
-        left_ms.min(first_event_ms * 2 + FIRST_EVENT_SLACK_MS)
-    } else {
-        left_ms
+async fn place(
+    state: &Arc<State>,
+    request: &mut EngineRequest,
+) -> Result<GrantedPlacement, AttemptError> {
+    match placement::place_request(state, request).await {
+        Placement::Granted(granted) => Ok(granted),
+        Placement::Refused(refusal) => Err(AttemptError::Refused(refusal)),
+        Placement::ServerLeft => {
+            request.attempts.record_failure(ExecutionStatus::NotRun);
+            Err(AttemptError::Failed(Failure::NotHeld))
+        }
     }
 }
 
+fn record_failed_attempt(
+    state: &State,
+    request: &mut EngineRequest,
+    run: &mut Run,
+    version: Option<u64>,
+    failure: Failure,
+) {
+    state.metrics.count_failure(failure);
+    info!(
+        event = "attempt_failed",
+        id = %request.job.id,
+        server = %run.server,
+        ?failure,
+        version,
+        left_ms = request.job.remaining_ms(state)
+    );
+    request.attempts.record_failure(failure.execution_status());
+    run.set_outcome(run_outcome(failure));
+    request.previous = Some(run.as_ended());
+}
+
+/// Excludes a server from the next placement. The placer knows by itself whether a server that did not
+/// accept the request will accept it soon.
+fn exclude(request: &mut EngineRequest, server: Name, failure: Failure) {
+    let was_not_taken = matches!(failure, Failure::NotHeld | Failure::Rejected);
+    let servers = if was_not_taken {
+        &mut request.refused_by
+    } else {
+        &mut request.excluded
+    };
+    servers.push(server);
+}
+
 fn run_outcome(failure: Failure) -> RunOutcome {
     match failure {
         Failure::Unreachable => RunOutcome::Unreachable,
--- a/daemon/src/gateway/exchange.rs
+++ b/daemon/src/gateway/exchange.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use mimosabay_core::attempt::ExecutionStatus;
 use mimosabay_core::backend::{Backend, LoadSample};
+use mimosabay_core::name::Name;
 use mimosabay_platform::ingress;
 use prometheus_client::encoding::EncodeLabelValue;
 use tokio::time::timeout;
@@ -20,13 +21,13 @@
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
 /// A request as sent to a server.
-pub(crate) struct Outgoing<'a> {
-    pub(crate) method: &'a Method,
-    pub(crate) uri: &'a Uri,
+pub(crate) struct Outgoing {
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: &'a Bytes,
+    pub(crate) body: Bytes,
     /// Identifier that the response must carry.
-    pub(crate) request_id: &'a str,
+    pub(crate) request_id: Name,
 }
 
 /// Head of a server's response.
@@ -81,7 +82,7 @@
 pub(crate) async fn send(
     state: &State,
     backend: &Arc<Backend>,
-    outgoing: Outgoing<'_>,
+    outgoing: Outgoing,
     limit_ms: u64,
 ) -> Result<ResponseHead, Failure> {
     let limit = Duration::from_millis(limit_ms);
@@ -93,10 +94,10 @@
 async fn send_without_timeout(
     state: &State,
     backend: &Arc<Backend>,
-    outgoing: Outgoing<'_>,
+    outgoing: Outgoing,
 ) -> Result<ResponseHead, Failure> {
-    let request_id = outgoing.request_id;
-    let mut request = request(&outgoing);
+    let request_id = outgoing.request_id.clone();
+    let mut request = request(outgoing);
     loop {
         let (mut connection, is_pooled) = match state.pool.take_connection(backend) {
             Some(connection) => (connection, true),
@@ -106,7 +107,7 @@
             },
         };
         match connection.send(request).await {
-            Ok(response) => return check_response(backend, connection, response, request_id),
+            Ok(response) => return check_response(backend, connection, response, &request_id),
             // A pooled connection was closed before the request was written to it.
             Err(Some(unsent)) if is_pooled => request = unsent,
             Err(Some(_)) => return Err(Failure::Unreachable),
@@ -115,11 +116,11 @@
     }
 }
 
-fn request(outgoing: &Outgoing<'_>) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(outgoing.body.clone()));
-    *request.method_mut() = outgoing.method.clone();
-    *request.uri_mut() = outgoing.uri.clone();
-    *request.headers_mut() = outgoing.headers.clone();
+fn request(outgoing: Outgoing) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(outgoing.body));
+    *request.method_mut() = outgoing.method;
+    *request.uri_mut() = outgoing.uri;
+    *request.headers_mut() = outgoing.headers;
     request
 }
 
--- a/daemon/src/gateway/placement.rs
+++ b/daemon/src/gateway/placement.rs
@@ -16,14 +16,19 @@
 use super::engine_run::{Forecast, Run};
 use super::state::State;
 
+/// A placement at a server. Dropping it releases the place.
+pub(crate) struct GrantedPlacement {
+    pub(super) run: Run,
+    pub(super) backend: Arc<Backend>,
+    /// Version of the adapter that the server must hold, if known.
+    pub(super) version: Option<u64>,
+    /// Forecast time to the first event, in milliseconds.
+    pub(super) first_event_ms: u64,
+}
+
 /// A granted placement, or why there is none.
 pub(super) enum Placement {
-    Granted {
-        run: Run,
-        backend: Arc<Backend>,
-        version: Option<u64>,
-        first_event_ms: u64,
-    },
+    Granted(GrantedPlacement),
     Refused(Refusal),
     /// The server has left since the placement; another one may be available.
     ServerLeft,
@@ -92,12 +97,12 @@
             state.link.set_run_server(ticket, &server);
             let backend = state.backend(&server);
             if let Some(backend) = backend.filter(|backend| backend.is_ready()) {
-                return Placement::Granted {
+                return Placement::Granted(GrantedPlacement {
                     run,
                     backend,
                     version,
                     first_event_ms,
-                };
+                });
             }
             request.excluded.push(server);
             Placement::ServerLeft
--- a/daemon/src/gateway/plain_request.rs
+++ b/daemon/src/gateway/plain_request.rs
@@ -12,7 +12,7 @@
 
 use super::answer::{Answer, OwnAnswer, forward_response};
 use super::crash_probe::{self, RunEnd};
-use super::exchange::{self, CompleteResponse, Failure, Outgoing};
+use super::exchange::{self, CompleteResponse, Failure};
 use super::metrics::Outcome;
 use super::request::{AttemptOptions, Job};
 use super::state::State;
@@ -209,13 +209,7 @@
         server: backend.id.clone(),
         ..AttemptOptions::default()
     };
-    let outgoing = Outgoing {
-        method: &job.method,
-        uri: &job.uri,
-        headers: job.server_headers(state, options),
-        body: &job.body,
-        request_id: &job.id,
-    };
+    let outgoing = job.outgoing(state, options);
     let until_ms = state.now_ms() + limit_ms;
     let head = exchange::send(state, backend, outgoing, limit_ms).await?;
     let left_ms = until_ms.saturating_sub(state.now_ms());
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -10,7 +10,7 @@
 use mimosabay_core::cell::{RefusalReason, RunOutcome};
 use mimosabay_platform::ingress;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{sleep_until, timeout};
 use tracing::info;
 
 use super::answer::Answer;
@@ -20,11 +20,13 @@
 use super::events::EventSplitter;
 use super::exchange::ResponseHead;
 use super::metrics::Outcome;
+use super::placement::GrantedPlacement;
 use super::state::State;
+use super::successor::{self, Awaited};
 
 /// Number of chunks buffered for a caller that reads slowly.
 const CHUNK_BUFFER: usize = 8;
-/// Time without data in the middle of a stream after which its server counts as stalled, in
+/// Time without data in the middle of a stream after which another server is requested, in
 /// milliseconds.
 const STALL_TIMEOUT_MS: u64 = 1_500;
 
@@ -34,6 +36,8 @@
     request: EngineRequest,
     chunks: mpsc::Sender<Result<Bytes, Interrupted>>,
     splitter: EventSplitter,
+    /// Placement at another server, if the current one is silent.
+    successor: Option<GrantedPlacement>,
     /// Identifier of the last event that was forwarded.
     last_id: Option<u64>,
     events: u64,
@@ -63,7 +67,7 @@
     ConnectionLost,
     /// The stream ended inside an event.
     EndedInsideEvent,
-    /// No data arrived for [`STALL_TIMEOUT_MS`].
+    /// The server was silent, and another one was assigned.
     Stalled,
 }
 
@@ -103,6 +107,7 @@
         request,
         chunks,
         splitter: EventSplitter::default(),
+        successor: None,
         last_id: None,
         events: 0,
         last_event_ms: None,
@@ -158,16 +163,23 @@
         } = head;
         let deadline = self.state.clock.instant(self.request.job.deadline_ms);
         loop {
-            let stall_deadline = self.stall_deadline(deadline);
+            let frame = successor::await_or_replace(
+                &self.state,
+                &mut self.request,
+                &run.server,
+                body.frame(),
+                STALL_TIMEOUT_MS,
+            );
             let frame = tokio::select! {
-                frame = body.frame() => frame,
+                frame = frame => frame,
                 () = self.chunks.closed() => return StreamEnd::CallerLeft,
-                () = sleep_until(stall_deadline) => {
-                    return if stall_deadline < deadline {
-                        StreamEnd::Broken(BreakCause::Stalled)
-                    } else {
-                        StreamEnd::TimedOut
-                    };
+                () = sleep_until(deadline) => return StreamEnd::TimedOut,
+            };
+            let frame = match frame {
+                Awaited::Current(frame) => frame,
+                Awaited::Successor(successor) => {
+                    self.successor = Some(successor);
+                    return StreamEnd::Broken(BreakCause::Stalled);
                 }
             };
             match frame {
@@ -192,17 +204,6 @@
         }
     }
 
-    /// Time at which the server counts as stalled; the deadline if the stream cannot be resumed.
-    fn stall_deadline(&self, deadline: Instant) -> Instant {
-        let mut next = self.request.attempts.clone();
-        next.record_failure(ExecutionStatus::Unknown);
-        if next.may_retry() {
-            deadline.min(Instant::now() + Duration::from_millis(STALL_TIMEOUT_MS))
-        } else {
-            deadline
-        }
-    }
-
     /// Forwards complete events; returns whether the caller is still connected.
     async fn forward_events(&mut self, data: &[u8]) -> bool {
         let Some(complete) = self.splitter.push(data) else {
@@ -224,10 +225,15 @@
     /// Resumes the stream at another server after the last forwarded event.
     async fn resume(&mut self) -> Result<(ResponseHead, Run), CutReason> {
         self.splitter.clear();
-        while engine_request::try_take_retry(&self.state, &self.request) {
+        let mut successor = self.successor.take();
+        while successor.is_some() || engine_request::try_take_retry(&self.state, &self.request) {
             let left = Duration::from_millis(self.request.job.remaining_ms(&self.state));
-            let next =
-                engine_request::attempt_next_server(&self.state, &mut self.request, self.last_id);
+            let next = engine_request::attempt_server(
+                &self.state,
+                &mut self.request,
+                successor.take(),
+                self.last_id,
+            );
             let next = tokio::select! {
                 next = timeout(left, next) => next.map_err(|_| CutReason::TimedOut)?,
                 () = self.chunks.closed() => return Err(CutReason::CallerLeft),
--- a/daemon/src/gateway/request.rs
+++ b/daemon/src/gateway/request.rs
@@ -17,6 +17,7 @@
 
 use super::answer::{Answer, OwnAnswer, close_connection_after};
 use super::engine_request;
+use super::exchange::Outgoing;
 use super::plain_request;
 use super::state::{Phase, State};
 
@@ -65,8 +66,18 @@
         u8::try_from(rank).unwrap_or(u8::MAX)
     }
 
-    /// Headers of the request as sent to a server.
-    pub(crate) fn server_headers(&self, state: &State, options: AttemptOptions) -> HeaderMap {
+    /// The request as sent to a server.
+    pub(crate) fn outgoing(&self, state: &State, options: AttemptOptions) -> Outgoing {
+        Outgoing {
+            method: self.method.clone(),
+            uri: self.uri.clone(),
+            headers: self.server_headers(state, options),
+            body: self.body.clone(),
+            request_id: self.id.clone(),
+        }
+    }
+
+    fn server_headers(&self, state: &State, options: AttemptOptions) -> HeaderMap {
         let organisation = self.organisation.as_ref();
         let forward_options = ForwardOptions {
             server: options.server,
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -235,6 +235,11 @@
         self.with_retry_share(service, RetryShare::try_take_retry)
     }
 
+    /// Returns a retry that was taken and not used.
+    pub(crate) fn return_retry(&self, service: &Name) {
+        self.with_retry_share(service, RetryShare::return_retry);
+    }
+
     fn with_retry_share<T>(&self, service: &Name, act: impl FnOnce(&mut RetryShare) -> T) -> T {
         let new_share = || {
             let settings = self.settings();
