Go on resuming a stream until another server takes it

Then a single retry and a single placement were tried, and the first 'no' closed the caller's connection, although time was left. A caller that has received events cannot be refused any more.

Change: retries and placements are awaited until the deadline, as while the first server is silent. A request that may not be sent again, or that is under quarantine, still ends at once.

--- a/daemon/src/gateway/engine_request.rs
+++ b/daemon/src/gateway/engine_request.rs
@@ -96,7 +96,7 @@
     request: &mut EngineRequest,
 ) -> Result<(ResponseHead, Run), Answer> {
     loop {
-        let failure = match attempt_server(state, request, None, None).await {
+        let failure = match attempt_next_server(state, request).await {
             Ok((head, run)) if !head.status.is_server_error() => return Ok((head, run)),
             Ok((head, mut run)) => {
                 let left_ms = request.job.remaining_ms(state);
@@ -119,7 +119,7 @@
 }
 
 /// Why an attempt produced no response.
-pub(crate) enum AttemptError {
+enum AttemptError {
     /// A server failed; the attempt is counted.
     Failed(Failure),
     /// No placement was granted.
@@ -127,23 +127,34 @@
 }
 
 /// Takes a retry for another attempt; returns whether the attempt may be made.
-pub(crate) fn try_take_retry(state: &State, request: &EngineRequest) -> bool {
+fn try_take_retry(state: &State, request: &EngineRequest) -> bool {
     request.job.remaining_ms(state) > 0
         && request.attempts.may_retry()
         && state.try_take_retry(&request.job.service.name)
 }
 
-/// Makes an attempt at the assigned server, or at the one that the placer chooses if none is assigned.
-pub(crate) async fn attempt_server(
+/// Makes an attempt at the server that the placer chooses.
+async fn attempt_next_server(
     state: &Arc<State>,
     request: &mut EngineRequest,
-    assigned: Option<GrantedPlacement>,
-    resume_after: Option<u64>,
 ) -> Result<(ResponseHead, Run), AttemptError> {
-    let mut granted = match assigned {
-        Some(granted) => granted,
-        None => place(state, request).await?,
-    };
+    let granted = place(state, request).await?;
+    let attempted = attempt_at(state, request, granted, None).await;
+    attempted.map_err(AttemptError::Failed)
+}
+
+/// Makes an attempt at the assigned server. If the server is silent, the attempt goes on at another one
+/// as soon as that is assigned.
+///
+/// # Errors
+///
+/// The failure of the last attempt, which is counted.
+pub(crate) async fn attempt_at(
+    state: &Arc<State>,
+    request: &mut EngineRequest,
+    mut granted: GrantedPlacement,
+    resume_after: Option<u64>,
+) -> Result<(ResponseHead, Run), Failure> {
     loop {
         let GrantedPlacement {
             mut run,
@@ -167,7 +178,7 @@
             Awaited::Current(Err(failure)) => {
                 record_failed_attempt(state, request, &mut run, version, failure);
                 exclude(request, run.server.clone(), failure);
-                return Err(AttemptError::Failed(failure));
+                return Err(failure);
             }
             Awaited::Successor(next) => {
                 record_failed_attempt(state, request, &mut run, version, Failure::TimedOut);
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -15,7 +15,7 @@
 
 use super::answer::Answer;
 use super::body::{AnswerBody, Interrupted};
-use super::engine_request::{self, AttemptError, EngineRequest};
+use super::engine_request::{self, EngineRequest};
 use super::engine_run::Run;
 use super::events::EventSplitter;
 use super::exchange::ResponseHead;
@@ -225,37 +225,14 @@
     /// Resumes the stream at another server after the last forwarded event.
     async fn resume(&mut self) -> Result<(ResponseHead, Run), CutReason> {
         self.splitter.clear();
-        let mut successor = self.successor.take();
-        while successor.is_some() || engine_request::try_take_retry(&self.state, &self.request) {
-            let left = Duration::from_millis(self.request.job.remaining_ms(&self.state));
-            let next = engine_request::attempt_server(
-                &self.state,
-                &mut self.request,
-                successor.take(),
-                self.last_id,
-            );
-            let next = tokio::select! {
-                next = timeout(left, next) => next.map_err(|_| CutReason::TimedOut)?,
-                () = self.chunks.closed() => return Err(CutReason::CallerLeft),
-            };
-            match next {
-                Ok((head, run)) if head.status.is_success() => {
-                    info!(
-                        event = "stream_resumed",
-                        id = %self.request.job.id,
-                        server = %run.server,
-                        after = self.last_id
-                    );
-                    return Ok((head, run));
-                }
-                Ok(_) => self.request.attempts.record_failure(ExecutionStatus::Ran),
-                Err(AttemptError::Failed(_)) => {}
-                Err(AttemptError::Refused(refusal)) => {
-                    return Err(CutReason::Refused(refusal.reason));
-                }
-            }
+        let left = Duration::from_millis(self.request.job.remaining_ms(&self.state));
+        let successor = self.successor.take();
+        let next =
+            resume_at_another_server(&self.state, &mut self.request, successor, self.last_id);
+        tokio::select! {
+            next = timeout(left, next) => next.unwrap_or(Err(CutReason::TimedOut)),
+            () = self.chunks.closed() => Err(CutReason::CallerLeft),
         }
-        Err(CutReason::NoRetry)
     }
 
     /// Aborts the answer, so that it does not look complete.
@@ -272,6 +249,36 @@
     }
 }
 
+/// Resumes a stream after the event with number `last_id`, at `successor` or the next server that is
+/// assigned. A caller that has received events cannot be refused any more, so this goes on as long as
+/// the request may be sent again.
+async fn resume_at_another_server(
+    state: &Arc<State>,
+    request: &mut EngineRequest,
+    mut successor: Option<GrantedPlacement>,
+    last_id: Option<u64>,
+) -> Result<(ResponseHead, Run), CutReason> {
+    while successor.is_some() || request.attempts.may_retry() {
+        let granted = match successor.take() {
+            Some(granted) => granted,
+            None => successor::next_placement(state, request)
+                .await
+                .map_err(|refusal| CutReason::Refused(refusal.reason))?,
+        };
+        match engine_request::attempt_at(state, request, granted, last_id).await {
+            Ok((head, run)) if head.status.is_success() => {
+                let server = &run.server;
+                info!(event = "stream_resumed", id = %request.job.id, %server, after = last_id);
+                return Ok((head, run));
+            }
+            Ok(_) => request.attempts.record_failure(ExecutionStatus::Ran),
+            // The failure is logged and counted.
+            Err(_) => {}
+        }
+    }
+    Err(CutReason::NoRetry)
+}
+
 /// Why the answer to a caller ends before it is complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CutReason {
@@ -279,9 +286,9 @@
     CallerLeft,
     /// The deadline of the request has passed.
     TimedOut,
-    /// The request may not be sent again, or no retry is left.
+    /// The request may not be sent again.
     NoRetry,
-    /// No other server was assigned.
+    /// No other server is assigned any more.
     Refused(RefusalReason),
 }
 
--- a/daemon/tests/gateway/silence.rs
+++ b/daemon/tests/gateway/silence.rs
@@ -5,11 +5,13 @@
 use futures::future::join_all;
 use mimosabay_core::cases;
 use mimosabay_standin::fleet::{Behaviour, FleetOptions, FleetSite};
-use mimosabay_standin::harness::block_on;
+use mimosabay_standin::harness::{block_on, wait_for};
 use tokio::time::sleep;
 
 /// Time for which a server is silent in the middle of a stream, in milliseconds.
 const PAUSE_MS: u64 = 1_900;
+/// Time for which a server is silent that is to be replaced, in milliseconds; longer than any deadline.
+const HANG_MS: u64 = 30_000;
 /// Time for which a server reads nothing, in milliseconds.
 const READ_PAUSE_MS: u64 = 2_200;
 /// Time until a silent server sends the head of its answer, in milliseconds.
@@ -28,6 +30,11 @@
     pause_ms: PAUSE_MS,
 };
 
+const MID_STREAM_HANG: Behaviour = Behaviour::PauseAfter {
+    events: 3,
+    pause_ms: HANG_MS,
+};
+
 async fn start_site(engines: usize) -> FleetSite {
     FleetSite::start(FleetOptions {
         engines,
@@ -36,6 +43,12 @@
     .await
 }
 
+fn plan_first_request(site: &FleetSite, behaviour: Behaviour) {
+    for engine in &site.engines {
+        engine.plan(behaviour);
+    }
+}
+
 fn plan_all(site: &FleetSite, behaviour: Behaviour) {
     for server in site.engines.iter().chain(&site.plain_servers) {
         for _ in 0..REQUESTS {
@@ -108,6 +121,39 @@
     });
 }
 
+/// Guards against cutting a stream because the successor of its silent server does not accept it.
+#[test]
+fn stream_is_resumed_although_the_successor_of_its_silent_server_rejects_it() {
+    block_on(async {
+        let site = start_site(2).await;
+        plan_first_request(&site, MID_STREAM_HANG);
+        let caller = site.caller(0);
+        let stream = caller.generate("/draft/x", "one", "");
+        let others = async {
+            wait_for("a running stream", async || {
+                (site.run_count("one") > 0).then_some(())
+            })
+            .await;
+            for engine in site.engines.iter().filter(|it| it.running_count() == 0) {
+                engine.clear_plan();
+                engine.plan(Behaviour::Reject);
+            }
+            wait_for("a successor", async || {
+                (site.arrival_count("one") > 1).then_some(())
+            })
+            .await;
+            for number in 0..REQUESTS {
+                let id = format!("other-{number}");
+                let answer = caller.generate("/draft/x", &id, "").await;
+                assert_eq!(answer.expect("an answer").status, 200);
+            }
+        };
+        let (answer, ()) = tokio::join!(stream, others);
+        let answer = answer.expect("a complete answer");
+        assert_eq!(answer.event_ids(), [1, 2, 3, 4, 5, 6]);
+    });
+}
+
 /// Guards against an error for a request whose silent server cannot be replaced.
 #[test]
 fn first_event_of_a_silent_server_is_awaited_if_no_other_server_is_left() {
--- a/standin/src/fleet/site.rs
+++ b/standin/src/fleet/site.rs
@@ -10,7 +10,7 @@
 
 use super::caller::FleetCaller;
 use super::configuration::configuration_json;
-use super::server::{FleetServer, ServerKind};
+use super::server::{FleetServer, ReceivedRequest, ServerKind};
 use super::settings::InstanceSettings;
 use super::store::FleetStore;
 use crate::harness::{Process, Relay, find_binary, free_address, wait_for};
@@ -222,9 +222,19 @@
 
     /// Returns how often the servers ran a request, given the identifier of the caller's attempt.
     pub fn run_count(&self, id: &str) -> usize {
+        let received = self.received(id);
+        received.filter(|request| request.has_run).count()
+    }
+
+    /// Returns the number of times that a request reached a server, whether it ran or not.
+    pub fn arrival_count(&self, id: &str) -> usize {
+        self.received(id).count()
+    }
+
+    fn received(&self, id: &str) -> impl Iterator<Item = ReceivedRequest> {
         let servers = self.engines.iter().chain(&self.plain_servers);
         let requests = servers.flat_map(FleetServer::requests);
-        requests.filter(|it| it.id == id && it.has_run).count()
+        requests.filter(move |request| request.id == id)
     }
 
     /// Returns the store's address for the next instance: that of a new relay, if the site has
