Keep waiting for a silent plain server while no retry is left

What callers saw: 504 for a lookup long before its deadline, although its server was sound and went on.

Change: the retry is taken first; until there is one, the server may still answer. A request without a further attempt waits for its deadline, as before.

--- a/daemon/src/gateway/plain_request.rs
+++ b/daemon/src/gateway/plain_request.rs
@@ -1,6 +1,7 @@
 //! Handles a request to a plain service: its attempts and their failures.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use mimosabay_core::attempt::{Attempts, ExecutionStatus};
 use mimosabay_core::backend::{Backend, LoadSample};
@@ -8,6 +9,7 @@
 use mimosabay_core::plain::PlainOutcome;
 use mimosabay_core::quarantine::{self, Fingerprint};
 use mimosabay_core::site::RetrySafety;
+use tokio::time::sleep;
 use tracing::info;
 
 use super::answer::{Answer, OwnAnswer, forward_response};
@@ -15,9 +17,10 @@
 use super::exchange::{self, CompleteResponse, Failure};
 use super::metrics::Outcome;
 use super::request::{AttemptOptions, Job};
+use super::retry_permit::RetryPermit;
 use super::state::State;
 
-/// Time beyond the target latency after which an idempotent request is sent to another server, in
+/// Time beyond the target latency after which an idempotent request may be sent to another server, in
 /// milliseconds.
 const ATTEMPT_SLACK_MS: u64 = 100;
 /// Retry delay for a caller whose request no server could accept, in milliseconds.
@@ -42,22 +45,26 @@
                 failed_response,
             );
         };
-        let limit_ms = attempt_limit_ms(state, &job, &attempts);
         let server = backend.id.clone();
-        let result = attempt(state, &job, backend, limit_ms).await;
-        let failure = match result {
-            Ok(response) if !response.status.is_server_error() => {
+        let end = attempt(state, &job, backend, &attempts).await;
+        let has_retry = matches!(end, AttemptEnd::Replaced);
+        let failure = match end {
+            AttemptEnd::Ended(Ok(response)) if !response.status.is_server_error() => {
                 return deliver_response(state, &job, &server, response);
             }
-            Ok(response) => {
+            AttemptEnd::Ended(Ok(response)) => {
                 failed_response = Some(response);
                 attempts.record_failure(ExecutionStatus::Ran);
                 Failure::Broken
             }
-            Err(failure) => {
+            AttemptEnd::Ended(Err(failure)) => {
                 attempts.record_failure(failure.execution_status());
                 failure
             }
+            AttemptEnd::Replaced => {
+                attempts.record_failure(ExecutionStatus::Unknown);
+                Failure::TimedOut
+            }
         };
         state.metrics.count_failure(failure);
         info!(
@@ -69,7 +76,7 @@
             left_ms = job.remaining_ms(state)
         );
         excluded.push(server);
-        if !try_take_retry(state, &job, &attempts) {
+        if !has_retry && !try_take_retry(state, &job, &attempts) {
             return failure_answer(state, &job, &attempts, failure, failed_response);
         }
     }
@@ -116,18 +123,6 @@
     snapshot.get(&server).cloned()
 }
 
-/// Time limit of an attempt. An idempotent request leaves time for another server.
-fn attempt_limit_ms(state: &State, job: &Job, attempts: &Attempts) -> u64 {
-    let left_ms = job.remaining_ms(state);
-    let may_retry = job.route.retry_safety == RetrySafety::Idempotent
-        && job.route.max_attempts > attempts.count() + 1;
-    if may_retry {
-        left_ms.min(job.route.target_latency_ms + ATTEMPT_SLACK_MS)
-    } else {
-        left_ms
-    }
-}
-
 /// A request at one plain server. Dropping it records how it ended, also if its caller leaves.
 struct PlainRun<'a> {
     state: &'a Arc<State>,
@@ -181,12 +176,19 @@
     }
 }
 
+/// How an attempt ended.
+enum AttemptEnd {
+    Ended(Result<CompleteResponse, Failure>),
+    /// The server was silent, and a retry was taken for another one.
+    Replaced,
+}
+
 async fn attempt(
     state: &Arc<State>,
     job: &Job,
     backend: Arc<Backend>,
-    limit_ms: u64,
-) -> Result<CompleteResponse, Failure> {
+    attempts: &Attempts,
+) -> AttemptEnd {
     let mut run = PlainRun {
         state,
         fingerprint: job.fingerprint,
@@ -194,26 +196,48 @@
         sent_ms: state.now_ms(),
         result: None,
     };
-    let result = exchange_complete(state, job, &run.backend, limit_ms).await;
+    let result = tokio::select! {
+        biased;
+        result = exchange_complete(state, job, &run.backend) => result,
+        () = take_retry_after_stall(state, job, attempts) => {
+            run.result = Some(RunResult::new(&Err(Failure::TimedOut)));
+            return AttemptEnd::Replaced;
+        }
+    };
     run.result = Some(RunResult::new(&result));
-    result
+    AttemptEnd::Ended(result)
+}
+
+/// Takes a retry for an idempotent request whose server is silent for longer than the target latency.
+/// Until a retry is available, the server may still answer.
+async fn take_retry_after_stall(state: &Arc<State>, job: &Job, attempts: &Attempts) {
+    let may_retry = job.route.retry_safety == RetrySafety::Idempotent
+        && job.route.max_attempts > attempts.count() + 1;
+    if !may_retry {
+        return std::future::pending().await;
+    }
+    let stall_ms = job.route.target_latency_ms + ATTEMPT_SLACK_MS;
+    sleep(Duration::from_millis(stall_ms)).await;
+    let permit = RetryPermit::take(state, &job.service.name).await;
+    if state.suspects.is_refused(job.fingerprint) {
+        drop(permit);
+        return std::future::pending().await;
+    }
+    permit.spend();
 }
 
 async fn exchange_complete(
     state: &State,
     job: &Job,
     backend: &Arc<Backend>,
-    limit_ms: u64,
 ) -> Result<CompleteResponse, Failure> {
     let options = AttemptOptions {
         server: backend.id.clone(),
         ..AttemptOptions::default()
     };
     let outgoing = job.outgoing(state, options);
-    let until_ms = state.now_ms() + limit_ms;
-    let head = exchange::send(state, backend, outgoing, limit_ms).await?;
-    let left_ms = until_ms.saturating_sub(state.now_ms());
-    exchange::read_complete_response(state, head, left_ms).await
+    let head = exchange::send(state, backend, outgoing, job.remaining_ms(state)).await?;
+    exchange::read_complete_response(state, head, job.remaining_ms(state)).await
 }
 
 fn deliver_response(state: &State, job: &Job, server: &Name, response: CompleteResponse) -> Answer {
