Let a server that reads nothing for two seconds keep its connection

What callers saw: 502 for a request whose server was sound, read nothing for two seconds and went on; a stream that may not be resumed can be cut in the same way.

Change: 3 s for backend servers; a caller abandons a stream after a pause of that order anyway.

Silence of the network itself, without a full buffer, cannot be played on the loopback interface.

--- a/daemon/src/gateway/connection.rs
+++ b/daemon/src/gateway/connection.rs
@@ -20,8 +20,9 @@
 const KEEPALIVE: Duration = Duration::from_secs(1);
 /// Probes without an answer after which a connection is closed.
 const KEEPALIVE_RETRIES: u32 = 2;
-/// Time within which sent data must be acknowledged.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time within which a backend server must acknowledge data. A sound server may be silent for two
+/// seconds.
+const SERVER_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// A connection. Dropping it closes the socket, which makes the server stop its work.
 pub(crate) struct Connection {
@@ -40,7 +41,7 @@
         let socket = timeout(limit, TcpStream::connect(address))
             .await
             .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
-        set_liveness_timeouts(&socket)?;
+        set_liveness_timeouts(&socket, SERVER_UNACKNOWLEDGED_TIMEOUT)?;
         let (sender, connection) = http1::handshake(TokioIo::new(socket))
             .await
             .map_err(std::io::Error::other)?;
@@ -79,8 +80,12 @@
     }
 }
 
-/// Makes the kernel detect a connection whose peer no longer responds.
-pub(crate) fn set_liveness_timeouts(socket: &TcpStream) -> std::io::Result<()> {
+/// Makes the kernel close a connection whose peer does not acknowledge data, or probes of an idle
+/// connection, within a time limit.
+pub(crate) fn set_liveness_timeouts(
+    socket: &TcpStream,
+    unacknowledged_timeout: Duration,
+) -> std::io::Result<()> {
     socket.set_nodelay(true)?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE)
@@ -88,5 +93,5 @@
         .with_retries(KEEPALIVE_RETRIES);
     let socket = SockRef::from(socket);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(unacknowledged_timeout))
 }
