Reproduce an error after the successor of a silent server rejects the request

What callers saw: 502 for a request that its silent server would have gone on with, although its deadline was 3 s away.

--- a/daemon/tests/gateway/main.rs
+++ b/daemon/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod placer;
 mod quarantine;
 mod rates;
+mod replacement;
 mod servers;
 mod silence;
 mod stop;
