Reproduce a request that returns to the silent engine it was taken from

What callers saw: 504 although a free engine was left: the third attempt goes to the engine that was given up first.

Cause:. await_or_replace excludes the silent engine only while it asks for a placement; attempt_at no longer adds it to EngineRequest::excluded when it is replaced, as a timed-out attempt did before. The placer prefers it, as the prompt is in its cache.

--- a/daemon/tests/gateway/replacement.rs
+++ b/daemon/tests/gateway/replacement.rs
@@ -3,11 +3,14 @@
 use futures::future::join_all;
 use mimosabay_standin::fleet::{Behaviour, FleetOptions, FleetServer, FleetSite};
 use mimosabay_standin::harness::{block_on, wait_for};
+use serde_json::json;
 
 /// Deadline of the other requests, in milliseconds; as long as the route's timeout.
 const DEADLINE_MS: u64 = 5_000;
 /// Number of requests that add at least one retry.
 const REQUESTS_FOR_A_RETRY: usize = 8;
+/// Number of requests that fill the instance's share of the retries.
+const REQUESTS_FOR_ALL_RETRIES: usize = 30;
 
 /// Makes every server reject its next requests, except those that run one.
 fn reject_at_idle_servers(servers: &[FleetServer], rejections: usize) {
@@ -52,6 +55,47 @@
     });
 }
 
+/// Guards against sending a request back to a silent engine that it was taken from.
+#[test]
+fn request_is_not_sent_again_to_the_silent_engine_that_was_given_up() {
+    block_on(async {
+        let options = FleetOptions {
+            engines: 3,
+            ..FleetOptions::default()
+        };
+        let site = FleetSite::start(options).await;
+        site.configure(2, |it| it["routes"][0]["maxAttempts"] = json!(3));
+        wait_for("the new configuration", async || {
+            let log = site.instances[0].log();
+            let mut applied = log
+                .iter()
+                .filter(|it| it["event"] == "configuration_in_force");
+            applied.any(|it| it["version"] == 2).then_some(())
+        })
+        .await;
+        let caller = site.caller(0).deadline_ms(DEADLINE_MS);
+        for number in 0..REQUESTS_FOR_ALL_RETRIES {
+            let id = format!("other-{number}");
+            let answer = caller.generate("/draft/x", &id, "").await;
+            assert_eq!(answer.expect("an answer").status, 200);
+        }
+        for engine in &site.engines {
+            engine.plan(Behaviour::Hang);
+            engine.plan(Behaviour::Hang);
+        }
+        let request = caller.generate("/draft/x", "one", "");
+        let others = async {
+            wait_for_arrivals(&site, "one", 2).await;
+            let has_received = |it: &FleetServer| it.requests().iter().any(|it| it.id == "one");
+            for engine in site.engines.iter().filter(|it| !has_received(it)) {
+                engine.clear_plan();
+            }
+        };
+        let (answer, ()) = tokio::join!(request, others);
+        assert_eq!(answer.expect("an answer").status, 200);
+    });
+}
+
 /// Guards against an error for a lookup that was given up at a silent server and rejected by the next
 /// one, while no retry was left.
 #[test]
