Reproduce a cut stream after three rejections

What callers saw: a stream ends without its last event while time, retries and a server are left.

Cause: Attempts::may_retry allows three attempts that were not run, counted over the whole request. resume_at_another_server of waits for retries and placements, but ends with NoRetry after the third rejection, here 0.8 s after the stall. Full neighbours of a silent engine reject in this way.

--- a/daemon/tests/gateway/replacement.rs
+++ b/daemon/tests/gateway/replacement.rs
@@ -5,6 +5,9 @@
 use mimosabay_standin::harness::{block_on, wait_for};
 use serde_json::json;
 
+/// Time for which a server is silent in the middle of a stream, in milliseconds; longer than any
+/// deadline.
+const HANG_MS: u64 = 30_000;
 /// Deadline of the other requests, in milliseconds; as long as the route's timeout.
 const DEADLINE_MS: u64 = 5_000;
 /// Number of requests that add at least one retry.
@@ -96,6 +99,41 @@
     });
 }
 
+/// Guards against cutting a stream because several servers in a row rejected it.
+#[test]
+fn stream_is_resumed_although_its_successor_rejects_it_three_times() {
+    block_on(async {
+        let site = FleetSite::start(FleetOptions::default()).await;
+        let caller = site.caller(0).deadline_ms(DEADLINE_MS);
+        for number in 0..REQUESTS_FOR_ALL_RETRIES {
+            let id = format!("other-{number}");
+            let answer = caller.generate("/draft/x", &id, "").await;
+            assert_eq!(answer.expect("an answer").status, 200);
+        }
+        for engine in &site.engines {
+            engine.plan(Behaviour::PauseAfter {
+                events: 3,
+                pause_ms: HANG_MS,
+            });
+        }
+        let stream = caller.generate("/draft/x", "one", "");
+        let others = async {
+            wait_for_arrivals(&site, "one", 1).await;
+            reject_at_idle_servers(&site.engines, 3);
+            wait_for_arrivals(&site, "one", 2).await;
+            let silent = site.engines.iter().find(|it| {
+                it.requests()
+                    .iter()
+                    .any(|request| request.id == "one" && request.has_run)
+            });
+            silent.expect("a silent engine").register("draining");
+        };
+        let (answer, ()) = tokio::join!(stream, others);
+        let answer = answer.expect("a complete answer");
+        assert_eq!(answer.event_ids(), [1, 2, 3, 4, 5, 6]);
+    });
+}
+
 /// Guards against an error for a lookup that was given up at a silent server and rejected by the next
 /// one, while no retry was left.
 #[test]
