--- a/daemon/tests/gateway/replacement.rs
+++ b/daemon/tests/gateway/replacement.rs
@@ -8,6 +8,10 @@
 /// Time for which a server is silent in the middle of a stream, in milliseconds; longer than any
 /// deadline.
 const HANG_MS: u64 = 30_000;
+/// Time until a silent plain server answers, in milliseconds.
+const LATE_ANSWER_MS: u64 = 1_600;
+/// Deadline that leaves time for one late answer, not for two in a row, in milliseconds.
+const ONE_LATE_ANSWER_DEADLINE_MS: u64 = 2_500;
 /// Deadline of the other requests, in milliseconds; as long as the route's timeout.
 const DEADLINE_MS: u64 = 5_000;
 /// Number of requests that add at least one retry.
@@ -134,6 +138,46 @@
     });
 }
 
+/// Guards against giving up the only server of a service for that same server.
+#[test]
+fn lookup_is_not_repeated_at_the_silent_server_that_runs_it() {
+    block_on(async {
+        let options = FleetOptions {
+            plain_servers: 1,
+            ..FleetOptions::default()
+        };
+        let site = FleetSite::start(options).await;
+        for _ in 0..2 {
+            site.plain_servers[0].plan(Behaviour::AnswerAfter(LATE_ANSWER_MS));
+        }
+        let caller = site.caller(0).deadline_ms(ONE_LATE_ANSWER_DEADLINE_MS);
+        let answer = caller.get("/look/x", "one").await;
+        assert_eq!(answer.expect("an answer").status, 200);
+        assert_eq!(site.run_count("one"), 1);
+    });
+}
+
+/// Guards against giving up a server that is leaving although no other one is registered.
+#[test]
+fn lookup_is_not_given_up_at_a_leaving_server_without_a_successor() {
+    block_on(async {
+        let options = FleetOptions {
+            plain_servers: 1,
+            ..FleetOptions::default()
+        };
+        let site = FleetSite::start(options).await;
+        site.plain_servers[0].plan(Behaviour::AnswerAfter(LATE_ANSWER_MS));
+        let caller = site.caller(0).deadline_ms(DEADLINE_MS);
+        let request = caller.get("/look/x", "one");
+        let leave = async {
+            wait_for_arrivals(&site, "one", 1).await;
+            site.plain_servers[0].register("draining");
+        };
+        let (answer, ()) = tokio::join!(request, leave);
+        assert_eq!(answer.expect("an answer").status, 200);
+    });
+}
+
 /// Guards against an error for a lookup that was given up at a silent server and rejected by the next
 /// one, while no retry was left.
 #[test]
