Reproduce a refusal because an engine is silent while it has an order

What callers saw: 503 for a request whose only engine was silent for 1.2 s.

Cause: ServerControl ends an order after 400 ms (OrderAnswer::Unknown); record_rejected_load removes the adapter, reassign_waiting places the requests again, and an engine whose state is not confirmed may load nothing, so that they are refused with NoServer.

--- a/daemon/tests/gateway/replacement.rs
+++ b/daemon/tests/gateway/replacement.rs
@@ -1,9 +1,12 @@
 //! Requests whose silent server is given up, and what is left to them then.
 
+use std::time::Duration;
+
 use futures::future::join_all;
 use mimosabay_standin::fleet::{Behaviour, FleetOptions, FleetServer, FleetSite};
 use mimosabay_standin::harness::{block_on, wait_for};
 use serde_json::json;
+use tokio::time::sleep;
 
 /// Time for which a server is silent in the middle of a stream, in milliseconds; longer than any
 /// deadline.
@@ -14,6 +17,8 @@
 const ONE_LATE_ANSWER_DEADLINE_MS: u64 = 2_500;
 /// Deadline of the other requests, in milliseconds; as long as the route's timeout.
 const DEADLINE_MS: u64 = 5_000;
+/// Time for which an engine is silent while it has an order to load, in milliseconds.
+const PAUSE_MS: u64 = 1_200;
 /// Number of requests that add at least one retry.
 const REQUESTS_FOR_A_RETRY: usize = 8;
 /// Number of requests that fill the instance's share of the retries.
@@ -205,3 +210,24 @@
         assert_eq!(answer.expect("an answer").status, 200);
     });
 }
+
+/// Guards against a refusal because the only engine is silent while it has an order to load.
+#[test]
+fn request_whose_adapter_is_loaded_by_a_silent_engine_is_not_refused() {
+    block_on(async {
+        let options = FleetOptions {
+            engines: 1,
+            ..FleetOptions::default()
+        };
+        let site = FleetSite::start(options).await;
+        site.engines[0].set_paused(true);
+        let caller = site.caller(0).deadline_ms(DEADLINE_MS);
+        let request = caller.generate("/draft/x", "one", "a1");
+        let pause = async {
+            sleep(Duration::from_millis(PAUSE_MS)).await;
+            site.engines[0].set_paused(false);
+        };
+        let (answer, ()) = tokio::join!(request, pause);
+        assert_eq!(answer.expect("an answer").status, 200);
+    });
+}
