Reproduce a kept connection that is closed by an older idle timeout

What callers saw: beside a change of the configuration, a request on a kept connection gets neither an answer nor a refusal.

Cause: serve_connection reads idle_timeout_ms and header_bytes when it accepts a connection. After a version that raises the idle timeout, callers may reuse connections for four fifths of the new value, and the instance closes them at the old one.

Most callers notice the close before they send; a request that crosses it is not read. Whether this is what the users saw is not shown.

--- /dev/null
+++ b/daemon/tests/gateway/caller_connections.rs
@@ -0,0 +1,80 @@
+//! Connections of callers that are idle, slow or silent for a time.
+
+use std::time::Duration;
+
+use mimosabay_standin::fleet::{FleetOptions, FleetSite, HOST, KEY};
+use mimosabay_standin::harness::{block_on, wait_for};
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+/// Short idle timeout of a configuration, in milliseconds.
+const IDLE_TIMEOUT_MS: u64 = 2_000;
+/// Idle timeout of a later configuration, in milliseconds.
+const RAISED_IDLE_TIMEOUT_MS: u64 = 15_000;
+/// Time for which a caller keeps a connection idle; within four fifths of the raised timeout only.
+const LONG_IDLE_MS: u64 = 3_000;
+
+/// Publishes a version with an idle timeout, and waits until the first instance applies it.
+async fn set_idle_timeout(site: &FleetSite, version: u64, idle_timeout_ms: u64) {
+    site.configure(version, |it| {
+        it["limits"]["idleTimeoutMs"] = json!(idle_timeout_ms);
+    });
+    wait_for("the new configuration", async || {
+        let log = site.instances[0].log();
+        let mut applied = log
+            .iter()
+            .filter(|it| it["event"] == "configuration_in_force");
+        applied.any(|it| it["version"] == version).then_some(())
+    })
+    .await;
+}
+
+fn lookup(id: &str) -> String {
+    format!(
+        "GET /look/x HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer {KEY}\r\nX-Attempt-Id: {id}\r\n\r\n"
+    )
+}
+
+/// Reads one answer; returns what arrived if the connection ends before.
+async fn read_answer(socket: &mut TcpStream) -> String {
+    let mut answer = Vec::new();
+    let mut buffer = [0; 1_024];
+    while !answer.ends_with(b"}") {
+        match socket.read(&mut buffer).await {
+            Ok(count) if count > 0 => answer.extend_from_slice(&buffer[..count]),
+            _ => break,
+        }
+    }
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+async fn open_with_first_lookup(site: &FleetSite) -> TcpStream {
+    let mut socket = TcpStream::connect(site.caller(0).address())
+        .await
+        .expect("a connection");
+    socket
+        .write_all(lookup("one").as_bytes())
+        .await
+        .expect("a request");
+    let answer = read_answer(&mut socket).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    socket
+}
+
+/// Guards against closing kept connections by the idle timeout of an older configuration.
+#[test]
+fn kept_connection_is_open_for_the_idle_timeout_in_force() {
+    block_on(async {
+        let site = FleetSite::start(FleetOptions::default()).await;
+        set_idle_timeout(&site, 2, IDLE_TIMEOUT_MS).await;
+        let mut socket = open_with_first_lookup(&site).await;
+        set_idle_timeout(&site, 3, RAISED_IDLE_TIMEOUT_MS).await;
+        sleep(Duration::from_millis(LONG_IDLE_MS)).await;
+        // A closed connection shows in the answer.
+        let _ = socket.write_all(lookup("two").as_bytes()).await;
+        let answer = read_answer(&mut socket).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+    });
+}
--- a/daemon/tests/gateway/main.rs
+++ b/daemon/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 mod bad_input;
+mod caller_connections;
 mod configuration;
 mod logs;
 mod path;
