Reproduce a head that is cut off because the connection was idle before

What callers saw: a connection that closes in the middle of a request's head, without an answer.

Cause: header_read_timeout is set to the idle timeout, and hyper starts it when the previous answer has ended. A caller that was idle for up to four fifths of the timeout has the last fifth for its head, whatever headerTimeoutMs allows; that limit is not used.

--- a/daemon/tests/gateway/caller_connections.rs
+++ b/daemon/tests/gateway/caller_connections.rs
@@ -15,6 +15,10 @@
 const RAISED_IDLE_TIMEOUT_MS: u64 = 15_000;
 /// Time for which a caller keeps a connection idle; within four fifths of the raised timeout only.
 const LONG_IDLE_MS: u64 = 3_000;
+/// Time for which a caller keeps a connection idle; within four fifths of the short timeout.
+const SHORT_IDLE_MS: u64 = 1_500;
+/// Time between two parts of a head, in milliseconds; half of the configured time limit of a head.
+const HEAD_PAUSE_MS: u64 = 1_000;
 
 /// Publishes a version with an idle timeout, and waits until the first instance applies it.
 async fn set_idle_timeout(site: &FleetSite, version: u64, idle_timeout_ms: u64) {
@@ -78,3 +82,22 @@
         assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
     });
 }
+
+/// Guards against counting the idle time before a request as part of the time of its head.
+#[test]
+fn head_that_arrives_slowly_on_a_kept_connection_is_read() {
+    block_on(async {
+        let site = FleetSite::start(FleetOptions::default()).await;
+        set_idle_timeout(&site, 2, IDLE_TIMEOUT_MS).await;
+        let mut socket = open_with_first_lookup(&site).await;
+        sleep(Duration::from_millis(SHORT_IDLE_MS)).await;
+        let request = lookup("two");
+        let (start, rest) = request.split_at(request.len() / 2);
+        socket.write_all(start.as_bytes()).await.expect("a start");
+        sleep(Duration::from_millis(HEAD_PAUSE_MS)).await;
+        // A closed connection shows in the answer.
+        let _ = socket.write_all(rest.as_bytes()).await;
+        let answer = read_answer(&mut socket).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+    });
+}
