Reproduce new connections that a stopping instance closes unread

What callers saw: a connection that is accepted and closes without an answer or a refusal, from 2.7 s after SIGTERM on.

Cause: in serve_connection the phase is already Closing when a connection is accepted, so graceful_shutdown is called at once, and hyper closes a connection on which nothing was read. Every new connection whose request does not arrive with it is closed unread; the refusal of Phase::Refusing is hardly ever sent. The known failure stop::streams_are_refused_once_the_balancer_has_noticed waits for such a refusal and may have the same cause (not shown).

--- a/daemon/tests/gateway/stop.rs
+++ b/daemon/tests/gateway/stop.rs
@@ -1,7 +1,21 @@
 //! The planned stop of an instance.
 
-use mimosabay_standin::fleet::{Behaviour, FleetOptions, FleetSite};
+use std::time::Duration;
+
+use mimosabay_standin::fleet::{Behaviour, FleetOptions, FleetSite, HOST, KEY};
 use mimosabay_standin::harness::{block_on, wait_for};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+/// Time between opening a connection and sending a request on it, in milliseconds.
+const REQUEST_DELAY_MS: u64 = 50;
+
+fn lookup(id: &str) -> String {
+    format!(
+        "GET /look/x HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer {KEY}\r\nX-Attempt-Id: {id}\r\n\r\n"
+    )
+}
 
 #[test]
 fn stopping_instance_answers_its_open_requests_and_ends() {
@@ -119,3 +133,40 @@
         );
     });
 }
+
+/// Guards against closing a new connection before its first request is read.
+#[test]
+fn request_on_a_new_connection_is_answered_while_kept_connections_are_closed() {
+    block_on(async {
+        let mut site = FleetSite::start(FleetOptions::default()).await;
+        for server in &site.plain_servers {
+            server.plan(Behaviour::AnswerAfter(4_500));
+        }
+        let slow = site.caller(0).deadline_ms(6_000);
+        let call = tokio::spawn(async move { slow.post("/book/x", "slow", "body").await });
+        wait_for("a running booking", async || {
+            (site.run_count("slow") > 0).then_some(())
+        })
+        .await;
+        for server in &site.plain_servers {
+            server.clear_plan();
+        }
+        site.instances[0].process.terminate();
+        wait_for("the phase in which connections are closed", async || {
+            let log = site.instances[0].log();
+            let mut phases = log.iter().filter(|it| it["event"] == "stop_phase");
+            phases.any(|it| it["phase"] == "Closing").then_some(())
+        })
+        .await;
+        let address = site.caller(0).address();
+        let mut socket = TcpStream::connect(address).await.expect("a connection");
+        sleep(Duration::from_millis(REQUEST_DELAY_MS)).await;
+        // A closed connection shows in the answer.
+        let _ = socket.write_all(lookup("late").as_bytes()).await;
+        let mut answer = Vec::new();
+        let _ = socket.read_to_end(&mut answer).await;
+        let answer = String::from_utf8_lossy(&answer);
+        assert!(answer.starts_with("HTTP/1.1 "), "{answer:?}");
+        assert_eq!(call.await.unwrap().unwrap().status, 200);
+    });
+}
