Reproduce an instance that ends while a caller reads its answer

What callers saw: an answer cut during the grace period of a planned stop.

Cause: Job holds OpenRequest "until the answer is complete", but is dropped when the handler returns the answer (plain_request::run) or when the last chunk of a stream is queued (Relay), so before the answer is written. Once the phase is Closing and no request was open for 700 ms, the process ends.

The stand-in can answer with a large body.

--- a/daemon/tests/gateway/stop.rs
+++ b/daemon/tests/gateway/stop.rs
@@ -5,9 +5,19 @@
 use mimosabay_standin::fleet::{Behaviour, FleetOptions, FleetSite, HOST, KEY};
 use mimosabay_standin::harness::{block_on, wait_for};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::sleep;
 
+/// Size of an answer that does not fit in the buffers of a connection, in bytes.
+const LARGE_ANSWER_BYTES: usize = 7_500_000;
+/// Number of bytes that a slow caller reads at a time.
+const SLOW_READ_BYTES: usize = 32 * 1024;
+/// Time between two reads of a slow caller, in milliseconds.
+const SLOW_READ_PAUSE_MS: u64 = 50;
+/// Receive buffer of a slow caller, in bytes.
+const SLOW_RECEIVE_BUFFER_BYTES: u32 = 64 * 1024;
+/// Grace period in which a slow caller can read a large answer, in seconds.
+const LONG_GRACE_S: u64 = 30;
 /// Time between opening a connection and sending a request on it, in milliseconds.
 const REQUEST_DELAY_MS: u64 = 50;
 
@@ -134,6 +144,43 @@
     });
 }
 
+/// Guards against ending while a caller still reads the answer to its request.
+#[test]
+fn stopping_instance_lets_a_slow_caller_read_its_answer() {
+    block_on(async {
+        let options = FleetOptions {
+            grace_s: LONG_GRACE_S,
+            ..FleetOptions::default()
+        };
+        let mut site = FleetSite::start(options).await;
+        for server in &site.plain_servers {
+            server.plan(Behaviour::AnswerBytes(LARGE_ANSWER_BYTES));
+        }
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket
+            .set_recv_buffer_size(SLOW_RECEIVE_BUFFER_BYTES)
+            .expect("a receive buffer");
+        let address = site.caller(0).address();
+        let mut socket = socket.connect(address).await.expect("a connection");
+        let request = lookup("one");
+        socket
+            .write_all(request.as_bytes())
+            .await
+            .expect("a request");
+        let mut buffer = vec![0; SLOW_READ_BYTES];
+        let mut received_bytes = socket.read(&mut buffer).await.expect("an answer");
+        site.instances[0].process.terminate();
+        while received_bytes < LARGE_ANSWER_BYTES {
+            sleep(Duration::from_millis(SLOW_READ_PAUSE_MS)).await;
+            match socket.read(&mut buffer).await {
+                Ok(count) if count > 0 => received_bytes += count,
+                _ => break,
+            }
+        }
+        assert!(received_bytes > LARGE_ANSWER_BYTES, "{received_bytes}");
+    });
+}
+
 /// Guards against closing a new connection before its first request is read.
 #[test]
 fn request_on_a_new_connection_is_answered_while_kept_connections_are_closed() {
--- a/standin/src/fleet/server.rs
+++ b/standin/src/fleet/server.rs
@@ -51,6 +51,8 @@
     Answer,
     /// Runs the request and answers after this time, in milliseconds.
     AnswerAfter(u64),
+    /// Runs the request and answers with a body of this size, in bytes.
+    AnswerBytes(usize),
     /// Runs the request and answers with status 500.
     Fail,
     /// Runs the request and closes the connection without an answer.
@@ -390,6 +392,7 @@
                 return self.complete_response(StatusCode::OK, "another");
             }
             Behaviour::Hang => std::future::pending().await,
+            Behaviour::AnswerBytes(size_bytes) => return self.large_response(size_bytes, &id),
             Behaviour::Answer
             | Behaviour::Reject
             | Behaviour::BreakAfter(_)
@@ -440,6 +443,13 @@
         Ok(response)
     }
 
+    fn large_response(&self, size_bytes: usize, id: &str) -> Reply {
+        let body = vec![b'x'; size_bytes];
+        let mut response = reply::complete(StatusCode::OK, "text/plain", body)?;
+        self.seal(&mut response, id)?;
+        Ok(response)
+    }
+
     /// Streams the events after number `after`.
     pub(super) fn stream_response(&self, id: &str, after: u64, fault: StreamFault) -> Reply {
         let running = RunningRequest::new(self);
--- a/standin/src/reply.rs
+++ b/standin/src/reply.rs
@@ -54,7 +54,8 @@
     build_response(StatusCode::OK, content_type, BodyExt::boxed(body))
 }
 
-fn complete(status: StatusCode, content_type: &'static str, body: Vec<u8>) -> Reply {
+/// Returns a response with a complete body.
+pub(crate) fn complete(status: StatusCode, content_type: &'static str, body: Vec<u8>) -> Reply {
     let body = Full::new(Bytes::from(body)).map_err(|never: Infallible| match never {});
     build_response(status, content_type, body.boxed())
 }
