Reproduce an answer cut at a caller that reads nothing for two seconds

What callers saw: an answer that ends after 1.5 s in which its caller read nothing.

Cause: the kernel's time limit that raised for backend servers; callers' connections keep 1.5 s, without a stated reason. Packet loss on the caller's link has the same effect (not run).

--- a/daemon/tests/gateway/caller_connections.rs
+++ b/daemon/tests/gateway/caller_connections.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use mimosabay_standin::fleet::{FleetOptions, FleetSite, HOST, KEY};
+use mimosabay_standin::fleet::{Behaviour, FleetOptions, FleetSite, HOST, KEY};
 use mimosabay_standin::harness::{block_on, wait_for};
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::sleep;
 
 /// Short idle timeout of a configuration, in milliseconds.
@@ -19,6 +19,12 @@
 const SHORT_IDLE_MS: u64 = 1_500;
 /// Time between two parts of a head, in milliseconds; half of the configured time limit of a head.
 const HEAD_PAUSE_MS: u64 = 1_000;
+/// Time for which a caller reads nothing, in milliseconds.
+const READ_PAUSE_MS: u64 = 2_200;
+/// Size of an answer that does not fit in the buffers of a connection, in bytes.
+const LARGE_ANSWER_BYTES: usize = 7_500_000;
+/// Receive buffer of a caller, in bytes.
+const RECEIVE_BUFFER_BYTES: u32 = 64 * 1024;
 
 /// Publishes a version with an idle timeout, and waits until the first instance applies it.
 async fn set_idle_timeout(site: &FleetSite, version: u64, idle_timeout_ms: u64) {
@@ -101,3 +107,35 @@
         assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
     });
 }
+
+/// Guards against a connection that the kernel closes while its caller reads nothing.
+#[test]
+fn answer_is_not_cut_at_a_caller_that_reads_nothing_for_two_seconds() {
+    block_on(async {
+        let site = FleetSite::start(FleetOptions::default()).await;
+        for server in &site.plain_servers {
+            server.plan(Behaviour::AnswerBytes(LARGE_ANSWER_BYTES));
+        }
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket
+            .set_recv_buffer_size(RECEIVE_BUFFER_BYTES)
+            .expect("a receive buffer");
+        let address = site.caller(0).address();
+        let mut socket = socket.connect(address).await.expect("a connection");
+        let request = lookup("one");
+        socket
+            .write_all(request.as_bytes())
+            .await
+            .expect("a request");
+        let mut buffer = vec![0; RECEIVE_BUFFER_BYTES as usize];
+        let mut received_bytes = socket.read(&mut buffer).await.expect("an answer");
+        sleep(Duration::from_millis(READ_PAUSE_MS)).await;
+        while received_bytes < LARGE_ANSWER_BYTES {
+            match socket.read(&mut buffer).await {
+                Ok(count) if count > 0 => received_bytes += count,
+                _ => break,
+            }
+        }
+        assert!(received_bytes > LARGE_ANSWER_BYTES, "{received_bytes}");
+    });
+}
