Request another server for a silent stream after two seconds instead of one and a half

A stream at a server that pauses for 1.8 s was run a second time at another server (2 runs in 1 of 1 run), although the first one went on: while a silent server does not read, it does not notice that its connection was closed, and works on beside its successor.

Change: the time is half of that after which callers abandon a stream (four times the target latency), at least 1.5 s and at most 2.5 s; with a target of 1 s it is 2 s.

--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -26,9 +26,9 @@
 
 /// Number of chunks buffered for a caller that reads slowly.
 const CHUNK_BUFFER: usize = 8;
-/// Time without data in the middle of a stream after which another server is requested, in
-/// milliseconds.
-const STALL_TIMEOUT_MS: u64 = 1_500;
+/// Range of the time without data in the middle of a stream after which another server is requested, in
+/// milliseconds. A sound server may be silent for a second or two.
+const STALL_RANGE_MS: (u64, u64) = (1_500, 2_500);
 
 /// A stream that is relayed to the caller.
 struct Relay {
@@ -162,13 +162,14 @@
             mut body, guard, ..
         } = head;
         let deadline = self.state.clock.instant(self.request.job.deadline_ms);
+        let stall_ms = stall_ms(&self.request);
         loop {
             let frame = successor::await_or_replace(
                 &self.state,
                 &mut self.request,
                 &run.server,
                 body.frame(),
-                STALL_TIMEOUT_MS,
+                stall_ms,
             );
             let frame = tokio::select! {
                 frame = frame => frame,
@@ -249,6 +250,13 @@
     }
 }
 
+/// Time without data after which another server is requested: half of the time after which callers
+/// abandon a stream.
+fn stall_ms(request: &EngineRequest) -> u64 {
+    let (min_ms, max_ms) = STALL_RANGE_MS;
+    (request.job.route.target_latency_ms * 2).clamp(min_ms, max_ms)
+}
+
 /// Resumes a stream after the event with number `last_id`, at `successor` or the next server that is
 /// assigned. A caller that has received events cannot be refused any more, so this goes on as long as
 /// the request may be sent again.
