--- a/daemon/src/gateway/link.rs
+++ b/daemon/src/gateway/link.rs
@@ -6,8 +6,7 @@
 use std::time::Duration;
 
 use mimosabay_core::cell::{
-    AdapterKey, AdoptedRun, Charge, EndedRun, PlacementRequest, PlacementResponse, RunOutcome,
-    Ticket, Update,
+    Charge, EndedRun, PlacementRequest, PlacementResponse, RunOutcome, Update,
 };
 use mimosabay_core::name::{InstanceId, Name};
 use mimosabay_peer::{Envelope, Message, Peer, Reply, Secret};
@@ -19,6 +18,7 @@
 use tracing::{info, warn};
 
 use super::placer::Placer;
+use super::runs::RunTable;
 use super::state::State;
 
 /// Time without any reply from the placer after which requests no longer wait for it, in
@@ -29,9 +29,6 @@
 /// Time between two checks whether the placer is unresponsive, in milliseconds.
 const RESPONSE_CHECK_PERIOD_MS: u64 = 100;
 
-/// Largest number of adapters whose last server is cached. A full cache is cleared.
-const MAX_LAST_SERVERS: usize = 4_096;
-
 /// The store's record of the placer.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct PlacerRecord {
@@ -84,10 +81,7 @@
     pub(super) view: Mutex<PlacerView>,
     outbox: Mutex<Outbox>,
     /// Requests that wait for a placement or run.
-    runs: Mutex<HashMap<Ticket, AdoptedRun>>,
-    /// Server to which the placer sent the last request for each adapter. Invariant: at most
-    /// [`MAX_LAST_SERVERS`] entries.
-    last_servers: Mutex<HashMap<AdapterKey, Name>>,
+    pub(super) runs: RunTable,
     /// Whether the placer reached the store at its last reply.
     placer_reaches_store: AtomicBool,
     /// Until when the replicas that the placer updates count as fresh, in milliseconds.
@@ -113,8 +107,7 @@
             target: watch::Sender::new(Target::None),
             view: Mutex::default(),
             outbox: Mutex::default(),
-            runs: Mutex::default(),
-            last_servers: Mutex::default(),
+            runs: RunTable::default(),
             placer_reaches_store: AtomicBool::new(true),
             relay_fresh_until_ms: AtomicU64::new(0),
             update_wake: Notify::new(),
@@ -329,45 +322,9 @@
         }
     }
 
-    /// Adds a request that waits for a placement.
-    pub(crate) fn add_run(&self, run: AdoptedRun) {
-        self.runs.lock().expect("runs lock").insert(run.ticket, run);
-    }
-
-    /// Records the server at which a request was placed.
-    pub(crate) fn set_run_server(&self, ticket: Ticket, server: &Name) {
-        let mut runs = self.runs.lock().expect("runs lock");
-        let Some(run) = runs.get_mut(&ticket) else {
-            return;
-        };
-        run.server = server.clone();
-        let key = run.prompt.adapter_key();
-        drop(runs);
-        if let Some(key) = key {
-            self.cache_last_server(key, server);
-        }
-    }
-
-    fn cache_last_server(&self, key: AdapterKey, server: &Name) {
-        let mut last_servers = self.last_servers.lock().expect("last servers lock");
-        if last_servers.len() >= MAX_LAST_SERVERS {
-            last_servers.clear();
-        }
-        last_servers.insert(key, server.clone());
-    }
-
-    /// Server to which the placer sent the last request for an adapter.
-    pub(crate) fn last_server(&self, key: &AdapterKey) -> Option<Name> {
-        self.last_servers
-            .lock()
-            .expect("last servers lock")
-            .get(key)
-            .cloned()
-    }
-
     /// Removes a request that has left its server or no longer waits, and reports it to the placer.
     pub(crate) fn end_run(&self, ended: EndedRun) {
-        self.runs.lock().expect("runs lock").remove(&ended.ticket);
+        self.runs.remove(ended.ticket);
         let is_urgent = !matches!(
             ended.outcome,
             RunOutcome::Answered | RunOutcome::Failed | RunOutcome::Cancelled
@@ -384,15 +341,6 @@
         *outbox.charges.entry(organisation.clone()).or_default() += cost;
     }
 
-    /// Number of requests of this instance at each server.
-    pub(crate) fn runs_by_server(&self) -> HashMap<Name, usize> {
-        let mut counts = HashMap::new();
-        for run in self.runs.lock().expect("runs lock").values() {
-            *counts.entry(run.server.clone()).or_default() += 1;
-        }
-        counts
-    }
-
     pub(super) fn drain_outbox(&self, state: &State) -> Update {
         let mut outbox = self.outbox.lock().expect("outbox lock");
         let is_new_placer = std::mem::take(&mut outbox.is_new_placer);
@@ -408,19 +356,13 @@
             charges,
             evidence,
             quarantine_version: state.suspects.version(),
-            runs: is_new_placer.then(|| self.placed_runs()),
+            runs: is_new_placer.then(|| self.runs.placed()),
             known: state.replicas.known_revisions(),
             address: self.own_address.clone(),
             members_version: state.members.version(),
         }
     }
 
-    fn placed_runs(&self) -> Vec<AdoptedRun> {
-        let runs = self.runs.lock().expect("runs lock");
-        let placed = runs.values().filter(|run| !run.server.is_empty());
-        placed.cloned().collect()
-    }
-
     pub(super) fn requeue_update(&self, update: Update) {
         let mut outbox = self.outbox.lock().expect("outbox lock");
         outbox.is_new_placer |= update.runs.is_some();
--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 mod request;
 mod retry_permit;
 mod run;
+mod runs;
 mod state;
 mod stop;
 mod successor;
--- a/daemon/src/gateway/placement.rs
+++ b/daemon/src/gateway/placement.rs
@@ -41,7 +41,7 @@
         number: state.next_request_number(),
     };
     let mut run = Run::new(state, ticket, request.job.fingerprint);
-    state.link.add_run(AdoptedRun {
+    state.link.runs.add(AdoptedRun {
         ticket,
         server: "".into(),
         prompt: request.prompt.clone(),
@@ -94,7 +94,7 @@
                     waited_ms,
                 });
             }
-            state.link.set_run_server(ticket, &server);
+            state.link.runs.set_server(ticket, &server);
             let backend = state.backend(&server);
             if let Some(backend) = backend.filter(|backend| backend.is_ready()) {
                 return Placement::Granted(GrantedPlacement {
@@ -166,7 +166,9 @@
     let releases = state.releases.borrow().clone();
     let key = request.prompt.adapter_key();
     let newest = key.as_ref().and_then(|key| releases.get(key).copied());
-    let last_server = key.as_ref().and_then(|key| state.link.last_server(key));
+    let last_server = key
+        .as_ref()
+        .and_then(|key| state.link.runs.last_server(key));
     let adapter = request.prompt.adapter.as_deref();
     let holders = snapshot.values().filter(|backend| {
         let holds = backend.holds(&request.prompt.model, adapter);
@@ -175,7 +177,7 @@
             && !request.has_tried(&backend.id)
             && (holds || last_server.as_ref() == Some(&backend.id))
     });
-    let loads = state.link.runs_by_server();
+    let loads = state.link.runs.count_by_server();
     let least_loaded = holders.min_by_key(|backend| loads.get(&backend.id).copied().unwrap_or(0));
     match least_loaded {
         Some(backend) => match charge_own_rates(state, request) {
