Keep the connection to a silent engine until another one has accepted the request

An assigned engine is not a certain one: it may reject.

After a rejection the silent one is waited for, and another one is requested. An engine that was replaced stays excluded for its request. The attempt is a type of its own (engine_attempt.rs), which owns what it sends.

Ruled out: waiting for a retry after the rejection, as resumed streams do. A request without events can get an honest error, and its caller may retry at once without using the retries of the site.

--- a/core/src/attempt.rs
+++ b/core/src/attempt.rs
@@ -59,6 +59,13 @@
         may_run_again && self.runs < self.max_runs && self.not_run < MAX_NOT_RUN
     }
 
+    /// Returns whether the request may be sent to another server if the current attempt is given up.
+    pub fn may_be_replaced(&self) -> bool {
+        let mut next = self.clone();
+        next.record_failure(ExecutionStatus::Unknown);
+        next.may_retry()
+    }
+
     /// Returns whether no attempt can have run, so that the caller may safely retry.
     pub fn is_not_run(&self) -> bool {
         self.runs == 0
--- a/daemon/src/gateway/engine_request.rs
+++ b/daemon/src/gateway/engine_request.rs
@@ -10,19 +10,18 @@
 use tracing::info;
 
 use super::answer::{Answer, OwnAnswer, forward_response};
+use super::engine_attempt::{EngineAttempt, run_outcome};
 use super::engine_run::Run;
 use super::exchange::{self, CompleteResponse, Failure, ResponseHead};
 use super::metrics::Outcome;
 use super::placement::{self, GrantedPlacement, Placement};
 use super::relay;
-use super::request::{AttemptOptions, Job};
+use super::request::Job;
 use super::state::State;
-use super::successor::{self, Awaited};
+use super::successor::{self, Awaited, Current};
 
 /// Retry delay for a caller whose request could not be placed, in milliseconds.
 pub(super) const NO_PLACER_RETRY_MS: u64 = 500;
-/// Time beyond twice the forecast after which a server counts as stalled, in milliseconds.
-const FIRST_EVENT_SLACK_MS: u64 = 1_500;
 
 /// A request at an engine, with its attempts so far.
 pub(crate) struct EngineRequest {
@@ -45,6 +44,18 @@
         self.excluded.contains(server) || self.refused_by.contains(server)
     }
 
+    /// Excludes a server from the next placements. The placer knows by itself whether a server that did
+    /// not accept the request will accept it soon.
+    pub(super) fn exclude(&mut self, server: Name, failure: Failure) {
+        let was_not_taken = matches!(failure, Failure::NotHeld | Failure::Rejected);
+        let servers = if was_not_taken {
+            &mut self.refused_by
+        } else {
+            &mut self.excluded
+        };
+        servers.push(server);
+    }
+
     /// Name of the caller's organisation, for logs.
     pub(super) fn organisation(&self) -> &str {
         let organisation = self.job.organisation.as_ref();
@@ -139,50 +150,39 @@
     request: &mut EngineRequest,
 ) -> Result<(ResponseHead, Run), AttemptError> {
     let granted = place(state, request).await?;
-    let attempted = attempt_at(state, request, granted, None).await;
-    attempted.map_err(AttemptError::Failed)
+    let attempt = EngineAttempt::start(state, request, granted, None);
+    let head = await_head(state, request, attempt, None).await;
+    head.map_err(AttemptError::Failed)
 }
 
-/// Makes an attempt at the assigned server. If the server is silent, the attempt goes on at another one
-/// as soon as that is assigned.
+/// Waits for the head of the response. If the server is silent, the attempt goes on at another one as soon
+/// as that has accepted the request.
 ///
 /// # Errors
 ///
 /// The failure of the last attempt, which is counted.
-pub(crate) async fn attempt_at(
+pub(crate) async fn await_head(
     state: &Arc<State>,
     request: &mut EngineRequest,
-    mut granted: GrantedPlacement,
+    mut attempt: EngineAttempt,
     resume_after: Option<u64>,
 ) -> Result<(ResponseHead, Run), Failure> {
     loop {
-        let GrantedPlacement {
-            mut run,
-            backend,
-            version,
-            first_event_ms,
-        } = granted;
-        let options = AttemptOptions {
-            server: backend.id.clone(),
-            urgency: Some(request.job.urgency()),
-            version,
+        let current = Current {
+            server: attempt.run.server.clone(),
+            stall_ms: attempt.stall_ms,
             resume_after,
         };
-        run.mark_sent(&backend);
-        let left_ms = request.job.remaining_ms(state);
-        let outgoing = request.job.outgoing(state, options);
-        let head = exchange::send(state, &backend, outgoing, left_ms);
-        let stall_ms = first_event_ms * 2 + FIRST_EVENT_SLACK_MS;
-        match successor::await_or_replace(state, request, &backend.id, head, stall_ms).await {
-            Awaited::Current(Ok(head)) => return Ok((head, run)),
+        let awaited = successor::await_or_replace(state, request, &current, &mut attempt.head);
+        match awaited.await {
+            Awaited::Current(Ok(head)) => return Ok((head, attempt.run)),
             Awaited::Current(Err(failure)) => {
-                record_failed_attempt(state, request, &mut run, version, failure);
-                exclude(request, run.server.clone(), failure);
+                attempt.record_failure(state, request, failure);
                 return Err(failure);
             }
-            Awaited::Successor(next) => {
-                record_failed_attempt(state, request, &mut run, version, Failure::TimedOut);
-                granted = next;
+            Awaited::Successor(successor) => {
+                attempt.record_failure(state, request, Failure::TimedOut);
+                attempt = successor;
             }
         }
     }
@@ -202,48 +202,6 @@
     }
 }
 
-fn record_failed_attempt(
-    state: &State,
-    request: &mut EngineRequest,
-    run: &mut Run,
-    version: Option<u64>,
-    failure: Failure,
-) {
-    state.metrics.count_failure(failure);
-    info!(
-        event = "attempt_failed",
-        id = %request.job.id,
-        server = %run.server,
-        ?failure,
-        version,
-        left_ms = request.job.remaining_ms(state)
-    );
-    request.attempts.record_failure(failure.execution_status());
-    run.set_outcome(run_outcome(failure));
-    request.previous = Some(run.as_ended());
-}
-
-/// Excludes a server from the next placement. The placer knows by itself whether a server that did not
-/// accept the request will accept it soon.
-fn exclude(request: &mut EngineRequest, server: Name, failure: Failure) {
-    let was_not_taken = matches!(failure, Failure::NotHeld | Failure::Rejected);
-    let servers = if was_not_taken {
-        &mut request.refused_by
-    } else {
-        &mut request.excluded
-    };
-    servers.push(server);
-}
-
-fn run_outcome(failure: Failure) -> RunOutcome {
-    match failure {
-        Failure::Unreachable => RunOutcome::Unreachable,
-        Failure::NotHeld => RunOutcome::NotHeld,
-        Failure::Rejected => RunOutcome::Rejected,
-        Failure::Broken | Failure::Foreign | Failure::TimedOut => RunOutcome::Broken,
-    }
-}
-
 fn refusal_answer(state: &State, request: &mut EngineRequest, refusal: &Refusal) -> Answer {
     if !request.attempts.is_not_run() {
         return failure_answer(state, request, Failure::Broken);
--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod connection;
 mod crash_probe;
 mod election;
+mod engine_attempt;
 mod engine_request;
 mod engine_run;
 mod events;
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -15,14 +15,14 @@
 
 use super::answer::Answer;
 use super::body::{AnswerBody, Interrupted};
+use super::engine_attempt::EngineAttempt;
 use super::engine_request::{self, EngineRequest};
 use super::engine_run::Run;
 use super::events::EventSplitter;
 use super::exchange::ResponseHead;
 use super::metrics::Outcome;
-use super::placement::GrantedPlacement;
 use super::state::State;
-use super::successor::{self, Awaited};
+use super::successor::{self, Awaited, Current};
 
 /// Number of chunks buffered for a caller that reads slowly.
 const CHUNK_BUFFER: usize = 8;
@@ -36,8 +36,8 @@
     request: EngineRequest,
     chunks: mpsc::Sender<Result<Bytes, Interrupted>>,
     splitter: EventSplitter,
-    /// Placement at another server, if the current one is silent.
-    successor: Option<GrantedPlacement>,
+    /// The attempt at another server that replaces a silent one.
+    successor: Option<EngineAttempt>,
     /// Identifier of the last event that was forwarded.
     last_id: Option<u64>,
     events: u64,
@@ -67,7 +67,7 @@
     ConnectionLost,
     /// The stream ended inside an event.
     EndedInsideEvent,
-    /// The server was silent, and another one was assigned.
+    /// The server was silent, and another one has taken the request.
     Stalled,
 }
 
@@ -164,13 +164,13 @@
         let deadline = self.state.clock.instant(self.request.job.deadline_ms);
         let stall_ms = stall_ms(&self.request);
         loop {
-            let frame = successor::await_or_replace(
-                &self.state,
-                &mut self.request,
-                &run.server,
-                body.frame(),
+            let current = Current {
+                server: run.server.clone(),
                 stall_ms,
-            );
+                resume_after: self.last_id,
+            };
+            let frame =
+                successor::await_or_replace(&self.state, &mut self.request, &current, body.frame());
             let frame = tokio::select! {
                 frame = frame => frame,
                 () = self.chunks.closed() => return StreamEnd::CallerLeft,
@@ -263,17 +263,15 @@
 async fn resume_at_another_server(
     state: &Arc<State>,
     request: &mut EngineRequest,
-    mut successor: Option<GrantedPlacement>,
+    mut successor: Option<EngineAttempt>,
     last_id: Option<u64>,
 ) -> Result<(ResponseHead, Run), CutReason> {
     while successor.is_some() || request.attempts.may_retry() {
-        let granted = match successor.take() {
-            Some(granted) => granted,
-            None => successor::next_placement(state, request)
-                .await
-                .map_err(|refusal| CutReason::Refused(refusal.reason))?,
+        let attempt = match successor.take() {
+            Some(attempt) => attempt,
+            None => next_attempt(state, request, last_id).await?,
         };
-        match engine_request::attempt_at(state, request, granted, last_id).await {
+        match engine_request::await_head(state, request, attempt, last_id).await {
             Ok((head, run)) if head.status.is_success() => {
                 let server = &run.server;
                 info!(event = "stream_resumed", id = %request.job.id, %server, after = last_id);
@@ -287,6 +285,16 @@
     Err(CutReason::NoRetry)
 }
 
+async fn next_attempt(
+    state: &Arc<State>,
+    request: &mut EngineRequest,
+    last_id: Option<u64>,
+) -> Result<EngineAttempt, CutReason> {
+    let granted = successor::next_placement(state, request).await;
+    let granted = granted.map_err(|refusal| CutReason::Refused(refusal.reason))?;
+    Ok(EngineAttempt::start(state, request, granted, last_id))
+}
+
 /// Why the answer to a caller ends before it is complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CutReason {
