Do not let rejections end a request that may have run

Cause: after three attempts that did not run, no further one was made. That bound ends in a refusal where nothing has run; a request that may have run cannot be refused, so it ended in a cut stream or an error.

Change: the bound holds as long as nothing can have run. Beyond that the retries of the service and the deadline bound the attempts.

--- a/core/src/attempt.rs
+++ b/core/src/attempt.rs
@@ -25,7 +25,7 @@
     not_run: u32,
 }
 
-/// Number of attempts that did not run after which a request is not retried.
+/// Number of attempts that did not run after which a request is refused.
 const MAX_NOT_RUN: u32 = 3;
 
 impl Attempts {
@@ -47,7 +47,8 @@
         }
     }
 
-    /// Returns whether the request may be sent to another server after the attempts so far.
+    /// Returns whether the request may be sent to another server after the attempts so far. A request
+    /// that may have run cannot be refused any more, so that rejections do not end it.
     pub fn may_retry(&self) -> bool {
         if self.runs == 0 {
             return self.not_run < MAX_NOT_RUN;
@@ -56,7 +57,7 @@
             RetrySafety::Idempotent | RetrySafety::ResumableStream => true,
             RetrySafety::Once | RetrySafety::StreamOnce => false,
         };
-        may_run_again && self.runs < self.max_runs && self.not_run < MAX_NOT_RUN
+        may_run_again && self.runs < self.max_runs
     }
 
     /// Returns whether the request may be sent to another server if the current attempt is given up.
