Keep the connection to a silent plain server until another one has accepted the request

Its silent server was given up as soon as there was a retry; then the next server rejected it, or was the same one, or there was none, because the silent one was leaving.

The attempt is a type of its own (plain_attempt.rs), and the state of a request one struct in place of five arguments.

--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod metrics;
 mod placement;
 mod placer;
+mod plain_attempt;
 mod plain_request;
 mod pool;
 mod quarantine_store;
--- a/daemon/src/gateway/plain_request.rs
+++ b/daemon/src/gateway/plain_request.rs
@@ -4,27 +4,29 @@
 use std::time::Duration;
 
 use mimosabay_core::attempt::{Attempts, ExecutionStatus};
-use mimosabay_core::backend::{Backend, LoadSample};
+use mimosabay_core::backend::Backend;
 use mimosabay_core::name::Name;
-use mimosabay_core::plain::PlainOutcome;
-use mimosabay_core::quarantine::{self, Fingerprint};
+use mimosabay_core::quarantine;
 use mimosabay_core::site::RetrySafety;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use tracing::info;
 
 use super::answer::{Answer, OwnAnswer, forward_response};
-use super::crash_probe::{self, RunEnd};
-use super::exchange::{self, CompleteResponse, Failure};
+use super::exchange::{CompleteResponse, Failure};
 use super::metrics::Outcome;
-use super::request::{AttemptOptions, Job};
+use super::plain_attempt::PlainAttempt;
+use super::request::Job;
 use super::retry_permit::RetryPermit;
 use super::state::State;
+use super::successor::OVERLAP_MS;
 
 /// Time beyond the target latency after which an idempotent request may be sent to another server, in
 /// milliseconds.
 const ATTEMPT_SLACK_MS: u64 = 100;
 /// Retry delay for a caller whose request no server could accept, in milliseconds.
 const RETRY_AFTER_MS: u64 = 150;
+/// Time between two searches for a server that replaces a silent one, in milliseconds.
+const SEARCH_PERIOD_MS: u64 = 100;
 
 /// Sends a request to servers of its service until one answers.
 pub(crate) async fn run(state: &Arc<State>, job: Job) -> Answer {
@@ -32,64 +34,26 @@
         return quarantine_refusal(state, &job);
     }
     record_charge(state, &job);
-    let mut attempts = Attempts::new(job.route.retry_safety, job.route.max_attempts);
-    let mut excluded = Vec::new();
-    let mut failed_response = None;
+    let mut request = PlainRequest {
+        state,
+        job: &job,
+        attempts: Attempts::new(job.route.retry_safety, job.route.max_attempts),
+        excluded: Vec::new(),
+        failed_response: None,
+    };
     loop {
-        let Some(backend) = choose_server(state, &job, &excluded) else {
-            return failure_answer(
-                state,
-                &job,
-                &attempts,
-                Failure::Unreachable,
-                failed_response,
-            );
-        };
-        let server = backend.id.clone();
-        let end = attempt(state, &job, backend, &attempts).await;
-        let has_retry = matches!(end, AttemptEnd::Replaced);
-        let failure = match end {
-            AttemptEnd::Ended(Ok(response)) if !response.status.is_server_error() => {
-                return deliver_response(state, &job, &server, response);
-            }
-            AttemptEnd::Ended(Ok(response)) => {
-                failed_response = Some(response);
-                attempts.record_failure(ExecutionStatus::Ran);
-                Failure::Broken
-            }
-            AttemptEnd::Ended(Err(failure)) => {
-                attempts.record_failure(failure.execution_status());
-                failure
-            }
-            AttemptEnd::Replaced => {
-                attempts.record_failure(ExecutionStatus::Unknown);
-                Failure::TimedOut
-            }
+        let Some(backend) = request.choose_server(None) else {
+            return request.failure_answer(Failure::Unreachable);
         };
-        state.metrics.count_failure(failure);
-        info!(
-            event = "attempt_failed",
-            id = %job.id,
-            %server,
-            ?failure,
-            attempt = attempts.count(),
-            left_ms = job.remaining_ms(state)
-        );
-        excluded.push(server);
-        if !has_retry && !try_take_retry(state, &job, &attempts) {
-            return failure_answer(state, &job, &attempts, failure, failed_response);
+        let attempt = PlainAttempt::start(state, &job, backend);
+        match request.await_response(attempt).await {
+            Ok((server, response)) => return deliver_response(state, &job, &server, response),
+            Err(failure) if !request.try_take_retry() => return request.failure_answer(failure),
+            Err(_) => {}
         }
     }
 }
 
-/// Takes a retry for another attempt; returns whether the attempt may be made.
-fn try_take_retry(state: &State, job: &Job, attempts: &Attempts) -> bool {
-    job.remaining_ms(state) > 0
-        && attempts.may_retry()
-        && !state.suspects.is_refused(job.fingerprint)
-        && state.try_take_retry(&job.service.name)
-}
-
 /// Refuses a request that crashed several servers.
 fn quarantine_refusal(state: &State, job: &Job) -> Answer {
     let own_answer = OwnAnswer::NotRun {
@@ -113,131 +77,183 @@
     }
 }
 
-fn choose_server(state: &State, job: &Job, excluded: &[Name]) -> Option<Arc<Backend>> {
-    let snapshot = state.backends.snapshot();
-    let servers = snapshot.values().map(|backend| &**backend);
-    let servers = servers.filter(|backend| backend.service == job.service.name);
-    let mut plain = state.plain.lock().expect("plain lock");
-    let zone = &state.settings().zone;
-    let server = plain.start_request(servers, zone, excluded, state.now_ms())?;
-    snapshot.get(&server).cloned()
-}
-
-/// A request at one plain server. Dropping it records how it ended, also if its caller leaves.
-struct PlainRun<'a> {
+/// A request to a plain service, with its attempts so far.
+struct PlainRequest<'a> {
     state: &'a Arc<State>,
-    fingerprint: Fingerprint,
-    backend: Arc<Backend>,
-    sent_ms: u64,
-    /// How it ended; `None` if it was abandoned.
-    result: Option<RunResult>,
+    job: &'a Job,
+    attempts: Attempts,
+    /// Servers that failed an attempt.
+    excluded: Vec<Name>,
+    /// The latest response with a server error.
+    failed_response: Option<CompleteResponse>,
 }
 
-/// How a request ended at a plain server.
-struct RunResult {
-    outcome: PlainOutcome,
-    /// How it ended if the server may have begun to run it.
-    end: Option<RunEnd>,
-    load: Option<LoadSample>,
+/// What came first.
+enum Awaited {
+    /// The current server answered, or its attempt failed.
+    Current(Result<CompleteResponse, Failure>),
+    /// Another server has taken the request. The connection to the current one is to be closed.
+    Successor(PlainAttempt),
 }
 
-impl RunResult {
-    fn new(result: &Result<CompleteResponse, Failure>) -> Self {
-        let (outcome, end) = match result {
-            Ok(response) if response.status.is_server_error() => (PlainOutcome::Failed, None),
-            Ok(_) => (PlainOutcome::Answered, Some(RunEnd::Answered)),
-            Err(Failure::Unreachable) => (PlainOutcome::Unreachable, None),
-            Err(Failure::NotHeld | Failure::Rejected) => (PlainOutcome::Rejected, None),
-            Err(Failure::Broken) => (PlainOutcome::Failed, Some(RunEnd::Broken)),
-            Err(Failure::TimedOut) => (PlainOutcome::Failed, Some(RunEnd::TimedOut)),
-            Err(Failure::Foreign) => (PlainOutcome::Failed, None),
-        };
-        let load = result.as_ref().ok().and_then(CompleteResponse::load);
-        Self { outcome, end, load }
+impl PlainRequest<'_> {
+    /// Waits for the response to an attempt. If its server is silent, the attempt goes on at another one
+    /// as soon as that has accepted the request.
+    ///
+    /// # Errors
+    ///
+    /// The failure of the last attempt, which is counted.
+    async fn await_response(
+        &mut self,
+        mut attempt: PlainAttempt,
+    ) -> Result<(Name, CompleteResponse), Failure> {
+        loop {
+            match self.await_or_replace(&mut attempt).await {
+                Awaited::Current(result) => return self.end_attempt(attempt, result),
+                Awaited::Successor(successor) => {
+                    let silent = std::mem::replace(&mut attempt, successor);
+                    // The failure of the silent server is counted, and the next one goes on.
+                    let _ = self.end_attempt(silent, Err(Failure::TimedOut));
+                }
+            }
+        }
     }
-}
 
-impl Drop for PlainRun<'_> {
-    fn drop(&mut self) {
-        let now_ms = self.state.now_ms();
-        let abandoned = || RunResult {
-            outcome: PlainOutcome::Cancelled,
-            end: Some(RunEnd::Abandoned {
-                silent_ms: now_ms - self.sent_ms,
-            }),
-            load: None,
-        };
-        let result = self.result.take().unwrap_or_else(abandoned);
-        if let Some(end) = result.end {
-            crash_probe::record_run_end(self.state, self.fingerprint, &self.backend, end);
+    async fn await_or_replace(&mut self, current: &mut PlainAttempt) -> Awaited {
+        if !self.may_be_replaced() {
+            return Awaited::Current((&mut current.response).await);
+        }
+        let stall_ms = self.job.route.target_latency_ms + ATTEMPT_SLACK_MS;
+        let stall = Duration::from_millis(stall_ms);
+        match timeout(stall, &mut current.response).await {
+            Ok(result) => Awaited::Current(result),
+            Err(_) => self.replace(current).await,
         }
-        let mut plain = self.state.plain.lock().expect("plain lock");
-        plain.record_outcome(&self.backend.id, result.outcome, result.load, now_ms);
     }
-}
 
-/// How an attempt ended.
-enum AttemptEnd {
-    Ended(Result<CompleteResponse, Failure>),
-    /// The server was silent, and a retry was taken for another one.
-    Replaced,
-}
+    /// Sends the request to another server as well, until one of them answers.
+    async fn replace(&mut self, current: &mut PlainAttempt) -> Awaited {
+        while self.may_be_replaced() {
+            let mut successor = tokio::select! {
+                biased;
+                result = &mut current.response => return Awaited::Current(result),
+                successor = self.next_attempt(&current.backend.id) => successor,
+            };
+            let result = tokio::select! {
+                biased;
+                result = &mut current.response => {
+                    self.attempts.record_failure(ExecutionStatus::Unknown);
+                    return Awaited::Current(result);
+                }
+                result = &mut successor.response => result,
+                () = sleep(Duration::from_millis(OVERLAP_MS)) => return Awaited::Successor(successor),
+            };
+            match result {
+                Ok(response) if !response.status.is_server_error() => {
+                    return Awaited::Successor(successor.with_response(response));
+                }
+                // The failure is counted, and the current server may still answer.
+                result => _ = self.end_attempt(successor, result),
+            }
+        }
+        Awaited::Current((&mut current.response).await)
+    }
 
-async fn attempt(
-    state: &Arc<State>,
-    job: &Job,
-    backend: Arc<Backend>,
-    attempts: &Attempts,
-) -> AttemptEnd {
-    let mut run = PlainRun {
-        state,
-        fingerprint: job.fingerprint,
-        backend,
-        sent_ms: state.now_ms(),
-        result: None,
-    };
-    let result = tokio::select! {
-        biased;
-        result = exchange_complete(state, job, &run.backend) => result,
-        () = take_retry_after_stall(state, job, attempts) => {
-            run.result = Some(RunResult::new(&Err(Failure::TimedOut)));
-            return AttemptEnd::Replaced;
+    /// Takes a retry for a server other than the current one, as soon as there are both.
+    async fn next_attempt(&self, current: &Name) -> PlainAttempt {
+        loop {
+            let permit = RetryPermit::take(self.state, &self.job.service.name).await;
+            if self.state.suspects.is_refused(self.job.fingerprint) {
+                drop(permit);
+                return std::future::pending().await;
+            }
+            if let Some(backend) = self.choose_server(Some(current)) {
+                permit.spend();
+                return PlainAttempt::start(self.state, self.job, backend);
+            }
+            drop(permit);
+            sleep(Duration::from_millis(SEARCH_PERIOD_MS)).await;
         }
-    };
-    run.result = Some(RunResult::new(&result));
-    AttemptEnd::Ended(result)
-}
+    }
 
-/// Takes a retry for an idempotent request whose server is silent for longer than the target latency.
-/// Until a retry is available, the server may still answer.
-async fn take_retry_after_stall(state: &Arc<State>, job: &Job, attempts: &Attempts) {
-    let may_retry = job.route.retry_safety == RetrySafety::Idempotent
-        && job.route.max_attempts > attempts.count() + 1;
-    if !may_retry {
-        return std::future::pending().await;
+    fn may_be_replaced(&self) -> bool {
+        self.job.route.retry_safety == RetrySafety::Idempotent && self.attempts.may_be_replaced()
     }
-    let stall_ms = job.route.target_latency_ms + ATTEMPT_SLACK_MS;
-    sleep(Duration::from_millis(stall_ms)).await;
-    let permit = RetryPermit::take(state, &job.service.name).await;
-    if state.suspects.is_refused(job.fingerprint) {
-        drop(permit);
-        return std::future::pending().await;
+
+    /// Records how an attempt ended; returns the response if it is no server error.
+    fn end_attempt(
+        &mut self,
+        attempt: PlainAttempt,
+        result: Result<CompleteResponse, Failure>,
+    ) -> Result<(Name, CompleteResponse), Failure> {
+        let server = attempt.end(&result);
+        let failure = match result {
+            Ok(response) if !response.status.is_server_error() => return Ok((server, response)),
+            Ok(response) => {
+                self.failed_response = Some(response);
+                self.attempts.record_failure(ExecutionStatus::Ran);
+                Failure::Broken
+            }
+            Err(failure) => {
+                self.attempts.record_failure(failure.execution_status());
+                failure
+            }
+        };
+        self.state.metrics.count_failure(failure);
+        info!(
+            event = "attempt_failed",
+            id = %self.job.id,
+            %server,
+            ?failure,
+            attempt = self.attempts.count(),
+            left_ms = self.job.remaining_ms(self.state)
+        );
+        self.excluded.push(server);
+        Err(failure)
     }
-    permit.spend();
-}
 
-async fn exchange_complete(
-    state: &State,
-    job: &Job,
-    backend: &Arc<Backend>,
-) -> Result<CompleteResponse, Failure> {
-    let options = AttemptOptions {
-        server: backend.id.clone(),
-        ..AttemptOptions::default()
-    };
-    let outgoing = job.outgoing(state, options);
-    let head = exchange::send(state, backend, outgoing, job.remaining_ms(state)).await?;
-    exchange::read_complete_response(state, head, job.remaining_ms(state)).await
+    /// Takes a retry for another attempt; returns whether the attempt may be made.
+    fn try_take_retry(&self) -> bool {
+        self.job.remaining_ms(self.state) > 0
+            && self.attempts.may_retry()
+            && !self.state.suspects.is_refused(self.job.fingerprint)
+            && self.state.try_take_retry(&self.job.service.name)
+    }
+
+    /// Chooses a server other than `silent`.
+    fn choose_server(&self, silent: Option<&Name>) -> Option<Arc<Backend>> {
+        let snapshot = self.state.backends.snapshot();
+        let servers = snapshot.values().map(|backend| &**backend);
+        let servers = servers.filter(|backend| {
+            backend.service == self.job.service.name && Some(&backend.id) != silent
+        });
+        let mut plain = self.state.plain.lock().expect("plain lock");
+        let zone = &self.state.settings().zone;
+        let server = plain.start_request(servers, zone, &self.excluded, self.state.now_ms())?;
+        snapshot.get(&server).cloned()
+    }
+
+    /// The final answer after the last attempt.
+    fn failure_answer(self, failure: Failure) -> Answer {
+        let Self { state, job, .. } = self;
+        if let Some(response) = self.failed_response {
+            state.metrics.count_outcome(Outcome::ServerFailed);
+            info!(event = "failed", id = %job.id, reason = "server_error");
+            return forward_response(response);
+        }
+        let own_answer = if self.attempts.is_not_run() {
+            OwnAnswer::NotRun {
+                retry_after_ms: Some(RETRY_AFTER_MS),
+            }
+        } else if failure == Failure::TimedOut {
+            OwnAnswer::TimedOut
+        } else {
+            OwnAnswer::Broken
+        };
+        state.metrics.count_outcome(own_answer.outcome());
+        info!(event = "failed", id = %job.id, reason = ?failure, status = own_answer.status().as_u16());
+        own_answer.answer(Some(&job.id))
+    }
 }
 
 fn deliver_response(state: &State, job: &Job, server: &Name, response: CompleteResponse) -> Answer {
@@ -247,30 +263,3 @@
     info!(event = "answered", id = %job.id, %server, status = response.status.as_u16(), took_ms);
     forward_response(response)
 }
-
-/// The final answer after the last attempt.
-fn failure_answer(
-    state: &State,
-    job: &Job,
-    attempts: &Attempts,
-    failure: Failure,
-    failed_response: Option<CompleteResponse>,
-) -> Answer {
-    if let Some(response) = failed_response {
-        state.metrics.count_outcome(Outcome::ServerFailed);
-        info!(event = "failed", id = %job.id, reason = "server_error");
-        return forward_response(response);
-    }
-    let own_answer = if attempts.is_not_run() {
-        OwnAnswer::NotRun {
-            retry_after_ms: Some(RETRY_AFTER_MS),
-        }
-    } else if failure == Failure::TimedOut {
-        OwnAnswer::TimedOut
-    } else {
-        OwnAnswer::Broken
-    };
-    state.metrics.count_outcome(own_answer.outcome());
-    info!(event = "failed", id = %job.id, reason = ?failure, status = own_answer.status().as_u16());
-    own_answer.answer(Some(&job.id))
-}
