Let the stand-in's servers crash at a prompt part as they begin an answer

Change: a caller sends shared prompt parts, a last part and a body of its own with each request. A crash plan names the beginning of the body, as before, or prompt parts. A server crashes also after the head, or after the head and half of the first event; its connection is then broken, closed in order under an answer without length and chunks, or silent. Hyper's server writes such answers in HTTP/1.0 only, where its client never keeps the connection; the connection sends them in HTTP/1.1, as servers of the platform may.

No product code changes.

--- a/daemon/tests/gateway/quarantine.rs
+++ b/daemon/tests/gateway/quarantine.rs
@@ -1,7 +1,8 @@
 //! Requests that crash the servers that run them.
 
 use mimosabay_standin::fleet::{
-    Behaviour, CrashEnd, CrashPlan, FleetInstance, FleetOptions, FleetServer, FleetSite, RestartId,
+    Behaviour, CrashEnd, CrashPlan, CrashTrigger, FleetInstance, FleetOptions, FleetServer,
+    FleetSite, RestartId,
 };
 use mimosabay_standin::harness::{block_on, wait_for};
 use serde_json::json;
@@ -15,7 +16,7 @@
 const DEADLINE_MS: u64 = 18_000;
 
 const PLAN: CrashPlan = CrashPlan {
-    body_prefix: POISON,
+    trigger: CrashTrigger::BodyPrefix(POISON),
     end: CrashEnd::Close,
     restart: RestartId::Same,
     down_ms: 500,
--- a/daemon/tests/poison.rs
+++ b/daemon/tests/poison.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use mimosabay_standin::fleet::{
-    CrashEnd, CrashPlan, FleetOptions, FleetServer, FleetSite, RestartId,
+    CrashEnd, CrashPlan, CrashTrigger, FleetOptions, FleetServer, FleetSite, RestartId,
 };
 use mimosabay_standin::harness::{block_on, wait_for};
 use serde_json::Value;
@@ -136,13 +136,10 @@
     })
     .await;
     let plan = CrashPlan {
-        body_prefix: POISON,
+        trigger: CrashTrigger::BodyPrefix(POISON),
         end,
         restart,
-        down_ms: match end {
-            CrashEnd::Close | CrashEnd::CloseMidStream => 1_200,
-            CrashEnd::Silence | CrashEnd::SilenceMidStream => SILENT_MS,
-        },
+        down_ms: if end.is_silent() { SILENT_MS } else { 1_200 },
         entry_expiry_ms: 3_000,
     };
     for server in site.engines.iter().chain(&site.plain_servers) {
--- a/standin/src/connection.rs
+++ b/standin/src/connection.rs
@@ -9,6 +9,12 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+/// Beginning of a response with a body that has neither a length nor chunks. Hyper writes such bodies
+/// in this version only, and connections send them in [`VERSION_1_1`].
+const VERSION_1_0: &[u8] = b"HTTP/1.0 ";
+/// Beginning of all responses as sent.
+const VERSION_1_1: &[u8] = b"HTTP/1.1 ";
+
 /// Silences connections. Clones share the state.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ConnectionSilencing {
@@ -135,6 +141,11 @@
         if self.pause.is_paused(context) {
             return Poll::Pending;
         }
+        let data = if data.starts_with(VERSION_1_0) {
+            VERSION_1_1
+        } else {
+            data
+        };
         Pin::new(&mut self.stream).poll_write(context, data)
     }
 
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -9,13 +9,14 @@
 mod caller;
 mod configuration;
 mod crash;
+mod framing;
 mod server;
 mod settings;
 mod site;
 mod store;
 
 pub use caller::{FleetCaller, FleetReply, FleetStream};
-pub use crash::{CrashEnd, CrashPlan, RestartId};
+pub use crash::{AnswerStart, ConnectionEnd, CrashEnd, CrashPlan, CrashTrigger, RestartId};
 pub use server::{Behaviour, FleetServer, ReceivedOrder, ReceivedRequest, ServerKind};
 pub use site::{
     DESK, ENGINES, FleetInstance, FleetOptions, FleetSite, HOST, KEY, MODEL, ORGANISATION,
--- a/standin/src/fleet/caller.rs
+++ b/standin/src/fleet/caller.rs
@@ -1,6 +1,7 @@
 //! Sends requests to an instance of a site.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use bytes::{Bytes, BytesMut};
 use http::HeaderMap;
@@ -13,6 +14,13 @@
 /// Time after which a caller stops waiting for a response, in milliseconds.
 const RESPONSE_TIMEOUT_MS: u64 = 20_000;
 
+/// Length of each shared part of a prompt, in tokens.
+const SHARED_PART_TOKENS: u64 = 100;
+/// Length of the last part of a prompt with shared parts, in tokens.
+const OWN_PART_TOKENS: u64 = 100;
+/// Identifier of the last part of the next prompt with shared parts.
+static NEXT_OWN_PART: AtomicU64 = AtomicU64::new(0x7000_0000);
+
 /// A client of one instance.
 #[derive(Clone, Debug)]
 pub struct FleetCaller {
@@ -21,6 +29,8 @@
     key: Option<String>,
     deadline_ms: u64,
     prompt: &'static str,
+    /// Identifiers of the parts that prompts share; empty if all prompts are the same.
+    shared_parts: &'static [u64],
 }
 
 /// A complete response.
@@ -52,6 +62,7 @@
             key: None,
             deadline_ms: 4_000,
             prompt: "a prompt",
+            shared_parts: &[],
         }
     }
 
@@ -76,6 +87,14 @@
         self
     }
 
+    /// Sets the first parts of the prompts, by identifier. Each request then has a last part and a
+    /// body of its own.
+    #[must_use]
+    pub fn prompt_parts(mut self, shared_parts: &'static [u64]) -> Self {
+        self.shared_parts = shared_parts;
+        self
+    }
+
     /// Returns the instance's address.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -150,13 +169,29 @@
             format!("{MODEL}/{adapter}")
         };
         let call = Call::post(self.url(path))
-            .body(self.prompt)
             .header("x-model", &model)
-            .header("x-token-count", &format!("{tokens},20"))
-            .header("x-prompt-prefix", "5c1e:300,91bd:200");
+            .header("x-token-count", &format!("{tokens},20"));
+        let call = if self.shared_parts.is_empty() {
+            call.body(self.prompt)
+                .header("x-prompt-prefix", "5c1e:300,91bd:200")
+        } else {
+            self.with_own_prompt(call)
+        };
         self.with_common_headers(call, id)
     }
 
+    /// Adds a prompt that begins with the shared parts and is not sent again.
+    fn with_own_prompt(&self, call: Call) -> Call {
+        let own_part = NEXT_OWN_PART.fetch_add(1, Ordering::Relaxed);
+        let shared = self.shared_parts.iter();
+        let mut parts: Vec<String> = shared
+            .map(|id| format!("{id:x}:{SHARED_PART_TOKENS}"))
+            .collect();
+        parts.push(format!("{own_part:x}:{OWN_PART_TOKENS}"));
+        call.body(format!("{} {own_part:x}", self.prompt))
+            .header("x-prompt-prefix", &parts.join(","))
+    }
+
     fn with_common_headers(&self, call: Call, id: &str) -> Call {
         let call = call
             .header("host", HOST)
--- a/standin/src/fleet/crash.rs
+++ b/standin/src/fleet/crash.rs
@@ -1,11 +1,13 @@
 //! Crashes of a backend server by the requests that it runs.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use mimosabay_core::name::Name;
+use mimosabay_platform::ingress;
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
+use super::framing::{Framing, cut_inside_piece};
 use super::server::{EVENT_INTERVAL_MS, FleetServer, StreamFault};
 use crate::reply::Reply;
 use crate::server::Call;
@@ -18,8 +20,8 @@
 /// Which requests crash a server, and how the server ends and restarts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CrashPlan {
-    /// Beginning of the bodies of the requests that crash the server.
-    pub body_prefix: &'static str,
+    /// Requests that crash the server.
+    pub trigger: CrashTrigger,
     /// What other processes observe of the crash.
     pub end: CrashEnd,
     /// Identity of the server after its restart.
@@ -30,6 +32,15 @@
     pub entry_expiry_ms: u64,
 }
 
+/// Requests that crash a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashTrigger {
+    /// Those whose body begins so.
+    BodyPrefix(&'static str),
+    /// Those whose prompt has one of these parts, by identifier.
+    PromptPart(&'static [u64]),
+}
+
 /// What other processes observe when a server crashes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrashEnd {
@@ -41,11 +52,43 @@
     Silence,
     /// As [`CrashEnd::Silence`], after the first events of the stream were sent.
     SilenceMidStream,
+    /// As the server begins to write the answer.
+    AtAnswer {
+        /// What it has written by then.
+        start: AnswerStart,
+        /// What becomes of its connections.
+        connections: ConnectionEnd,
+    },
+}
+
+/// The beginning of an answer that a server writes before it crashes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerStart {
+    /// The head.
+    Head,
+    /// The head and half of the first event.
+    HalfEvent,
+}
+
+/// What becomes of the connections of a server that crashes as it begins an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// They are closed before the last chunk of the answer, and new ones are refused.
+    Broken,
+    /// The same, but the answer has neither a length nor chunks.
+    InOrder,
+    /// Open and new connections stay silent.
+    Silent,
 }
 
 impl CrashEnd {
-    fn is_mid_stream(self) -> bool {
-        matches!(self, Self::CloseMidStream | Self::SilenceMidStream)
+    /// Returns whether connections stay open and silent.
+    pub fn is_silent(self) -> bool {
+        match self {
+            Self::Close | Self::CloseMidStream => false,
+            Self::Silence | Self::SilenceMidStream => true,
+            Self::AtAnswer { connections, .. } => connections == ConnectionEnd::Silent,
+        }
     }
 }
 
@@ -59,31 +102,58 @@
 }
 
 impl FleetServer {
-    /// Makes requests with the body of the plan crash the server.
+    /// Makes the requests of the plan crash the server.
     pub fn crash_on(&self, plan: CrashPlan) {
         self.with_state(|state| state.crash_plan = Some(plan));
     }
 
+    /// Returns the times of the crashes so far, oldest first.
+    pub fn crash_times(&self) -> Vec<Instant> {
+        self.with_state(|state| state.crash_times.clone())
+    }
+
     /// Returns the plan if the request crashes this server.
     pub(super) fn crash_plan_for(&self, call: &Call) -> Option<CrashPlan> {
         let plan = self.with_state(|state| state.crash_plan)?;
-        call.body
-            .starts_with(plan.body_prefix.as_bytes())
-            .then_some(plan)
+        let is_meant = match plan.trigger {
+            CrashTrigger::BodyPrefix(prefix) => call.body.starts_with(prefix.as_bytes()),
+            CrashTrigger::PromptPart(ids) => has_prompt_part(call, ids),
+        };
+        is_meant.then_some(plan)
     }
 
     /// Runs a request that crashes the server.
     pub(super) async fn crash_while_running(&self, plan: CrashPlan, id: &str, after: u64) -> Reply {
         let server = self.clone();
-        if plan.end.is_mid_stream() {
-            tokio::spawn(async move {
-                sleep(Duration::from_millis(MID_STREAM_MS)).await;
-                server.crash_and_restart(plan).await;
-            });
-            return self.stream_response(id, after, StreamFault::None);
+        match plan.end {
+            CrashEnd::Close | CrashEnd::Silence => {
+                tokio::spawn(server.crash_and_restart(plan));
+                std::future::pending().await
+            }
+            CrashEnd::CloseMidStream | CrashEnd::SilenceMidStream => {
+                tokio::spawn(async move {
+                    sleep(Duration::from_millis(MID_STREAM_MS)).await;
+                    server.crash_and_restart(plan).await;
+                });
+                self.stream_response(id, after, StreamFault::None)
+            }
+            CrashEnd::AtAnswer { start, connections } => {
+                let crash = async move {
+                    sleep(Duration::from_millis(EVENT_INTERVAL_MS)).await;
+                    tokio::spawn(server.crash_and_restart(plan));
+                    std::future::pending::<()>().await;
+                };
+                let pieces = match start {
+                    AnswerStart::Head => Vec::new(),
+                    AnswerStart::HalfEvent => cut_inside_piece(self.answer_pieces(after), 0),
+                };
+                let framing = match connections {
+                    ConnectionEnd::Broken | ConnectionEnd::Silent => Framing::Chunked,
+                    ConnectionEnd::InOrder => Framing::UntilClose,
+                };
+                self.piecewise_response(id, pieces, framing, crash)
+            }
         }
-        tokio::spawn(async move { server.crash_and_restart(plan).await });
-        std::future::pending().await
     }
 
     async fn crash_and_restart(self, plan: CrashPlan) {
@@ -91,13 +161,13 @@
         if was_crashed {
             return;
         }
+        self.with_state(|state| state.crash_times.push(Instant::now()));
         let id = self.current_id();
         let start_count = self.with_state(|state| state.start_count);
-        match plan.end {
-            CrashEnd::Close | CrashEnd::CloseMidStream => self.crash(),
-            CrashEnd::Silence | CrashEnd::SilenceMidStream => {
-                self.connection_faults.set_silent(true);
-            }
+        if plan.end.is_silent() {
+            self.connection_faults.set_silent(true);
+        } else {
+            self.crash();
         }
         tokio::spawn(self.clone().expire_entry(plan, id, start_count));
         sleep(Duration::from_millis(plan.down_ms)).await;
@@ -135,3 +205,8 @@
         self.register("ready");
     }
 }
+
+fn has_prompt_part(call: &Call, ids: &[u64]) -> bool {
+    let prompt = ingress::prompt(&call.headers);
+    prompt.is_some_and(|prompt| prompt.parts.iter().any(|part| ids.contains(&part.id)))
+}
--- /dev/null
+++ b/standin/src/fleet/framing.rs
@@ -0,0 +1,76 @@
+//! Answers in pieces, whose end is marked in different ways.
+
+use std::future::ready;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream;
+use http::Version;
+use serde_json::json;
+use tokio::time::sleep;
+
+use super::server::{
+    EVENT_INTERVAL_MS, EVENTS_PER_STREAM, FleetServer, RunningRequest, ServerKind, SyncStream,
+    event,
+};
+use crate::reply::{self, Closed, Reply};
+
+/// How the end of an answer's body is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Framing {
+    /// By a last chunk.
+    Chunked,
+    /// By the end of the connection; the answer has neither a length nor chunks.
+    UntilClose,
+}
+
+impl FleetServer {
+    /// Answers with pieces of the body. The body ends once `end` is complete.
+    pub(super) fn piecewise_response(
+        &self,
+        id: &str,
+        pieces: Vec<Bytes>,
+        framing: Framing,
+        end: impl Future<Output = ()> + Send + 'static,
+    ) -> Reply {
+        let running = RunningRequest::new(self);
+        let pieces = stream::iter(pieces).then(|piece| async move {
+            sleep(Duration::from_millis(EVENT_INTERVAL_MS)).await;
+            Ok::<_, Closed>(piece)
+        });
+        let end = stream::once(end).filter_map(|()| ready(None));
+        let pieces = pieces.chain(end).map(move |piece| {
+            let _is_running = &running;
+            piece
+        });
+        let content_type = match self.kind {
+            ServerKind::Engine { .. } => "text/event-stream",
+            ServerKind::Plain => "application/json",
+        };
+        let mut response = reply::stream(content_type, SyncStream::new(pieces))?;
+        if framing == Framing::UntilClose {
+            *response.version_mut() = Version::HTTP_10;
+        }
+        self.seal(&mut response, id)?;
+        Ok(response)
+    }
+
+    /// Returns the pieces of a complete answer: the events after number `after`, or the body of a
+    /// plain server.
+    pub(super) fn answer_pieces(&self, after: u64) -> Vec<Bytes> {
+        match self.kind {
+            ServerKind::Engine { .. } => (after + 1..=EVENTS_PER_STREAM).map(event).collect(),
+            ServerKind::Plain => vec![json!({ "server": self.id }).to_string().into()],
+        }
+    }
+}
+
+/// Returns the first `complete` pieces and half of the next one.
+pub(super) fn cut_inside_piece(mut pieces: Vec<Bytes>, complete: usize) -> Vec<Bytes> {
+    pieces.truncate(complete + 1);
+    if let Some(last) = pieces.get_mut(complete) {
+        last.truncate(last.len() / 2);
+    }
+    pieces
+}
--- a/standin/src/fleet/server.rs
+++ b/standin/src/fleet/server.rs
@@ -22,7 +22,7 @@
 use crate::server::{self, Call, ConnectionFaults, Service};
 
 /// Number of events in a complete stream.
-const EVENTS_PER_STREAM: u64 = 6;
+pub(super) const EVENTS_PER_STREAM: u64 = 6;
 /// Time between the events of a stream, in milliseconds.
 pub(super) const EVENT_INTERVAL_MS: u64 = 15;
 /// Simulated load time of an adapter, in milliseconds. Each order is answered after a tenth of it.
@@ -135,7 +135,7 @@
     /// Address that the server listens on.
     pub address: SocketAddr,
     service: Name,
-    kind: ServerKind,
+    pub(super) kind: ServerKind,
     state: Arc<Mutex<State>>,
     pub(super) store: FleetStore,
     pub(super) connection_faults: ConnectionFaults,
@@ -155,6 +155,8 @@
     pub(super) crash_plan: Option<CrashPlan>,
     /// Whether the server is down after a crash.
     pub(super) is_crashed: bool,
+    /// Times of the crashes by requests of the plan, oldest first.
+    pub(super) crash_times: Vec<Instant>,
     requests: Vec<ReceivedRequest>,
     orders: Vec<ReceivedOrder>,
     report_count: usize,
@@ -467,7 +469,11 @@
         Ok(response)
     }
 
-    fn seal(&self, response: &mut http::Response<reply::Body>, id: &str) -> Result<(), Closed> {
+    pub(super) fn seal(
+        &self,
+        response: &mut http::Response<reply::Body>,
+        id: &str,
+    ) -> Result<(), Closed> {
         let headers = response.headers_mut();
         let id = HeaderValue::from_str(id).map_err(|_| Closed)?;
         headers.insert("x-attempt-id", id);
@@ -487,7 +493,7 @@
 }
 
 /// Formats one event; returns no bytes after the last event.
-fn event(number: u64) -> Bytes {
+pub(super) fn event(number: u64) -> Bytes {
     if number > EVENTS_PER_STREAM {
         return Bytes::new();
     }
@@ -533,12 +539,12 @@
 }
 
 /// Counts a request as running until it is dropped.
-struct RunningRequest {
+pub(super) struct RunningRequest {
     server: FleetServer,
 }
 
 impl RunningRequest {
-    fn new(server: &FleetServer) -> Self {
+    pub(super) fn new(server: &FleetServer) -> Self {
         server.with_state(|state| state.running_count += 1);
         Self {
             server: server.clone(),
@@ -572,12 +578,12 @@
 
 /// Makes a stream `Sync`, as the response body requires. The lock is never contended, because the
 /// stream is polled from one place only.
-struct SyncStream<S> {
+pub(super) struct SyncStream<S> {
     inner: Mutex<std::pin::Pin<Box<S>>>,
 }
 
 impl<S> SyncStream<S> {
-    fn new(inner: S) -> Self {
+    pub(super) fn new(inner: S) -> Self {
         Self {
             inner: Mutex::new(Box::pin(inner)),
         }
