Move what tests of crashing servers share from the test poison to the stand-in

A second test of requests that crash servers needs the same site, the same disturbances at the same times and the same log. Change: Condition, Disturber, start_crashing_site and quarantine_log move to standin::fleet; the test keeps its cases, its requests and its checks. Nothing else changes.

--- a/daemon/tests/poison.rs
+++ b/daemon/tests/poison.rs
@@ -1,13 +1,12 @@
 //! Requests that crash the servers that run them, while the instances are disturbed.
 
-use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use mimosabay_standin::fleet::{
-    CrashEnd, CrashPlan, CrashTrigger, FleetOptions, FleetServer, FleetSite, RestartId,
+    CONTACT_MS, Condition, CrashEnd, CrashTrigger, Disturber, FleetServer, FleetSite, RestartId,
+    quarantine_log, start_crashing_site,
 };
 use mimosabay_standin::harness::{block_on, wait_for};
-use serde_json::Value;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
@@ -17,16 +16,12 @@
 const POISON: &str = "poison";
 /// Body of the other requests.
 const INNOCENT: &str = "innocent";
-/// Time after the third crash from which the instances must know about it, in milliseconds.
-const CONTACT_MS: u64 = 3_000;
 /// Number of times that the request may still reach servers after that.
 const MAX_LATE_ARRIVALS: usize = 3;
 /// Interval between two poison requests, in milliseconds.
 const POISON_INTERVAL_MS: u64 = 150;
 /// Deadline of a poison request, in milliseconds.
 const DEADLINE_MS: u64 = 3_000;
-/// Time for which a server that crashes silently is down, in milliseconds. Its callers give up before.
-const SILENT_MS: u64 = 4_000;
 /// Time for which poison requests are sent, in milliseconds.
 const POISON_TIME_MS: u64 = 14_000;
 
@@ -43,35 +38,12 @@
     Lookup,
 }
 
-/// What happens while poison requests arrive.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Condition {
-    /// Nothing else.
-    Calm,
-    /// The placer is killed twice.
-    PlacerKilledTwice,
-    /// The placer is stopped gracefully twice.
-    PlacerStoppedTwice,
-    /// The placer is suspended twice, and resumed after it was replaced.
-    PlacerFrozenTwice,
-    /// All instances are killed and started again.
-    AllRestarted,
-    /// The same, twice.
-    AllRestartedTwice,
-    /// The store is down while servers crash.
-    StoreDown,
-    /// The store loses answers to writes while the placer is killed twice.
-    StoreLosesAnswers,
-    /// There are several poison requests.
-    SeveralPoisons,
-}
-
 /// Guards against sending a request on that has crashed three servers.
 mod request_that_crashes_servers_is_sent_on {
     use mimosabay_core::cases;
-    use mimosabay_standin::fleet::{CrashEnd, RestartId};
+    use mimosabay_standin::fleet::{Condition, CrashEnd, RestartId};
 
-    use super::{Condition, Route, poison_reaches_few_servers_after_its_third_crash};
+    use super::{Route, poison_reaches_few_servers_after_its_third_crash};
 
     cases! {
         poison_reaches_few_servers_after_its_third_crash;
@@ -113,80 +85,21 @@
     condition: Condition,
 ) {
     block_on(async {
-        let mut site = start_site(end, restart).await;
+        let trigger = CrashTrigger::BodyPrefix(POISON);
+        let mut site = start_crashing_site(trigger, end, restart).await;
         let mut callers = Callers::new(route, condition, &site);
-        let mut timeline = Timeline::start();
-        while timeline.advance() < POISON_TIME_MS {
-            callers.send(&site);
-            disturb(&mut site, &mut callers, condition, &timeline).await;
+        let mut disturber = Disturber::new(condition);
+        while disturber.advance() < POISON_TIME_MS {
+            callers.send(&site, &disturber);
+            disturber.disturb(&mut site).await;
             sleep(Duration::from_millis(POISON_INTERVAL_MS)).await;
         }
         callers.finish().await;
         check_arrivals(&site);
-        check_innocent_requests(&site, &callers.live_instances()).await;
+        check_innocent_requests(&site, &disturber.live_instances(&site)).await;
     });
 }
 
-async fn start_site(end: CrashEnd, restart: RestartId) -> FleetSite {
-    let site = FleetSite::start(FleetOptions {
-        instances: 4,
-        engines: 6,
-        plain_servers: 4,
-        ..FleetOptions::default()
-    })
-    .await;
-    let plan = CrashPlan {
-        trigger: CrashTrigger::BodyPrefix(POISON),
-        end,
-        restart,
-        down_ms: if end.is_silent() { SILENT_MS } else { 1_200 },
-        entry_expiry_ms: 3_000,
-    };
-    for server in site.engines.iter().chain(&site.plain_servers) {
-        server.crash_on(plan);
-    }
-    site
-}
-
-/// Time since the start, in steps.
-struct Timeline {
-    start: Instant,
-    previous_ms: u64,
-    now_ms: u64,
-}
-
-impl Timeline {
-    fn start() -> Self {
-        Self {
-            start: Instant::now(),
-            previous_ms: 0,
-            now_ms: 0,
-        }
-    }
-
-    /// Begins the next step; returns the time since the start, in milliseconds.
-    fn advance(&mut self) -> u64 {
-        let elapsed_ms = self.start.elapsed().as_millis();
-        self.previous_ms = self.now_ms;
-        self.now_ms = u64::try_from(elapsed_ms).expect("a short time");
-        self.now_ms
-    }
-
-    /// Returns whether a time falls into this step. Each time falls into one step, however long the
-    /// steps take.
-    fn reaches(&self, at_ms: u64) -> bool {
-        (self.previous_ms..self.now_ms).contains(&at_ms)
-    }
-}
-
-/// A disturbance of an instance.
-#[derive(Clone, Copy)]
-struct Disturbed {
-    at: Instant,
-    /// Whether the instance has ended.
-    has_ended: bool,
-}
-
 /// Sends poison and other requests to the instances in turn, and does not wait for the answers.
 struct Callers {
     route: Route,
@@ -195,8 +108,6 @@
     open: JoinSet<()>,
     /// Number of instances.
     instances: usize,
-    /// The latest disturbance of each instance that was disturbed.
-    disturbed: HashMap<usize, Disturbed>,
 }
 
 impl Callers {
@@ -211,37 +122,13 @@
             number: 0,
             open: JoinSet::new(),
             instances: site.instances.len(),
-            disturbed: HashMap::new(),
         }
     }
 
-    /// Records that an instance was disturbed; it receives no poison for [`CONTACT_MS`].
-    fn mark_disturbed(&mut self, instance: usize, has_ended: bool) {
-        let disturbed = Disturbed {
-            at: Instant::now(),
-            has_ended,
-        };
-        self.disturbed.insert(instance, disturbed);
-    }
-
-    fn live_instances(&self) -> Vec<usize> {
-        let has_ended = |index: &usize| {
-            let disturbed = self.disturbed.get(index);
-            disturbed.is_some_and(|it| it.has_ended)
-        };
-        (0..self.instances).filter(|it| !has_ended(it)).collect()
-    }
-
-    fn is_in_contact(&self, instance: usize) -> bool {
-        let contact = Duration::from_millis(CONTACT_MS);
-        let disturbed = self.disturbed.get(&instance);
-        disturbed.is_none_or(|it| !it.has_ended && it.at.elapsed() > contact)
-    }
-
-    fn send(&mut self, site: &FleetSite) {
+    fn send(&mut self, site: &FleetSite, disturber: &Disturber) {
         self.number += 1;
         let instance = self.number % self.instances;
-        if !self.is_in_contact(instance) {
+        if !disturber.is_in_contact(instance) {
             return;
         }
         let caller = site.caller(instance).deadline_ms(DEADLINE_MS);
@@ -273,62 +160,6 @@
     }
 }
 
-async fn disturb(
-    site: &mut FleetSite,
-    callers: &mut Callers,
-    condition: Condition,
-    timeline: &Timeline,
-) {
-    match condition {
-        Condition::PlacerKilledTwice | Condition::StoreLosesAnswers
-            if timeline.reaches(1_000) || timeline.reaches(6_000) =>
-        {
-            if condition == Condition::StoreLosesAnswers {
-                site.store.lose_answers(3);
-            }
-            let placer = site.wait_placer().await;
-            site.instances[placer].process.kill();
-            callers.mark_disturbed(placer, true);
-        }
-        Condition::PlacerStoppedTwice if timeline.reaches(1_000) || timeline.reaches(6_000) => {
-            let placer = site.wait_placer().await;
-            site.instances[placer].process.terminate();
-            callers.mark_disturbed(placer, true);
-        }
-        Condition::PlacerFrozenTwice if timeline.reaches(1_000) || timeline.reaches(6_000) => {
-            let placer = site.wait_placer().await;
-            site.instances[placer].process.freeze();
-            callers.mark_disturbed(placer, false);
-        }
-        Condition::PlacerFrozenTwice if timeline.reaches(4_500) || timeline.reaches(9_500) => {
-            for instance in callers.disturbed.clone().into_keys() {
-                site.instances[instance].process.thaw();
-                callers.mark_disturbed(instance, false);
-            }
-        }
-        Condition::AllRestarted | Condition::AllRestartedTwice
-            if timeline.reaches(5_500)
-                || condition == Condition::AllRestartedTwice && timeline.reaches(9_500) =>
-        {
-            for instance in &mut site.instances {
-                instance.process.kill();
-            }
-            for index in 0..site.instances.len() {
-                site.restart(index);
-                callers.mark_disturbed(index, false);
-            }
-        }
-        Condition::StoreDown if timeline.reaches(300) => site.store.set_down(true),
-        Condition::StoreDown if timeline.reaches(6_000) => {
-            site.store.set_down(false);
-            for index in 0..site.instances.len() {
-                callers.mark_disturbed(index, false);
-            }
-        }
-        _ => {}
-    }
-}
-
 /// Checks how often each poison reached servers once the instances must have known its third crash.
 fn check_arrivals(site: &FleetSite) {
     for poison in POISONS {
@@ -356,27 +187,6 @@
     }
 }
 
-/// Returns the log lines about crashes and quarantine, for a failed test.
-fn quarantine_log(site: &FleetSite) -> String {
-    const EVENTS: [&str; 8] = [
-        "placer_started",
-        "placer_changed",
-        "suspects_changed",
-        "request_broken",
-        "crash_observed",
-        "crash_undecided",
-        "quarantine_received",
-        "attempt_failed",
-    ];
-    let is_relevant = |line: &Value| EVENTS.iter().any(|event| line["event"] == *event);
-    let logs = site.instances.iter().map(|instance| {
-        let lines = instance.log().into_iter().filter(is_relevant);
-        let lines: Vec<String> = lines.map(|line| line.to_string()).collect();
-        format!("{}\n{}", instance.name, lines.join("\n"))
-    });
-    logs.collect::<Vec<_>>().join("\n")
-}
-
 async fn check_innocent_requests(site: &FleetSite, instances: &[usize]) {
     for index in instances {
         wait_for("innocent requests are answered", async || {
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -10,6 +10,7 @@
 mod configuration;
 mod crash;
 mod framing;
+mod poison;
 mod server;
 mod settings;
 mod site;
@@ -17,6 +18,7 @@
 
 pub use caller::{FleetCaller, FleetReply, FleetStream};
 pub use crash::{AnswerStart, ConnectionEnd, CrashEnd, CrashPlan, CrashTrigger, RestartId};
+pub use poison::{CONTACT_MS, Condition, Disturber, quarantine_log, start_crashing_site};
 pub use server::{Behaviour, FleetServer, ReceivedOrder, ReceivedRequest, ServerKind};
 pub use site::{
     DESK, ENGINES, FleetInstance, FleetOptions, FleetSite, HOST, KEY, MODEL, ORGANISATION,
