Let the stand-in's servers end an answer with its connection

Change: three behaviours of a server, a complete answer so framed, one that ends inside an event, and one that ends after its head. No product code changes.

--- a/standin/src/fleet/framing.rs
+++ b/standin/src/fleet/framing.rs
@@ -56,6 +56,11 @@
         Ok(response)
     }
 
+    /// Answers with pieces of the body and with neither a length nor chunks.
+    pub(super) fn response_until_close(&self, id: &str, pieces: Vec<Bytes>) -> Reply {
+        self.piecewise_response(id, pieces, Framing::UntilClose, ready(()))
+    }
+
     /// Returns the pieces of a complete answer: the events after number `after`, or the body of a
     /// plain server.
     pub(super) fn answer_pieces(&self, after: u64) -> Vec<Bytes> {
--- a/standin/src/fleet/server.rs
+++ b/standin/src/fleet/server.rs
@@ -16,6 +16,7 @@
 use tokio::time::sleep;
 
 use super::crash::CrashPlan;
+use super::framing::cut_inside_piece;
 use super::site::MODEL;
 use super::store::FleetStore;
 use crate::reply::{self, Closed, Reply};
@@ -68,6 +69,12 @@
         /// Length of the pause, in milliseconds.
         pause_ms: u64,
     },
+    /// Runs the request and answers with neither a length nor chunks; the connection ends the answer.
+    AnswerUntilClose,
+    /// As [`Behaviour::AnswerUntilClose`], but ends inside the event after this many.
+    EndInsideEvent(usize),
+    /// As [`Behaviour::AnswerUntilClose`], but ends after the head.
+    EndAfterHead,
     /// Runs the request and never answers.
     Hang,
     /// Runs the request, restarts with empty state and closes the connection.
@@ -391,6 +398,14 @@
             Behaviour::AnswerWithWrongId => {
                 return self.complete_response(StatusCode::OK, "another");
             }
+            Behaviour::AnswerUntilClose => {
+                return self.response_until_close(&id, self.answer_pieces(after));
+            }
+            Behaviour::EndInsideEvent(events) => {
+                let pieces = cut_inside_piece(self.answer_pieces(after), events);
+                return self.response_until_close(&id, pieces);
+            }
+            Behaviour::EndAfterHead => return self.response_until_close(&id, Vec::new()),
             Behaviour::Hang => std::future::pending().await,
             Behaviour::Answer
             | Behaviour::Reject
