Reproduce a stream that ends before its first event and looks complete

What callers saw: status 200 and a complete stream without any event.

A server ends a stream that has neither a length nor chunks after its head, and closes the connection in order.

--- a/daemon/tests/gateway/framing.rs
+++ b/daemon/tests/gateway/framing.rs
@@ -49,6 +49,7 @@
         check_resumed_stream;
         inside_an_event: (Behaviour::EndInsideEvent(3));
         inside_the_first_event: (Behaviour::EndInsideEvent(0));
+        before_the_first_event: (Behaviour::EndAfterHead);
     }
 }
 
@@ -72,6 +73,7 @@
         check_broken_stream;
         inside_an_event: (Behaviour::EndInsideEvent(3));
         inside_the_first_event: (Behaviour::EndInsideEvent(0));
+        before_the_first_event: (Behaviour::EndAfterHead);
     }
 }
 
