Reproduce crashes that count as answers in the quarantine

A server ends after the head of an answer that has neither a length nor chunks; its connection is closed in order. The same crash inside the first event is counted, and its case passes.

--- a/daemon/tests/gateway/quarantine.rs
+++ b/daemon/tests/gateway/quarantine.rs
@@ -163,6 +163,7 @@
 
     cases! {
         check_refused_draft;
+        after_the_head: (AnswerStart::Head);
         inside_the_first_event: (AnswerStart::HalfEvent);
     }
 }
