Take a stream that its connection ends before an event for a broken one

Cause: for a stream with neither a length nor chunks the end of the connection is the only end, and a crash ends it as well. A rest inside an event was noticed; without any event nothing was left to notice. The stream counted as complete, and its run as an answer, which clears the work in the quarantine for ten minutes.

Ruled out: the same answers inside the first event (they were broken before this change, and counted); complete streams so framed (they arrive whole); sending requests on the ended connection (4 callers, 20 requests in a row, all answered).

Change: if only the connection ends the body and this server sent no event, the stream is broken (cause EndedBeforeEvent in stream_ended): it is resumed where the route allows it, else breaks for its caller, and the run is watched for a crash. Answers that cannot have a body and answers with a length or chunks are as before.

An answer that ends with its connection between two events, and a plain answer so framed, still look complete wherever they end; nothing in them tells.

--- a/daemon/src/gateway/exchange.rs
+++ b/daemon/src/gateway/exchange.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use mimosabay_core::attempt::ExecutionStatus;
 use mimosabay_core::backend::{Backend, LoadSample};
 use mimosabay_core::name::Name;
@@ -38,6 +39,15 @@
     pub(crate) guard: ConnectionGuard,
 }
 
+impl ResponseHead {
+    /// Whether the body ends with its connection, as it has neither a length nor chunks.
+    pub(crate) fn ends_with_connection(&self) -> bool {
+        !self.body.is_end_stream()
+            && !self.headers.contains_key(CONTENT_LENGTH)
+            && !self.headers.contains_key(TRANSFER_ENCODING)
+    }
+}
+
 /// Holds a connection while a response is read from it. Dropping the guard closes the connection.
 pub(crate) struct ConnectionGuard {
     backend: Arc<Backend>,
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -67,6 +67,8 @@
     ConnectionLost,
     /// The stream ended inside an event.
     EndedInsideEvent,
+    /// The connection, which alone marks the end of the stream, ended before an event.
+    EndedBeforeEvent,
     /// The server was silent, and another one was assigned.
     Stalled,
 }
@@ -158,6 +160,8 @@
 
     /// Relays the events of one server until its stream ends.
     async fn relay_from_server(&mut self, head: ResponseHead, run: &mut Run) -> StreamEnd {
+        let events_before = self.events;
+        let ends_with_connection = head.ends_with_connection();
         let ResponseHead {
             mut body, guard, ..
         } = head;
@@ -197,6 +201,9 @@
                     if !self.splitter.take_rest().is_empty() {
                         return StreamEnd::Broken(BreakCause::EndedInsideEvent);
                     }
+                    if ends_with_connection && self.events == events_before {
+                        return StreamEnd::Broken(BreakCause::EndedBeforeEvent);
+                    }
                     guard.return_to_pool(&self.state);
                     return StreamEnd::Complete;
                 }
