Test answers that are cut short of their length

A body that ends before its declared length had no test. Change: a behaviour of the stand-in's servers that states the length of the whole answer and closes the connection before it; cases with it for bookings (502, run once), lookups (retried) and streams, before the first event and between two events (resumed, or broken for the caller).

The new cases pass on the code as it is; no product code changes.

--- a/daemon/tests/gateway/attempts.rs
+++ b/daemon/tests/gateway/attempts.rs
@@ -46,6 +46,12 @@
     booking_with_a_foreign_answer_is_not_retried: (&Case {
         path: "/book/x", planned: &[Behaviour::AnswerWithWrongId], status: 502, runs: 1,
     });
+    booking_whose_answer_is_cut_short_is_not_retried: (&Case {
+        path: "/book/x", planned: &[Behaviour::CutShort(0)], status: 502, runs: 1,
+    });
+    lookup_whose_answer_is_cut_short_is_retried: (&Case {
+        path: "/look/x", planned: &[Behaviour::CutShort(0)], status: 200, runs: 2,
+    });
     lookup_with_lost_answer_is_retried: (&Case {
         path: "/look/x", planned: &[Behaviour::LoseAnswer], status: 200, runs: 2,
     });
--- a/daemon/tests/gateway/framing.rs
+++ b/daemon/tests/gateway/framing.rs
@@ -1,4 +1,4 @@
-//! Answers with neither a length nor chunks, which end with their connection.
+//! Answers that end with their connection: with neither a length nor chunks, or before their length.
 
 use futures::future::join_all;
 use mimosabay_core::cases;
@@ -50,6 +50,8 @@
         inside_an_event: (Behaviour::EndInsideEvent(3));
         inside_the_first_event: (Behaviour::EndInsideEvent(0));
         before_the_first_event: (Behaviour::EndAfterHead);
+        between_events_before_its_length: (Behaviour::CutShort(3));
+        before_the_first_event_and_its_length: (Behaviour::CutShort(0));
     }
 }
 
@@ -74,6 +76,8 @@
         inside_an_event: (Behaviour::EndInsideEvent(3));
         inside_the_first_event: (Behaviour::EndInsideEvent(0));
         before_the_first_event: (Behaviour::EndAfterHead);
+        between_events_before_its_length: (Behaviour::CutShort(3));
+        before_the_first_event_and_its_length: (Behaviour::CutShort(0));
     }
 }
 
--- a/standin/src/fleet/framing.rs
+++ b/standin/src/fleet/framing.rs
@@ -7,6 +7,7 @@
 use futures::StreamExt;
 use futures::stream;
 use http::Version;
+use http::header::{CONTENT_LENGTH, HeaderValue};
 use serde_json::json;
 use tokio::time::sleep;
 
@@ -21,6 +22,8 @@
 pub(super) enum Framing {
     /// By a last chunk.
     Chunked,
+    /// By a length, in bytes.
+    Length(usize),
     /// By the end of the connection; the answer has neither a length nor chunks.
     UntilClose,
 }
@@ -49,8 +52,13 @@
             ServerKind::Plain => "application/json",
         };
         let mut response = reply::stream(content_type, SyncStream::new(pieces))?;
-        if framing == Framing::UntilClose {
-            *response.version_mut() = Version::HTTP_10;
+        match framing {
+            Framing::Chunked => {}
+            Framing::Length(length) => {
+                let headers = response.headers_mut();
+                headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
+            }
+            Framing::UntilClose => *response.version_mut() = Version::HTTP_10,
         }
         self.seal(&mut response, id)?;
         Ok(response)
@@ -61,6 +69,20 @@
         self.piecewise_response(id, pieces, Framing::UntilClose, ready(()))
     }
 
+    /// Answers with the length of the whole body, but only with its first `complete` pieces.
+    pub(super) fn response_cut_short(
+        &self,
+        id: &str,
+        mut pieces: Vec<Bytes>,
+        complete: usize,
+    ) -> Reply {
+        let length = pieces.iter().map(Bytes::len).sum();
+        pieces.truncate(complete);
+        // Hyper does not send the head of an answer that it finds cut short before.
+        let head_is_sent = sleep(Duration::from_millis(EVENT_INTERVAL_MS));
+        self.piecewise_response(id, pieces, Framing::Length(length), head_is_sent)
+    }
+
     /// Returns the pieces of a complete answer: the events after number `after`, or the body of a
     /// plain server.
     pub(super) fn answer_pieces(&self, after: u64) -> Vec<Bytes> {
--- a/standin/src/fleet/server.rs
+++ b/standin/src/fleet/server.rs
@@ -75,6 +75,9 @@
     EndInsideEvent(usize),
     /// As [`Behaviour::AnswerUntilClose`], but ends after the head.
     EndAfterHead,
+    /// Runs the request and answers with the length of the whole body, but closes the connection after
+    /// this many events; before the body of a plain answer.
+    CutShort(usize),
     /// Runs the request and never answers.
     Hang,
     /// Runs the request, restarts with empty state and closes the connection.
@@ -405,6 +408,9 @@
                 let pieces = cut_inside_piece(self.answer_pieces(after), events);
                 return self.response_until_close(&id, pieces);
             }
+            Behaviour::CutShort(events) => {
+                return self.response_cut_short(&id, self.answer_pieces(after), events);
+            }
             Behaviour::EndAfterHead => return self.response_until_close(&id, Vec::new()),
             Behaviour::Hang => std::future::pending().await,
             Behaviour::Answer
