Test resumed streams that end with their connection

Tests: a draft whose second server ends its stream, which has neither a length nor chunks, before an event breaks for its caller; one whose second server completes it so is complete.

--- a/daemon/tests/gateway/framing.rs
+++ b/daemon/tests/gateway/framing.rs
@@ -91,6 +91,32 @@
     });
 }
 
+/// Guards against an incomplete answer that looks complete after it was resumed.
+#[test]
+fn resumed_stream_that_ends_before_an_event_breaks_for_its_caller() {
+    block_on(async {
+        let site = start_small_site().await;
+        site.engines[0].plan(Behaviour::BreakAfter(3));
+        site.engines[0].plan(Behaviour::EndAfterHead);
+        let answer = site.caller(0).generate("/draft/x", "one", "").await;
+        assert!(answer.is_err(), "a broken stream must not look complete");
+        assert_eq!(site.run_count("one"), 2);
+    });
+}
+
+#[test]
+fn stream_without_length_completes_a_broken_one() {
+    block_on(async {
+        let site = start_small_site().await;
+        site.engines[0].plan(Behaviour::BreakAfter(3));
+        site.engines[0].plan(Behaviour::AnswerUntilClose);
+        let answer = site.caller(0).generate("/draft/x", "one", "").await;
+        let answer = answer.expect("a complete answer");
+        assert_eq!(answer.event_ids(), ALL_EVENTS);
+        assert_eq!(site.run_count("one"), 2);
+    });
+}
+
 /// Guards against sending a request on a connection that has ended an answer.
 mod connection_that_ends_an_answer_is_not_used_again {
     use super::{cases, check_plain_answers, check_streams};
