--- a/daemon/tests/gateway/main.rs
+++ b/daemon/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod bad_input;
 mod caller_connections;
 mod configuration;
+mod framing;
 mod logs;
 mod path;
 mod placer;
--- a/standin/src/fleet/server.rs
+++ b/standin/src/fleet/server.rs
@@ -16,13 +16,14 @@
 use tokio::time::sleep;
 
 use super::crash::CrashPlan;
+use super::framing::cut_inside_piece;
 use super::site::MODEL;
 use super::store::FleetStore;
 use crate::reply::{self, Closed, Reply};
 use crate::server::{self, Call, ConnectionFaults, Service};
 
 /// Number of events in a complete stream.
-const EVENTS_PER_STREAM: u64 = 6;
+pub(super) const EVENTS_PER_STREAM: u64 = 6;
 /// Time between the events of a stream, in milliseconds.
 pub(super) const EVENT_INTERVAL_MS: u64 = 15;
 /// Simulated load time of an adapter, in milliseconds. Each order is answered after a tenth of it.
@@ -70,6 +71,15 @@
         /// Length of the pause, in milliseconds.
         pause_ms: u64,
     },
+    /// Runs the request and answers with neither a length nor chunks; the connection ends the answer.
+    AnswerUntilClose,
+    /// As [`Behaviour::AnswerUntilClose`], but ends inside the event after this many.
+    EndInsideEvent(usize),
+    /// As [`Behaviour::AnswerUntilClose`], but ends after the head.
+    EndAfterHead,
+    /// Runs the request and answers with the length of the whole body, but closes the connection after
+    /// this many events; before the body of a plain answer.
+    CutShort(usize),
     /// Runs the request and never answers.
     Hang,
     /// Runs the request, restarts with empty state and closes the connection.
@@ -137,7 +147,7 @@
     /// Address that the server listens on.
     pub address: SocketAddr,
     service: Name,
-    kind: ServerKind,
+    pub(super) kind: ServerKind,
     state: Arc<Mutex<State>>,
     pub(super) store: FleetStore,
     pub(super) connection_faults: ConnectionFaults,
@@ -157,6 +167,8 @@
     pub(super) crash_plan: Option<CrashPlan>,
     /// Whether the server is down after a crash.
     pub(super) is_crashed: bool,
+    /// Times of the crashes by requests of the plan, oldest first.
+    pub(super) crash_times: Vec<Instant>,
     requests: Vec<ReceivedRequest>,
     orders: Vec<ReceivedOrder>,
     report_count: usize,
@@ -391,6 +403,17 @@
             Behaviour::AnswerWithWrongId => {
                 return self.complete_response(StatusCode::OK, "another");
             }
+            Behaviour::AnswerUntilClose => {
+                return self.response_until_close(&id, self.answer_pieces(after));
+            }
+            Behaviour::EndInsideEvent(events) => {
+                let pieces = cut_inside_piece(self.answer_pieces(after), events);
+                return self.response_until_close(&id, pieces);
+            }
+            Behaviour::CutShort(events) => {
+                return self.response_cut_short(&id, self.answer_pieces(after), events);
+            }
+            Behaviour::EndAfterHead => return self.response_until_close(&id, Vec::new()),
             Behaviour::Hang => std::future::pending().await,
             Behaviour::AnswerBytes(size_bytes) => return self.large_response(size_bytes, &id),
             Behaviour::Answer
@@ -477,7 +500,11 @@
         Ok(response)
     }
 
-    fn seal(&self, response: &mut http::Response<reply::Body>, id: &str) -> Result<(), Closed> {
+    pub(super) fn seal(
+        &self,
+        response: &mut http::Response<reply::Body>,
+        id: &str,
+    ) -> Result<(), Closed> {
         let headers = response.headers_mut();
         let id = HeaderValue::from_str(id).map_err(|_| Closed)?;
         headers.insert("x-attempt-id", id);
@@ -497,7 +524,7 @@
 }
 
 /// Formats one event; returns no bytes after the last event.
-fn event(number: u64) -> Bytes {
+pub(super) fn event(number: u64) -> Bytes {
     if number > EVENTS_PER_STREAM {
         return Bytes::new();
     }
@@ -543,12 +570,12 @@
 }
 
 /// Counts a request as running until it is dropped.
-struct RunningRequest {
+pub(super) struct RunningRequest {
     server: FleetServer,
 }
 
 impl RunningRequest {
-    fn new(server: &FleetServer) -> Self {
+    pub(super) fn new(server: &FleetServer) -> Self {
         server.with_state(|state| state.running_count += 1);
         Self {
             server: server.clone(),
@@ -582,12 +609,12 @@
 
 /// Makes a stream `Sync`, as the response body requires. The lock is never contended, because the
 /// stream is polled from one place only.
-struct SyncStream<S> {
+pub(super) struct SyncStream<S> {
     inner: Mutex<std::pin::Pin<Box<S>>>,
 }
 
 impl<S> SyncStream<S> {
-    fn new(inner: S) -> Self {
+    pub(super) fn new(inner: S) -> Self {
         Self {
             inner: Mutex::new(Box::pin(inner)),
         }
