--- a/core/src/cell/message.rs
+++ b/core/src/cell/message.rs
@@ -2,8 +2,9 @@
 
 use crate::name::Name;
 use crate::prompt::Prompt;
-use crate::quarantine::{Fingerprint, Quarantine};
+use crate::quarantine::Quarantine;
 use crate::replica::KnownRevision;
+use crate::work::{Fingerprint, Work};
 
 crate::key_record! {
     /// Identifies one attempt of a request.
@@ -40,8 +41,8 @@
         pub target_ms: u64,
         /// Servers that must not be chosen again.
         pub excluded: Vec<Name>,
-        /// Hash of the work, which identifies requests that crash servers.
-        pub fingerprint: Fingerprint,
+        /// Hash of path, organisation and body, which identifies requests that crash servers.
+        pub request_hash: u64,
         /// Outcome of the previous attempt, if there was one.
         pub previous: Option<EndedRun>,
     }
@@ -85,8 +86,8 @@
         pub server: Name,
         /// Model, adapter and size.
         pub prompt: Prompt,
-        /// Hash of the work, which identifies requests that crash servers.
-        pub fingerprint: Fingerprint,
+        /// Hash of path, organisation and body, which identifies requests that crash servers.
+        pub request_hash: u64,
     }
 
     /// Periodic update from an instance to the placer.
@@ -133,8 +134,8 @@
         Overloaded,
         /// No server that could run it is available.
         NoServer,
-        /// The request has crashed several servers.
-        Quarantined,
+        /// Work with this fingerprint has crashed several servers.
+        Quarantined(Fingerprint),
     }
 
     /// How the run of a request at a server ended.
@@ -156,3 +157,30 @@
         Cancelled,
     }
 }
+
+impl PlacementRequest {
+    /// Returns the work, by which requests that crash servers are identified.
+    pub fn work(&self) -> Work {
+        Work::new(self.request_hash, Some(&self.prompt))
+    }
+}
+
+impl RefusalReason {
+    /// Returns the name of the reason, for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::OverRate => "OverRate",
+            Self::Overloaded => "Overloaded",
+            Self::NoServer => "NoServer",
+            Self::Quarantined(_) => "Quarantined",
+        }
+    }
+
+    /// Returns the fingerprint of the work that has crashed servers, if that is the reason.
+    pub fn quarantined(self) -> Option<Fingerprint> {
+        match self {
+            Self::Quarantined(fingerprint) => Some(fingerprint),
+            Self::OverRate | Self::Overloaded | Self::NoServer => None,
+        }
+    }
+}
--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -186,9 +186,9 @@
         if let Some(previous) = &request.previous {
             self.end_run(previous, now_ms);
         }
-        if self.suspects.is_quarantined(request.fingerprint) {
+        if let Some(fingerprint) = self.suspects.refused_by(&request.work()) {
             let refusal = Refusal {
-                reason: RefusalReason::Quarantined,
+                reason: RefusalReason::Quarantined(fingerprint),
                 retry_after_ms: quarantine::RETRY_AFTER_MS,
             };
             self.refuse(request.ticket, refusal);
--- a/core/src/cell/placed_request.rs
+++ b/core/src/cell/placed_request.rs
@@ -32,7 +32,7 @@
             target_ms: 0,
             excluded: Vec::new(),
             previous: None,
-            fingerprint: run.fingerprint,
+            request_hash: run.request_hash,
         };
         Self {
             request,
--- a/core/src/cell/run_outcome.rs
+++ b/core/src/cell/run_outcome.rs
@@ -33,17 +33,17 @@
         match ended.outcome {
             RunOutcome::NotHeld | RunOutcome::Rejected if self.is_load_late(&placed, now_ms) => {}
             RunOutcome::Answered => {
-                let fingerprint = placed.request.fingerprint;
-                self.suspects.record_answer(fingerprint, now_ms);
+                let work = placed.request.work();
+                self.suspects.record_answer(&work, now_ms);
             }
             RunOutcome::Failed | RunOutcome::Cancelled => {}
             RunOutcome::NotHeld => self.invalidate_engine(&placed.server, now_ms, now_ms),
             RunOutcome::Rejected => self.avoid(&placed.server, AVOID_AFTER_REJECTION_MS, now_ms),
             RunOutcome::Unreachable | RunOutcome::Broken => {
                 if ended.outcome == RunOutcome::Broken {
-                    let fingerprint = placed.request.fingerprint;
+                    let work = placed.request.work();
                     self.suspects
-                        .record_broken_connection(&placed.server, fingerprint, now_ms);
+                        .record_broken_connection(&placed.server, work, now_ms);
                 }
                 self.avoid(&placed.server, AVOID_AFTER_BREAK_MS, now_ms);
                 self.invalidate_engine(&placed.server, now_ms, now_ms);
--- a/core/src/cell/suspects.rs
+++ b/core/src/cell/suspects.rs
@@ -3,7 +3,8 @@
 use std::collections::{BTreeSet, HashMap};
 
 use crate::name::Name;
-use crate::quarantine::{Crash, Fingerprint, Quarantine, QuarantineStatus};
+use crate::quarantine::{Crash, Quarantine};
+use crate::work::{Fingerprint, Work};
 
 /// Time within which a crash is attributed to a request whose connection broke, in milliseconds.
 const CRASH_WITHIN_MS: u64 = 3_000;
@@ -20,9 +21,9 @@
     epoch_unix_ms: u64,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct BrokenRequest {
-    fingerprint: Fingerprint,
+    work: Work,
     broke_ms: u64,
 }
 
@@ -33,16 +34,11 @@
     }
 
     /// Records that the connection of a request at a server broke.
-    pub(super) fn record_broken_connection(
-        &mut self,
-        server: &Name,
-        fingerprint: Fingerprint,
-        now_ms: u64,
-    ) {
+    pub(super) fn record_broken_connection(&mut self, server: &Name, work: Work, now_ms: u64) {
         let broken = self.broken.entry(server.clone()).or_default();
         broken.retain(|request| is_recent(request, now_ms));
         broken.push(BrokenRequest {
-            fingerprint,
+            work,
             broke_ms: now_ms,
         });
     }
@@ -57,8 +53,8 @@
         for request in recent {
             let unix_ms = self.epoch_unix_ms + request.broke_ms;
             self.quarantine
-                .record_crash(&crash, [request.fingerprint], unix_ms);
-            self.changed.insert(request.fingerprint);
+                .record_crash(&crash, request.work.fingerprints(), unix_ms);
+            self.changed.extend(request.work.fingerprints());
         }
         self.quarantine.expire(self.epoch_unix_ms + now_ms);
     }
@@ -70,10 +66,12 @@
     }
 
     /// Records that a request was answered, so that it does not crash servers.
-    pub(super) fn record_answer(&mut self, fingerprint: Fingerprint, now_ms: u64) {
+    pub(super) fn record_answer(&mut self, work: &Work, now_ms: u64) {
         let unix_ms = self.epoch_unix_ms + now_ms;
-        if self.quarantine.record_answer(fingerprint, unix_ms) {
-            self.changed.insert(fingerprint);
+        for fingerprint in work.fingerprints() {
+            if self.quarantine.record_answer(fingerprint, unix_ms) {
+                self.changed.insert(fingerprint);
+            }
         }
     }
 
@@ -94,9 +92,10 @@
         Some(self.quarantine.part(fingerprints))
     }
 
-    /// Returns whether a request is refused because it crashed several servers.
-    pub(super) fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
-        self.quarantine.status(fingerprint) == QuarantineStatus::Quarantined
+    /// Returns the fingerprint for which a request is refused, because such work crashed several
+    /// servers; `None` if it may run.
+    pub(super) fn refused_by(&self, work: &Work) -> Option<Fingerprint> {
+        self.quarantine.refused_by(work)
     }
 }
 
--- a/core/src/crash_observer.rs
+++ b/core/src/crash_observer.rs
@@ -7,8 +7,9 @@
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
 use crate::name::Name;
-use crate::quarantine::{Crash, Fingerprint, Quarantine, QuarantineStatus};
+use crate::quarantine::{Crash, Quarantine, QuarantineStatus};
 use crate::quarantine_log::QuarantineChanges;
+use crate::work::{Fingerprint, Work};
 
 /// Time after which a server that is still registered counts as running, in heartbeats of the
 /// servers. The entry of a crashed server expires after three. Only time in which the list of servers
@@ -52,7 +53,7 @@
 /// A request that a server may have begun to run and did not answer.
 #[derive(Clone, Debug)]
 struct BrokenRequest {
-    fingerprint: Fingerprint,
+    work: Work,
     crash: Crash,
     broke_ms: u64,
     broke_unix_ms: u64,
@@ -84,8 +85,8 @@
 /// A decision about a broken request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Decision {
-    /// Hash of the request's work.
-    pub fingerprint: Fingerprint,
+    /// Work of the request.
+    pub work: Work,
     /// The server and the start of it at which the request broke.
     pub crash: Crash,
     /// What became of that start of the server.
@@ -107,15 +108,9 @@
 
 impl CrashObserver {
     /// Records that a request ended without an answer at a server that may have begun to run it.
-    pub fn record_broken(
-        &mut self,
-        fingerprint: Fingerprint,
-        crash: Crash,
-        now_ms: u64,
-        unix_ms: u64,
-    ) {
+    pub fn record_broken(&mut self, work: Work, crash: Crash, now_ms: u64, unix_ms: u64) {
         self.broken.push_back(BrokenRequest {
-            fingerprint,
+            work,
             crash,
             broke_ms: now_ms,
             broke_unix_ms: unix_ms,
@@ -126,11 +121,13 @@
 
     /// Records that a server answered a request, which proves that the request does not crash
     /// servers.
-    pub fn record_answer(&mut self, fingerprint: Fingerprint, unix_ms: u64) {
+    pub fn record_answer(&mut self, work: &Work, unix_ms: u64) {
         self.broken
-            .retain(|request| request.fingerprint != fingerprint);
-        self.answers.insert(fingerprint, unix_ms);
-        self.report_answer(fingerprint, unix_ms);
+            .retain(|request| request.work.request() != work.request());
+        for fingerprint in work.fingerprints() {
+            self.answers.insert(fingerprint, unix_ms);
+            self.report_answer(fingerprint, unix_ms);
+        }
     }
 
     /// Decides which broken requests ran on servers that have ended.
@@ -212,9 +209,10 @@
         }
     }
 
-    /// Returns whether a request is refused because it crashed several servers.
-    pub fn is_refused(&self, fingerprint: Fingerprint) -> bool {
-        self.known.status(fingerprint) == QuarantineStatus::Quarantined
+    /// Returns the fingerprint for which a request is refused, because such work crashed several
+    /// servers; `None` if it may run.
+    pub fn refused_by(&self, work: &Work) -> Option<Fingerprint> {
+        self.known.refused_by(work)
     }
 
     /// Returns the crashes that this instance knows, for a placer that starts in its process.
@@ -229,13 +227,15 @@
     }
 
     fn record_crash(&mut self, request: &BrokenRequest, was_registered: bool, now_ms: u64) {
-        let fingerprint = request.fingerprint;
+        let running = request.work.fingerprints();
         self.known
-            .record_crash(&request.crash, [fingerprint], request.broke_unix_ms);
-        if let Some(unix_ms) = self.answers.last_unix_ms(fingerprint) {
-            self.known.record_answer(fingerprint, unix_ms);
+            .record_crash(&request.crash, running, request.broke_unix_ms);
+        for fingerprint in request.work.fingerprints() {
+            if let Some(unix_ms) = self.answers.last_unix_ms(fingerprint) {
+                self.known.record_answer(fingerprint, unix_ms);
+            }
+            self.mark_own(fingerprint);
         }
-        self.mark_own(fingerprint);
         self.retractable.push_back(RetractableCrash {
             crash: request.crash.clone(),
             was_registered,
@@ -298,7 +298,7 @@
 impl BrokenRequest {
     fn decision(&self, verdict: Verdict, now_ms: u64) -> Decision {
         Decision {
-            fingerprint: self.fingerprint,
+            work: self.work.clone(),
             crash: self.crash.clone(),
             verdict,
             age_ms: now_ms.saturating_sub(self.broke_ms),
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -46,5 +46,6 @@
 pub mod roster;
 pub mod site;
 pub mod takeover;
+pub mod work;
 
 mod rounding;
--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -13,22 +13,20 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::name::Name;
+use crate::work::{Fingerprint, Work};
 
 /// Time after which a crash expires, on the store's clock.
 pub const CRASH_TTL_MS: u64 = 3_600_000;
 /// `Retry-After` for quarantined work, in milliseconds.
 pub const RETRY_AFTER_MS: u64 = 30_000;
-/// Number of crashes with the same work running after which the work is refused.
-pub const MAX_CRASHES: usize = 2;
+/// Number of crashes with the same request running after which the request is refused.
+pub const MAX_REQUEST_CRASHES: usize = 2;
 /// Time for which an answer to work proves that the work does not crash servers, in milliseconds.
 pub const ANSWER_VALIDITY_MS: u64 = 600_000;
 /// Maximum number of fingerprints in a table. Those with the fewest counted crashes are evicted
 /// first, and among these the ones whose last crash is the oldest.
 pub const MAX_FINGERPRINTS: usize = 5_000;
 
-/// Hash of the work of a request.
-pub type Fingerprint = u64;
-
 crate::key_record! {
     /// One crash of one backend server. All instances that observe the crash build an equal value.
     pub struct Crash {
@@ -44,7 +42,7 @@
         Clear,
         /// It was running at one crash. It is retried on a server where no other suspect runs.
         Suspect,
-        /// It was running at [`MAX_CRASHES`] or more crashes. It is refused.
+        /// It was running at [`MAX_REQUEST_CRASHES`] or more crashes. It is refused.
         Quarantined,
     }
 }
@@ -154,11 +152,17 @@
             .map_or(0, Evidence::counted_crashes);
         match counted {
             0 => QuarantineStatus::Clear,
-            counted if counted < MAX_CRASHES => QuarantineStatus::Suspect,
+            counted if counted < MAX_REQUEST_CRASHES => QuarantineStatus::Suspect,
             _ => QuarantineStatus::Quarantined,
         }
     }
 
+    /// Returns the fingerprint for which a request is refused, `None` if it may run.
+    pub fn refused_by(&self, work: &Work) -> Option<Fingerprint> {
+        let mut fingerprints = work.fingerprints();
+        fingerprints.find(|it| self.status(*it) == QuarantineStatus::Quarantined)
+    }
+
     /// Returns whether the work may start on a server that runs `running`. Two suspects never run on
     /// the same server.
     pub fn may_run_beside(
@@ -220,7 +224,7 @@
     /// not.
     pub fn has_several_crashes(&self, fingerprint: Fingerprint) -> bool {
         let evidence = self.evidence.get(&fingerprint);
-        evidence.is_some_and(|it| it.crashes.len() >= MAX_CRASHES)
+        evidence.is_some_and(|it| it.crashes.len() >= MAX_REQUEST_CRASHES)
     }
 
     /// Returns the part of the table that concerns some work.
@@ -276,7 +280,7 @@
 
     #[derive(Serialize, Deserialize)]
     struct Row {
-        /// Hexadecimal, because a JSON number may lose digits.
+        /// Text, because a JSON number may lose digits.
         fingerprint: String,
         crashes: Vec<(Crash, u64)>,
         retracted: Vec<Crash>,
@@ -288,7 +292,7 @@
         serializer: S,
     ) -> Result<S::Ok, S::Error> {
         let row = |(fingerprint, evidence): (&Fingerprint, &Evidence)| Row {
-            fingerprint: format!("{fingerprint:x}"),
+            fingerprint: fingerprint.to_string(),
             crashes: evidence.crashes.clone().into_iter().collect(),
             retracted: evidence.retracted.iter().cloned().collect(),
             answered_unix_ms: evidence.answered_unix_ms,
@@ -302,7 +306,7 @@
     ) -> Result<BTreeMap<Fingerprint, Evidence>, D::Error> {
         let rows = Vec::<Row>::deserialize(deserializer)?;
         let pair = |row: Row| {
-            let fingerprint = Fingerprint::from_str_radix(&row.fingerprint, 16);
+            let fingerprint = row.fingerprint.parse::<Fingerprint>();
             let fingerprint = fingerprint.map_err(serde::de::Error::custom)?;
             let evidence = Evidence {
                 crashes: row.crashes.into_iter().collect(),
--- a/core/src/quarantine_log.rs
+++ b/core/src/quarantine_log.rs
@@ -5,7 +5,8 @@
 
 use std::collections::BTreeMap;
 
-use crate::quarantine::{Fingerprint, Quarantine};
+use crate::quarantine::Quarantine;
+use crate::work::Fingerprint;
 
 /// Low bits of a version, which count the changes made by one placer. The bits above hold its
 /// fencing number.
--- /dev/null
+++ b/core/src/work.rs
@@ -0,0 +1,102 @@
+//! Identity of work that may crash backend servers.
+//!
+//! A request can crash servers by itself, or because of one part of its prompt, whatever else it
+//! holds. Its work therefore has a fingerprint of the whole request and one of each part that other
+//! requests can share.
+
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
+
+use crate::prompt::Prompt;
+
+/// Maximum number of parts of one prompt that identify work; later ones do not.
+const MAX_PARTS: usize = 32;
+/// Maximum number of parts in a log line.
+const MAX_LOGGED_PARTS: usize = 8;
+/// Prefix of the text of a part's fingerprint.
+const PART_PREFIX: &str = "part:";
+
+crate::key_record! {
+    /// Identifies work.
+    #[derive(Copy)]
+    pub enum Fingerprint {
+        /// All requests with this hash of path, organisation and body.
+        Request(u64),
+        /// All requests with the part of this identifier in their prompts, except as the last.
+        PromptPart(u64),
+    }
+}
+
+crate::key_record! {
+    /// The work of one request.
+    pub struct Work {
+        request_hash: u64,
+        /// Identifiers of the parts of the prompt but the last. Invariant: sorted, without
+        /// duplicates, at most [`MAX_PARTS`].
+        parts: Vec<u64>,
+    }
+}
+
+impl Work {
+    /// Returns the work of a request with this hash of path, organisation and body. The last part of
+    /// a prompt belongs to the request itself or to its session.
+    pub fn new(request_hash: u64, prompt: Option<&Prompt>) -> Self {
+        let parts = prompt.map_or(&[][..], |prompt| &prompt.parts);
+        let shared = parts.iter().rev().skip(1).rev().take(MAX_PARTS);
+        let mut parts: Vec<u64> = shared.map(|part| part.id).collect();
+        parts.sort_unstable();
+        parts.dedup();
+        Self {
+            request_hash,
+            parts,
+        }
+    }
+
+    /// Returns the hash of the whole request.
+    pub fn request_hash(&self) -> u64 {
+        self.request_hash
+    }
+
+    /// Returns the fingerprint of the whole request.
+    pub fn request(&self) -> Fingerprint {
+        Fingerprint::Request(self.request_hash)
+    }
+
+    /// Returns all fingerprints of the work.
+    pub fn fingerprints(&self) -> impl Iterator<Item = Fingerprint> {
+        [self.request()].into_iter()
+    }
+
+    /// Returns the identifiers of the first parts in hexadecimal, separated by commas, for logs.
+    pub fn parts_text(&self) -> String {
+        let logged = self.parts.iter().take(MAX_LOGGED_PARTS);
+        let texts: Vec<String> = logged.map(|id| format!("{id:x}")).collect();
+        texts.join(",")
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Request(hash) => write!(formatter, "{hash:x}"),
+            Self::PromptPart(id) => write!(formatter, "{PART_PREFIX}{id:x}"),
+        }
+    }
+}
+
+impl FromStr for Fingerprint {
+    type Err = ParseIntError;
+
+    /// Parses the text that `Display` writes.
+    ///
+    /// # Errors
+    ///
+    /// The number is not hexadecimal or too large.
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text.strip_prefix(PART_PREFIX) {
+            Some(id) => u64::from_str_radix(id, 16).map(Self::PromptPart),
+            None => u64::from_str_radix(text, 16).map(Self::Request),
+        }
+    }
+}
--- a/core/tests/cell/main.rs
+++ b/core/tests/cell/main.rs
@@ -4,6 +4,7 @@
 mod assignment;
 mod invariants;
 mod prefill;
+mod prompt_parts;
 mod rates;
 mod support;
 mod suspects;
--- a/core/tests/cell/suspects.rs
+++ b/core/tests/cell/suspects.rs
@@ -4,11 +4,13 @@
 use mimosabay_core::name::Name;
 use mimosabay_core::quarantine::{Crash, Quarantine, QuarantineStatus};
 use mimosabay_core::quarantine_log::QuarantineLog;
+use mimosabay_core::work::Fingerprint;
 
 use crate::support::{
     ADAPTER_LIMIT, backend, confirmed, ended, granted, placement_request, refused, report,
 };
 
+const POISON: Fingerprint = Fingerprint::Request(77);
 const SERVERS: [&str; 4] = ["one", "two", "three", "four"];
 
 fn confirmed_cell() -> Cell {
@@ -20,12 +22,12 @@
 fn run_until_crash(
     cell: &mut Cell,
     number: u64,
-    fingerprint: u64,
+    request_hash: u64,
     now_ms: u64,
     crashed: &[Name],
 ) -> Name {
     let mut request = placement_request(number, "a1");
-    request.fingerprint = fingerprint;
+    request.request_hash = request_hash;
     request.excluded = crashed.to_vec();
     cell.request_placement(request, now_ms);
     let server = granted(&cell.take_actions())[0].1.clone();
@@ -41,10 +43,10 @@
     let first = run_until_crash(&mut cell, 1, 77, 10, &[]);
     run_until_crash(&mut cell, 2, 77, 1_000, &[first]);
     let mut again = placement_request(3, "a1");
-    again.fingerprint = 77;
+    again.request_hash = 77;
     cell.request_placement(again, 2_000);
     let actions = cell.take_actions();
-    assert_eq!(refused(&actions), [(3, RefusalReason::Quarantined)]);
+    assert_eq!(refused(&actions), [(3, RefusalReason::Quarantined(POISON))]);
     cell.request_placement(placement_request(4, "a1"), 2_000);
     assert_eq!(granted(&cell.take_actions()).len(), 1);
 }
@@ -54,7 +56,7 @@
     let mut cell = confirmed_cell();
     for number in 1..=5 {
         let mut request = placement_request(number, "a1");
-        request.fingerprint = 77;
+        request.request_hash = 77;
         let now_ms = number * 1_000;
         cell.request_placement(request, now_ms);
         let server = granted(&cell.take_actions())[0].1.clone();
@@ -70,13 +72,13 @@
     let mut cell = confirmed_cell();
     let first = run_until_crash(&mut cell, 1, 77, 10, &[]);
     let mut request = placement_request(2, "a1");
-    request.fingerprint = 77;
+    request.request_hash = 77;
     cell.request_placement(request, 500);
     cell.end_run(&ended(2, RunOutcome::Answered), 600);
     cell.take_actions();
     run_until_crash(&mut cell, 3, 77, 1_000, &[first]);
     let mut again = placement_request(4, "a1");
-    again.fingerprint = 77;
+    again.request_hash = 77;
     cell.request_placement(again, 2_000);
     assert_eq!(granted(&cell.take_actions()).len(), 1);
 }
@@ -87,17 +89,17 @@
     let mut cell = confirmed_cell();
     let first = run_until_crash(&mut cell, 1, 77, 10, &[]);
     let mut request = placement_request(2, "a1");
-    request.fingerprint = 77;
+    request.request_hash = 77;
     cell.request_placement(request, 500);
     cell.end_run(&ended(2, RunOutcome::Failed), 600);
     cell.take_actions();
     run_until_crash(&mut cell, 3, 77, 1_000, &[first]);
     let mut again = placement_request(4, "a1");
-    again.fingerprint = 77;
+    again.request_hash = 77;
     cell.request_placement(again, 2_000);
     assert_eq!(
         refused(&cell.take_actions()),
-        [(4, RefusalReason::Quarantined)]
+        [(4, RefusalReason::Quarantined(POISON))]
     );
 }
 
@@ -109,11 +111,11 @@
     let first = run_until_crash(&mut cell, 1, 77, 10, &[]);
     let second = run_until_crash(&mut cell, 2, 77, 1_000, std::slice::from_ref(&first));
     let mut again = placement_request(3, "a1");
-    again.fingerprint = 77;
+    again.request_hash = 77;
     cell.request_placement(again.clone(), 2_000);
     assert_eq!(
         refused(&cell.take_actions()),
-        [(3, RefusalReason::Quarantined)]
+        [(3, RefusalReason::Quarantined(POISON))]
     );
     cell.tick(3_000);
     cell.take_actions();
@@ -135,13 +137,13 @@
             server: server.into(),
             boot: 1,
         };
-        evidence.record_crash(&crash, 0..REFUSED, 10);
+        evidence.record_crash(&crash, (0..REFUSED).map(Fingerprint::Request), 10);
     }
     cell.merge_quarantine(&evidence);
     let mut log = QuarantineLog::new(1);
     log.record(&cell.take_quarantine_changes().expect("changes"));
     let reported = log.changes_since(0).expect("changes").table;
-    let refused: Vec<u64> = (0..REFUSED).collect();
+    let refused: Vec<_> = (0..REFUSED).map(Fingerprint::Request).collect();
     assert_eq!(reported.quarantined().collect::<Vec<_>>(), refused);
 }
 
@@ -151,17 +153,17 @@
 fn answer_that_only_the_placer_knows_is_reported() {
     let mut cell = confirmed_cell();
     let mut request = placement_request(1, "a1");
-    request.fingerprint = 77;
+    request.request_hash = 77;
     cell.request_placement(request, 100);
     let mut evidence = Quarantine::default();
-    evidence.record_crash(&Crash::new(&"one".into(), 1), [77], 10);
+    evidence.record_crash(&Crash::new(&"one".into(), 1), [POISON], 10);
     cell.merge_quarantine(&evidence);
     cell.end_run(&ended(1, RunOutcome::Answered), 200);
-    evidence.record_crash(&Crash::new(&"two".into(), 1), [77], 20);
+    evidence.record_crash(&Crash::new(&"two".into(), 1), [POISON], 20);
     cell.merge_quarantine(&evidence);
-    assert_eq!(evidence.status(77), QuarantineStatus::Quarantined);
+    assert_eq!(evidence.status(POISON), QuarantineStatus::Quarantined);
     evidence.merge(&cell.take_quarantine_changes().expect("changes"));
-    assert_eq!(evidence.status(77), QuarantineStatus::Clear);
+    assert_eq!(evidence.status(POISON), QuarantineStatus::Clear);
 }
 
 /// Guards against a new placer that forgets what its predecessor refused.
@@ -174,11 +176,11 @@
     let mut successor = confirmed_cell();
     successor.merge_quarantine(&reported);
     let mut again = placement_request(3, "a1");
-    again.fingerprint = 77;
+    again.request_hash = 77;
     successor.request_placement(again, 2_000);
     assert_eq!(
         refused(&successor.take_actions()),
-        [(3, RefusalReason::Quarantined)]
+        [(3, RefusalReason::Quarantined(POISON))]
     );
     assert_eq!(successor.take_quarantine_changes(), Some(reported));
 }
@@ -193,7 +195,7 @@
             ticket: request.ticket,
             server: server.into(),
             prompt: request.prompt,
-            fingerprint: 77,
+            request_hash: 77,
         };
         cell.adopt_runs(vec![run], "zone-1", 10);
         cell.end_run(&ended(number, RunOutcome::Broken), 20);
@@ -201,10 +203,28 @@
         cell.handle_report(&server.into(), None, 400);
     }
     let mut again = placement_request(3, "a1");
-    again.fingerprint = 77;
+    again.request_hash = 77;
     cell.request_placement(again, 2_000);
     assert_eq!(
         refused(&cell.take_actions()),
-        [(3, RefusalReason::Quarantined)]
+        [(3, RefusalReason::Quarantined(POISON))]
     );
 }
+
+/// Guards against placing requests that share a part with others that crashed engines.
+#[test]
+fn requests_with_a_part_that_crashed_several_engines_are_refused() {
+    let mut cell = confirmed_cell();
+    let mut crashed = Vec::new();
+    for number in 1..=3 {
+        let server = run_until_crash(&mut cell, number, number, 1_000 * number, &crashed);
+        crashed.push(server);
+    }
+    cell.request_placement(placement_request(4, "a1"), 5_000);
+    let reason = RefusalReason::Quarantined(Fingerprint::PromptPart(7));
+    assert_eq!(refused(&cell.take_actions()), [(4, reason)]);
+    let mut other = placement_request(5, "a1");
+    other.prompt.parts[0].id = 8;
+    cell.request_placement(other, 5_000);
+    assert_eq!(granted(&cell.take_actions()).len(), 1);
+}
--- a/core/tests/cell/unknown_state.rs
+++ b/core/tests/cell/unknown_state.rs
@@ -97,7 +97,7 @@
         ticket: placement_request(9, "a1").ticket,
         server: "one".into(),
         prompt: placement_request(9, "a1").prompt,
-        fingerprint: 9,
+        request_hash: 9,
     };
     cell.adopt_runs(vec![run], "zone-1", 10);
     cell.request_placement(placement_request(1, "a2"), 20);
--- a/core/tests/crash_observer.rs
+++ b/core/tests/crash_observer.rs
@@ -2,12 +2,30 @@
 
 use mimosabay_core::crash_observer::{CrashObserver, Decision, ServerList, Verdict};
 use mimosabay_core::name::Name;
-use mimosabay_core::quarantine::{
-    ANSWER_VALIDITY_MS, Crash, Fingerprint, Quarantine, QuarantineStatus,
-};
+use mimosabay_core::prompt::{Prompt, PromptPart};
+use mimosabay_core::quarantine::{ANSWER_VALIDITY_MS, Crash, Quarantine, QuarantineStatus};
 use mimosabay_core::quarantine_log::QuarantineChanges;
+use mimosabay_core::work::{Fingerprint, Work};
 
-const POISON: Fingerprint = 1;
+const POISON_HASH: u64 = 1;
+const POISON: Fingerprint = Fingerprint::Request(POISON_HASH);
+
+fn poison() -> Work {
+    Work::new(POISON_HASH, None)
+}
+
+/// The work of a request with one shared part.
+fn work_with_part(request_hash: u64, part: u64) -> Work {
+    let ids = [part, 1_000_000 + request_hash];
+    let prompt = Prompt {
+        model: "base".into(),
+        adapter: None,
+        prompt_tokens: 100,
+        answer_tokens: 10,
+        parts: ids.map(|id| PromptPart { id, tokens: 10 }).to_vec(),
+    };
+    Work::new(request_hash, Some(&prompt))
+}
 
 fn crash(number: u64) -> Crash {
     Crash {
@@ -56,7 +74,7 @@
 /// An observer at which a request broke at a server that has ended.
 fn observer_of_a_crash(number: u64) -> CrashObserver {
     let mut observer = CrashObserver::default();
-    observer.record_broken(POISON, crash(number), 10, 1_010);
+    observer.record_broken(poison(), crash(number), 10, 1_010);
     let decisions = check(&mut observer, None, 500);
     assert_eq!(decisions[0].verdict, Verdict::Unregistered);
     observer
@@ -67,9 +85,9 @@
 fn placer_that_knows_nothing_takes_nothing_away() {
     let mut observer = CrashObserver::default();
     observer.apply(&changes(5, evidence(2, 10)));
-    assert!(observer.is_refused(POISON));
+    assert_eq!(observer.refused_by(&poison()), Some(POISON));
     observer.apply(&changes(6, Quarantine::default()));
-    assert!(observer.is_refused(POISON));
+    assert_eq!(observer.refused_by(&poison()), Some(POISON));
 }
 
 /// Guards against evidence that is lost with the placer that had accepted it.
@@ -102,9 +120,9 @@
 #[test]
 fn quarantined_work_that_this_instance_has_answered_is_cleared() {
     let mut observer = CrashObserver::default();
-    observer.record_answer(POISON, 1_200);
+    observer.record_answer(&poison(), 1_200);
     observer.apply(&changes(5, evidence(2, 1_000)));
-    assert!(!observer.is_refused(POISON));
+    assert_eq!(observer.refused_by(&poison()), None);
     let reported = observer.take_evidence(false);
     assert_eq!(reported.status(POISON), QuarantineStatus::Clear);
     assert!(!reported.is_empty());
@@ -113,20 +131,20 @@
 #[test]
 fn answer_long_before_the_crashes_clears_nothing() {
     let mut observer = CrashObserver::default();
-    observer.record_answer(POISON, 900);
+    observer.record_answer(&poison(), 900);
     observer.apply(&changes(5, evidence(2, 901 + ANSWER_VALIDITY_MS)));
-    assert!(observer.is_refused(POISON));
+    assert_eq!(observer.refused_by(&poison()), Some(POISON));
 }
 
 /// Guards against refusing work that was answered before it ran beside others at two crashes.
 #[test]
 fn answer_shortly_before_the_crashes_clears_them() {
     let mut observer = CrashObserver::default();
-    observer.record_answer(POISON, 900);
-    observer.record_broken(POISON, crash(1), 10, 1_000);
-    observer.record_broken(POISON, crash(2), 20, 1_010);
+    observer.record_answer(&poison(), 900);
+    observer.record_broken(poison(), crash(1), 10, 1_000);
+    observer.record_broken(poison(), crash(2), 20, 1_010);
     check(&mut observer, None, 500);
-    assert!(!observer.is_refused(POISON));
+    assert_eq!(observer.refused_by(&poison()), None);
     let evidence = observer.take_evidence(false);
     assert_eq!(evidence.status(POISON), QuarantineStatus::Clear);
 }
@@ -134,8 +152,8 @@
 #[test]
 fn answer_ends_the_observation_of_a_broken_request() {
     let mut observer = CrashObserver::default();
-    observer.record_broken(POISON, crash(1), 10, 1_010);
-    observer.record_answer(POISON, 1_050);
+    observer.record_broken(poison(), crash(1), 10, 1_010);
+    observer.record_answer(&poison(), 1_050);
     assert_eq!(check(&mut observer, None, 500), []);
     assert!(observer.take_evidence(false).is_empty());
 }
@@ -143,7 +161,7 @@
 #[test]
 fn request_that_broke_at_a_live_server_is_given_up() {
     let mut observer = CrashObserver::default();
-    observer.record_broken(POISON, crash(1), 0, 1_000);
+    observer.record_broken(poison(), crash(1), 0, 1_000);
     assert_eq!(check(&mut observer, Some(1), 5_000), []);
     let decisions = check(&mut observer, Some(1), 7_000);
     assert_eq!(decisions.len(), 1);
@@ -155,7 +173,7 @@
 #[test]
 fn crash_is_decided_after_an_outage_of_the_store() {
     let mut observer = CrashObserver::default();
-    observer.record_broken(POISON, crash(1), 0, 1_000);
+    observer.record_broken(poison(), crash(1), 0, 1_000);
     for now_ms in (500..=20_000).step_by(500) {
         assert_eq!(check_list(&mut observer, Some(1), false, now_ms), []);
     }
@@ -168,7 +186,7 @@
 #[test]
 fn refused_connections_decide_a_crash_at_once() {
     let mut observer = CrashObserver::default();
-    observer.record_broken(POISON, crash(1), 0, 1_000);
+    observer.record_broken(poison(), crash(1), 0, 1_000);
     let decisions = observer.record_refused_connections(&crash(1), 300);
     assert_eq!(decisions[0].verdict, Verdict::RefusesConnections);
     let evidence = observer.take_evidence(false);
@@ -179,7 +197,7 @@
 #[test]
 fn crash_of_a_server_that_stays_registered_is_retracted() {
     let mut observer = CrashObserver::default();
-    observer.record_broken(POISON, crash(1), 0, 1_000);
+    observer.record_broken(poison(), crash(1), 0, 1_000);
     observer.record_refused_connections(&crash(1), 300);
     for now_ms in (500..=10_000).step_by(500) {
         check(&mut observer, Some(1), now_ms);
@@ -215,7 +233,7 @@
 fn crash_is_decided_where_heartbeats_are_rare() {
     const HEARTBEAT_MS: u64 = 5_000;
     let mut observer = CrashObserver::default();
-    observer.record_broken(POISON, crash(1), 0, 1_000);
+    observer.record_broken(poison(), crash(1), 0, 1_000);
     let list = |boot: Option<u64>| ServerList {
         start_of: move |_: &Name| boot,
         is_current: true,
@@ -227,3 +245,18 @@
     let decisions = observer.check_servers(&list(None), 3 * HEARTBEAT_MS);
     assert_eq!(decisions[0].verdict, Verdict::Unregistered);
 }
+
+/// Guards against evidence that is kept against whole requests alone, of which no two are alike.
+#[test]
+fn crashes_under_requests_with_one_part_count_together() {
+    let mut observer = CrashObserver::default();
+    for number in 1..=3 {
+        assert_eq!(observer.refused_by(&work_with_part(100, 7)), None);
+        let now_ms = 1_000 * number;
+        observer.record_broken(work_with_part(number, 7), crash(number), now_ms, now_ms);
+        observer.record_refused_connections(&crash(number), now_ms + 300);
+    }
+    let part = Fingerprint::PromptPart(7);
+    assert_eq!(observer.refused_by(&work_with_part(100, 7)), Some(part));
+    assert_eq!(observer.refused_by(&work_with_part(100, 8)), None);
+}
--- a/core/tests/quarantine.rs
+++ b/core/tests/quarantine.rs
@@ -2,13 +2,15 @@
 
 use arbtest::arbitrary::{Result, Unstructured};
 use arbtest::arbtest;
+use mimosabay_core::prompt::{Prompt, PromptPart};
 use mimosabay_core::quarantine::{
-    ANSWER_VALIDITY_MS, CRASH_TTL_MS, Crash, Fingerprint, MAX_FINGERPRINTS, Quarantine,
-    QuarantineStatus,
+    ANSWER_VALIDITY_MS, CRASH_TTL_MS, Crash, MAX_FINGERPRINTS, Quarantine, QuarantineStatus,
 };
+use mimosabay_core::work::{Fingerprint, Work};
 
-const POISON: Fingerprint = 1;
-const NEIGHBOUR: Fingerprint = 2;
+const POISON: Fingerprint = Fingerprint::Request(1);
+const NEIGHBOUR: Fingerprint = Fingerprint::Request(2);
+const PART: Fingerprint = Fingerprint::PromptPart(1);
 const HISTORY_BYTES: u64 = 600;
 const HISTORIES: u64 = 500;
 
@@ -19,6 +21,19 @@
     }
 }
 
+/// The work of a request with these shared parts.
+fn work(request_hash: u64, shared_parts: &[u64]) -> Work {
+    let ids = shared_parts.iter().copied().chain([request_hash]);
+    let prompt = Prompt {
+        model: "base".into(),
+        adapter: None,
+        prompt_tokens: 100,
+        answer_tokens: 10,
+        parts: ids.map(|id| PromptPart { id, tokens: 10 }).collect(),
+    };
+    Work::new(request_hash, Some(&prompt))
+}
+
 #[test]
 fn second_crash_puts_work_under_quarantine() {
     let mut table = Quarantine::default();
@@ -26,7 +41,7 @@
     assert_eq!(table.status(POISON), QuarantineStatus::Suspect);
     assert!(!table.may_run_beside(POISON, [NEIGHBOUR]));
     assert!(table.record_answer(NEIGHBOUR, 1));
-    table.record_crash(&crash(2), [POISON, 3], 0);
+    table.record_crash(&crash(2), [POISON, Fingerprint::Request(3)], 0);
     assert_eq!(table.status(POISON), QuarantineStatus::Quarantined);
     assert_eq!(table.status(NEIGHBOUR), QuarantineStatus::Clear);
     assert_eq!(table.quarantined().collect::<Vec<_>>(), [POISON]);
@@ -68,6 +83,50 @@
     assert_eq!(table.status(NEIGHBOUR), QuarantineStatus::Suspect);
 }
 
+/// Guards against evidence that is kept against whole requests alone, of which no two are alike.
+#[test]
+fn third_crash_under_requests_with_one_part_puts_the_part_under_quarantine() {
+    let mut table = Quarantine::default();
+    for number in 1..=3 {
+        assert_eq!(table.refused_by(&work(100, &[1, 2])), None);
+        let running = work(number, &[1, 10 + number]);
+        table.record_crash(&crash(number), running.fingerprints(), number);
+    }
+    assert_eq!(table.refused_by(&work(100, &[2, 1])), Some(PART));
+    assert_eq!(table.refused_by(&work(100, &[2, 11])), None);
+}
+
+/// Guards against refusing the sound requests that share a part with those that crash servers.
+#[test]
+fn part_that_is_answered_between_crashes_stays_clear() {
+    let mut table = Quarantine::default();
+    for number in 1..=100 {
+        table.record_crash(&crash(number), [PART], 10 * number);
+        if number % 4 == 1 {
+            table.record_answer(PART, 10 * number + 1);
+        }
+        assert_eq!(table.status(PART), QuarantineStatus::Clear);
+    }
+}
+
+/// Guards against taking the answers of earlier requests for proof that a part never crashes servers.
+#[test]
+fn fifth_crash_after_the_latest_answer_puts_a_part_under_quarantine() {
+    let mut table = Quarantine::default();
+    table.record_crash(&crash(1), [PART, POISON], 5);
+    table.record_answer(PART, 10);
+    table.record_answer(POISON, 10);
+    for number in 2..=5 {
+        table.record_crash(&crash(number), [PART, POISON], 10 * number);
+        assert_eq!(table.status(PART), QuarantineStatus::Clear);
+    }
+    table.record_crash(&crash(6), [PART, POISON], 60);
+    assert_eq!(table.status(PART), QuarantineStatus::Quarantined);
+    assert_eq!(table.status(POISON), QuarantineStatus::Clear);
+    table.record_answer(PART, 60);
+    assert_eq!(table.status(PART), QuarantineStatus::Clear);
+}
+
 #[test]
 fn quarantine_ends_when_its_crashes_expire() {
     let mut table = Quarantine::default();
@@ -86,7 +145,8 @@
     let mut table = Quarantine::default();
     table.record_crash(&crash(1), [POISON], 0);
     table.record_crash(&crash(2), [POISON], 0);
-    table.record_crash(&crash(3), 10..10 + MAX_FINGERPRINTS as u64, 1);
+    let others = (10..10 + MAX_FINGERPRINTS as u64).map(Fingerprint::Request);
+    table.record_crash(&crash(3), others, 1);
     assert_eq!(table.status(POISON), QuarantineStatus::Quarantined);
 }
 
@@ -109,7 +169,7 @@
         match u.int_in_range(0..=5)? {
             0 if tables[instance].status(POISON) != QuarantineStatus::Quarantined => {
                 crashes += 1;
-                let neighbour = u.int_in_range(2..=9)?;
+                let neighbour = Fingerprint::Request(u.int_in_range(2..=9)?);
                 let may_run = tables[instance].may_run_beside(neighbour, [POISON]);
                 let running = [Some(POISON), may_run.then_some(neighbour)];
                 let running = running.into_iter().flatten();
@@ -119,7 +179,7 @@
                 messages.push(tables[instance].clone());
             }
             1 => {
-                let neighbour = u.int_in_range(2..=9)?;
+                let neighbour = Fingerprint::Request(u.int_in_range(2..=9)?);
                 tables[instance].record_answer(neighbour, crashes);
                 store.merge(&tables[instance]);
             }
--- a/core/tests/quarantine_log.rs
+++ b/core/tests/quarantine_log.rs
@@ -1,7 +1,12 @@
 //! The quarantine as a placer reports it.
 
-use mimosabay_core::quarantine::{Crash, Fingerprint, Quarantine};
+use mimosabay_core::quarantine::{Crash, Quarantine};
 use mimosabay_core::quarantine_log::QuarantineLog;
+use mimosabay_core::work::Fingerprint;
+
+const FIRST: Fingerprint = Fingerprint::Request(1);
+const SECOND: Fingerprint = Fingerprint::Request(2);
+const THIRD: Fingerprint = Fingerprint::PromptPart(3);
 
 fn crashed(fingerprint: Fingerprint) -> Quarantine {
     let mut table = Quarantine::default();
@@ -23,22 +28,22 @@
 #[test]
 fn instance_receives_only_what_it_does_not_know() {
     let mut log = QuarantineLog::new(7);
-    log.record(&crashed(1));
+    log.record(&crashed(FIRST));
     let first = log.changes_since(0).expect("changes");
     assert_eq!(log.changes_since(first.version), None);
-    log.record(&crashed(2));
-    assert_eq!(changed_since(&log, first.version), [2]);
+    log.record(&crashed(SECOND));
+    assert_eq!(changed_since(&log, first.version), [SECOND]);
 }
 
 #[test]
 fn instance_of_another_placer_receives_everything() {
     let mut log = QuarantineLog::new(7);
-    log.record(&crashed(1));
-    log.record(&crashed(2));
+    log.record(&crashed(FIRST));
+    log.record(&crashed(SECOND));
     let known = log.changes_since(0).expect("changes");
     let mut other = QuarantineLog::new(8);
-    other.record(&crashed(3));
-    assert_eq!(changed_since(&other, known.version), [3]);
+    other.record(&crashed(THIRD));
+    assert_eq!(changed_since(&other, known.version), [THIRD]);
     let newer = other.changes_since(0).expect("changes");
-    assert_eq!(changed_since(&log, newer.version), [1, 2]);
+    assert_eq!(changed_since(&log, newer.version), [FIRST, SECOND]);
 }
--- /dev/null
+++ b/core/tests/work.rs
@@ -0,0 +1,69 @@
+//! Identity of work that may crash servers.
+
+use mimosabay_core::cases;
+use mimosabay_core::prompt::{Prompt, PromptPart};
+use mimosabay_core::work::{Fingerprint, Work};
+
+fn prompt(ids: &[u64]) -> Prompt {
+    Prompt {
+        model: "base".into(),
+        adapter: None,
+        prompt_tokens: 100,
+        answer_tokens: 10,
+        parts: ids
+            .iter()
+            .map(|id| PromptPart {
+                id: *id,
+                tokens: 10,
+            })
+            .collect(),
+    }
+}
+
+fn has_fingerprints_of_parts(ids: &[u64], expected: &[u64]) {
+    let work = Work::new(9, Some(&prompt(ids)));
+    let parts = expected.iter().map(|id| Fingerprint::PromptPart(*id));
+    let expected: Vec<_> = [Fingerprint::Request(9)].into_iter().chain(parts).collect();
+    assert_eq!(work.fingerprints().collect::<Vec<_>>(), expected);
+}
+
+cases! {
+    has_fingerprints_of_parts;
+    prompt_without_parts: (&[], &[]);
+    last_part_belongs_to_the_request: (&[1], &[]);
+    shared_parts: (&[3, 1, 2], &[1, 3]);
+    part_that_occurs_twice: (&[1, 1, 2], &[1]);
+    part_that_is_also_the_last: (&[1, 2, 1], &[1, 2]);
+}
+
+#[test]
+fn request_without_a_prompt_has_one_fingerprint() {
+    let work = Work::new(9, None);
+    let fingerprints: Vec<_> = work.fingerprints().collect();
+    assert_eq!(fingerprints, [Fingerprint::Request(9)]);
+}
+
+#[test]
+fn prompt_with_many_parts_has_a_bounded_number_of_fingerprints() {
+    let ids: Vec<u64> = (0..10_000).collect();
+    let work = Work::new(9, Some(&prompt(&ids)));
+    assert!(work.fingerprints().count() < 100);
+    assert!(work.parts_text().len() < 200);
+}
+
+fn is_read_from(text: &str, expected: Fingerprint) {
+    assert_eq!(text.parse(), Ok(expected));
+    assert_eq!(expected.to_string(), text);
+}
+
+cases! {
+    is_read_from;
+    text_of_a_request: ("1f", Fingerprint::Request(0x1f));
+    text_of_a_part: ("part:1f", Fingerprint::PromptPart(0x1f));
+}
+
+#[test]
+fn text_that_is_no_number_is_not_a_fingerprint() {
+    assert!("part:".parse::<Fingerprint>().is_err());
+    assert!("chapter:1f".parse::<Fingerprint>().is_err());
+}
--- a/daemon/src/gateway/crash_probe.rs
+++ b/daemon/src/gateway/crash_probe.rs
@@ -9,7 +9,8 @@
 use std::time::Duration;
 
 use mimosabay_core::backend::Backend;
-use mimosabay_core::quarantine::{Crash, Fingerprint};
+use mimosabay_core::quarantine::Crash;
+use mimosabay_core::work::Work;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
@@ -44,21 +45,16 @@
 }
 
 /// Records how a request ended at a server, and probes the server if the connection broke.
-pub(crate) fn record_run_end(
-    state: &Arc<State>,
-    fingerprint: Fingerprint,
-    backend: &Backend,
-    end: RunEnd,
-) {
+pub(crate) fn record_run_end(state: &Arc<State>, work: &Work, backend: &Backend, end: RunEnd) {
     match end {
-        RunEnd::Answered => state.suspects.record_answer(fingerprint),
+        RunEnd::Answered => state.suspects.record_answer(work),
         RunEnd::Broken => {
-            state.suspects.record_broken(fingerprint, backend);
+            state.suspects.record_broken(work.clone(), backend);
             start_probe(state, backend);
         }
         RunEnd::Abandoned { silent_ms } if silent_ms < SILENT_MS => {}
         RunEnd::TimedOut | RunEnd::Abandoned { .. } => {
-            state.suspects.record_broken(fingerprint, backend);
+            state.suspects.record_broken(work.clone(), backend);
         }
     }
 }
--- a/daemon/src/gateway/engine_request.rs
+++ b/daemon/src/gateway/engine_request.rs
@@ -225,7 +225,7 @@
         RefusalReason::OverRate => OwnAnswer::OverRate {
             retry_after_ms: refusal.retry_after_ms,
         },
-        RefusalReason::Overloaded | RefusalReason::NoServer | RefusalReason::Quarantined => {
+        RefusalReason::Overloaded | RefusalReason::NoServer | RefusalReason::Quarantined(_) => {
             OwnAnswer::NotRun {
                 retry_after_ms: Some(refusal.retry_after_ms),
             }
--- a/daemon/src/gateway/engine_run.rs
+++ b/daemon/src/gateway/engine_run.rs
@@ -5,7 +5,7 @@
 use mimosabay_core::backend::Backend;
 use mimosabay_core::cell::{EndedRun, RunOutcome, Ticket};
 use mimosabay_core::name::Name;
-use mimosabay_core::quarantine::Fingerprint;
+use mimosabay_core::work::Work;
 
 use super::crash_probe::{self, RunEnd};
 use super::state::State;
@@ -23,8 +23,7 @@
 pub(crate) struct Run {
     state: Arc<State>,
     ticket: Ticket,
-    /// Hash of the request's work.
-    fingerprint: Fingerprint,
+    work: Work,
     pub(crate) server: Name,
     /// The server's entry; `None` until the request is sent.
     backend: Option<Arc<Backend>>,
@@ -38,11 +37,11 @@
 
 impl Run {
     /// Creates the run of a request that waits for a placement.
-    pub(super) fn new(state: &Arc<State>, ticket: Ticket, fingerprint: Fingerprint) -> Self {
+    pub(super) fn new(state: &Arc<State>, ticket: Ticket, work: Work) -> Self {
         Self {
             state: state.clone(),
             ticket,
-            fingerprint,
+            work,
             server: "".into(),
             backend: None,
             sent_ms: state.now_ms(),
@@ -108,7 +107,7 @@
             | RunOutcome::Rejected
             | RunOutcome::Unreachable => return,
         };
-        crash_probe::record_run_end(&self.state, self.fingerprint, backend, end);
+        crash_probe::record_run_end(&self.state, &self.work, backend, end);
     }
 
     /// Sets the outcome, which is reported when the run is dropped.
--- a/daemon/src/gateway/placement.rs
+++ b/daemon/src/gateway/placement.rs
@@ -9,6 +9,7 @@
     AdoptedRun, Charge, PlacementRequest, PlacementResponse, Refusal, RefusalReason, Ticket,
 };
 use mimosabay_core::quarantine;
+use mimosabay_core::work::{Fingerprint, Work};
 use tokio::time::timeout;
 use tracing::info;
 
@@ -35,18 +36,18 @@
         entry: state.incarnation,
         number: state.next_request_number(),
     };
-    let mut run = Run::new(state, ticket, request.job.fingerprint);
+    let work = Work::new(request.job.request_hash, Some(&request.prompt));
+    let mut run = Run::new(state, ticket, work.clone());
     state.link.add_run(AdoptedRun {
         ticket,
         server: "".into(),
         prompt: request.prompt.clone(),
-        fingerprint: request.job.fingerprint,
+        request_hash: request.job.request_hash,
     });
     let requested_ms = state.now_ms();
-    let (response, is_placed) = if state.suspects.is_refused(request.job.fingerprint) {
-        (quarantine_refusal(), false)
-    } else {
-        request_placement(state, request, ticket).await
+    let (response, is_placed) = match state.suspects.refused_by(&work) {
+        Some(fingerprint) => (quarantine_refusal(fingerprint), false),
+        None => request_placement(state, request, ticket).await,
     };
     let waited_ms = state.now_ms() - requested_ms;
     match response {
@@ -54,8 +55,10 @@
             info!(
                 event = "refused",
                 id = %request.job.id,
-                reason = ?refusal.reason,
-                fingerprint = request.job.fingerprint,
+                reason = refusal.reason.name(),
+                quarantined = refusal.reason.quarantined().map(tracing::field::display),
+                fingerprint = work.request_hash(),
+                parts = work.parts_text(),
                 organisation = request.organisation(),
                 tokens = request.prompt.charged_tokens(),
                 adapter = request.prompt.adapter.as_deref().unwrap_or_default(),
@@ -136,13 +139,13 @@
         target_ms: job.route.target_latency_ms.saturating_sub(waited_ms),
         excluded: request.excluded.clone(),
         previous: request.previous.clone(),
-        fingerprint: job.fingerprint,
+        request_hash: job.request_hash,
     }
 }
 
-fn quarantine_refusal() -> PlacementResponse {
+fn quarantine_refusal(fingerprint: Fingerprint) -> PlacementResponse {
     PlacementResponse::Refused(Refusal {
-        reason: RefusalReason::Quarantined,
+        reason: RefusalReason::Quarantined(fingerprint),
         retry_after_ms: quarantine::RETRY_AFTER_MS,
     })
 }
--- a/daemon/src/gateway/plain_request.rs
+++ b/daemon/src/gateway/plain_request.rs
@@ -6,8 +6,9 @@
 use mimosabay_core::backend::{Backend, LoadSample};
 use mimosabay_core::name::Name;
 use mimosabay_core::plain::PlainOutcome;
-use mimosabay_core::quarantine::{self, Fingerprint};
+use mimosabay_core::quarantine;
 use mimosabay_core::site::RetrySafety;
+use mimosabay_core::work::Work;
 use tracing::info;
 
 use super::answer::{Answer, OwnAnswer, forward_response};
@@ -25,7 +26,7 @@
 
 /// Sends a request to servers of its service until one answers.
 pub(crate) async fn run(state: &Arc<State>, job: Job) -> Answer {
-    if state.suspects.is_refused(job.fingerprint) {
+    if is_refused(state, &job) {
         return quarantine_refusal(state, &job);
     }
     record_charge(state, &job);
@@ -79,10 +80,20 @@
 fn try_take_retry(state: &State, job: &Job, attempts: &Attempts) -> bool {
     job.remaining_ms(state) > 0
         && attempts.may_retry()
-        && !state.suspects.is_refused(job.fingerprint)
+        && !is_refused(state, job)
         && state.try_take_retry(&job.service.name)
 }
 
+/// Whether a request is refused because it crashed several servers.
+fn is_refused(state: &State, job: &Job) -> bool {
+    state.suspects.refused_by(&work(job)).is_some()
+}
+
+/// The work of a request, which has no prompt.
+fn work(job: &Job) -> Work {
+    Work::new(job.request_hash, None)
+}
+
 /// Refuses a request that crashed several servers.
 fn quarantine_refusal(state: &State, job: &Job) -> Answer {
     let own_answer = OwnAnswer::NotRun {
@@ -93,7 +104,7 @@
         event = "refused",
         id = %job.id,
         reason = "Quarantined",
-        fingerprint = job.fingerprint
+        fingerprint = job.request_hash
     );
     own_answer.answer(Some(&job.id))
 }
@@ -131,7 +142,7 @@
 /// A request at one plain server. Dropping it records how it ended, also if its caller leaves.
 struct PlainRun<'a> {
     state: &'a Arc<State>,
-    fingerprint: Fingerprint,
+    work: Work,
     backend: Arc<Backend>,
     sent_ms: u64,
     /// How it ended; `None` if it was abandoned.
@@ -174,7 +185,7 @@
         };
         let result = self.result.take().unwrap_or_else(abandoned);
         if let Some(end) = result.end {
-            crash_probe::record_run_end(self.state, self.fingerprint, &self.backend, end);
+            crash_probe::record_run_end(self.state, &self.work, &self.backend, end);
         }
         let mut plain = self.state.plain.lock().expect("plain lock");
         plain.record_outcome(&self.backend.id, result.outcome, result.load, now_ms);
@@ -189,7 +200,7 @@
 ) -> Result<CompleteResponse, Failure> {
     let mut run = PlainRun {
         state,
-        fingerprint: job.fingerprint,
+        work: work(job),
         backend,
         sent_ms: state.now_ms(),
         result: None,
--- a/daemon/src/gateway/request.rs
+++ b/daemon/src/gateway/request.rs
@@ -9,7 +9,6 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use mimosabay_core::name::Name;
-use mimosabay_core::quarantine::Fingerprint;
 use mimosabay_core::site::{Denied, Organisation, Route, Service, Site};
 use mimosabay_platform::ingress::{self, ForwardOptions};
 use tokio::time::timeout;
@@ -41,7 +40,7 @@
     pub(crate) body: Bytes,
     /// Hash of path, organisation and body. A retry by the same caller has the same hash, whatever
     /// its identifier.
-    pub(crate) fingerprint: Fingerprint,
+    pub(crate) request_hash: u64,
     /// When it arrived, in milliseconds.
     pub(crate) arrived_ms: u64,
     /// Time by which it must be answered, in milliseconds.
@@ -176,7 +175,7 @@
         id: id.clone(),
         route,
         service,
-        fingerprint: fingerprint(&parts.uri, organisation.as_deref(), &body),
+        request_hash: request_hash(&parts.uri, organisation.as_deref(), &body),
         organisation,
         method: parts.method,
         uri: parts.uri,
@@ -188,7 +187,7 @@
     })
 }
 
-fn fingerprint(uri: &Uri, organisation: Option<&Organisation>, body: &Bytes) -> Fingerprint {
+fn request_hash(uri: &Uri, organisation: Option<&Organisation>, body: &Bytes) -> u64 {
     let mut hasher = DefaultHasher::new();
     uri.path().hash(&mut hasher);
     organisation.map(|it| &it.name).hash(&mut hasher);
--- a/daemon/src/gateway/suspects.rs
+++ b/daemon/src/gateway/suspects.rs
@@ -6,8 +6,9 @@
 use mimosabay_core::backend::Backend;
 use mimosabay_core::crash_observer::{CrashObserver, Decision, ServerList, Verdict};
 use mimosabay_core::name::Name;
-use mimosabay_core::quarantine::{Crash, Fingerprint, Quarantine};
+use mimosabay_core::quarantine::{Crash, Quarantine};
 use mimosabay_core::quarantine_log::QuarantineChanges;
+use mimosabay_core::work::{Fingerprint, Work};
 use tracing::info;
 
 use super::backends::Snapshot;
@@ -31,23 +32,23 @@
     }
 
     /// Records that a request ended without an answer at a server that may have begun to run it.
-    pub(crate) fn record_broken(&self, fingerprint: Fingerprint, backend: &Backend) {
+    pub(crate) fn record_broken(&self, work: Work, backend: &Backend) {
         let crash = Crash::new(&backend.id, backend.started_unix_ms);
         info!(
             event = "request_broken",
-            fingerprint,
+            fingerprint = work.request_hash(),
+            parts = work.parts_text(),
             server = %crash.server,
             boot = crash.boot
         );
         let (now_ms, unix_ms) = (self.clock.now_ms(), self.clock.unix_ms());
-        self.observer()
-            .record_broken(fingerprint, crash, now_ms, unix_ms);
+        self.observer().record_broken(work, crash, now_ms, unix_ms);
     }
 
     /// Records that a server answered a request.
-    pub(crate) fn record_answer(&self, fingerprint: Fingerprint) {
+    pub(crate) fn record_answer(&self, work: &Work) {
         let unix_ms = self.clock.unix_ms();
-        self.observer().record_answer(fingerprint, unix_ms);
+        self.observer().record_answer(work, unix_ms);
     }
 
     /// Decides which broken requests ran on servers that have ended since, and removes what has
@@ -108,9 +109,10 @@
         info!(event = "quarantine_received", version, received, refused);
     }
 
-    /// Whether a request is refused because it crashed several servers.
-    pub(crate) fn is_refused(&self, fingerprint: Fingerprint) -> bool {
-        self.observer().is_refused(fingerprint)
+    /// The fingerprint for which a request is refused, because such work crashed several servers;
+    /// `None` if it may run.
+    pub(crate) fn refused_by(&self, work: &Work) -> Option<Fingerprint> {
+        self.observer().refused_by(work)
     }
 
     /// All evidence that this instance knows.
@@ -131,7 +133,8 @@
         };
         info!(
             event,
-            fingerprint = decision.fingerprint,
+            fingerprint = decision.work.request_hash(),
+            parts = decision.work.parts_text(),
             server = %decision.crash.server,
             boot = decision.crash.boot,
             verdict = ?decision.verdict,
--- a/standin/src/soak.rs
+++ b/standin/src/soak.rs
@@ -15,7 +15,7 @@
 
 use std::time::{Duration, Instant};
 
-use mimosabay_core::quarantine::MAX_CRASHES;
+use mimosabay_core::quarantine::MAX_REQUEST_CRASHES;
 use tokio::time::sleep;
 
 use crate::fleet::{FleetOptions, FleetSite};
@@ -141,7 +141,7 @@
     let crashes = injections
         .iter()
         .filter(|injection| injection.fault == Fault::ServerCrash);
-    if crashes.count() < MAX_CRASHES {
+    if crashes.count() < MAX_REQUEST_CRASHES {
         "a prompt"
     } else {
         "another prompt"
