Keep the latest answers of an instance, not the first ones

Work that is answered all the time can be refused after crashes beside which it ran, because the instance has forgotten that it answered it.

Cause: the bound on recent answers dropped the entry that was added first, and a later answer did not renew the entry. 2,048 unique requests push out work that was answered a moment ago.

Ruled out: a larger bound. With unique requests any bound is reached.

Before: work_that_was_answered_again_is_remembered fails at 1,900 other answers. After: it passes; the other tests of crash_observer as before (one known red).

Conclusion: a bound has to drop what is the least recent, not what came first.

--- a/core/src/crash_observer.rs
+++ b/core/src/crash_observer.rs
@@ -4,11 +4,12 @@
 //! the evidence, because a new placer knows only what instances send to it. What an instance knows
 //! grows by merging: a placer that knows less takes nothing away.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, VecDeque};
 
 use crate::name::Name;
 use crate::quarantine::{Crash, Quarantine, QuarantineStatus};
 use crate::quarantine_log::QuarantineChanges;
+use crate::recent_answers::RecentAnswers;
 use crate::work::{Fingerprint, Work};
 
 /// Time after which a server that is still registered counts as running, in heartbeats of the
@@ -27,8 +28,6 @@
 const MAX_BROKEN: usize = 512;
 /// Largest number of fingerprints of own evidence that are kept; the oldest are dropped first.
 const MAX_OWN: usize = 512;
-/// Largest number of answered requests that are kept; the oldest are dropped first.
-const MAX_ANSWERS: usize = 2_048;
 
 /// The crashes, answers and quarantine that one instance knows.
 #[derive(Debug, Default)]
@@ -43,6 +42,7 @@
     own: VecDeque<Fingerprint>,
     /// The part of `own` that the placer does not know yet.
     unsent: BTreeSet<Fingerprint>,
+    /// The latest answers of this instance.
     answers: RecentAnswers,
     /// Version of the quarantine received last.
     version: u64,
@@ -124,8 +124,8 @@
     pub fn record_answer(&mut self, work: &Work, unix_ms: u64) {
         self.broken
             .retain(|request| request.work.request() != work.request());
+        self.answers.record(work, unix_ms);
         for fingerprint in work.fingerprints() {
-            self.answers.insert(fingerprint, unix_ms);
             self.report_answer(fingerprint, unix_ms);
         }
     }
@@ -306,32 +306,6 @@
     }
 }
 
-/// The latest answers of this instance. Invariant: at most [`MAX_ANSWERS`] entries.
-#[derive(Debug, Default)]
-struct RecentAnswers {
-    unix_ms: HashMap<Fingerprint, u64>,
-    /// The fingerprints in `unix_ms`, in the order in which they were added.
-    order: VecDeque<Fingerprint>,
-}
-
-impl RecentAnswers {
-    fn insert(&mut self, fingerprint: Fingerprint, unix_ms: u64) {
-        if self.unix_ms.insert(fingerprint, unix_ms).is_some() {
-            return;
-        }
-        self.order.push_back(fingerprint);
-        if self.order.len() > MAX_ANSWERS
-            && let Some(oldest) = self.order.pop_front()
-        {
-            self.unix_ms.remove(&oldest);
-        }
-    }
-
-    fn last_unix_ms(&self, fingerprint: Fingerprint) -> Option<u64> {
-        self.unix_ms.get(&fingerprint).copied()
-    }
-}
-
 fn truncate_front<T>(list: &mut VecDeque<T>, max: usize) {
     while list.len() > max {
         list.pop_front();
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -48,4 +48,5 @@
 pub mod takeover;
 pub mod work;
 
+mod recent_answers;
 mod rounding;
--- a/core/tests/crash_observer.rs
+++ b/core/tests/crash_observer.rs
@@ -260,3 +260,21 @@
     assert_eq!(observer.refused_by(&work_with_part(100, 7)), Some(part));
     assert_eq!(observer.refused_by(&work_with_part(100, 8)), None);
 }
+
+/// Guards against forgetting the latest answer to work because its first one is long ago.
+#[test]
+fn work_that_was_answered_again_is_remembered() {
+    for others in (0..10_000).step_by(100) {
+        let mut observer = CrashObserver::default();
+        observer.record_answer(&poison(), 1_000);
+        for number in 0..others {
+            observer.record_answer(&Work::new(100 + number, None), 1_000);
+        }
+        observer.record_answer(&poison(), 1_000);
+        for number in 0..200 {
+            observer.record_answer(&Work::new(100_000 + number, None), 1_000);
+        }
+        observer.apply(&changes(5, evidence(2, 1_010)));
+        assert_eq!(observer.refused_by(&poison()), None, "{others} others");
+    }
+}
