Refuse requests with a part that crashed servers, whatever else they hold

Cause: the identity of work was too narrow. Evidence was kept against whole requests, of which no two were alike, so that each fingerprint stood in one crash.

Ruled out: evidence that does not arrive. The cell's test delivers every observed crash within 250 ms, and still nothing was refused.

Change: a crash is evidence against the parts of the prompts that ran there, except the last ones, and an answer clears them. The third crash that counts puts a part under quarantine. A part that was answered may begin to crash servers, so that five crashes after its latest answer count although the answer is still valid; a part that many sound requests share is answered between crashes and does not get there.

The random histories now have requests of which no two are alike; all tables agree.

--- a/core/src/crash_observer.rs
+++ b/core/src/crash_observer.rs
@@ -119,11 +119,14 @@
         truncate_front(&mut self.broken, MAX_BROKEN);
     }
 
-    /// Records that a server answered a request, which proves that the request does not crash
-    /// servers.
+    /// Records that a server answered a request, which proves that neither the request nor the parts
+    /// of its prompt crash servers.
     pub fn record_answer(&mut self, work: &Work, unix_ms: u64) {
         self.broken
             .retain(|request| request.work.request() != work.request());
+        for request in &mut self.broken {
+            request.work.remove_parts_of(work);
+        }
         self.answers.record(work, unix_ms);
         for fingerprint in work.fingerprints() {
             self.report_answer(fingerprint, unix_ms);
--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -1,10 +1,12 @@
 //! Quarantine of requests that crash backend servers.
 //!
-//! The work of a request is identified by its fingerprint. Each crash of a server is evidence
-//! against all work that was running on it. The second crash with the same work running puts the
-//! work under quarantine. At most one suspect runs on a server at a time, so that work that does
-//! not cause crashes is not present at two of them. Work that a server answers does not crash
-//! servers, so crashes before the answer and for some time after it do not count against it.
+//! The work of a request is identified by the fingerprints of the request and of the parts of its
+//! prompt. Each crash of a server is evidence against all work that was running on it. The second
+//! crash with the same request running puts the request under quarantine, and the third with the
+//! same part puts the part. At most one suspect runs on a server at a time, so that work that does
+//! not cause crashes is not present at several of them. Work that a server answers does not crash
+//! servers, so crashes before the answer and for some time after it do not count against it. A part
+//! may begin to crash servers later, so that many crashes without an answer count in any case.
 //!
 //! The table is a join of facts that are not removed before they expire: crashes, answers and
 //! retracted crashes. Merging is commutative, associative and idempotent, so that a lost answer of
@@ -21,6 +23,12 @@
 pub const RETRY_AFTER_MS: u64 = 30_000;
 /// Number of crashes with the same request running after which the request is refused.
 pub const MAX_REQUEST_CRASHES: usize = 2;
+/// Number of crashes with the same part of a prompt running after which requests with it are refused.
+/// Parts are shared, so that they run beside others at more crashes than requests do.
+pub const MAX_PART_CRASHES: usize = 3;
+/// Number of crashes after the latest answer to a part from which on they count, although the answer
+/// is still valid.
+pub const MAX_PART_CRASHES_AFTER_ANSWER: usize = 5;
 /// Time for which an answer to work proves that the work does not crash servers, in milliseconds.
 pub const ANSWER_VALIDITY_MS: u64 = 600_000;
 /// Maximum number of fingerprints in a table. Those with the fewest counted crashes are evicted
@@ -40,9 +48,10 @@
     pub enum QuarantineStatus {
         /// No crash counts against it.
         Clear,
-        /// It was running at one crash. It is retried on a server where no other suspect runs.
+        /// It was running at a crash. It is retried on a server where no other suspect runs.
         Suspect,
-        /// It was running at [`MAX_REQUEST_CRASHES`] or more crashes. It is refused.
+        /// It was running at several crashes: at [`MAX_REQUEST_CRASHES`] or more if it is a request,
+        /// at [`MAX_PART_CRASHES`] or more if it is a part of a prompt. It is refused.
         Quarantined,
     }
 }
@@ -80,13 +89,27 @@
 }
 
 impl Evidence {
-    /// Returns the number of crashes that count against the work.
-    fn counted_crashes(&self) -> usize {
-        let counts = |(crash, unix_ms): &(&Crash, &u64)| {
-            let answered_unix_ms = self.answered_unix_ms;
-            let is_harmless =
-                answered_unix_ms.is_some_and(|it| it + ANSWER_VALIDITY_MS >= **unix_ms);
-            !is_harmless && !self.retracted.contains(*crash)
+    /// Returns the number of crashes that count against the work with this fingerprint.
+    fn counted_crashes(&self, fingerprint: Fingerprint) -> usize {
+        let valid_until_ms = self.answered_unix_ms.map(|it| it + ANSWER_VALIDITY_MS);
+        let beyond_validity = self.crashes_after(valid_until_ms);
+        match fingerprint {
+            Fingerprint::Request(_) => beyond_validity,
+            Fingerprint::PromptPart(_) => {
+                let after_answer = self.crashes_after(self.answered_unix_ms);
+                if after_answer >= MAX_PART_CRASHES_AFTER_ANSWER {
+                    after_answer
+                } else {
+                    beyond_validity
+                }
+            }
+        }
+    }
+
+    /// Returns the number of crashes after a time that are not retracted; of all if it is `None`.
+    fn crashes_after(&self, unix_ms: Option<u64>) -> usize {
+        let counts = |(crash, crashed_ms): &(&Crash, &u64)| {
+            Some(**crashed_ms) > unix_ms && !self.retracted.contains(*crash)
         };
         self.crashes.iter().filter(counts).count()
     }
@@ -146,13 +169,10 @@
 
     /// Returns the quarantine status of the work.
     pub fn status(&self, fingerprint: Fingerprint) -> QuarantineStatus {
-        let counted = self
-            .evidence
-            .get(&fingerprint)
-            .map_or(0, Evidence::counted_crashes);
-        match counted {
+        let evidence = self.evidence.get(&fingerprint);
+        match evidence.map_or(0, |it| it.counted_crashes(fingerprint)) {
             0 => QuarantineStatus::Clear,
-            counted if counted < MAX_REQUEST_CRASHES => QuarantineStatus::Suspect,
+            counted if counted < max_crashes(fingerprint) => QuarantineStatus::Suspect,
             _ => QuarantineStatus::Quarantined,
         }
     }
@@ -224,7 +244,7 @@
     /// not.
     pub fn has_several_crashes(&self, fingerprint: Fingerprint) -> bool {
         let evidence = self.evidence.get(&fingerprint);
-        evidence.is_some_and(|it| it.crashes.len() >= MAX_REQUEST_CRASHES)
+        evidence.is_some_and(|it| it.crashes.len() >= max_crashes(fingerprint))
     }
 
     /// Returns the part of the table that concerns some work.
@@ -260,7 +280,10 @@
             let oldest = self
                 .evidence
                 .iter()
-                .min_by_key(|(_, evidence)| (evidence.counted_crashes(), evidence.last_unix_ms()))
+                .min_by_key(|(fingerprint, evidence)| {
+                    let counted = evidence.counted_crashes(**fingerprint);
+                    (counted, evidence.last_unix_ms())
+                })
                 .map(|(fingerprint, _)| *fingerprint);
             let Some(oldest) = oldest else {
                 return;
@@ -270,6 +293,14 @@
     }
 }
 
+/// Returns the number of crashes from which on work is refused.
+fn max_crashes(fingerprint: Fingerprint) -> usize {
+    match fingerprint {
+        Fingerprint::Request(_) => MAX_REQUEST_CRASHES,
+        Fingerprint::PromptPart(_) => MAX_PART_CRASHES,
+    }
+}
+
 /// Serialises the map as a list of rows, which both JSON and binary codecs can represent.
 mod as_rows {
     use std::collections::BTreeMap;
--- a/core/src/work.rs
+++ b/core/src/work.rs
@@ -65,7 +65,13 @@
 
     /// Returns all fingerprints of the work.
     pub fn fingerprints(&self) -> impl Iterator<Item = Fingerprint> {
-        [self.request()].into_iter()
+        let parts = self.parts.iter().map(|id| Fingerprint::PromptPart(*id));
+        [self.request()].into_iter().chain(parts)
+    }
+
+    /// Removes the parts that the other work has as well.
+    pub fn remove_parts_of(&mut self, other: &Work) {
+        self.parts.retain(|id| !other.parts.contains(id));
     }
 
     /// Returns the identifiers of the first parts in hexadecimal, separated by commas, for logs.
--- a/core/tests/cell/prompt_parts.rs
+++ b/core/tests/cell/prompt_parts.rs
@@ -33,7 +33,9 @@
 #[derive(Clone, Copy, Default)]
 struct Day {
     seed: u64,
-    /// Time between two requests with the part.
+    /// Mean time between two sound requests.
+    sound_every_ms: u64,
+    /// Mean time between two requests with the part.
     poison_every_ms: u64,
     /// Time from which on the part crashes servers.
     poison_from_ms: u64,
@@ -117,7 +119,7 @@
             if self.now_ms.is_multiple_of(UPDATE_MS) {
                 self.exchange_updates(false);
             }
-            if self.random(4) == 0 {
+            if self.random(self.day.sound_every_ms / STEP_MS) == 0 {
                 number += 1;
                 self.send(number, false);
             }
@@ -338,6 +340,7 @@
 
 const DAY: Day = Day {
     seed: 0,
+    sound_every_ms: 40,
     poison_every_ms: 300,
     poison_from_ms: 0,
     placer_replaced_ms: None,
--- a/core/tests/crash_observer.rs
+++ b/core/tests/crash_observer.rs
@@ -278,3 +278,16 @@
         assert_eq!(observer.refused_by(&poison()), None, "{others} others");
     }
 }
+
+/// Guards against counting a crash against the parts of other work that was answered meanwhile.
+#[test]
+fn answer_ends_the_observation_of_the_parts_that_it_shares() {
+    let mut observer = CrashObserver::default();
+    observer.record_broken(work_with_part(1, 7), crash(1), 10, 1_010);
+    observer.record_answer(&work_with_part(2, 7), 1_050);
+    let decisions = observer.record_refused_connections(&crash(1), 300);
+    assert_eq!(decisions[0].work, Work::new(1, None));
+    let evidence = observer.take_evidence(false);
+    let expected = [Fingerprint::Request(1)];
+    assert_eq!(evidence.fingerprints().collect::<Vec<_>>(), expected);
+}
--- a/core/tests/quarantine.rs
+++ b/core/tests/quarantine.rs
@@ -150,6 +150,18 @@
     assert_eq!(table.status(POISON), QuarantineStatus::Quarantined);
 }
 
+/// Guards against a bound that lets requests, of which no two are alike, push out a shared part.
+#[test]
+fn eviction_keeps_the_part_under_quarantine() {
+    let mut table = Quarantine::default();
+    for number in 1..=3 {
+        table.record_crash(&crash(number), [PART], 0);
+    }
+    let others = (10..10 + MAX_FINGERPRINTS as u64).map(Fingerprint::Request);
+    table.record_crash(&crash(4), others, 1);
+    assert_eq!(table.status(PART), QuarantineStatus::Quarantined);
+}
+
 /// Instances observe crashes, exchange tables in any order, repeat messages and are replaced.
 #[test]
 fn tables_converge_and_poison_is_refused_after_two_crashes() {
@@ -164,23 +176,36 @@
     let mut store = Quarantine::default();
     let mut messages: Vec<Quarantine> = Vec::new();
     let mut crashes = 0;
+    let mut poison_crashes = 0;
     while !u.is_empty() {
         let instance = u.choose_index(INSTANCES)?;
-        match u.int_in_range(0..=5)? {
-            0 if tables[instance].status(POISON) != QuarantineStatus::Quarantined => {
+        match u.int_in_range(0..=6)? {
+            0 if tables[instance].refused_by(&work(1, &[1])).is_none() => {
                 crashes += 1;
+                poison_crashes += 1;
                 let neighbour = Fingerprint::Request(u.int_in_range(2..=9)?);
                 let may_run = tables[instance].may_run_beside(neighbour, [POISON]);
                 let running = [Some(POISON), may_run.then_some(neighbour)];
-                let running = running.into_iter().flatten();
+                let shared = [PART, Fingerprint::PromptPart(u.int_in_range(2..=4)?)];
+                let running = running.into_iter().flatten().chain(shared);
                 tables[instance].record_crash(&crash(crashes), running, crashes);
                 // The table is stored and sent before the caller receives the failure.
                 store.merge(&tables[instance]);
                 messages.push(tables[instance].clone());
             }
+            // No two of these requests are alike.
+            6 if tables[instance].refused_by(&work(2, &[1])).is_none() => {
+                crashes += 1;
+                let shared = [PART, Fingerprint::PromptPart(u.int_in_range(2..=4)?)];
+                tables[instance].record_crash(&crash(crashes), shared, crashes);
+                store.merge(&tables[instance]);
+                messages.push(tables[instance].clone());
+            }
             1 => {
                 let neighbour = Fingerprint::Request(u.int_in_range(2..=9)?);
+                let sound_part = Fingerprint::PromptPart(u.int_in_range(2..=4)?);
                 tables[instance].record_answer(neighbour, crashes);
+                tables[instance].record_answer(sound_part, crashes);
                 store.merge(&tables[instance]);
             }
             2 if !messages.is_empty() => {
@@ -197,12 +222,18 @@
     for message in messages.iter().rev() {
         store.merge(message);
     }
-    let expected = match crashes {
+    let expected = match poison_crashes {
         0 => QuarantineStatus::Clear,
         1 => QuarantineStatus::Suspect,
         _ => QuarantineStatus::Quarantined,
     };
     assert_eq!(store.status(POISON), expected);
+    let expected = match crashes {
+        0 => QuarantineStatus::Clear,
+        1..3 => QuarantineStatus::Suspect,
+        _ => QuarantineStatus::Quarantined,
+    };
+    assert_eq!(store.status(PART), expected);
     for table in &mut tables {
         table.merge(&store);
         store.merge(table);
