Serve sound requests whose part only ran beside the one that crashes servers

What callers saw: nothing in the record; found by the cell's test. Requests that crash servers share a part with sound requests of their route. If that part was not answered yet, it is at the same crashes as the culprit and is refused with it. Nothing runs with it then, so that no answer ends the refusal before the crashes expire after an hour.

Cause: evidence cannot tell apart two parts that were at the same crashes, and both were refused on their own.

Change: requests with several such parts are refused, and requests with one of them run until it was at three crashes without the other. An innocent part is answered then, and the culprit is refused alone. If the excused part is the culprit, it crashes three more servers.

Both new tests of the table fail before and pass after.

Conclusion: a refusal must leave a way to the answer that ends it.

--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -8,6 +8,10 @@
 //! servers, so crashes before the answer and for some time after it do not count against it. A part
 //! may begin to crash servers later, so that many crashes without an answer count in any case.
 //!
+//! A part that was at all crashes of another one, and has not been answered, is under quarantine as
+//! well. Requests with both are refused, and requests with one of them run until it was at several
+//! crashes without the other or is answered.
+//!
 //! The table is a join of facts that are not removed before they expire: crashes, answers and
 //! retracted crashes. Merging is commutative, associative and idempotent, so that a lost answer of
 //! the store or a repeated message between instances is harmless.
@@ -51,7 +55,8 @@
         /// It was running at a crash. It is retried on a server where no other suspect runs.
         Suspect,
         /// It was running at several crashes: at [`MAX_REQUEST_CRASHES`] or more if it is a request,
-        /// at [`MAX_PART_CRASHES`] or more if it is a part of a prompt. It is refused.
+        /// at [`MAX_PART_CRASHES`] or more if it is a part of a prompt. It is refused, but see
+        /// [`Quarantine::refused_by`] for parts.
         Quarantined,
     }
 }
@@ -89,29 +94,32 @@
 }
 
 impl Evidence {
-    /// Returns the number of crashes that count against the work with this fingerprint.
-    fn counted_crashes(&self, fingerprint: Fingerprint) -> usize {
+    /// Returns the crashes that count against the work with this fingerprint.
+    fn counted_crashes(&self, fingerprint: Fingerprint) -> impl Iterator<Item = &Crash> {
         let valid_until_ms = self.answered_unix_ms.map(|it| it + ANSWER_VALIDITY_MS);
-        let beyond_validity = self.crashes_after(valid_until_ms);
-        match fingerprint {
-            Fingerprint::Request(_) => beyond_validity,
+        let counts_despite_answer = match fingerprint {
+            Fingerprint::Request(_) => false,
             Fingerprint::PromptPart(_) => {
-                let after_answer = self.crashes_after(self.answered_unix_ms);
-                if after_answer >= MAX_PART_CRASHES_AFTER_ANSWER {
-                    after_answer
-                } else {
-                    beyond_validity
-                }
+                let after_answer = self.crashes_after(self.answered_unix_ms).count();
+                after_answer >= MAX_PART_CRASHES_AFTER_ANSWER
             }
+        };
+        if counts_despite_answer {
+            self.crashes_after(self.answered_unix_ms)
+        } else {
+            self.crashes_after(valid_until_ms)
         }
     }
 
-    /// Returns the number of crashes after a time that are not retracted; of all if it is `None`.
-    fn crashes_after(&self, unix_ms: Option<u64>) -> usize {
-        let counts = |(crash, crashed_ms): &(&Crash, &u64)| {
-            Some(**crashed_ms) > unix_ms && !self.retracted.contains(*crash)
-        };
-        self.crashes.iter().filter(counts).count()
+    /// Returns the crashes after a time that are not retracted; all of them if it is `None`.
+    fn crashes_after(&self, unix_ms: Option<u64>) -> impl Iterator<Item = &Crash> {
+        let later = self
+            .crashes
+            .iter()
+            .filter(move |(_, crashed_ms)| Some(**crashed_ms) > unix_ms);
+        later
+            .map(|(crash, _)| crash)
+            .filter(|crash| !self.retracted.contains(*crash))
     }
 
     fn last_unix_ms(&self) -> u64 {
@@ -169,18 +177,55 @@
 
     /// Returns the quarantine status of the work.
     pub fn status(&self, fingerprint: Fingerprint) -> QuarantineStatus {
-        let evidence = self.evidence.get(&fingerprint);
-        match evidence.map_or(0, |it| it.counted_crashes(fingerprint)) {
+        match self.counted_crashes(fingerprint).count() {
             0 => QuarantineStatus::Clear,
             counted if counted < max_crashes(fingerprint) => QuarantineStatus::Suspect,
             _ => QuarantineStatus::Quarantined,
         }
     }
 
-    /// Returns the fingerprint for which a request is refused, `None` if it may run.
+    /// Returns the fingerprint for which a request is refused, `None` if it may run. A part under
+    /// quarantine is no reason if another one, which the request does not have, is under quarantine
+    /// and ran at nearly all its crashes.
     pub fn refused_by(&self, work: &Work) -> Option<Fingerprint> {
-        let mut fingerprints = work.fingerprints();
-        fingerprints.find(|it| self.status(*it) == QuarantineStatus::Quarantined)
+        let quarantined = |it: &Fingerprint| self.status(*it) == QuarantineStatus::Quarantined;
+        let mut quarantined = work.fingerprints().filter(quarantined);
+        quarantined.find(|it| self.is_refused(*it, work))
+    }
+
+    /// Returns whether work is refused for this fingerprint of it, which is under quarantine.
+    fn is_refused(&self, fingerprint: Fingerprint, work: &Work) -> bool {
+        match fingerprint {
+            Fingerprint::Request(_) => true,
+            Fingerprint::PromptPart(_) => {
+                let mut others = self.quarantined_parts().filter(|it| !work.contains(*it));
+                let is_alone = |other| {
+                    let alone = self.counted_crashes_without(fingerprint, other);
+                    alone >= MAX_PART_CRASHES
+                };
+                others.all(is_alone)
+            }
+        }
+    }
+
+    /// Returns the number of crashes that count against work and not against the other.
+    fn counted_crashes_without(&self, fingerprint: Fingerprint, other: Fingerprint) -> usize {
+        let counted: BTreeSet<&Crash> = self.counted_crashes(fingerprint).collect();
+        let beside: BTreeSet<&Crash> = self.counted_crashes(other).collect();
+        counted.difference(&beside).count()
+    }
+
+    /// Returns the crashes that count against work.
+    fn counted_crashes(&self, fingerprint: Fingerprint) -> impl Iterator<Item = &Crash> {
+        let evidence = self.evidence.get(&fingerprint);
+        evidence
+            .into_iter()
+            .flat_map(move |it| it.counted_crashes(fingerprint))
+    }
+
+    fn quarantined_parts(&self) -> impl Iterator<Item = Fingerprint> {
+        self.quarantined()
+            .filter(|it| matches!(it, Fingerprint::PromptPart(_)))
     }
 
     /// Returns whether the work may start on a server that runs `running`. Two suspects never run on
@@ -281,7 +326,7 @@
                 .evidence
                 .iter()
                 .min_by_key(|(fingerprint, evidence)| {
-                    let counted = evidence.counted_crashes(**fingerprint);
+                    let counted = evidence.counted_crashes(**fingerprint).count();
                     (counted, evidence.last_unix_ms())
                 })
                 .map(|(fingerprint, _)| *fingerprint);
--- a/core/src/work.rs
+++ b/core/src/work.rs
@@ -69,6 +69,14 @@
         [self.request()].into_iter().chain(parts)
     }
 
+    /// Returns whether a fingerprint is one of the work's.
+    pub fn contains(&self, fingerprint: Fingerprint) -> bool {
+        match fingerprint {
+            Fingerprint::Request(hash) => self.request_hash == hash,
+            Fingerprint::PromptPart(id) => self.parts.contains(&id),
+        }
+    }
+
     /// Removes the parts that the other work has as well.
     pub fn remove_parts_of(&mut self, other: &Work) {
         self.parts.retain(|id| !other.parts.contains(id));
--- a/core/tests/cell/prompt_parts.rs
+++ b/core/tests/cell/prompt_parts.rs
@@ -349,6 +349,9 @@
 cases! {
     only_the_part_that_crashes_servers_is_refused;
     part_of_frequent_requests: (DAY,);
+    part_among_few_sound_requests: (Day { sound_every_ms: 500, ..DAY },);
+    part_of_a_flood_among_few_sound_requests:
+        (Day { sound_every_ms: 500, poison_every_ms: 50, ..DAY },);
     part_of_rare_requests: (Day { poison_every_ms: 2_500, ..DAY },);
     part_that_was_answered_before: (Day { poison_from_ms: 10_000, ..DAY },);
     part_under_two_placers: (Day { poison_every_ms: 1_000, placer_replaced_ms: Some(4_000), ..DAY },);
--- a/core/tests/quarantine.rs
+++ b/core/tests/quarantine.rs
@@ -109,6 +109,41 @@
     }
 }
 
+/// Guards against refusing a part that was never answered, because it is in all requests with the one
+/// that crashes servers.
+#[test]
+fn part_that_only_ran_beside_the_one_that_crashes_servers_is_refused_with_it_alone() {
+    let mut table = Quarantine::default();
+    for number in 1..=3 {
+        table.record_crash(&crash(number), work(number, &[1, 2]).fingerprints(), number);
+    }
+    assert_eq!(table.refused_by(&work(100, &[1, 2])), Some(PART));
+    assert_eq!(table.refused_by(&work(100, &[1, 3])), None);
+    table.record_answer(PART, 3);
+    let other_part = Fingerprint::PromptPart(2);
+    assert_eq!(table.refused_by(&work(100, &[1, 2])), Some(other_part));
+    assert_eq!(table.refused_by(&work(100, &[3, 2])), Some(other_part));
+}
+
+/// Guards against excusing a part for ever, because other parts ran at its crashes.
+#[test]
+fn part_that_goes_on_crashing_servers_is_refused_whatever_ran_beside_it() {
+    let mut table = Quarantine::default();
+    let mut crashes = 0;
+    for beside in 2..=4 {
+        for _ in 0..3 {
+            if table.refused_by(&work(100, &[1, beside])).is_some() {
+                break;
+            }
+            crashes += 1;
+            let running = work(crashes, &[1, beside]);
+            table.record_crash(&crash(crashes), running.fingerprints(), crashes);
+        }
+    }
+    assert_eq!(crashes, 6);
+    assert_eq!(table.refused_by(&work(100, &[1, 9])), Some(PART));
+}
+
 /// Guards against taking the answers of earlier requests for proof that a part never crashes servers.
 #[test]
 fn fifth_crash_after_the_latest_answer_puts_a_part_under_quarantine() {
