Count no crash at the placer against work that any instance answered lately

What callers saw: nothing in the record; found by a test. Sound requests with a part that others crash with could be refused at the placer although instances answer them.

Cause: the placer kept an answer only if it knew a crash of the work already. Crashes that instances report 300 ms and more later then counted, until an instance that had answered the work reported its answer in turn.

Change: the placer keeps the latest answers of all runs that end, in the same type as the instances, and adds them to each crash that it hears of.

After: granted, and the answer is reported to the instances.

Conclusion: an answer has to count whichever message arrives first.

--- a/core/src/cell/suspects.rs
+++ b/core/src/cell/suspects.rs
@@ -4,6 +4,7 @@
 
 use crate::name::Name;
 use crate::quarantine::{Crash, Quarantine};
+use crate::recent_answers::RecentAnswers;
 use crate::work::{Fingerprint, Work};
 
 /// Time within which a crash is attributed to a request whose connection broke, in milliseconds.
@@ -15,6 +16,9 @@
     /// Requests whose connection broke recently, by server.
     broken: HashMap<Name, Vec<BrokenRequest>>,
     quarantine: Quarantine,
+    /// The latest answers of all instances. An instance that observes a crash need not have answered
+    /// the work that ran there.
+    answers: RecentAnswers,
     /// Work whose evidence has changed since the last call of [`Suspects::take_changes`].
     changed: BTreeSet<Fingerprint>,
     /// Unix time at time 0 of `now_ms`, in milliseconds.
@@ -54,7 +58,10 @@
             let unix_ms = self.epoch_unix_ms + request.broke_ms;
             self.quarantine
                 .record_crash(&crash, request.work.fingerprints(), unix_ms);
-            self.changed.extend(request.work.fingerprints());
+            for fingerprint in request.work.fingerprints() {
+                self.answers.add_to(&mut self.quarantine, fingerprint);
+                self.changed.insert(fingerprint);
+            }
         }
         self.quarantine.expire(self.epoch_unix_ms + now_ms);
     }
@@ -68,6 +75,7 @@
     /// Records that a request was answered, so that it does not crash servers.
     pub(super) fn record_answer(&mut self, work: &Work, now_ms: u64) {
         let unix_ms = self.epoch_unix_ms + now_ms;
+        self.answers.record(work, unix_ms);
         for fingerprint in work.fingerprints() {
             if self.quarantine.record_answer(fingerprint, unix_ms) {
                 self.changed.insert(fingerprint);
@@ -78,7 +86,10 @@
     /// Merges evidence of an instance or of an earlier placer.
     pub(super) fn merge(&mut self, quarantine: &Quarantine) {
         self.quarantine.merge(quarantine);
-        self.changed.extend(quarantine.fingerprints());
+        for fingerprint in quarantine.fingerprints() {
+            self.answers.add_to(&mut self.quarantine, fingerprint);
+            self.changed.insert(fingerprint);
+        }
     }
 
     /// Returns the evidence that has changed since the last call, of work with several crashes. An
--- a/core/src/crash_observer.rs
+++ b/core/src/crash_observer.rs
@@ -234,9 +234,7 @@
         self.known
             .record_crash(&request.crash, running, request.broke_unix_ms);
         for fingerprint in request.work.fingerprints() {
-            if let Some(unix_ms) = self.answers.last_unix_ms(fingerprint) {
-                self.known.record_answer(fingerprint, unix_ms);
-            }
+            self.answers.add_to(&mut self.known, fingerprint);
             self.mark_own(fingerprint);
         }
         self.retractable.push_back(RetractableCrash {
--- a/core/src/recent_answers.rs
+++ b/core/src/recent_answers.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use crate::quarantine::Quarantine;
 use crate::work::{Fingerprint, Work};
 
 /// Maximum number of requests whose answers are kept.
@@ -56,6 +57,13 @@
         }
     }
 
+    /// Adds the latest answer to work to the evidence against it.
+    pub(crate) fn add_to(&self, quarantine: &mut Quarantine, fingerprint: Fingerprint) {
+        if let Some(unix_ms) = self.last_unix_ms(fingerprint) {
+            quarantine.record_answer(fingerprint, unix_ms);
+        }
+    }
+
     /// Returns the time of the latest answer, in Unix milliseconds.
     pub(crate) fn last_unix_ms(&self, fingerprint: Fingerprint) -> Option<u64> {
         let answers = match fingerprint {
--- a/core/tests/cell/suspects.rs
+++ b/core/tests/cell/suspects.rs
@@ -228,3 +228,24 @@
     cell.request_placement(other, 5_000);
     assert_eq!(granted(&cell.take_actions()).len(), 1);
 }
+
+/// Guards against counting crashes against a part that one instance answers all the time, because
+/// another instance reports the crashes.
+#[test]
+fn part_that_was_answered_before_its_crashes_are_reported_is_served() {
+    let mut cell = confirmed_cell();
+    cell.request_placement(placement_request(1, "a1"), 100);
+    cell.end_run(&ended(1, RunOutcome::Answered), 200);
+    let part = Fingerprint::PromptPart(7);
+    let mut evidence = Quarantine::default();
+    for server in ["one", "two", "three"] {
+        evidence.record_crash(&Crash::new(&server.into(), 1), [part], 300);
+    }
+    assert_eq!(evidence.status(part), QuarantineStatus::Quarantined);
+    cell.merge_quarantine(&evidence);
+    cell.take_actions();
+    cell.request_placement(placement_request(2, "a1"), 400);
+    assert_eq!(granted(&cell.take_actions()).len(), 1);
+    evidence.merge(&cell.take_quarantine_changes().expect("changes"));
+    assert_eq!(evidence.status(part), QuarantineStatus::Clear);
+}
