Do not suspect the parts of streams that had been running when the server crashed

Cause: a crash counted against everything that ran on the server. A part crashes a server that begins to answer, so that a stream which had been sending for a while is not the reason.

Change: a run that had sent data for more than a second is evidence against its request only, as before, at the instance and at the placer.

Before: part_of_streams_that_had_been_running_is_served (three crashes under streams of 4 s) refuses the next request, and work has the parts after 1,001 ms.

Conclusion: fewer innocent parts are suspected; the culprit is as before.

--- a/core/src/cell/message.rs
+++ b/core/src/cell/message.rs
@@ -121,6 +121,8 @@
         pub outcome: RunOutcome,
         /// Time from sending to the first event, in milliseconds.
         pub first_event_ms: Option<u64>,
+        /// Time from the first to the last data of the server, in milliseconds.
+        pub streamed_ms: u64,
     }
 }
 
--- a/core/src/cell/run_outcome.rs
+++ b/core/src/cell/run_outcome.rs
@@ -41,7 +41,7 @@
             RunOutcome::Rejected => self.avoid(&placed.server, AVOID_AFTER_REJECTION_MS, now_ms),
             RunOutcome::Unreachable | RunOutcome::Broken => {
                 if ended.outcome == RunOutcome::Broken {
-                    let work = placed.request.work();
+                    let work = placed.request.work().interrupted_after(ended.streamed_ms);
                     self.suspects
                         .record_broken_connection(&placed.server, work, now_ms);
                 }
@@ -70,6 +70,7 @@
                     ticket,
                     outcome: RunOutcome::Cancelled,
                     first_event_ms: None,
+                    streamed_ms: 0,
                 };
                 self.end_run(&ended, now_ms);
             }
--- a/core/src/work.rs
+++ b/core/src/work.rs
@@ -12,6 +12,8 @@
 
 /// Maximum number of parts of one prompt that identify work; later ones do not.
 const MAX_PARTS: usize = 32;
+/// Time with data from a server after which it no longer begins to answer, in milliseconds.
+const BEGIN_MS: u64 = 1_000;
 /// Maximum number of parts in a log line.
 const MAX_LOGGED_PARTS: usize = 8;
 /// Prefix of the text of a part's fingerprint.
@@ -69,6 +71,21 @@
         [self.request()].into_iter().chain(parts)
     }
 
+    /// Returns the work that may have crashed a server which broke off after it had sent data for
+    /// `streamed_ms` milliseconds. A part of a prompt crashes servers that begin to answer.
+    #[must_use]
+    pub fn interrupted_after(&self, streamed_ms: u64) -> Self {
+        let parts = if streamed_ms > BEGIN_MS {
+            Vec::new()
+        } else {
+            self.parts.clone()
+        };
+        Self {
+            request_hash: self.request_hash,
+            parts,
+        }
+    }
+
     /// Returns whether a fingerprint is one of the work's.
     pub fn contains(&self, fingerprint: Fingerprint) -> bool {
         match fingerprint {
--- a/core/tests/cell/prompt_parts.rs
+++ b/core/tests/cell/prompt_parts.rs
@@ -4,7 +4,7 @@
 
 use mimosabay_core::backend::Backend;
 use mimosabay_core::cases;
-use mimosabay_core::cell::{Action, Cell, PlacementRequest, RefusalReason, RunOutcome};
+use mimosabay_core::cell::{Action, Cell, EndedRun, PlacementRequest, RefusalReason, RunOutcome};
 use mimosabay_core::crash_observer::CrashObserver;
 use mimosabay_core::name::Name;
 use mimosabay_core::prompt::PromptPart;
@@ -224,13 +224,17 @@
 
     fn break_run(&mut self, number: u64, run: &Run) {
         let now_ms = self.now_ms;
-        let work = run.request.work();
+        let streamed_ms = now_ms.saturating_sub(run.begins_ms);
+        let work = run.request.work().interrupted_after(streamed_ms);
         let observer = &mut self.observers[run.instance];
         observer.record_broken(work, run.crash.clone(), now_ms, now_ms);
         let probe = (now_ms + PROBE_MS, run.instance, run.crash.clone());
         self.probes.push(probe);
-        self.cell
-            .end_run(&ended(number, RunOutcome::Broken), now_ms);
+        let broken = EndedRun {
+            streamed_ms,
+            ..ended(number, RunOutcome::Broken)
+        };
+        self.cell.end_run(&broken, now_ms);
     }
 
     fn observe_crashes(&mut self) {
--- a/core/tests/cell/support.rs
+++ b/core/tests/cell/support.rs
@@ -138,6 +138,7 @@
         ticket: Ticket { entry: 1, number },
         outcome,
         first_event_ms: None,
+        streamed_ms: 0,
     }
 }
 
--- a/core/tests/cell/suspects.rs
+++ b/core/tests/cell/suspects.rs
@@ -1,6 +1,6 @@
 //! Requests that crash the engines that run them.
 
-use mimosabay_core::cell::{AdoptedRun, Cell, RefusalReason, RunOutcome};
+use mimosabay_core::cell::{AdoptedRun, Cell, EndedRun, RefusalReason, RunOutcome};
 use mimosabay_core::name::Name;
 use mimosabay_core::quarantine::{Crash, Quarantine, QuarantineStatus};
 use mimosabay_core::quarantine_log::QuarantineLog;
@@ -249,3 +249,28 @@
     evidence.merge(&cell.take_quarantine_changes().expect("changes"));
     assert_eq!(evidence.status(part), QuarantineStatus::Clear);
 }
+
+/// Guards against refusing the parts of streams that had run for long when others crashed their engines.
+#[test]
+fn part_of_streams_that_had_been_running_is_served() {
+    let mut cell = confirmed_cell();
+    let mut crashed = Vec::new();
+    for number in 1..=3 {
+        let mut request = placement_request(number, "a1");
+        request.excluded = crashed.clone();
+        cell.request_placement(request, 10_000 * number);
+        let server = granted(&cell.take_actions())[0].1.clone();
+        let broken = EndedRun {
+            streamed_ms: 4_000,
+            ..ended(number, RunOutcome::Broken)
+        };
+        cell.end_run(&broken, 10_000 * number + 5_000);
+        cell.take_actions();
+        cell.handle_report(&server, None, 10_000 * number + 5_400);
+        crashed.push(server);
+    }
+    let mut next = placement_request(4, "a1");
+    next.excluded = crashed;
+    cell.request_placement(next, 40_000);
+    assert_eq!(granted(&cell.take_actions()).len(), 1);
+}
--- a/core/tests/work.rs
+++ b/core/tests/work.rs
@@ -51,6 +51,19 @@
     assert!(work.parts_text().len() < 200);
 }
 
+fn suspects_parts(streamed_ms: u64, expected: bool) {
+    let work = Work::new(9, Some(&prompt(&[1, 2]))).interrupted_after(streamed_ms);
+    assert!(work.contains(Fingerprint::Request(9)));
+    assert_eq!(work.contains(Fingerprint::PromptPart(1)), expected);
+}
+
+cases! {
+    suspects_parts;
+    server_that_sent_nothing: (0, true);
+    server_that_began_to_answer: (1_000, true);
+    server_that_had_been_answering: (1_001, false);
+}
+
 fn is_read_from(text: &str, expected: Fingerprint) {
     assert_eq!(text.parse(), Ok(expected));
     assert_eq!(expected.to_string(), text);
--- a/daemon/src/gateway/engine_run.rs
+++ b/daemon/src/gateway/engine_run.rs
@@ -28,7 +28,8 @@
     /// The server's entry; `None` until the request is sent.
     backend: Option<Arc<Backend>>,
     sent_ms: u64,
-    /// Time of the last data from the server, or of sending, in milliseconds.
+    /// Time of the last data from the server, or of sending, in milliseconds. Invariant: at least
+    /// `sent_ms`, plus `first_event_ms` if that is set.
     last_data_ms: u64,
     forecast: Option<Forecast>,
     first_event_ms: Option<u64>,
@@ -68,7 +69,7 @@
     pub(crate) fn record_data(&mut self) {
         self.last_data_ms = self.state.now_ms();
         if self.first_event_ms.is_none() {
-            let time_ms = self.state.now_ms() - self.sent_ms;
+            let time_ms = self.last_data_ms - self.sent_ms;
             self.state.metrics.observe_first_event_time(time_ms);
             if let Some(forecast) = self.forecast {
                 let time_ms = forecast.waited_ms + time_ms;
@@ -89,6 +90,15 @@
             ticket: self.ticket,
             outcome: self.outcome,
             first_event_ms: self.first_event_ms,
+            streamed_ms: self.streamed_ms(),
+        }
+    }
+
+    /// Time from the first to the last data of the server, in milliseconds.
+    fn streamed_ms(&self) -> u64 {
+        match self.first_event_ms {
+            Some(first_event_ms) => self.last_data_ms - self.sent_ms - first_event_ms,
+            None => 0,
         }
     }
 
@@ -107,7 +117,13 @@
             | RunOutcome::Rejected
             | RunOutcome::Unreachable => return,
         };
-        crash_probe::record_run_end(&self.state, &self.work, backend, end);
+        let work = match end {
+            RunEnd::Answered => self.work.clone(),
+            RunEnd::Broken | RunEnd::TimedOut | RunEnd::Abandoned { .. } => {
+                self.work.interrupted_after(self.streamed_ms())
+            }
+        };
+        crash_probe::record_run_end(&self.state, &work, backend, end);
     }
 
     /// Sets the outcome, which is reported when the run is dropped.
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -128,6 +128,7 @@
                             ticket,
                             outcome: RunOutcome::Cancelled,
                             first_event_ms: None,
+                            streamed_ms: 0,
                         };
                         placer.send_update(Update {
                             entry: ticket.entry,
