Report evidence to instances only where one of them may refuse work by it

What callers saw: nothing; found from the design. With parts in the evidence, the parts that most requests share have crashes after any crash of a server. The placer sent the evidence against work with several crashes to all instances at each change, also at each answer.

Cause: the condition for a report was the number of crashes alone. What instances know already was not taken into account.

Change: work is reported if an instance that knows all its crashes, and the answer reported last, may refuse it. An answer that the instances have covers ten minutes, or four crashes of a part.

Ruled out: not sending crashes to the placer that an instance has answered meanwhile. The crashes of a part that was answered before are spread over the instances, and only the placer can count them.

After: at most 21, and an instance that observed all crashes never refuses the part, with crashes every second and just below and above ten minutes.

--- a/core/src/cell/suspects.rs
+++ b/core/src/cell/suspects.rs
@@ -1,6 +1,6 @@
 //! Tracks requests that may crash engines, and refuses those that crashed several.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use crate::name::Name;
 use crate::quarantine::{Crash, Quarantine};
@@ -21,6 +21,9 @@
     answers: RecentAnswers,
     /// Work whose evidence has changed since the last call of [`Suspects::take_changes`].
     changed: BTreeSet<Fingerprint>,
+    /// Times of the answers to the work that was reported, as the instances know them, in Unix
+    /// milliseconds.
+    reported_answers: BTreeMap<Fingerprint, Option<u64>>,
     /// Unix time at time 0 of `now_ms`, in milliseconds.
     epoch_unix_ms: u64,
 }
@@ -92,14 +95,24 @@
         }
     }
 
-    /// Returns the evidence that has changed since the last call, of work with several crashes. An
-    /// instance may know enough of them to refuse the work, but not the answer that clears it.
+    /// Returns the evidence that has changed since the last call, of work that is refused or that an
+    /// instance may refuse by the crashes that it knows, because it does not know the latest answer.
     pub(super) fn take_changes(&mut self) -> Option<Quarantine> {
         let mut fingerprints = std::mem::take(&mut self.changed);
-        fingerprints.retain(|it| self.quarantine.has_several_crashes(*it));
+        fingerprints.retain(|it| {
+            let reported_unix_ms = self.reported_answers.get(it).copied().flatten();
+            self.quarantine.may_be_refused(*it, reported_unix_ms)
+        });
         if fingerprints.is_empty() {
             return None;
         }
+        for fingerprint in &fingerprints {
+            let answered_unix_ms = self.quarantine.answered_unix_ms(*fingerprint);
+            self.reported_answers.insert(*fingerprint, answered_unix_ms);
+        }
+        let quarantine = &self.quarantine;
+        self.reported_answers
+            .retain(|it, _| quarantine.contains(*it));
         Some(self.quarantine.part(fingerprints))
     }
 
--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -285,11 +285,24 @@
         self.evidence.contains_key(&fingerprint)
     }
 
-    /// Returns whether the table holds enough crashes to quarantine some work, whether they count or
-    /// not.
-    pub fn has_several_crashes(&self, fingerprint: Fingerprint) -> bool {
-        let evidence = self.evidence.get(&fingerprint);
-        evidence.is_some_and(|it| it.crashes.len() >= max_crashes(fingerprint))
+    /// Returns the time of the latest answer to work of which the table holds a crash, in Unix
+    /// milliseconds.
+    pub fn answered_unix_ms(&self, fingerprint: Fingerprint) -> Option<u64> {
+        self.evidence.get(&fingerprint)?.answered_unix_ms
+    }
+
+    /// Returns whether the work may be under quarantine in a table that holds any of these crashes, no
+    /// retraction, and `answered_unix_ms` as the time of the latest answer, in Unix milliseconds.
+    pub fn may_be_refused(&self, fingerprint: Fingerprint, answered_unix_ms: Option<u64>) -> bool {
+        let Some(evidence) = self.evidence.get(&fingerprint) else {
+            return false;
+        };
+        let known = Evidence {
+            crashes: evidence.crashes.clone(),
+            retracted: BTreeSet::new(),
+            answered_unix_ms,
+        };
+        known.counted_crashes(fingerprint).count() >= max_crashes(fingerprint)
     }
 
     /// Returns the part of the table that concerns some work.
--- a/core/tests/cell/suspects.rs
+++ b/core/tests/cell/suspects.rs
@@ -2,7 +2,7 @@
 
 use mimosabay_core::cell::{AdoptedRun, Cell, EndedRun, RefusalReason, RunOutcome};
 use mimosabay_core::name::Name;
-use mimosabay_core::quarantine::{Crash, Quarantine, QuarantineStatus};
+use mimosabay_core::quarantine::{ANSWER_VALIDITY_MS, Crash, Quarantine, QuarantineStatus};
 use mimosabay_core::quarantine_log::QuarantineLog;
 use mimosabay_core::work::Fingerprint;
 
@@ -274,3 +274,47 @@
     cell.request_placement(next, 40_000);
     assert_eq!(granted(&cell.take_actions()).len(), 1);
 }
+
+/// Reports as many crashes against a part, an answer after each, and what the placer reports in turn to
+/// an instance that observed all the crashes. Returns the number of reports.
+fn report_crashes_of_an_answered_part(crashes: u64, crash_every_ms: u64) -> usize {
+    let part = Fingerprint::PromptPart(7);
+    let mut cell = confirmed_cell();
+    let mut known = Quarantine::default();
+    let mut reports = 0;
+    for number in 1..=crashes {
+        let now_ms = number * crash_every_ms;
+        cell.request_placement(placement_request(number, "a1"), now_ms);
+        assert_eq!(granted(&cell.take_actions()).len(), 1);
+        let crash = Crash::new(&"one".into(), number);
+        known.record_crash(&crash, [part], now_ms);
+        cell.merge_quarantine(&known);
+        cell.end_run(&ended(number, RunOutcome::Answered), now_ms + 100);
+        cell.take_actions();
+        if let Some(changes) = cell.take_quarantine_changes() {
+            known.merge(&changes);
+            reports += 1;
+        }
+        assert_ne!(known.status(part), QuarantineStatus::Quarantined);
+    }
+    reports
+}
+
+/// Guards against sending the evidence against popular parts to all instances at each crash.
+#[test]
+fn part_that_is_answered_between_crashes_is_seldom_reported() {
+    assert!(report_crashes_of_an_answered_part(100, 1_000) <= 100 / 5 + 1);
+}
+
+/// Guards against instances that refuse a part by their own evidence, because the placer keeps the
+/// answers to itself.
+#[test]
+fn answers_are_reported_before_an_instance_refuses_a_part_by_its_own_evidence() {
+    for crash_every_ms in [
+        1_000,
+        ANSWER_VALIDITY_MS - 1_000,
+        ANSWER_VALIDITY_MS + 1_000,
+    ] {
+        report_crashes_of_an_answered_part(50, crash_every_ms);
+    }
+}
