Expire crashes at the placer also if it observes none itself

What callers saw: nothing in the record; found while looking for the same class. Work stayed refused after its crashes had expired, an hour later, until an engine crashed.

Cause: the placer removed expired crashes only when it recorded one. Most crashes are observed by instances and merged.

Change: the placer's tick removes expired crashes, once a second.

Before: crashes_that_instances_reported_expire_at_the_placer: 0 of 1 requests granted two seconds after the crashes expired. After: granted; all tests of the cell pass.

Conclusion: the bound in time holds at the placer as it does at the instances.

--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -257,8 +257,10 @@
         self.orders_from_ms = self.orders_from_ms.max(until_ms);
     }
 
-    /// Processes due events: loads that end, reports to request, and unresponsive instances.
+    /// Processes due events: loads that end, reports to request, unresponsive instances, and crashes
+    /// that expire.
     pub fn tick(&mut self, now_ms: u64) {
+        self.suspects.expire(now_ms);
         self.remove_unresponsive_entries(now_ms);
         self.advance(now_ms);
     }
--- a/core/src/cell/suspects.rs
+++ b/core/src/cell/suspects.rs
@@ -9,6 +9,8 @@
 
 /// Time within which a crash is attributed to a request whose connection broke, in milliseconds.
 const CRASH_WITHIN_MS: u64 = 3_000;
+/// Time between two removals of expired crashes, in milliseconds.
+const EXPIRY_PERIOD_MS: u64 = 1_000;
 
 /// Crash evidence against requests.
 #[derive(Debug, Default)]
@@ -24,6 +26,8 @@
     /// Times of the answers to the work that was reported, as the instances know them, in Unix
     /// milliseconds.
     reported_answers: BTreeMap<Fingerprint, Option<u64>>,
+    /// Time from which on [`Suspects::expire`] has something to do, in milliseconds.
+    expiry_due_ms: u64,
     /// Unix time at time 0 of `now_ms`, in milliseconds.
     epoch_unix_ms: u64,
 }
@@ -66,6 +70,14 @@
                 self.changed.insert(fingerprint);
             }
         }
+    }
+
+    /// Removes crashes that have expired.
+    pub(super) fn expire(&mut self, now_ms: u64) {
+        if now_ms < self.expiry_due_ms {
+            return;
+        }
+        self.expiry_due_ms = now_ms + EXPIRY_PERIOD_MS;
         self.quarantine.expire(self.epoch_unix_ms + now_ms);
     }
 
--- a/core/tests/cell/suspects.rs
+++ b/core/tests/cell/suspects.rs
@@ -2,7 +2,9 @@
 
 use mimosabay_core::cell::{AdoptedRun, Cell, EndedRun, RefusalReason, RunOutcome};
 use mimosabay_core::name::Name;
-use mimosabay_core::quarantine::{ANSWER_VALIDITY_MS, Crash, Quarantine, QuarantineStatus};
+use mimosabay_core::quarantine::{
+    ANSWER_VALIDITY_MS, CRASH_TTL_MS, Crash, Quarantine, QuarantineStatus,
+};
 use mimosabay_core::quarantine_log::QuarantineLog;
 use mimosabay_core::work::Fingerprint;
 
@@ -318,3 +320,26 @@
         report_crashes_of_an_answered_part(50, crash_every_ms);
     }
 }
+
+/// Guards against refusing work for ever, because the placer observes no crash itself.
+#[test]
+fn crashes_that_instances_reported_expire_at_the_placer() {
+    let mut cell = confirmed_cell();
+    let mut evidence = Quarantine::default();
+    for server in ["one", "two"] {
+        evidence.record_crash(&Crash::new(&server.into(), 1), [POISON], 1_000);
+    }
+    cell.merge_quarantine(&evidence);
+    for (now_ms, expected) in [(CRASH_TTL_MS, 0), (CRASH_TTL_MS + 2_000, 1)] {
+        cell.tick(now_ms);
+        cell.take_actions();
+        for server in SERVERS {
+            let entry = backend(server, &["a1"]);
+            cell.handle_report(&entry.id, Some(&report(&entry)), now_ms);
+        }
+        let mut request = placement_request(now_ms, "a1");
+        request.request_hash = 77;
+        cell.request_placement(request, now_ms);
+        assert_eq!(granted(&cell.take_actions()).len(), expected, "{now_ms}");
+    }
+}
