Keep the evidence that changed last for a new placer, not what was seen first

What callers saw: nothing in the record; found while looking for the same class. Work that crashes servers now and then, with many crashes under other work between, could be unknown to a new placer.

Cause: the list of own evidence dropped the work that was added first, and a further crash did not renew the entry. Parts of prompts fill the list several times as fast.

Change: work moves to the end of the list with each change, and the list holds 2,048 fingerprints instead of 512, because a request now has several.

Before: evidence_that_was_added_to_lately_is_kept_for_a_new_placer: work with two crashes and 1,499 others after each is not sent to a new placer. After: it is.

--- a/core/src/crash_observer.rs
+++ b/core/src/crash_observer.rs
@@ -26,8 +26,9 @@
 const MAX_RETRACTABLE: usize = 512;
 /// Largest number of broken requests that are kept; the oldest are dropped first.
 const MAX_BROKEN: usize = 512;
-/// Largest number of fingerprints of own evidence that are kept; the oldest are dropped first.
-const MAX_OWN: usize = 512;
+/// Largest number of fingerprints of own evidence that are kept; those whose evidence changed the
+/// longest ago are dropped first.
+const MAX_OWN: usize = 2_048;
 
 /// The crashes, answers and quarantine that one instance knows.
 #[derive(Debug, Default)]
@@ -38,7 +39,7 @@
     retractable: VecDeque<RetractableCrash>,
     /// All evidence that this instance knows, its own and that received from placers.
     known: Quarantine,
-    /// Work to whose evidence in `known` this instance has added, oldest first.
+    /// Work to whose evidence in `known` this instance has added, the latest last.
     own: VecDeque<Fingerprint>,
     /// The part of `own` that the placer does not know yet.
     unsent: BTreeSet<Fingerprint>,
@@ -289,10 +290,9 @@
 
     fn mark_own(&mut self, fingerprint: Fingerprint) {
         self.unsent.insert(fingerprint);
-        if !self.own.contains(&fingerprint) {
-            self.own.push_back(fingerprint);
-            truncate_front(&mut self.own, MAX_OWN);
-        }
+        self.own.retain(|it| *it != fingerprint);
+        self.own.push_back(fingerprint);
+        truncate_front(&mut self.own, MAX_OWN);
     }
 }
 
--- a/core/tests/crash_observer.rs
+++ b/core/tests/crash_observer.rs
@@ -291,3 +291,21 @@
     let expected = [Fingerprint::Request(1)];
     assert_eq!(evidence.fingerprints().collect::<Vec<_>>(), expected);
 }
+
+/// Guards against forgetting work that crashes servers again and again, because it was first seen long ago.
+#[test]
+fn evidence_that_was_added_to_lately_is_kept_for_a_new_placer() {
+    let mut observer = CrashObserver::default();
+    let mut number = 100;
+    for first in [1, 2_000] {
+        observer.record_broken(poison(), crash(first), 10, 1_010);
+        observer.record_refused_connections(&crash(first), 310);
+        for server in first + 1..first + 1_500 {
+            number += 1;
+            observer.record_broken(Work::new(number, None), crash(server), 10, 1_010);
+            observer.record_refused_connections(&crash(server), 310);
+        }
+    }
+    let evidence = observer.take_evidence(true);
+    assert_eq!(evidence.status(POISON), QuarantineStatus::Quarantined);
+}
