Watch each crash once, so that many requests cannot push out another

What callers saw: nothing in the record; found while looking for the same class. Work could be refused for the crash of a server that lives on.

Cause: the list of crashes that may be retracted had an entry for each request that broke. Some hundred requests at one server pushed out the crashes of others, which were then never retracted.

Change: one entry for each crash, renewed with each request that broke there.

Before: crash_is_retracted_though_many_requests_broke_at_another_server: 900 broken requests at a second server leave the first one's crash in force. After: retracted.

Conclusion: the bound counts crashes now, as its name says.

--- a/core/src/crash_observer.rs
+++ b/core/src/crash_observer.rs
@@ -35,7 +35,7 @@
 pub struct CrashObserver {
     /// Requests that broke at servers of which it is not known yet whether they have ended.
     broken: VecDeque<BrokenRequest>,
-    /// Crashes that this instance recorded and may still retract.
+    /// Crashes that this instance recorded and may still retract, one entry each.
     retractable: VecDeque<RetractableCrash>,
     /// All evidence that this instance knows, its own and that received from placers.
     known: Quarantine,
@@ -238,12 +238,24 @@
             self.answers.add_to(&mut self.known, fingerprint);
             self.mark_own(fingerprint);
         }
-        self.retractable.push_back(RetractableCrash {
+        self.watch_crash(RetractableCrash {
             crash: request.crash.clone(),
             was_registered,
             recorded_ms: now_ms,
             listed_ms: 0,
         });
+    }
+
+    /// Adds a crash to those that may be retracted, or renews it.
+    fn watch_crash(&mut self, mut crash: RetractableCrash) {
+        let mut watched = self.retractable.iter();
+        let index = watched.position(|it| it.crash == crash.crash);
+        if let Some(index) = index
+            && let Some(before) = self.retractable.remove(index)
+        {
+            crash.was_registered &= before.was_registered;
+        }
+        self.retractable.push_back(crash);
         truncate_front(&mut self.retractable, MAX_RETRACTABLE);
     }
 
--- a/core/tests/crash_observer.rs
+++ b/core/tests/crash_observer.rs
@@ -309,3 +309,24 @@
     let evidence = observer.take_evidence(true);
     assert_eq!(evidence.status(POISON), QuarantineStatus::Quarantined);
 }
+
+/// Guards against keeping crashes of servers that live on, because many requests broke at another one.
+#[test]
+fn crash_is_retracted_though_many_requests_broke_at_another_server() {
+    let mut observer = CrashObserver::default();
+    observer.record_broken(poison(), crash(1), 0, 1_000);
+    observer.record_refused_connections(&crash(1), 300);
+    for burst in 0..3 {
+        for number in 0..300 {
+            let work = Work::new(1_000 * burst + number + 100, None);
+            observer.record_broken(work, crash(2), 0, 1_000);
+        }
+        observer.record_refused_connections(&crash(2), 300);
+    }
+    for now_ms in (500..=10_000).step_by(500) {
+        check(&mut observer, Some(1), now_ms);
+    }
+    let evidence = observer.take_evidence(false);
+    assert_eq!(evidence.status(POISON), QuarantineStatus::Clear);
+    assert_eq!(evidence.quarantined().count(), 0);
+}
