Serve a part that only ran with the request that crashes servers

What callers saw: nothing in the record; found by the test poison with parts in the evidence. One request crashes servers; all others share a part with it. At servers that fall silent none of them is answered, the part came under quarantine with the request, and all requests of the route were refused.

Cause: only another part could excuse a part, although the request that is already under quarantine was at the same crashes.

Change: any work under quarantine which a request does not have excuses a part of it, until the part was at two crashes without that work (three before, for parts), so that a part that crashes servers is still refused soon if a request with it was sent again.

Conclusion: the part is refused only with what crashed servers, or by itself if it goes on crashing them.

--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -8,9 +8,9 @@
 //! servers, so crashes before the answer and for some time after it do not count against it. A part
 //! may begin to crash servers later, so that many crashes without an answer count in any case.
 //!
-//! A part that was at all crashes of another one, and has not been answered, is under quarantine as
-//! well. Requests with both are refused, and requests with one of them run until it was at several
-//! crashes without the other or is answered.
+//! A part that was at the crashes of another part or of a request, and has not been answered, is under
+//! quarantine as well. Requests with both are refused, and requests with the part alone run until it
+//! was at several crashes without the other or is answered.
 //!
 //! The table is a join of facts that are not removed before they expire: crashes, answers and
 //! retracted crashes. Merging is commutative, associative and idempotent, so that a lost answer of
@@ -33,6 +33,9 @@
 /// Number of crashes after the latest answer to a part from which on they count, although the answer
 /// is still valid.
 pub const MAX_PART_CRASHES_AFTER_ANSWER: usize = 5;
+/// Number of crashes without other work under quarantine from which on requests with a part are
+/// refused, although the other work ran at the rest of its crashes.
+pub const MIN_CRASHES_WITHOUT_OTHER: usize = 2;
 /// Time for which an answer to work proves that the work does not crash servers, in milliseconds.
 pub const ANSWER_VALIDITY_MS: u64 = 600_000;
 /// Maximum number of fingerprints in a table. Those with the fewest counted crashes are evicted
@@ -185,7 +188,7 @@
     }
 
     /// Returns the fingerprint for which a request is refused, `None` if it may run. A part under
-    /// quarantine is no reason if another one, which the request does not have, is under quarantine
+    /// quarantine is no reason if other work, which the request does not have, is under quarantine
     /// and ran at nearly all its crashes.
     pub fn refused_by(&self, work: &Work) -> Option<Fingerprint> {
         let quarantined = |it: &Fingerprint| self.status(*it) == QuarantineStatus::Quarantined;
@@ -198,12 +201,10 @@
         match fingerprint {
             Fingerprint::Request(_) => true,
             Fingerprint::PromptPart(_) => {
-                let mut others = self.quarantined_parts().filter(|it| !work.contains(*it));
-                let is_alone = |other| {
-                    let alone = self.counted_crashes_without(fingerprint, other);
-                    alone >= MAX_PART_CRASHES
-                };
-                others.all(is_alone)
+                let mut others = self.quarantined().filter(|it| !work.contains(*it));
+                others.all(|other| {
+                    self.counted_crashes_without(fingerprint, other) >= MIN_CRASHES_WITHOUT_OTHER
+                })
             }
         }
     }
@@ -223,11 +224,6 @@
             .flat_map(move |it| it.counted_crashes(fingerprint))
     }
 
-    fn quarantined_parts(&self) -> impl Iterator<Item = Fingerprint> {
-        self.quarantined()
-            .filter(|it| matches!(it, Fingerprint::PromptPart(_)))
-    }
-
     /// Returns whether the work may start on a server that runs `running`. Two suspects never run on
     /// the same server.
     pub fn may_run_beside(
