Test that stored rows without a kind are read as requests

The row of a part has a prefix since the parts have fingerprints; a row without one must be read as before, because it may be in the store during an upgrade.

--- a/daemon/tests/gateway/quarantine.rs
+++ b/daemon/tests/gateway/quarantine.rs
@@ -1,5 +1,7 @@
 //! Requests that crash the servers that run them.
 
+use mimosabay_core::quarantine::Quarantine;
+use mimosabay_core::work::Fingerprint;
 use mimosabay_standin::fleet::{
     Behaviour, CrashEnd, CrashPlan, FleetInstance, FleetOptions, FleetServer, FleetSite, RestartId,
 };
@@ -154,3 +156,26 @@
         assert_eq!(site.run_count("first"), 1);
     });
 }
+
+/// Guards against losing the stored quarantine when the format of its rows changes.
+#[test]
+fn stored_row_without_a_kind_is_a_request() {
+    let row = |fingerprint: &str| {
+        json!([{
+            "fingerprint": fingerprint,
+            "crashes": [[{"server": "engine-1", "boot": 1}, 5], [{"server": "engine-1", "boot": 2}, 6]],
+            "retracted": [],
+            "answered_unix_ms": null,
+        }])
+    };
+    let stored: Quarantine = serde_json::from_value(json!({"evidence": row("1f")})).unwrap();
+    let request = Fingerprint::Request(0x1f);
+    assert_eq!(stored.quarantined().collect::<Vec<_>>(), [request]);
+    assert_eq!(
+        serde_json::to_value(&stored).unwrap(),
+        json!({"evidence": row("1f")})
+    );
+    let stored: Quarantine = serde_json::from_value(json!({"evidence": row("part:1f")})).unwrap();
+    let part = Fingerprint::PromptPart(0x1f);
+    assert_eq!(stored.fingerprints().collect::<Vec<_>>(), [part]);
+}
