Play requests with a bad part that are retried

A request that breaks and is sent to another server at once crashes two servers, comes under quarantine itself, and then excuses the part until that was at two crashes more.

--- a/core/tests/cell/prompt_parts.rs
+++ b/core/tests/cell/prompt_parts.rs
@@ -27,6 +27,8 @@
 const CONTACT_MS: u64 = 3_000;
 const FIFTH_CRASH: usize = 5;
 const MAX_LATE: usize = 3;
+/// Distance of the numbers of first and second attempts.
+const RETRY_NUMBERS: u64 = 1_000_000;
 const POISON_PART: u64 = 0x666;
 
 /// What happens in a day, in milliseconds.
@@ -39,6 +41,8 @@
     poison_every_ms: u64,
     /// Time from which on the part crashes servers.
     poison_from_ms: u64,
+    /// Whether a request that broke is sent to another server at once, one time.
+    is_retried: bool,
     /// Time at which another placer takes over.
     placer_replaced_ms: Option<u64>,
 }
@@ -143,19 +147,24 @@
         let mut request = placement_request(number, "");
         request.prompt.parts = vec![part(7), part(second), part(1_000_000 + number)];
         let instance = usize::try_from(self.random(INSTANCES as u64)).expect("an index");
-        let server = self.place(instance, &request);
+        let is_placed = self.start(instance, request);
         if !has_poison {
-            self.sound.push((self.now_ms, server.is_some()));
+            self.sound.push((self.now_ms, is_placed));
         }
-        let Some(server) = server else {
-            return;
+    }
+
+    /// Starts an attempt of a request; returns whether it was placed.
+    fn start(&mut self, instance: usize, request: PlacementRequest) -> bool {
+        let number = request.ticket.number;
+        let Some(server) = self.place(instance, &request) else {
+            return false;
         };
         if self.down.contains_key(&server) {
             self.cell
                 .end_run(&ended(number, RunOutcome::Unreachable), self.now_ms);
-            return;
+            return true;
         }
-        if has_poison {
+        if request.prompt.parts[1].id == POISON_PART {
             self.poison_sent_ms.push(self.now_ms);
         }
         let begins_ms = self.now_ms + BEGIN_MS;
@@ -167,6 +176,7 @@
             ends_ms: begins_ms + 300 + self.random(2_500),
         };
         self.runs.insert(number, run);
+        true
     }
 
     fn place(&mut self, instance: usize, request: &PlacementRequest) -> Option<Name> {
@@ -235,6 +245,12 @@
             ..ended(number, RunOutcome::Broken)
         };
         self.cell.end_run(&broken, now_ms);
+        if self.day.is_retried && run.request.excluded.is_empty() {
+            let mut again = run.request.clone();
+            again.ticket.number += RETRY_NUMBERS;
+            again.excluded.push(run.crash.server.clone());
+            self.start(run.instance, again);
+        }
     }
 
     fn observe_crashes(&mut self) {
@@ -347,6 +363,7 @@
     sound_every_ms: 40,
     poison_every_ms: 300,
     poison_from_ms: 0,
+    is_retried: false,
     placer_replaced_ms: None,
 };
 
@@ -356,6 +373,9 @@
     part_among_few_sound_requests: (Day { sound_every_ms: 500, ..DAY },);
     part_of_a_flood_among_few_sound_requests:
         (Day { sound_every_ms: 500, poison_every_ms: 50, ..DAY },);
+    part_of_requests_that_are_retried: (Day { is_retried: true, ..DAY },);
+    part_of_retried_requests_among_few_sound_ones:
+        (Day { is_retried: true, sound_every_ms: 500, ..DAY },);
     part_of_rare_requests: (Day { poison_every_ms: 2_500, ..DAY },);
     part_that_was_answered_before: (Day { poison_from_ms: 10_000, ..DAY },);
     part_under_two_placers: (Day { poison_every_ms: 1_000, placer_replaced_ms: Some(4_000), ..DAY },);
