--- a/core/src/crash_observer.rs
+++ b/core/src/crash_observer.rs
@@ -4,11 +4,13 @@
 //! the evidence, because a new placer knows only what instances send to it. What an instance knows
 //! grows by merging: a placer that knows less takes nothing away.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, VecDeque};
 
 use crate::name::Name;
-use crate::quarantine::{Crash, Fingerprint, Quarantine, QuarantineStatus};
+use crate::quarantine::{Crash, Quarantine, QuarantineStatus};
 use crate::quarantine_log::QuarantineChanges;
+use crate::recent_answers::RecentAnswers;
+use crate::work::{Fingerprint, Work};
 
 /// Time after which a server that is still registered counts as running, in heartbeats of the
 /// servers. The entry of a crashed server expires after three. Only time in which the list of servers
@@ -24,24 +26,24 @@
 const MAX_RETRACTABLE: usize = 512;
 /// Largest number of broken requests that are kept; the oldest are dropped first.
 const MAX_BROKEN: usize = 512;
-/// Largest number of fingerprints of own evidence that are kept; the oldest are dropped first.
-const MAX_OWN: usize = 512;
-/// Largest number of answered requests that are kept; the oldest are dropped first.
-const MAX_ANSWERS: usize = 2_048;
+/// Largest number of fingerprints of own evidence that are kept; those whose evidence changed the
+/// longest ago are dropped first.
+const MAX_OWN: usize = 2_048;
 
 /// The crashes, answers and quarantine that one instance knows.
 #[derive(Debug, Default)]
 pub struct CrashObserver {
     /// Requests that broke at servers of which it is not known yet whether they have ended.
     broken: VecDeque<BrokenRequest>,
-    /// Crashes that this instance recorded and may still retract.
+    /// Crashes that this instance recorded and may still retract, one entry each.
     retractable: VecDeque<RetractableCrash>,
     /// All evidence that this instance knows, its own and that received from placers.
     known: Quarantine,
-    /// Work to whose evidence in `known` this instance has added, oldest first.
+    /// Work to whose evidence in `known` this instance has added, the latest last.
     own: VecDeque<Fingerprint>,
     /// The part of `own` that the placer does not know yet.
     unsent: BTreeSet<Fingerprint>,
+    /// The latest answers of this instance.
     answers: RecentAnswers,
     /// Version of the quarantine received last.
     version: u64,
@@ -52,7 +54,7 @@
 /// A request that a server may have begun to run and did not answer.
 #[derive(Clone, Debug)]
 struct BrokenRequest {
-    fingerprint: Fingerprint,
+    work: Work,
     crash: Crash,
     broke_ms: u64,
     broke_unix_ms: u64,
@@ -84,8 +86,8 @@
 /// A decision about a broken request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Decision {
-    /// Hash of the request's work.
-    pub fingerprint: Fingerprint,
+    /// Work of the request.
+    pub work: Work,
     /// The server and the start of it at which the request broke.
     pub crash: Crash,
     /// What became of that start of the server.
@@ -107,15 +109,9 @@
 
 impl CrashObserver {
     /// Records that a request ended without an answer at a server that may have begun to run it.
-    pub fn record_broken(
-        &mut self,
-        fingerprint: Fingerprint,
-        crash: Crash,
-        now_ms: u64,
-        unix_ms: u64,
-    ) {
+    pub fn record_broken(&mut self, work: Work, crash: Crash, now_ms: u64, unix_ms: u64) {
         self.broken.push_back(BrokenRequest {
-            fingerprint,
+            work,
             crash,
             broke_ms: now_ms,
             broke_unix_ms: unix_ms,
@@ -124,13 +120,18 @@
         truncate_front(&mut self.broken, MAX_BROKEN);
     }
 
-    /// Records that a server answered a request, which proves that the request does not crash
-    /// servers.
-    pub fn record_answer(&mut self, fingerprint: Fingerprint, unix_ms: u64) {
+    /// Records that a server answered a request, which proves that neither the request nor the parts
+    /// of its prompt crash servers.
+    pub fn record_answer(&mut self, work: &Work, unix_ms: u64) {
         self.broken
-            .retain(|request| request.fingerprint != fingerprint);
-        self.answers.insert(fingerprint, unix_ms);
-        self.report_answer(fingerprint, unix_ms);
+            .retain(|request| request.work.request() != work.request());
+        for request in &mut self.broken {
+            request.work.remove_parts_of(work);
+        }
+        self.answers.record(work, unix_ms);
+        for fingerprint in work.fingerprints() {
+            self.report_answer(fingerprint, unix_ms);
+        }
     }
 
     /// Decides which broken requests ran on servers that have ended.
@@ -212,9 +213,10 @@
         }
     }
 
-    /// Returns whether a request is refused because it crashed several servers.
-    pub fn is_refused(&self, fingerprint: Fingerprint) -> bool {
-        self.known.status(fingerprint) == QuarantineStatus::Quarantined
+    /// Returns the fingerprint for which a request is refused, because such work crashed several
+    /// servers; `None` if it may run.
+    pub fn refused_by(&self, work: &Work) -> Option<Fingerprint> {
+        self.known.refused_by(work)
     }
 
     /// Returns the crashes that this instance knows, for a placer that starts in its process.
@@ -229,19 +231,31 @@
     }
 
     fn record_crash(&mut self, request: &BrokenRequest, was_registered: bool, now_ms: u64) {
-        let fingerprint = request.fingerprint;
+        let running = request.work.fingerprints();
         self.known
-            .record_crash(&request.crash, [fingerprint], request.broke_unix_ms);
-        if let Some(unix_ms) = self.answers.last_unix_ms(fingerprint) {
-            self.known.record_answer(fingerprint, unix_ms);
+            .record_crash(&request.crash, running, request.broke_unix_ms);
+        for fingerprint in request.work.fingerprints() {
+            self.answers.add_to(&mut self.known, fingerprint);
+            self.mark_own(fingerprint);
         }
-        self.mark_own(fingerprint);
-        self.retractable.push_back(RetractableCrash {
+        self.watch_crash(RetractableCrash {
             crash: request.crash.clone(),
             was_registered,
             recorded_ms: now_ms,
             listed_ms: 0,
         });
+    }
+
+    /// Adds a crash to those that may be retracted, or renews it.
+    fn watch_crash(&mut self, mut crash: RetractableCrash) {
+        let mut watched = self.retractable.iter();
+        let index = watched.position(|it| it.crash == crash.crash);
+        if let Some(index) = index
+            && let Some(before) = self.retractable.remove(index)
+        {
+            crash.was_registered &= before.was_registered;
+        }
+        self.retractable.push_back(crash);
         truncate_front(&mut self.retractable, MAX_RETRACTABLE);
     }
 
@@ -288,17 +302,16 @@
 
     fn mark_own(&mut self, fingerprint: Fingerprint) {
         self.unsent.insert(fingerprint);
-        if !self.own.contains(&fingerprint) {
-            self.own.push_back(fingerprint);
-            truncate_front(&mut self.own, MAX_OWN);
-        }
+        self.own.retain(|it| *it != fingerprint);
+        self.own.push_back(fingerprint);
+        truncate_front(&mut self.own, MAX_OWN);
     }
 }
 
 impl BrokenRequest {
     fn decision(&self, verdict: Verdict, now_ms: u64) -> Decision {
         Decision {
-            fingerprint: self.fingerprint,
+            work: self.work.clone(),
             crash: self.crash.clone(),
             verdict,
             age_ms: now_ms.saturating_sub(self.broke_ms),
@@ -306,32 +319,6 @@
     }
 }
 
-/// The latest answers of this instance. Invariant: at most [`MAX_ANSWERS`] entries.
-#[derive(Debug, Default)]
-struct RecentAnswers {
-    unix_ms: HashMap<Fingerprint, u64>,
-    /// The fingerprints in `unix_ms`, in the order in which they were added.
-    order: VecDeque<Fingerprint>,
-}
-
-impl RecentAnswers {
-    fn insert(&mut self, fingerprint: Fingerprint, unix_ms: u64) {
-        if self.unix_ms.insert(fingerprint, unix_ms).is_some() {
-            return;
-        }
-        self.order.push_back(fingerprint);
-        if self.order.len() > MAX_ANSWERS
-            && let Some(oldest) = self.order.pop_front()
-        {
-            self.unix_ms.remove(&oldest);
-        }
-    }
-
-    fn last_unix_ms(&self, fingerprint: Fingerprint) -> Option<u64> {
-        self.unix_ms.get(&fingerprint).copied()
-    }
-}
-
 fn truncate_front<T>(list: &mut VecDeque<T>, max: usize) {
     while list.len() > max {
         list.pop_front();
--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -1,10 +1,16 @@
 //! Quarantine of requests that crash backend servers.
 //!
-//! The work of a request is identified by its fingerprint. Each crash of a server is evidence
-//! against all work that was running on it. The second crash with the same work running puts the
-//! work under quarantine. At most one suspect runs on a server at a time, so that work that does
-//! not cause crashes is not present at two of them. Work that a server answers does not crash
-//! servers, so crashes before the answer and for some time after it do not count against it.
+//! The work of a request is identified by the fingerprints of the request and of the parts of its
+//! prompt. Each crash of a server is evidence against all work that was running on it. The second
+//! crash with the same request running puts the request under quarantine, and the third with the
+//! same part puts the part. At most one suspect runs on a server at a time, so that work that does
+//! not cause crashes is not present at several of them. Work that a server answers does not crash
+//! servers, so crashes before the answer and for some time after it do not count against it. A part
+//! may begin to crash servers later, so that many crashes without an answer count in any case.
+//!
+//! A part that was at the crashes of another part or of a request, and has not been answered, is under
+//! quarantine as well. Requests with both are refused, and requests with the part alone run until it
+//! was at several crashes without the other or is answered.
 //!
 //! The table is a join of facts that are not removed before they expire: crashes, answers and
 //! retracted crashes. Merging is commutative, associative and idempotent, so that a lost answer of
@@ -13,22 +19,29 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::name::Name;
+use crate::work::{Fingerprint, Work};
 
 /// Time after which a crash expires, on the store's clock.
 pub const CRASH_TTL_MS: u64 = 3_600_000;
 /// `Retry-After` for quarantined work, in milliseconds.
 pub const RETRY_AFTER_MS: u64 = 30_000;
-/// Number of crashes with the same work running after which the work is refused.
-pub const MAX_CRASHES: usize = 2;
+/// Number of crashes with the same request running after which the request is refused.
+pub const MAX_REQUEST_CRASHES: usize = 2;
+/// Number of crashes with the same part of a prompt running after which requests with it are refused.
+/// Parts are shared, so that they run beside others at more crashes than requests do.
+pub const MAX_PART_CRASHES: usize = 3;
+/// Number of crashes after the latest answer to a part from which on they count, although the answer
+/// is still valid.
+pub const MAX_PART_CRASHES_AFTER_ANSWER: usize = 5;
+/// Number of crashes without other work under quarantine from which on requests with a part are
+/// refused, although the other work ran at the rest of its crashes.
+pub const MIN_CRASHES_WITHOUT_OTHER: usize = 2;
 /// Time for which an answer to work proves that the work does not crash servers, in milliseconds.
 pub const ANSWER_VALIDITY_MS: u64 = 600_000;
 /// Maximum number of fingerprints in a table. Those with the fewest counted crashes are evicted
 /// first, and among these the ones whose last crash is the oldest.
 pub const MAX_FINGERPRINTS: usize = 5_000;
 
-/// Hash of the work of a request.
-pub type Fingerprint = u64;
-
 crate::key_record! {
     /// One crash of one backend server. All instances that observe the crash build an equal value.
     pub struct Crash {
@@ -42,9 +55,11 @@
     pub enum QuarantineStatus {
         /// No crash counts against it.
         Clear,
-        /// It was running at one crash. It is retried on a server where no other suspect runs.
+        /// It was running at a crash. It is retried on a server where no other suspect runs.
         Suspect,
-        /// It was running at [`MAX_CRASHES`] or more crashes. It is refused.
+        /// It was running at several crashes: at [`MAX_REQUEST_CRASHES`] or more if it is a request,
+        /// at [`MAX_PART_CRASHES`] or more if it is a part of a prompt. It is refused, but see
+        /// [`Quarantine::refused_by`] for parts.
         Quarantined,
     }
 }
@@ -82,15 +97,32 @@
 }
 
 impl Evidence {
-    /// Returns the number of crashes that count against the work.
-    fn counted_crashes(&self) -> usize {
-        let counts = |(crash, unix_ms): &(&Crash, &u64)| {
-            let answered_unix_ms = self.answered_unix_ms;
-            let is_harmless =
-                answered_unix_ms.is_some_and(|it| it + ANSWER_VALIDITY_MS >= **unix_ms);
-            !is_harmless && !self.retracted.contains(*crash)
+    /// Returns the crashes that count against the work with this fingerprint.
+    fn counted_crashes(&self, fingerprint: Fingerprint) -> impl Iterator<Item = &Crash> {
+        let valid_until_ms = self.answered_unix_ms.map(|it| it + ANSWER_VALIDITY_MS);
+        let counts_despite_answer = match fingerprint {
+            Fingerprint::Request(_) => false,
+            Fingerprint::PromptPart(_) => {
+                let after_answer = self.crashes_after(self.answered_unix_ms).count();
+                after_answer >= MAX_PART_CRASHES_AFTER_ANSWER
+            }
         };
-        self.crashes.iter().filter(counts).count()
+        if counts_despite_answer {
+            self.crashes_after(self.answered_unix_ms)
+        } else {
+            self.crashes_after(valid_until_ms)
+        }
+    }
+
+    /// Returns the crashes after a time that are not retracted; all of them if it is `None`.
+    fn crashes_after(&self, unix_ms: Option<u64>) -> impl Iterator<Item = &Crash> {
+        let later = self
+            .crashes
+            .iter()
+            .filter(move |(_, crashed_ms)| Some(**crashed_ms) > unix_ms);
+        later
+            .map(|(crash, _)| crash)
+            .filter(|crash| !self.retracted.contains(*crash))
     }
 
     fn last_unix_ms(&self) -> u64 {
@@ -148,17 +180,50 @@
 
     /// Returns the quarantine status of the work.
     pub fn status(&self, fingerprint: Fingerprint) -> QuarantineStatus {
-        let counted = self
-            .evidence
-            .get(&fingerprint)
-            .map_or(0, Evidence::counted_crashes);
-        match counted {
+        match self.counted_crashes(fingerprint).count() {
             0 => QuarantineStatus::Clear,
-            counted if counted < MAX_CRASHES => QuarantineStatus::Suspect,
+            counted if counted < max_crashes(fingerprint) => QuarantineStatus::Suspect,
             _ => QuarantineStatus::Quarantined,
         }
     }
 
+    /// Returns the fingerprint for which a request is refused, `None` if it may run. A part under
+    /// quarantine is no reason if other work, which the request does not have, is under quarantine
+    /// and ran at nearly all its crashes.
+    pub fn refused_by(&self, work: &Work) -> Option<Fingerprint> {
+        let quarantined = |it: &Fingerprint| self.status(*it) == QuarantineStatus::Quarantined;
+        let mut quarantined = work.fingerprints().filter(quarantined);
+        quarantined.find(|it| self.is_refused(*it, work))
+    }
+
+    /// Returns whether work is refused for this fingerprint of it, which is under quarantine.
+    fn is_refused(&self, fingerprint: Fingerprint, work: &Work) -> bool {
+        match fingerprint {
+            Fingerprint::Request(_) => true,
+            Fingerprint::PromptPart(_) => {
+                let mut others = self.quarantined().filter(|it| !work.contains(*it));
+                others.all(|other| {
+                    self.counted_crashes_without(fingerprint, other) >= MIN_CRASHES_WITHOUT_OTHER
+                })
+            }
+        }
+    }
+
+    /// Returns the number of crashes that count against work and not against the other.
+    fn counted_crashes_without(&self, fingerprint: Fingerprint, other: Fingerprint) -> usize {
+        let counted: BTreeSet<&Crash> = self.counted_crashes(fingerprint).collect();
+        let beside: BTreeSet<&Crash> = self.counted_crashes(other).collect();
+        counted.difference(&beside).count()
+    }
+
+    /// Returns the crashes that count against work.
+    fn counted_crashes(&self, fingerprint: Fingerprint) -> impl Iterator<Item = &Crash> {
+        let evidence = self.evidence.get(&fingerprint);
+        evidence
+            .into_iter()
+            .flat_map(move |it| it.counted_crashes(fingerprint))
+    }
+
     /// Returns whether the work may start on a server that runs `running`. Two suspects never run on
     /// the same server.
     pub fn may_run_beside(
@@ -216,11 +281,24 @@
         self.evidence.contains_key(&fingerprint)
     }
 
-    /// Returns whether the table holds enough crashes to quarantine some work, whether they count or
-    /// not.
-    pub fn has_several_crashes(&self, fingerprint: Fingerprint) -> bool {
-        let evidence = self.evidence.get(&fingerprint);
-        evidence.is_some_and(|it| it.crashes.len() >= MAX_CRASHES)
+    /// Returns the time of the latest answer to work of which the table holds a crash, in Unix
+    /// milliseconds.
+    pub fn answered_unix_ms(&self, fingerprint: Fingerprint) -> Option<u64> {
+        self.evidence.get(&fingerprint)?.answered_unix_ms
+    }
+
+    /// Returns whether the work may be under quarantine in a table that holds any of these crashes, no
+    /// retraction, and `answered_unix_ms` as the time of the latest answer, in Unix milliseconds.
+    pub fn may_be_refused(&self, fingerprint: Fingerprint, answered_unix_ms: Option<u64>) -> bool {
+        let Some(evidence) = self.evidence.get(&fingerprint) else {
+            return false;
+        };
+        let known = Evidence {
+            crashes: evidence.crashes.clone(),
+            retracted: BTreeSet::new(),
+            answered_unix_ms,
+        };
+        known.counted_crashes(fingerprint).count() >= max_crashes(fingerprint)
     }
 
     /// Returns the part of the table that concerns some work.
@@ -256,7 +334,10 @@
             let oldest = self
                 .evidence
                 .iter()
-                .min_by_key(|(_, evidence)| (evidence.counted_crashes(), evidence.last_unix_ms()))
+                .min_by_key(|(fingerprint, evidence)| {
+                    let counted = evidence.counted_crashes(**fingerprint).count();
+                    (counted, evidence.last_unix_ms())
+                })
                 .map(|(fingerprint, _)| *fingerprint);
             let Some(oldest) = oldest else {
                 return;
@@ -266,6 +347,14 @@
     }
 }
 
+/// Returns the number of crashes from which on work is refused.
+fn max_crashes(fingerprint: Fingerprint) -> usize {
+    match fingerprint {
+        Fingerprint::Request(_) => MAX_REQUEST_CRASHES,
+        Fingerprint::PromptPart(_) => MAX_PART_CRASHES,
+    }
+}
+
 /// Serialises the map as a list of rows, which both JSON and binary codecs can represent.
 mod as_rows {
     use std::collections::BTreeMap;
@@ -276,7 +365,7 @@
 
     #[derive(Serialize, Deserialize)]
     struct Row {
-        /// Hexadecimal, because a JSON number may lose digits.
+        /// Text, because a JSON number may lose digits.
         fingerprint: String,
         crashes: Vec<(Crash, u64)>,
         retracted: Vec<Crash>,
@@ -288,7 +377,7 @@
         serializer: S,
     ) -> Result<S::Ok, S::Error> {
         let row = |(fingerprint, evidence): (&Fingerprint, &Evidence)| Row {
-            fingerprint: format!("{fingerprint:x}"),
+            fingerprint: fingerprint.to_string(),
             crashes: evidence.crashes.clone().into_iter().collect(),
             retracted: evidence.retracted.iter().cloned().collect(),
             answered_unix_ms: evidence.answered_unix_ms,
@@ -302,7 +391,7 @@
     ) -> Result<BTreeMap<Fingerprint, Evidence>, D::Error> {
         let rows = Vec::<Row>::deserialize(deserializer)?;
         let pair = |row: Row| {
-            let fingerprint = Fingerprint::from_str_radix(&row.fingerprint, 16);
+            let fingerprint = row.fingerprint.parse::<Fingerprint>();
             let fingerprint = fingerprint.map_err(serde::de::Error::custom)?;
             let evidence = Evidence {
                 crashes: row.crashes.into_iter().collect(),
--- a/daemon/src/gateway/request.rs
+++ b/daemon/src/gateway/request.rs
@@ -9,8 +9,9 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use mimosabay_core::name::Name;
-use mimosabay_core::quarantine::Fingerprint;
+use mimosabay_core::prompt::Prompt;
 use mimosabay_core::site::{Denied, Organisation, Route, Service, Site};
+use mimosabay_core::work::Work;
 use mimosabay_platform::ingress::{self, ForwardOptions};
 use tokio::time::timeout;
 use tracing::info;
@@ -42,7 +43,7 @@
     pub(crate) body: Bytes,
     /// Hash of path, organisation and body. A retry by the same caller has the same hash, whatever
     /// its identifier.
-    pub(crate) fingerprint: Fingerprint,
+    pub(crate) request_hash: u64,
     /// When it arrived, in milliseconds.
     pub(crate) arrived_ms: u64,
     /// Time by which it must be answered, in milliseconds.
@@ -57,6 +58,12 @@
         self.deadline_ms.saturating_sub(state.now_ms())
     }
 
+    /// Identity of its work, by which requests that crash servers are found; `prompt` is that of a
+    /// request to an engine.
+    pub(crate) fn work(&self, prompt: Option<&Prompt>) -> Work {
+        Work::new(self.request_hash, prompt)
+    }
+
     /// Rank among the requests of its service; smaller is more urgent. The organisation's priority
     /// takes precedence over the route's.
     pub(crate) fn urgency(&self) -> u8 {
@@ -187,7 +194,7 @@
         id: id.clone(),
         route,
         service,
-        fingerprint: fingerprint(&parts.uri, organisation.as_deref(), &body),
+        request_hash: request_hash(&parts.uri, organisation.as_deref(), &body),
         organisation,
         method: parts.method,
         uri: parts.uri,
@@ -199,7 +206,7 @@
     })
 }
 
-fn fingerprint(uri: &Uri, organisation: Option<&Organisation>, body: &Bytes) -> Fingerprint {
+fn request_hash(uri: &Uri, organisation: Option<&Organisation>, body: &Bytes) -> u64 {
     let mut hasher = DefaultHasher::new();
     uri.path().hash(&mut hasher);
     organisation.map(|it| &it.name).hash(&mut hasher);
--- a/daemon/tests/gateway/quarantine.rs
+++ b/daemon/tests/gateway/quarantine.rs
@@ -1,6 +1,8 @@
 //! Requests that crash the servers that run them.
 
 use mimosabay_core::cases;
+use mimosabay_core::quarantine::Quarantine;
+use mimosabay_core::work::Fingerprint;
 use mimosabay_standin::fleet::{
     AnswerStart, Behaviour, ConnectionEnd, CrashEnd, CrashPlan, CrashTrigger, FleetInstance,
     FleetOptions, FleetServer, FleetSite, RestartId,
@@ -184,3 +186,26 @@
         wait_for_refused_draft(&site, 0).await;
     });
 }
+
+/// Guards against losing the stored quarantine when the format of its rows changes.
+#[test]
+fn stored_row_without_a_kind_is_a_request() {
+    let row = |fingerprint: &str| {
+        json!([{
+            "fingerprint": fingerprint,
+            "crashes": [[{"server": "engine-1", "boot": 1}, 5], [{"server": "engine-1", "boot": 2}, 6]],
+            "retracted": [],
+            "answered_unix_ms": null,
+        }])
+    };
+    let stored: Quarantine = serde_json::from_value(json!({"evidence": row("1f")})).unwrap();
+    let request = Fingerprint::Request(0x1f);
+    assert_eq!(stored.quarantined().collect::<Vec<_>>(), [request]);
+    assert_eq!(
+        serde_json::to_value(&stored).unwrap(),
+        json!({"evidence": row("1f")})
+    );
+    let stored: Quarantine = serde_json::from_value(json!({"evidence": row("part:1f")})).unwrap();
+    let part = Fingerprint::PromptPart(0x1f);
+    assert_eq!(stored.fingerprints().collect::<Vec<_>>(), [part]);
+}
