Keep the state of replacing a server off the path of each event

Cause: the future that waits for one event held the state of the whole replacement, which is built and moved for each event; a stream made a timer for its deadline for each event; merging empty evidence copied the placer's table four times a second for each instance.

Change: the replacement is allocated once a server is silent, the deadline of a stream has one timer, and empty evidence is not merged. No decision changes.

--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -241,6 +241,9 @@
 
     /// Merges the table of another instance or of the store. Returns whether this table has changed.
     pub fn merge(&mut self, other: &Quarantine) -> bool {
+        if other.is_empty() {
+            return false;
+        }
         let before = self.clone();
         for (fingerprint, theirs) in &other.evidence {
             self.evidence.entry(*fingerprint).or_default().merge(theirs);
--- a/daemon/src/gateway/plain_request.rs
+++ b/daemon/src/gateway/plain_request.rs
@@ -132,7 +132,7 @@
         let stall = Duration::from_millis(stall_ms);
         match timeout(stall, &mut current.response).await {
             Ok(result) => Awaited::Current(result),
-            Err(_) => self.replace(current).await,
+            Err(_) => Box::pin(self.replace(current)).await,
         }
     }
 
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -165,7 +165,8 @@
         let ResponseHead {
             mut body, guard, ..
         } = head;
-        let deadline = self.state.clock.instant(self.request.job.deadline_ms);
+        let deadline = sleep_until(self.state.clock.instant(self.request.job.deadline_ms));
+        tokio::pin!(deadline);
         let stall_ms = stall_ms(&self.request);
         loop {
             let current = Current {
@@ -178,7 +179,7 @@
             let frame = tokio::select! {
                 frame = frame => frame,
                 () = self.chunks.closed() => return StreamEnd::CallerLeft,
-                () = sleep_until(deadline) => return StreamEnd::TimedOut,
+                () = &mut deadline => return StreamEnd::TimedOut,
             };
             let frame = match frame {
                 Awaited::Current(frame) => frame,
--- a/daemon/src/gateway/successor.rs
+++ b/daemon/src/gateway/successor.rs
@@ -61,7 +61,8 @@
     let server = &current.server;
     info!(event = "server_stalled", id = %request.job.id, %server, silent_ms = current.stall_ms);
     request.excluded.push(server.clone());
-    let awaited = replace(state, request, current, result).await;
+    // On the heap, because each wait of a stream would hold its state otherwise.
+    let awaited = Box::pin(replace(state, request, current, result)).await;
     if matches!(awaited, Awaited::Current(_)) {
         request.excluded.retain(|excluded| excluded != server);
     }
