Read the first request of a new connection before a stopping instance closes it

What callers saw: from 2.7 s after the signal on, a connection that is closed without an answer although a request was sent on it.

Cause: in phase Closing graceful_shutdown was called on each connection at once. hyper closes a connection at that call from which it has read nothing, and one that is idle, even if half of the next head has been read.

Change: the stage of a connection is followed (nothing read, head, busy, idle), and a connection whose first request has not been read, or of which a head has begun, is closed after that request. Its answer carries `Connection: close`, as all answers of a stopping instance do. A connection on which no byte arrives is closed by the idle timeout, or when the process ends.

The set-up of the tests that stop an instance is shared now; what they check is as before.

--- a/daemon/src/gateway/body.rs
+++ b/daemon/src/gateway/body.rs
@@ -7,6 +7,8 @@
 use http_body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
+use super::activity::RequestInProgress;
+
 /// Error of a body that ended before it was complete. The connection to the caller is closed, so
 /// that the answer does not look complete.
 #[derive(Debug)]
@@ -64,3 +66,38 @@
         }
     }
 }
+
+/// Body of an answer on a connection; its request is in progress until the body is dropped.
+pub(crate) struct CallerBody {
+    body: AnswerBody,
+    _request: RequestInProgress,
+}
+
+impl CallerBody {
+    pub(crate) fn new(body: AnswerBody, request: RequestInProgress) -> Self {
+        Self {
+            body,
+            _request: request,
+        }
+    }
+}
+
+impl Body for CallerBody {
+    type Data = Bytes;
+    type Error = Interrupted;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Interrupted>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -1,7 +1,10 @@
 //! Connections of callers, of the platform's readiness probes and of readers of the metrics.
 
 use std::convert::Infallible;
+use std::future::poll_fn;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 
 use http::{Request, Response, StatusCode};
@@ -14,8 +17,9 @@
 use tokio::time::sleep;
 use tracing::{info, warn};
 
+use super::activity::{Activity, CallerSocket};
 use super::answer::Answer;
-use super::body::AnswerBody;
+use super::body::{AnswerBody, CallerBody};
 use super::connection::set_liveness_timeouts;
 use super::request;
 use super::state::{Phase, State};
@@ -66,10 +70,16 @@
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(idle_ms))
         .max_buf_size(header_bytes.max(MIN_BUFFER_BYTES));
+    let activity = Arc::new(Activity::default());
     let service = service_fn(|request: Request<Incoming>| {
         let state = state.clone();
-        async move { Ok::<Answer, Infallible>(request::handle(state, request).await) }
+        let in_progress = activity.start_request();
+        async move {
+            let answer = request::handle(state, request).await;
+            Ok::<_, Infallible>(answer.map(|body| CallerBody::new(body, in_progress)))
+        }
     });
+    let socket = CallerSocket::new(socket, activity.clone());
     let connection = builder.serve_connection(TokioIo::new(socket), service);
     tokio::pin!(connection);
     let mut phase = state.phase.subscribe();
@@ -78,8 +88,21 @@
         _ = &mut connection => return,
         _ = phase.wait_for(|phase| *phase >= Phase::Closing) => {}
     }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    if wait_until_closable(connection.as_mut(), &activity).await {
+        connection.as_mut().graceful_shutdown();
+        let _ = connection.await;
+    }
+}
+
+/// Drives a connection until it can be closed after the requests that have been read: a request
+/// that has begun, or the first one, is read before. Returns whether the connection is open.
+async fn wait_until_closable(mut connection: Pin<&mut impl Future>, activity: &Activity) -> bool {
+    poll_fn(|context| match connection.as_mut().poll(context) {
+        Poll::Ready(_) => Poll::Ready(false),
+        Poll::Pending if activity.stage().expects_request() => Poll::Pending,
+        Poll::Pending => Poll::Ready(true),
+    })
+    .await
 }
 
 /// Serves metrics until the process ends.
--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! requests a placement from the placer of the cell, see [`mimosabay_core::cell`]. Names that the
 //! platform uses on the wire are confined to [`mimosabay_platform`].
 
+mod activity;
 mod answer;
 mod backends;
 mod body;
--- a/daemon/tests/gateway/stop.rs
+++ b/daemon/tests/gateway/stop.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-use mimosabay_standin::fleet::{Behaviour, FleetOptions, FleetSite, HOST, KEY};
+use mimosabay_standin::fleet::{Behaviour, FleetOptions, FleetReply, FleetSite, HOST, KEY};
 use mimosabay_standin::harness::{block_on, wait_for};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
+use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 /// Size of an answer that does not fit in the buffers of a connection, in bytes.
@@ -181,30 +182,40 @@
     });
 }
 
+/// Starts a booking at the first instance that keeps it from ending, stops the instance, and waits
+/// until it closes connections.
+async fn stop_until_connections_are_closed(site: &mut FleetSite) -> JoinHandle<FleetReply> {
+    for server in &site.plain_servers {
+        server.plan(Behaviour::AnswerAfter(4_500));
+    }
+    let slow = site.caller(0).deadline_ms(6_000);
+    let call = tokio::spawn(async move {
+        let answer = slow.post("/book/x", "slow", "body").await;
+        answer.expect("an answer")
+    });
+    wait_for("a running booking", async || {
+        (site.run_count("slow") > 0).then_some(())
+    })
+    .await;
+    for server in &site.plain_servers {
+        server.clear_plan();
+    }
+    site.instances[0].process.terminate();
+    wait_for("the phase in which connections are closed", async || {
+        let log = site.instances[0].log();
+        let mut phases = log.iter().filter(|it| it["event"] == "stop_phase");
+        phases.any(|it| it["phase"] == "Closing").then_some(())
+    })
+    .await;
+    call
+}
+
 /// Guards against closing a new connection before its first request is read.
 #[test]
 fn request_on_a_new_connection_is_answered_while_kept_connections_are_closed() {
     block_on(async {
         let mut site = FleetSite::start(FleetOptions::default()).await;
-        for server in &site.plain_servers {
-            server.plan(Behaviour::AnswerAfter(4_500));
-        }
-        let slow = site.caller(0).deadline_ms(6_000);
-        let call = tokio::spawn(async move { slow.post("/book/x", "slow", "body").await });
-        wait_for("a running booking", async || {
-            (site.run_count("slow") > 0).then_some(())
-        })
-        .await;
-        for server in &site.plain_servers {
-            server.clear_plan();
-        }
-        site.instances[0].process.terminate();
-        wait_for("the phase in which connections are closed", async || {
-            let log = site.instances[0].log();
-            let mut phases = log.iter().filter(|it| it["event"] == "stop_phase");
-            phases.any(|it| it["phase"] == "Closing").then_some(())
-        })
-        .await;
+        let call = stop_until_connections_are_closed(&mut site).await;
         let address = site.caller(0).address();
         let mut socket = TcpStream::connect(address).await.expect("a connection");
         sleep(Duration::from_millis(REQUEST_DELAY_MS)).await;
@@ -214,6 +225,38 @@
         let _ = socket.read_to_end(&mut answer).await;
         let answer = String::from_utf8_lossy(&answer);
         assert!(answer.starts_with("HTTP/1.1 "), "{answer:?}");
-        assert_eq!(call.await.unwrap().unwrap().status, 200);
+        assert_eq!(call.await.unwrap().status, 200);
+    });
+}
+
+/// Guards against closing a kept connection of which a head has been read in part.
+#[test]
+fn head_that_has_begun_is_read_while_kept_connections_are_closed() {
+    block_on(async {
+        let mut site = FleetSite::start(FleetOptions::default()).await;
+        let address = site.caller(0).address();
+        let mut socket = TcpStream::connect(address).await.expect("a connection");
+        let first = lookup("first");
+        socket.write_all(first.as_bytes()).await.expect("a request");
+        let mut buffer = vec![0; SLOW_READ_BYTES];
+        let mut answer_bytes = Vec::new();
+        while !answer_bytes.ends_with(b"}") {
+            let count = socket.read(&mut buffer).await.expect("an answer");
+            assert!(count > 0, "an open connection");
+            answer_bytes.extend_from_slice(&buffer[..count]);
+        }
+        let request = lookup("late");
+        let (start, rest) = request.split_at(request.len() / 2);
+        socket.write_all(start.as_bytes()).await.expect("a start");
+        let call = stop_until_connections_are_closed(&mut site).await;
+        sleep(Duration::from_millis(REQUEST_DELAY_MS)).await;
+        // A closed connection shows in the answer.
+        let _ = socket.write_all(rest.as_bytes()).await;
+        let mut answer = Vec::new();
+        let _ = socket.read_to_end(&mut answer).await;
+        let answer = String::from_utf8_lossy(&answer);
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+        assert!(answer.contains("connection: close"), "{answer:?}");
+        assert_eq!(call.await.unwrap().status, 200);
     });
 }
