Count a request as open until its answer is written

What callers saw: an answer that ends in the middle when its instance stops: 5.4 of 7.5 MB at a caller that reads 32 KiB each 50 ms.

Cause: the count of open requests ended with the job, when the answer was handed to hyper, and the process ends 0.7 s after the last open request.

Change: the count belongs to the body of the answer. When hyper drops the body, the count moves to the connection and ends with the next complete flush to the socket, or with the connection. Only the dropped body would not do: hyper takes the last chunk, here the only one, into its buffer and drops the body before anything is written. The end of the grace period is as before.

Ruled out: that the kernel delivers the rest after the end of the process; what it has not taken from hyper is lost.

Conclusion: the instance waits for its callers to read, at most until the end of the grace period.

--- a/daemon/src/gateway/activity.rs
+++ b/daemon/src/gateway/activity.rs
@@ -2,12 +2,14 @@
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use super::request::OpenRequest;
+
 /// Stage of a connection.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum Stage {
@@ -16,9 +18,9 @@
     Unused,
     /// The head of a request has been read in part.
     Head,
-    /// A request is in progress.
+    /// A request is in progress, or its answer is not written yet.
     Busy,
-    /// Every request has been answered.
+    /// The answers to all requests have been written.
     Idle,
 }
 
@@ -33,48 +35,72 @@
 }
 
 /// Follows the stage of a connection.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub(crate) struct Activity {
-    stage: Mutex<Stage>,
+    progress: Mutex<Progress>,
+}
+
+#[derive(Default)]
+struct Progress {
+    stage: Stage,
+    /// The last request if its answer is complete and perhaps not written. The stage is `Busy`.
+    unwritten: Option<OpenRequest>,
 }
 
 impl Activity {
     pub(crate) fn stage(&self) -> Stage {
-        *self.stage.lock().expect("stage lock")
+        self.progress().stage
     }
 
     /// Records that the head of a request was read.
-    pub(crate) fn start_request(self: &Arc<Self>) -> RequestInProgress {
-        *self.stage.lock().expect("stage lock") = Stage::Busy;
+    pub(crate) fn start_request(self: &Arc<Self>, open: OpenRequest) -> RequestInProgress {
+        *self.progress() = Progress {
+            stage: Stage::Busy,
+            unwritten: None,
+        };
         RequestInProgress {
             activity: self.clone(),
+            open: Some(open),
         }
     }
 
     /// Records that bytes were read.
     fn record_read(&self) {
-        let mut stage = self.stage.lock().expect("stage lock");
-        match *stage {
-            Stage::Unused | Stage::Idle => *stage = Stage::Head,
+        let mut progress = self.progress();
+        match progress.stage {
+            Stage::Unused | Stage::Idle => progress.stage = Stage::Head,
             Stage::Head | Stage::Busy => {}
         }
     }
+
+    /// Records that everything buffered has been written to the socket.
+    fn record_flush(&self) {
+        let mut progress = self.progress();
+        if progress.unwritten.take().is_some() {
+            progress.stage = Stage::Idle;
+        }
+    }
+
+    fn progress(&self) -> MutexGuard<'_, Progress> {
+        self.progress.lock().expect("progress lock")
+    }
 }
 
-/// A request in progress. Dropping it records that the request has ended.
-#[derive(Debug)]
+/// A request in progress. Dropping it records that its answer is complete; the request counts as
+/// open until the answer is written or the connection ends.
 pub(crate) struct RequestInProgress {
     activity: Arc<Activity>,
+    /// `None` once dropped.
+    open: Option<OpenRequest>,
 }
 
 impl Drop for RequestInProgress {
     fn drop(&mut self) {
-        *self.activity.stage.lock().expect("stage lock") = Stage::Idle;
+        self.activity.progress().unwritten = self.open.take();
     }
 }
 
-/// The socket of a connection; records what is read.
-#[derive(Debug)]
+/// The socket of a connection; records what is read and when everything is written.
 pub(crate) struct CallerSocket {
     socket: TcpStream,
     activity: Arc<Activity>,
@@ -123,7 +149,9 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_flush(context)
+        ready!(Pin::new(&mut self.socket).poll_flush(context))?;
+        self.activity.record_flush();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -21,7 +21,7 @@
 use super::answer::Answer;
 use super::body::{AnswerBody, CallerBody};
 use super::connection::set_liveness_timeouts;
-use super::request;
+use super::request::{self, OpenRequest};
 use super::state::{Phase, State};
 
 /// Smallest buffer for the head of a request, in bytes.
@@ -73,7 +73,7 @@
     let activity = Arc::new(Activity::default());
     let service = service_fn(|request: Request<Incoming>| {
         let state = state.clone();
-        let in_progress = activity.start_request();
+        let in_progress = activity.start_request(OpenRequest::new(&state));
         async move {
             let answer = request::handle(state, request).await;
             Ok::<_, Infallible>(answer.map(|body| CallerBody::new(body, in_progress)))
--- a/daemon/src/gateway/request.rs
+++ b/daemon/src/gateway/request.rs
@@ -47,8 +47,6 @@
     pub(crate) arrived_ms: u64,
     /// Time by which it must be answered, in milliseconds.
     pub(crate) deadline_ms: u64,
-    /// Held until the answer is complete.
-    _open: OpenRequest,
 }
 
 impl Job {
@@ -101,12 +99,12 @@
 }
 
 /// Counts a request while it is open.
-struct OpenRequest {
+pub(crate) struct OpenRequest {
     state: Arc<State>,
 }
 
 impl OpenRequest {
-    fn new(state: &Arc<State>) -> Self {
+    pub(crate) fn new(state: &Arc<State>) -> Self {
         state.metrics.request_opened();
         Self {
             state: state.clone(),
@@ -150,7 +148,6 @@
     request: Request<Incoming>,
     id: Option<&Name>,
 ) -> Result<Job, OwnAnswer> {
-    let open = OpenRequest::new(state);
     let arrived_ms = state.now_ms();
     let (parts, body) = request.into_parts();
     if is_framing_ambiguous(&parts.headers) {
@@ -195,7 +192,6 @@
         body,
         arrived_ms,
         deadline_ms: arrived_ms.saturating_add(allowed_ms),
-        _open: open,
     })
 }
 
