Wait 3 s for a caller that reads nothing, as for a backend server

What callers saw: an answer that ends after 1.5 s in which its caller read nothing.

Cause: TCP_USER_TIMEOUT of callers' connections was 1.5 s; raised it for backend servers only. Linux applies it also to a peer that acknowledges probes and has no space for data.

Change: one constant of 3 s for both. The comment on the number of keep-alive probes says now that Linux closes a connection after this time instead of after that number (tcp(7): TCP_USER_TIMEOUT overrides keep-alive; not shown by a run). A caller that has vanished without a packet keeps its request for up to 3 s.

Ruled out: the instance itself; it has no timeout for an answer that is written, and the same answer is complete after a pause of 1 s.

Conclusion: peers on both sides may be silent for two seconds. Packet loss on the caller's link was not run.

--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -28,9 +28,6 @@
 const MIN_BUFFER_BYTES: usize = 16 * 1024;
 /// Time for which an idle connection is kept before the configuration is known, in milliseconds.
 const DEFAULT_IDLE_MS: u64 = 15_000;
-
-/// Time within which a caller must acknowledge data.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Pause after a connection could not be accepted, in milliseconds.
 const ACCEPT_PAUSE_MS: u64 = 5;
 
@@ -57,7 +54,7 @@
 }
 
 async fn serve_connection(state: Arc<State>, socket: TcpStream) {
-    if set_liveness_timeouts(&socket, UNACKNOWLEDGED_TIMEOUT).is_err() {
+    if set_liveness_timeouts(&socket).is_err() {
         return;
     }
     let limits = state.site().map(|site| site.limits.clone());
--- a/daemon/src/gateway/connection.rs
+++ b/daemon/src/gateway/connection.rs
@@ -18,11 +18,12 @@
 const CONNECT_TIMEOUT_MS: u64 = 350;
 /// Time without traffic after which the kernel probes a connection, and between its probes.
 const KEEPALIVE: Duration = Duration::from_secs(1);
-/// Probes without an answer after which a connection is closed.
+/// Probes without an answer after which a connection without [`UNACKNOWLEDGED_TIMEOUT`] would be
+/// closed; Linux closes it after that time, whatever their number.
 const KEEPALIVE_RETRIES: u32 = 2;
-/// Time within which a backend server must acknowledge data. A sound server may be silent for two
-/// seconds.
-const SERVER_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time within which the peer of a connection must acknowledge data or probes, and have space for
+/// more data. A sound backend server may be silent for two seconds.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// A connection. Dropping it closes the socket, which makes the server stop its work.
 pub(crate) struct Connection {
@@ -41,7 +42,7 @@
         let socket = timeout(limit, TcpStream::connect(address))
             .await
             .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
-        set_liveness_timeouts(&socket, SERVER_UNACKNOWLEDGED_TIMEOUT)?;
+        set_liveness_timeouts(&socket)?;
         let (sender, connection) = http1::handshake(TokioIo::new(socket))
             .await
             .map_err(std::io::Error::other)?;
@@ -82,10 +83,11 @@
 
 /// Makes the kernel close a connection whose peer does not acknowledge data, or probes of an idle
 /// connection, within a time limit.
-pub(crate) fn set_liveness_timeouts(
-    socket: &TcpStream,
-    unacknowledged_timeout: Duration,
-) -> std::io::Result<()> {
+///
+/// # Errors
+///
+/// The kernel refuses an option.
+pub(crate) fn set_liveness_timeouts(socket: &TcpStream) -> std::io::Result<()> {
     socket.set_nodelay(true)?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE)
@@ -93,5 +95,5 @@
         .with_retries(KEEPALIVE_RETRIES);
     let socket = SockRef::from(socket);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(unacknowledged_timeout))
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
 }
