Close idle connections by the configuration in force

What callers saw: a kept connection that is closed after the idle timeout of the configuration that was in force when it was opened, although a later one allows more. A lowered timeout did not reach open connections either.

Cause: the idle timeout was hyper's header_read_timeout, which cannot be changed on an open connection.

Change: an idle timer beside the connection. It counts from the last answer that was written, or from the start of the connection, is set when a request has ended and when a configuration comes into force, and is absent while a request is in progress: nothing is done per chunk but a comparison of the stage. The connection moves to a module of its own.

Ruled out: that the configuration was late; the tests wait until the instance has logged it.

Processor time and memory were not measured.

Conclusion: both directions of a change reach open connections. A slow head is still cut off, by the idle time before it; that is the next fault.

--- a/daemon/src/gateway/activity.rs
+++ b/daemon/src/gateway/activity.rs
@@ -4,17 +4,19 @@
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
+use mimosabay_core::site::CallerLimits;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 use super::request::OpenRequest;
 
 /// Stage of a connection.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Stage {
     /// Nothing has been read yet.
-    #[default]
     Unused,
     /// The head of a request has been read in part.
     Head,
@@ -35,29 +37,52 @@
 }
 
 /// Follows the stage of a connection.
-#[derive(Default)]
 pub(crate) struct Activity {
     progress: Mutex<Progress>,
 }
 
-#[derive(Default)]
 struct Progress {
     stage: Stage,
+    /// Time of the last answer, or of the start of the connection.
+    answered: Instant,
     /// The last request if its answer is complete and perhaps not written. The stage is `Busy`.
     unwritten: Option<OpenRequest>,
 }
 
 impl Activity {
+    /// Starts with a connection that was accepted now.
+    pub(crate) fn new() -> Self {
+        Self {
+            progress: Mutex::new(Progress {
+                stage: Stage::Unused,
+                answered: Instant::now(),
+                unwritten: None,
+            }),
+        }
+    }
+
     pub(crate) fn stage(&self) -> Stage {
         self.progress().stage
     }
 
+    /// Time at which the connection is closed if its stage does not change; `None` if a request is
+    /// in progress.
+    pub(crate) fn deadline(&self, limits: &CallerLimits) -> Option<Instant> {
+        let progress = self.progress();
+        match progress.stage {
+            Stage::Unused | Stage::Head | Stage::Idle => {
+                Some(progress.answered + Duration::from_millis(limits.idle_timeout_ms))
+            }
+            Stage::Busy => None,
+        }
+    }
+
     /// Records that the head of a request was read.
     pub(crate) fn start_request(self: &Arc<Self>, open: OpenRequest) -> RequestInProgress {
-        *self.progress() = Progress {
-            stage: Stage::Busy,
-            unwritten: None,
-        };
+        let mut progress = self.progress();
+        progress.stage = Stage::Busy;
+        progress.unwritten = None;
+        drop(progress);
         RequestInProgress {
             activity: self.clone(),
             open: Some(open),
@@ -78,6 +103,7 @@
         let mut progress = self.progress();
         if progress.unwritten.take().is_some() {
             progress.stage = Stage::Idle;
+            progress.answered = Instant::now();
         }
     }
 
--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -1,33 +1,24 @@
 //! Connections of callers, of the platform's readiness probes and of readers of the metrics.
 
 use std::convert::Infallible;
-use std::future::poll_fn;
-use std::pin::Pin;
 use std::sync::Arc;
-use std::task::Poll;
 use std::time::Duration;
 
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use mimosabay_platform::wire_names;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 use tracing::{info, warn};
 
-use super::activity::{Activity, CallerSocket};
 use super::answer::Answer;
-use super::body::{AnswerBody, CallerBody};
-use super::connection::set_liveness_timeouts;
-use super::request::{self, OpenRequest};
-use super::state::{Phase, State};
+use super::body::AnswerBody;
+use super::caller_connection;
+use super::state::State;
 
-/// Smallest buffer for the head of a request, in bytes.
-const MIN_BUFFER_BYTES: usize = 16 * 1024;
-/// Time for which an idle connection is kept before the configuration is known, in milliseconds.
-const DEFAULT_IDLE_MS: u64 = 15_000;
 /// Pause after a connection could not be accepted, in milliseconds.
 const ACCEPT_PAUSE_MS: u64 = 5;
 
@@ -35,7 +26,7 @@
 pub(crate) async fn serve(state: Arc<State>, listener: TcpListener) {
     loop {
         let socket = accept(&listener).await;
-        tokio::spawn(serve_connection(state.clone(), socket));
+        tokio::spawn(caller_connection::serve(state.clone(), socket));
     }
 }
 
@@ -53,55 +44,6 @@
     }
 }
 
-async fn serve_connection(state: Arc<State>, socket: TcpStream) {
-    if set_liveness_timeouts(&socket).is_err() {
-        return;
-    }
-    let limits = state.site().map(|site| site.limits.clone());
-    let idle_ms = limits
-        .as_ref()
-        .map_or(DEFAULT_IDLE_MS, |limits| limits.idle_timeout_ms);
-    let header_bytes = limits.map_or(MIN_BUFFER_BYTES, |limits| limits.header_bytes);
-    let mut builder = http1::Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(idle_ms))
-        .max_buf_size(header_bytes.max(MIN_BUFFER_BYTES));
-    let activity = Arc::new(Activity::default());
-    let service = service_fn(|request: Request<Incoming>| {
-        let state = state.clone();
-        let in_progress = activity.start_request(OpenRequest::new(&state));
-        async move {
-            let answer = request::handle(state, request).await;
-            Ok::<_, Infallible>(answer.map(|body| CallerBody::new(body, in_progress)))
-        }
-    });
-    let socket = CallerSocket::new(socket, activity.clone());
-    let connection = builder.serve_connection(TokioIo::new(socket), service);
-    tokio::pin!(connection);
-    let mut phase = state.phase.subscribe();
-    tokio::select! {
-        // A caller that violates the protocol or leaves is not logged.
-        _ = &mut connection => return,
-        _ = phase.wait_for(|phase| *phase >= Phase::Closing) => {}
-    }
-    if wait_until_closable(connection.as_mut(), &activity).await {
-        connection.as_mut().graceful_shutdown();
-        let _ = connection.await;
-    }
-}
-
-/// Drives a connection until it can be closed after the requests that have been read: a request
-/// that has begun, or the first one, is read before. Returns whether the connection is open.
-async fn wait_until_closable(mut connection: Pin<&mut impl Future>, activity: &Activity) -> bool {
-    poll_fn(|context| match connection.as_mut().poll(context) {
-        Poll::Ready(_) => Poll::Ready(false),
-        Poll::Pending if activity.stage().expects_request() => Poll::Pending,
-        Poll::Pending => Poll::Ready(true),
-    })
-    .await
-}
-
 /// Serves metrics until the process ends.
 pub(crate) async fn serve_metrics(state: Arc<State>, listener: TcpListener) {
     loop {
--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod answer;
 mod backends;
 mod body;
+mod caller_connection;
 mod callers;
 mod connection;
 mod crash_probe;
--- a/daemon/tests/gateway/caller_connections.rs
+++ b/daemon/tests/gateway/caller_connections.rs
@@ -13,6 +13,8 @@
 const IDLE_TIMEOUT_MS: u64 = 2_000;
 /// Idle timeout of a later configuration, in milliseconds.
 const RAISED_IDLE_TIMEOUT_MS: u64 = 15_000;
+/// Idle timeout that no test waits for, in milliseconds.
+const LONG_IDLE_TIMEOUT_MS: u64 = 60_000;
 /// Time for which a caller keeps a connection idle; within four fifths of the raised timeout only.
 const LONG_IDLE_MS: u64 = 3_000;
 /// Time for which a caller keeps a connection idle; within four fifths of the short timeout.
@@ -60,6 +62,15 @@
     String::from_utf8_lossy(&answer).into_owned()
 }
 
+/// Waits until the instance closes a connection on which it sends nothing more.
+async fn wait_for_close(socket: TcpStream) {
+    let closed = wait_for("a closed connection", async || {
+        let mut buffer = [0; 1];
+        socket.try_read(&mut buffer).ok()
+    });
+    assert_eq!(closed.await, 0);
+}
+
 async fn open_with_first_lookup(site: &FleetSite) -> TcpStream {
     let mut socket = TcpStream::connect(site.caller(0).address())
         .await
@@ -89,6 +100,22 @@
     });
 }
 
+/// Guards against keeping idle connections for the idle timeout of an older configuration.
+#[test]
+fn idle_connections_are_closed_after_a_lowered_idle_timeout() {
+    block_on(async {
+        let site = FleetSite::start(FleetOptions::default()).await;
+        set_idle_timeout(&site, 2, LONG_IDLE_TIMEOUT_MS).await;
+        let used = open_with_first_lookup(&site).await;
+        let unused = TcpStream::connect(site.caller(0).address())
+            .await
+            .expect("a connection");
+        set_idle_timeout(&site, 3, IDLE_TIMEOUT_MS).await;
+        wait_for_close(used).await;
+        wait_for_close(unused).await;
+    });
+}
+
 /// Guards against counting the idle time before a request as part of the time of its head.
 #[test]
 fn head_that_arrives_slowly_on_a_kept_connection_is_read() {
