Give a head that has begun the header timeout, whatever the idle time before it

What callers saw: no answer to a request whose head arrives in two parts on a connection that was idle for most of the idle timeout.

Cause: one time ran from the last answer to the end of the next head.

Change: the idle time ends with the first byte of a head, and the head then has the configuration's header timeout. That timeout was not applied before: a head could take as long as the idle timeout.

Conclusion: idle time and the time of a head are separate, and both follow the configuration in force. Bytes of a next head that arrive before the answer to the request in progress is written (pipelining) do not begin its time; not tested.

--- a/daemon/src/gateway/activity.rs
+++ b/daemon/src/gateway/activity.rs
@@ -43,19 +43,26 @@
 
 struct Progress {
     stage: Stage,
-    /// Time of the last answer, or of the start of the connection.
-    answered: Instant,
+    /// Start of the stage.
+    since: Instant,
     /// The last request if its answer is complete and perhaps not written. The stage is `Busy`.
     unwritten: Option<OpenRequest>,
 }
 
+impl Progress {
+    fn enter(&mut self, stage: Stage) {
+        self.stage = stage;
+        self.since = Instant::now();
+    }
+}
+
 impl Activity {
     /// Starts with a connection that was accepted now.
     pub(crate) fn new() -> Self {
         Self {
             progress: Mutex::new(Progress {
                 stage: Stage::Unused,
-                answered: Instant::now(),
+                since: Instant::now(),
                 unwritten: None,
             }),
         }
@@ -69,18 +76,18 @@
     /// in progress.
     pub(crate) fn deadline(&self, limits: &CallerLimits) -> Option<Instant> {
         let progress = self.progress();
-        match progress.stage {
-            Stage::Unused | Stage::Head | Stage::Idle => {
-                Some(progress.answered + Duration::from_millis(limits.idle_timeout_ms))
-            }
-            Stage::Busy => None,
-        }
+        let allowed_ms = match progress.stage {
+            Stage::Unused | Stage::Idle => limits.idle_timeout_ms,
+            Stage::Head => limits.header_timeout_ms,
+            Stage::Busy => return None,
+        };
+        Some(progress.since + Duration::from_millis(allowed_ms))
     }
 
     /// Records that the head of a request was read.
     pub(crate) fn start_request(self: &Arc<Self>, open: OpenRequest) -> RequestInProgress {
         let mut progress = self.progress();
-        progress.stage = Stage::Busy;
+        progress.enter(Stage::Busy);
         progress.unwritten = None;
         drop(progress);
         RequestInProgress {
@@ -93,7 +100,7 @@
     fn record_read(&self) {
         let mut progress = self.progress();
         match progress.stage {
-            Stage::Unused | Stage::Idle => progress.stage = Stage::Head,
+            Stage::Unused | Stage::Idle => progress.enter(Stage::Head),
             Stage::Head | Stage::Busy => {}
         }
     }
@@ -102,8 +109,7 @@
     fn record_flush(&self) {
         let mut progress = self.progress();
         if progress.unwritten.take().is_some() {
-            progress.stage = Stage::Idle;
-            progress.answered = Instant::now();
+            progress.enter(Stage::Idle);
         }
     }
 
--- a/daemon/src/gateway/caller_connection.rs
+++ b/daemon/src/gateway/caller_connection.rs
@@ -86,7 +86,8 @@
     .await
 }
 
-/// Waits until a connection has been idle for as long as the configuration in force allows.
+/// Waits until a connection has been idle, or the head of a request has been incomplete, for as long
+/// as the configuration in force allows.
 async fn wait_until_expired(activity: &Activity, site: &mut watch::Receiver<Option<Arc<Site>>>) {
     loop {
         let limits = limits_in_force(site);
--- a/daemon/tests/gateway/caller_connections.rs
+++ b/daemon/tests/gateway/caller_connections.rs
@@ -135,6 +135,25 @@
     });
 }
 
+/// Guards against waiting for the rest of a head for as long as for a request.
+#[test]
+fn connections_with_an_unfinished_head_are_closed_before_idle_ones() {
+    block_on(async {
+        let site = FleetSite::start(FleetOptions::default()).await;
+        set_idle_timeout(&site, 2, LONG_IDLE_TIMEOUT_MS).await;
+        let mut used = open_with_first_lookup(&site).await;
+        let mut new = TcpStream::connect(site.caller(0).address())
+            .await
+            .expect("a connection");
+        let request = lookup("two");
+        let (start, _) = request.split_at(request.len() / 2);
+        used.write_all(start.as_bytes()).await.expect("a start");
+        new.write_all(start.as_bytes()).await.expect("a start");
+        wait_for_close(used).await;
+        wait_for_close(new).await;
+    });
+}
+
 /// Guards against a connection that the kernel closes while its caller reads nothing.
 #[test]
 fn answer_is_not_cut_at_a_caller_that_reads_nothing_for_two_seconds() {
--- a/daemon/tests/gateway/stop.rs
+++ b/daemon/tests/gateway/stop.rs
@@ -4,6 +4,7 @@
 
 use mimosabay_standin::fleet::{Behaviour, FleetOptions, FleetReply, FleetSite, HOST, KEY};
 use mimosabay_standin::harness::{block_on, wait_for};
+use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
@@ -19,6 +20,9 @@
 const SLOW_RECEIVE_BUFFER_BYTES: u32 = 64 * 1024;
 /// Grace period in which a slow caller can read a large answer, in seconds.
 const LONG_GRACE_S: u64 = 30;
+/// Time within which a head must arrive, in milliseconds; longer than an instance takes to close
+/// connections.
+const LONG_HEADER_TIMEOUT_MS: u64 = 10_000;
 /// Time between opening a connection and sending a request on it, in milliseconds.
 const REQUEST_DELAY_MS: u64 = 50;
 
@@ -234,6 +238,17 @@
 fn head_that_has_begun_is_read_while_kept_connections_are_closed() {
     block_on(async {
         let mut site = FleetSite::start(FleetOptions::default()).await;
+        site.configure(2, |it| {
+            it["limits"]["headerTimeoutMs"] = json!(LONG_HEADER_TIMEOUT_MS);
+        });
+        wait_for("the new configuration", async || {
+            let log = site.instances[0].log();
+            let mut applied = log
+                .iter()
+                .filter(|it| it["event"] == "configuration_in_force");
+            applied.any(|it| it["version"] == 2).then_some(())
+        })
+        .await;
         let address = site.caller(0).address();
         let mut socket = TcpStream::connect(address).await.expect("a connection");
         let first = lookup("first");
