--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use mimosabay_platform::wire_names;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
@@ -16,17 +16,9 @@
 
 use super::answer::Answer;
 use super::body::AnswerBody;
-use super::connection::set_liveness_timeouts;
-use super::request;
-use super::state::{Phase, State};
+use super::caller_connection;
+use super::state::State;
 
-/// Smallest buffer for the head of a request, in bytes.
-const MIN_BUFFER_BYTES: usize = 16 * 1024;
-/// Time for which an idle connection is kept before the configuration is known, in milliseconds.
-const DEFAULT_IDLE_MS: u64 = 15_000;
-
-/// Time within which a caller must acknowledge data.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Pause after a connection could not be accepted, in milliseconds.
 const ACCEPT_PAUSE_MS: u64 = 5;
 
@@ -34,7 +26,7 @@
 pub(crate) async fn serve(state: Arc<State>, listener: TcpListener) {
     loop {
         let socket = accept(&listener).await;
-        tokio::spawn(serve_connection(state.clone(), socket));
+        tokio::spawn(caller_connection::serve(state.clone(), socket));
     }
 }
 
@@ -52,36 +44,6 @@
     }
 }
 
-async fn serve_connection(state: Arc<State>, socket: TcpStream) {
-    if set_liveness_timeouts(&socket, UNACKNOWLEDGED_TIMEOUT).is_err() {
-        return;
-    }
-    let limits = state.site().map(|site| site.limits.clone());
-    let idle_ms = limits
-        .as_ref()
-        .map_or(DEFAULT_IDLE_MS, |limits| limits.idle_timeout_ms);
-    let header_bytes = limits.map_or(MIN_BUFFER_BYTES, |limits| limits.header_bytes);
-    let mut builder = http1::Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(idle_ms))
-        .max_buf_size(header_bytes.max(MIN_BUFFER_BYTES));
-    let service = service_fn(|request: Request<Incoming>| {
-        let state = state.clone();
-        async move { Ok::<Answer, Infallible>(request::handle(state, request).await) }
-    });
-    let connection = builder.serve_connection(TokioIo::new(socket), service);
-    tokio::pin!(connection);
-    let mut phase = state.phase.subscribe();
-    tokio::select! {
-        // A caller that violates the protocol or leaves is not logged.
-        _ = &mut connection => return,
-        _ = phase.wait_for(|phase| *phase >= Phase::Closing) => {}
-    }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
-}
-
 /// Serves metrics until the process ends.
 pub(crate) async fn serve_metrics(state: Arc<State>, listener: TcpListener) {
     loop {
--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -5,9 +5,11 @@
 //! requests a placement from the placer of the cell, see [`mimosabay_core::cell`]. Names that the
 //! platform uses on the wire are confined to [`mimosabay_platform`].
 
+mod activity;
 mod answer;
 mod backends;
 mod body;
+mod caller_connection;
 mod callers;
 mod connection;
 mod crash_probe;
