Answer with an error if a stream ends before its first event

What callers saw: a connection that is closed after the head of an answer, with neither an event nor an error, if the server broke off or the deadline passed before the first event and the request may not be sent again.

Cause: the head of the server's answer was forwarded before anything of the stream was there; from then on only a cut was left.

Change: the head is sent with the first event. Until then the caller gets 502 or 504, and a server that takes the request over sends its own head. The end of a body is sent explicitly, so that a relay that ends for any other reason cuts the answer.

Tests: three cases that demanded a cut connection demand 502 now, which says more to the caller and looks complete as little; a fourth is new.

--- a/daemon/src/gateway/body.rs
+++ b/daemon/src/gateway/body.rs
@@ -26,8 +26,16 @@
 pub(crate) enum AnswerBody {
     /// The complete body; `None` once it was taken.
     Complete(Option<Bytes>),
-    /// Chunks as they arrive.
-    Chunks(mpsc::Receiver<Result<Bytes, Interrupted>>),
+    /// Chunks as they arrive. The body is complete only if the last one is [`Chunk::End`].
+    Chunks(mpsc::Receiver<Chunk>),
+}
+
+/// One step of a body.
+pub(crate) enum Chunk {
+    /// More of the body.
+    Data(Bytes),
+    /// The body is complete.
+    End,
 }
 
 impl AnswerBody {
@@ -47,9 +55,11 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Interrupted>>> {
         match &mut *self {
             Self::Complete(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Chunks(chunks) => chunks
-                .poll_recv(context)
-                .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
+            Self::Chunks(chunks) => chunks.poll_recv(context).map(|chunk| match chunk {
+                Some(Chunk::Data(bytes)) => Some(Ok(Frame::data(bytes))),
+                Some(Chunk::End) => None,
+                None => Some(Err(Interrupted)),
+            }),
         }
     }
 
--- a/daemon/src/gateway/engine_request.rs
+++ b/daemon/src/gateway/engine_request.rs
@@ -80,7 +80,7 @@
     };
     match first_response_head(state, &mut request).await {
         Ok((head, run)) if request.job.route.is_stream() && head.status.is_success() => {
-            relay::start(state.clone(), request, head, run)
+            relay::start(state.clone(), request, head, run).await
         }
         Ok((head, mut run)) => {
             let left_ms = request.job.remaining_ms(state);
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -3,18 +3,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Response;
 use http_body_util::BodyExt;
 use mimosabay_core::attempt::ExecutionStatus;
 use mimosabay_core::cell::{RefusalReason, RunOutcome};
 use mimosabay_platform::ingress;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep_until, timeout};
 use tracing::info;
 
-use super::answer::Answer;
-use super::body::{AnswerBody, Interrupted};
+use super::answer::{Answer, OwnAnswer};
+use super::body::{AnswerBody, Chunk};
 use super::engine_attempt::EngineAttempt;
 use super::engine_request::{self, EngineRequest};
 use super::engine_run::Run;
@@ -34,7 +33,9 @@
 struct Relay {
     state: Arc<State>,
     request: EngineRequest,
-    chunks: mpsc::Sender<Result<Bytes, Interrupted>>,
+    chunks: mpsc::Sender<Chunk>,
+    /// The answer until its first event has arrived; an error can still be sent instead.
+    unsent: Option<UnsentAnswer>,
     splitter: EventSplitter,
     /// The attempt at another server that replaces a silent one.
     successor: Option<EngineAttempt>,
@@ -47,6 +48,12 @@
     longest_pause_ms: u64,
 }
 
+/// An answer of which the caller has received nothing.
+struct UnsentAnswer {
+    answer: Answer,
+    sender: oneshot::Sender<Result<Answer, CutReason>>,
+}
+
 /// How the stream of one server ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum StreamEnd {
@@ -92,22 +99,26 @@
     }
 }
 
-/// Returns an answer with the head of the first server's response, and relays the events in a
-/// separate task.
-pub(crate) fn start(
+/// Relays the events in a separate task. Returns the answer once the first event has arrived, or an error
+/// if there will be none.
+pub(crate) async fn start(
     state: Arc<State>,
     request: EngineRequest,
     head: ResponseHead,
     run: Run,
 ) -> Answer {
     let (chunks, received) = mpsc::channel(CHUNK_BUFFER);
-    let mut answer = Response::new(AnswerBody::Chunks(received));
-    *answer.status_mut() = head.status;
-    *answer.headers_mut() = ingress::caller_headers(&head.headers);
+    let (sender, answer) = oneshot::channel();
+    let id = request.job.id.clone();
+    let unsent = UnsentAnswer {
+        answer: stream_answer(&head, received),
+        sender,
+    };
     let relay = Relay {
         state,
         request,
         chunks,
+        unsent: Some(unsent),
         splitter: EventSplitter::default(),
         successor: None,
         last_id: None,
@@ -116,6 +127,15 @@
         longest_pause_ms: 0,
     };
     tokio::spawn(relay.run(head, run));
+    // The sender is only dropped if the relay has failed.
+    let answer = answer.await.unwrap_or(Err(CutReason::NoRetry));
+    answer.unwrap_or_else(|reason| reason.own_answer().answer(Some(&id)))
+}
+
+fn stream_answer(head: &ResponseHead, chunks: mpsc::Receiver<Chunk>) -> Answer {
+    let mut answer = Response::new(AnswerBody::Chunks(chunks));
+    *answer.status_mut() = head.status;
+    *answer.headers_mut() = ingress::caller_headers(&head.headers);
     answer
 }
 
@@ -140,19 +160,19 @@
             drop(run);
             if end.break_cause().is_none() {
                 self.state.metrics.count_outcome(request_outcome(end));
-                if end == StreamEnd::TimedOut {
-                    self.interrupt(CutReason::TimedOut).await;
-                }
-                return;
+                return self.finish(end).await;
             }
             self.request
                 .attempts
                 .record_failure(ExecutionStatus::Unknown);
             match self.resume().await {
-                Ok(next) => (head, run) = next,
+                Ok(next) => {
+                    (head, run) = next;
+                    self.replace_unsent_head(&head);
+                }
                 Err(reason) => {
                     self.state.metrics.count_outcome(Outcome::Broken);
-                    return self.interrupt(reason).await;
+                    return self.interrupt(reason);
                 }
             }
         }
@@ -218,10 +238,11 @@
         let Some(complete) = self.splitter.push(data) else {
             return true;
         };
+        self.send_head();
         self.events += 1;
         self.record_pause();
         self.last_id = complete.last_id.or(self.last_id);
-        self.chunks.send(Ok(complete.bytes)).await.is_ok()
+        self.chunks.send(Chunk::Data(complete.bytes)).await.is_ok()
     }
 
     fn record_pause(&mut self) {
@@ -244,17 +265,50 @@
         }
     }
 
-    /// Aborts the answer, so that it does not look complete.
-    async fn interrupt(&mut self, reason: CutReason) {
+    async fn finish(mut self, end: StreamEnd) {
+        match end {
+            StreamEnd::Complete => {
+                self.send_head();
+                // A caller that has left needs no end.
+                let _ = self.chunks.send(Chunk::End).await;
+            }
+            StreamEnd::TimedOut => self.interrupt(CutReason::TimedOut),
+            StreamEnd::CallerLeft | StreamEnd::Broken(_) => {}
+        }
+    }
+
+    /// Sends the head of the answer if it was not sent yet.
+    fn send_head(&mut self) {
+        if let Some(unsent) = self.unsent.take() {
+            // A caller that has left needs no answer.
+            let _ = unsent.sender.send(Ok(unsent.answer));
+        }
+    }
+
+    /// Uses the head of the server that sends the first event.
+    fn replace_unsent_head(&mut self, head: &ResponseHead) {
+        if let Some(unsent) = &mut self.unsent {
+            *unsent.answer.status_mut() = head.status;
+            *unsent.answer.headers_mut() = ingress::caller_headers(&head.headers);
+        }
+    }
+
+    /// Ends the answer, which is incomplete. The caller receives an error if nothing was sent; else its
+    /// connection is closed.
+    fn interrupt(mut self, reason: CutReason) {
+        let own_answer = reason.own_answer();
         info!(
-            event = "answer_cut",
+            event = if self.unsent.is_some() { "failed" } else { "answer_cut" },
             id = %self.request.job.id,
             ?reason,
+            status = self.unsent.is_some().then(|| own_answer.status().as_u16()),
             attempts = self.request.attempts.count(),
             left_ms = self.request.job.remaining_ms(&self.state)
         );
-        // A caller that has left needs no error.
-        let _ = self.chunks.send(Err(Interrupted)).await;
+        if let Some(unsent) = self.unsent.take() {
+            // A caller that has left needs no answer.
+            let _ = unsent.sender.send(Err(reason));
+        }
     }
 }
 
@@ -316,6 +370,16 @@
     Refused(RefusalReason),
 }
 
+impl CutReason {
+    /// The error for a caller that has received nothing.
+    fn own_answer(self) -> OwnAnswer {
+        match self {
+            Self::TimedOut => OwnAnswer::TimedOut,
+            Self::CallerLeft | Self::NoRetry | Self::Refused(_) => OwnAnswer::Broken,
+        }
+    }
+}
+
 fn request_outcome(end: StreamEnd) -> Outcome {
     match end {
         StreamEnd::Complete => Outcome::Answered,
--- a/daemon/tests/gateway/framing.rs
+++ b/daemon/tests/gateway/framing.rs
@@ -74,13 +74,34 @@
     cases! {
         check_broken_stream;
         inside_an_event: (Behaviour::EndInsideEvent(3));
+        between_events_before_its_length: (Behaviour::CutShort(3));
+    }
+}
+
+/// Guards against a cut connection where an error can still be sent.
+mod stream_that_ends_before_its_first_event_is_answered_with_an_error {
+    use super::{Behaviour, cases, check_failed_stream};
+
+    cases! {
+        check_failed_stream;
         inside_the_first_event: (Behaviour::EndInsideEvent(0));
         before_the_first_event: (Behaviour::EndAfterHead);
-        between_events_before_its_length: (Behaviour::CutShort(3));
         before_the_first_event_and_its_length: (Behaviour::CutShort(0));
+        after_the_head: (Behaviour::BreakAfter(0));
     }
 }
 
+fn check_failed_stream(end: Behaviour) {
+    block_on(async {
+        let site = FleetSite::start(FleetOptions::default()).await;
+        plan_all(&site.engines, end);
+        let answer = site.caller(0).generate("/once/x", "one", "").await;
+        let answer = answer.expect("an error");
+        assert_eq!(answer.status, 502);
+        assert_eq!(site.run_count("one"), 1);
+    });
+}
+
 fn check_broken_stream(end: Behaviour) {
     block_on(async {
         let site = FleetSite::start(FleetOptions::default()).await;
