Keep the output of stopped processes in a soak, and the times of its requests

A soak reported the output of the last process of each instance only. An instance now keeps the output of its earlier processes, a violation says when its request was sent and when it ended, and the number of callers is an option.

--- a/standin/src/bin/mimosabay-soak.rs
+++ b/standin/src/bin/mimosabay-soak.rs
@@ -17,17 +17,18 @@
         command::parse_value(&matches, "count"),
         command::parse_value::<u64>(&matches, "seconds"),
         command::parse_value(&matches, "instances"),
+        command::parse_value(&matches, "callers"),
     );
-    let (Ok(seed), Ok(count), Ok(seconds), Ok(instances)) = numbers else {
-        eprintln!("--seed, --count, --seconds and --instances must be whole numbers");
+    let (Ok(seed), Ok(count), Ok(seconds), Ok(instances), Ok(callers)) = numbers else {
+        eprintln!("--seed, --count, --seconds, --instances and --callers must be whole numbers");
         return ExitCode::from(2);
     };
     let options = SoakOptions {
         seed,
         duration_ms: 1_000 * seconds,
         instances,
+        callers,
         is_planned_only: matches.get_flag("planned"),
-        ..SoakOptions::default()
     };
     match run(options, count) {
         Some(true) => ExitCode::SUCCESS,
@@ -54,6 +55,11 @@
             4_u64,
             "Number of instances of a site",
         ))
+        .arg(command::number_arg(
+            "callers",
+            12_u64,
+            "Number of concurrent callers",
+        ))
         .arg(
             Arg::new("planned")
                 .long("planned")
--- a/standin/src/fleet/site.rs
+++ b/standin/src/fleet/site.rs
@@ -99,6 +99,8 @@
     metrics_address: SocketAddr,
     settings_file: PathBuf,
     log_file: PathBuf,
+    /// Output of the processes before the current one.
+    earlier_output: String,
 }
 
 impl FleetSite {
@@ -290,6 +292,7 @@
             metrics_address,
             settings_file,
             log_file,
+            earlier_output: String::new(),
         }
     }
 }
@@ -312,7 +315,13 @@
         std::fs::write(&self.settings_file, text).expect("the test directory is writable");
     }
 
+    /// Returns the output of all processes of the instance so far.
+    pub fn whole_output(&self) -> String {
+        format!("{}{}", self.earlier_output, self.process.output())
+    }
+
     fn start(&mut self) {
+        self.earlier_output.push_str(&self.process.output());
         let metrics_address = self.metrics_address;
         self.process = start_process(&self.settings_file, metrics_address, &self.log_file);
     }
--- a/standin/src/soak.rs
+++ b/standin/src/soak.rs
@@ -86,8 +86,8 @@
         ..FleetOptions::default()
     })
     .await;
-    let load = Load::start(&site, &options);
     let started = Instant::now();
+    let load = Load::start(&site, &options, started);
     let injector = FaultInjector::new(&mut site, started);
     let drains = injector.run(&injections).await;
     let mut violations = check_recovery(&site, &injections).await;
@@ -95,7 +95,7 @@
     sleep(Duration::from_millis(SETTLE_MS)).await;
     violations.extend(checker::check_soak(&site, &requests, &drains, &options));
     let logs = site.instances.iter();
-    let logs = logs.map(|instance| (instance.name.clone(), instance.process.output()));
+    let logs = logs.map(|instance| (instance.name.clone(), instance.whole_output()));
     SoakReport {
         injections,
         requests: requests.len(),
--- a/standin/src/soak/checker.rs
+++ b/standin/src/soak/checker.rs
@@ -78,9 +78,15 @@
 ) -> Option<Violation> {
     let runs = at_servers.iter().filter(|request| request.has_run).count();
     let violation = |guarantee, observation: &str| {
-        let SentRequest { id, kind, .. } = sent;
-        let instance = sent.instance;
-        let details = format!("{id} ({kind:?}, instance {instance}, {runs} runs) {observation}");
+        let SentRequest {
+            id, kind, instance, ..
+        } = sent;
+        let SentRequest {
+            sent_ms, ended_ms, ..
+        } = sent;
+        let details = format!(
+            "{id} ({kind:?}, instance {instance}, {runs} runs, {sent_ms} to {ended_ms} ms) {observation}"
+        );
         Some(Violation::new(guarantee, details))
     };
     if sent.kind.is_once() && runs > 1 {
--- a/standin/src/soak/load.rs
+++ b/standin/src/soak/load.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use mimosabay_http::{Category, Error};
 use rand::rngs::StdRng;
@@ -52,6 +52,10 @@
     pub(super) kind: RequestKind,
     /// Index of the instance that it was sent to.
     pub(super) instance: usize,
+    /// Time from the start of the soak to the sending, in milliseconds.
+    pub(super) sent_ms: u64,
+    /// Time from the start of the soak to the end of the answer or to the failure, in milliseconds.
+    pub(super) ended_ms: u64,
     /// The answer, or the category of the failure.
     pub(super) reply: Result<FleetReply, Category>,
 }
@@ -72,7 +76,7 @@
 
 impl Load {
     /// Starts the callers.
-    pub(super) fn start(site: &FleetSite, options: &SoakOptions) -> Self {
+    pub(super) fn start(site: &FleetSite, options: &SoakOptions, started: Instant) -> Self {
         let is_stopping = Arc::new(AtomicBool::new(false));
         let next_number = Arc::new(AtomicU64::new(0));
         let callers = (0..options.callers as u64).map(|number| {
@@ -82,6 +86,7 @@
                     .collect(),
                 random: StdRng::seed_from_u64(options.seed.wrapping_mul(1_000) + number),
                 next_number: next_number.clone(),
+                started,
                 is_stopping: is_stopping.clone(),
             };
             tokio::spawn(caller.run())
@@ -107,6 +112,7 @@
     instances: Vec<FleetCaller>,
     random: StdRng,
     next_number: Arc<AtomicU64>,
+    started: Instant,
     is_stopping: Arc<AtomicBool>,
 }
 
@@ -134,6 +140,7 @@
         let adapter_count = self.random.random_range(1..=ADAPTERS);
         let adapter = format!("a{}", self.random.random_range(0..adapter_count));
         let caller = &self.instances[instance];
+        let sent_ms = self.elapsed_ms();
         let reply = match kind {
             RequestKind::Draft => caller.generate("/draft/x", &id, &adapter).await,
             RequestKind::DraftOnce => caller.generate("/once/x", &id, &adapter).await,
@@ -144,7 +151,12 @@
             id,
             kind,
             instance,
+            sent_ms,
+            ended_ms: self.elapsed_ms(),
             reply: reply.map_err(|cause: Error| cause.classify()),
         }
     }
+    fn elapsed_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).expect("a soak is short")
+    }
 }
