Let sound servers pause in soaks, also beside planned work

No soak did this, so none could see that requests at such servers are given up. ServerPauses stops a server's reading and writing on all its connections for 0.8 to 1.9 s and loses nothing. They excuse nothing, so that the planned soak has them as well.

The streams of the stand-in's engines last 90 ms; those of a soak now last 720 ms, so that they are in progress when a pause or other fault begins.

--- a/standin/src/fleet/server.rs
+++ b/standin/src/fleet/server.rs
@@ -23,7 +23,7 @@
 
 /// Number of events in a complete stream.
 const EVENTS_PER_STREAM: u64 = 6;
-/// Time between the events of a stream, in milliseconds.
+/// Default time between the events of a stream, in milliseconds.
 pub(super) const EVENT_INTERVAL_MS: u64 = 15;
 /// Simulated load time of an adapter, in milliseconds. Each order is answered after a tenth of it.
 const ADAPTER_LOAD_MS: u64 = 60;
@@ -164,6 +164,8 @@
     running_count: usize,
     /// Address registered in the store, if it differs from the listening address.
     advertised_address: Option<SocketAddr>,
+    /// Time between the events of a stream, in milliseconds.
+    event_interval_ms: u64,
     /// Number of accepted load orders that exceeded the adapter slots.
     orders_over_capacity: usize,
 }
@@ -179,6 +181,7 @@
             kind,
             state: Arc::new(Mutex::new(State {
                 start_count: 1,
+                event_interval_ms: EVENT_INTERVAL_MS,
                 ..State::default()
             })),
             store: store.clone(),
@@ -254,6 +257,11 @@
         self.connection_faults.set_paused(is_paused);
     }
 
+    /// Sets the time between the events of later streams, in milliseconds.
+    pub fn set_event_interval(&self, interval_ms: u64) {
+        self.with_state(|state| state.event_interval_ms = interval_ms);
+    }
+
     /// Queues the behaviour for the next request that has none planned yet.
     pub fn plan(&self, behaviour: Behaviour) {
         self.with_state(|state| state.planned_behaviours.push_back(behaviour));
@@ -443,11 +451,12 @@
     /// Streams the events after number `after`.
     pub(super) fn stream_response(&self, id: &str, after: u64, fault: StreamFault) -> Reply {
         let running = RunningRequest::new(self);
+        let interval_ms = self.with_state(|state| state.event_interval_ms);
         let numbers = stream::iter(after + 1..=EVENTS_PER_STREAM + 1);
         let events = numbers.then(move |number| {
             let _is_running = &running;
             async move {
-                sleep(Duration::from_millis(EVENT_INTERVAL_MS)).await;
+                sleep(Duration::from_millis(interval_ms)).await;
                 match fault {
                     StreamFault::BreakAfter(last) if number > last => return Err(Closed),
                     StreamFault::PauseAfter { last, pause_ms } if number == last + 1 => {
--- a/standin/src/soak.rs
+++ b/standin/src/soak.rs
@@ -32,6 +32,9 @@
 /// Time to wait at the end until requests that are still running have ended, in milliseconds.
 const SETTLE_MS: u64 = 6_000;
 
+/// Time between the events of a stream, in milliseconds. Most faults begin while streams run.
+const EVENT_INTERVAL_MS: u64 = 120;
+
 /// Options of a soak.
 #[derive(Clone, Copy, Debug)]
 pub struct SoakOptions {
@@ -86,6 +89,9 @@
         ..FleetOptions::default()
     })
     .await;
+    for engine in &site.engines {
+        engine.set_event_interval(EVENT_INTERVAL_MS);
+    }
     let started = Instant::now();
     let load = Load::start(&site, &options, started);
     let injector = FaultInjector::new(&mut site, started);
--- a/standin/src/soak/injector.rs
+++ b/standin/src/soak/injector.rs
@@ -100,6 +100,7 @@
             Fault::ServerAnswersAnother => self.misbehave(injection, Behaviour::AnswerWithWrongId),
             Fault::ServerHangs => self.server(injection).plan(Behaviour::Hang),
             Fault::ServerDrains => self.server(injection).register("draining"),
+            Fault::ServerPauses => self.server(injection).set_paused(true),
             Fault::Configuration => self.publish_configuration(),
         }
     }
@@ -113,6 +114,7 @@
             Fault::StoreDown => self.site.store.set_down(false),
             Fault::ServerLinkCut | Fault::ServerLinkSilent => self.server_link(injection).heal(),
             Fault::ServerDrains => self.server(injection).register("ready"),
+            Fault::ServerPauses => self.server(injection).set_paused(false),
             _ => {}
         }
     }
@@ -127,6 +129,7 @@
         links.for_each(Relay::heal);
         for server in self.site.engines.iter().chain(&self.site.plain_servers) {
             server.clear_plan();
+            server.set_paused(false);
             server.register("ready");
         }
         for index in 0..self.site.instances.len() {
--- a/standin/src/soak/plan.rs
+++ b/standin/src/soak/plan.rs
@@ -11,6 +11,12 @@
 const GAP_MS: std::ops::Range<u64> = 150..1_400;
 /// Range of the duration of a fault, in milliseconds.
 const LENGTH_MS: std::ops::Range<u64> = 200..3_500;
+/// Range of the time between the beginnings of two pauses of servers, in milliseconds.
+const SERVER_PAUSE_GAP_MS: std::ops::Range<u64> = 300..2_400;
+/// Range of the duration of a server's pause, in milliseconds.
+const SERVER_PAUSE_MS: std::ops::RangeInclusive<u64> = 800..=1_900;
+/// Distinguishes the random numbers of the pauses from those of the other faults.
+const SERVER_PAUSE_SEED: u64 = 0x7061_7573_6500_0000;
 
 /// A fault or planned work. Reports print the variant names.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,6 +61,8 @@
     ServerHangs,
     /// A server registers as leaving, and as ready again at the end.
     ServerDrains,
+    /// A sound server neither reads nor writes, and goes on where it was at the end.
+    ServerPauses,
     /// A new version of the configuration is published.
     Configuration,
 }
@@ -62,6 +70,7 @@
 /// Planned work, which must not make a request fail.
 const PLANNED: [Fault; 3] = [Fault::Stop, Fault::HangUp, Fault::Configuration];
 
+/// Faults of the first series. A change of this list changes the faults of every seed.
 const ALL: [Fault; 21] = [
     Fault::Kill,
     Fault::Freeze,
@@ -107,7 +116,18 @@
 }
 
 /// Returns the faults of a soak, in the order in which they begin.
+///
+/// They come in two series, which overlap: pauses of sound servers, and all others. Pauses excuse
+/// no failure, so that they are also part of the planned work.
 pub fn plan_faults(options: &SoakOptions) -> Vec<Strike> {
+    let mut injections = plan_series(options);
+    injections.extend(plan_server_pauses(options));
+    injections.sort_by_key(|injection| injection.at_ms);
+    injections
+}
+
+/// Returns the faults and the planned work of all kinds but pauses.
+fn plan_series(options: &SoakOptions) -> Vec<Strike> {
     let mut random = StdRng::seed_from_u64(options.seed);
     let faults: &[Fault] = if options.is_planned_only {
         &PLANNED
@@ -133,3 +153,19 @@
     }
     injections
 }
+
+fn plan_server_pauses(options: &SoakOptions) -> Vec<Strike> {
+    let mut random = StdRng::seed_from_u64(options.seed ^ SERVER_PAUSE_SEED);
+    let mut injections = Vec::new();
+    let mut at_ms = random.random_range(SERVER_PAUSE_GAP_MS);
+    while at_ms < options.duration_ms {
+        injections.push(Strike {
+            fault: Fault::ServerPauses,
+            at_ms,
+            for_ms: random.random_range(SERVER_PAUSE_MS),
+            target: random.random_range(0..64),
+        });
+        at_ms += random.random_range(SERVER_PAUSE_GAP_MS);
+    }
+    injections
+}
