--- a/standin/src/soak/load.rs
+++ b/standin/src/soak/load.rs
@@ -18,6 +18,9 @@
 /// Range of a caller's pause between two requests, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 5..60;
 
+/// Deadline of each request, in milliseconds.
+pub(super) const DEADLINE_MS: u64 = 4_000;
+
 /// Kind of a request. Reports of violations print the variant names.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum RequestKind {
@@ -82,7 +85,7 @@
         let callers = (0..options.callers as u64).map(|number| {
             let caller = Caller {
                 instances: (0..site.instances.len())
-                    .map(|index| site.caller(index))
+                    .map(|index| site.caller(index).deadline_ms(DEADLINE_MS))
                     .collect(),
                 random: StdRng::seed_from_u64(options.seed.wrapping_mul(1_000) + number),
                 next_number: next_number.clone(),
