End a stop in a soak as the platform does, and say what an instance does that stays away

The injector starts an instance again only if its process has ended when the stop ends, and never again later; whether the process still ran could not be told.

At the end of a stop the injector now kills a process that still runs and starts the instance again, as the platform does at the end of the grace period. A violation of the recovery names the readiness, the last reply and the exit status.

--- a/standin/src/soak.rs
+++ b/standin/src/soak.rs
@@ -101,8 +101,8 @@
     let started = Instant::now();
     let load = Load::start(&site, &options, started);
     let injector = FaultInjector::new(&mut site, started);
-    let drains = injector.run(&injections).await;
-    let mut violations = check_recovery(&site, &injections).await;
+    let (drains, mut violations) = injector.run(&injections).await;
+    violations.extend(check_recovery(&mut site, &injections).await);
     let requests = load.stop().await;
     sleep(Duration::from_millis(SETTLE_MS)).await;
     let excuses = Excuses {
@@ -130,20 +130,29 @@
 }
 
 /// Checks that all instances become ready and serve again after the last fault.
-async fn check_recovery(site: &FleetSite, injections: &[Strike]) -> Vec<Violation> {
+async fn check_recovery(site: &mut FleetSite, injections: &[Strike]) -> Vec<Violation> {
     let prompt = recovery_prompt(injections);
     let mut violations = Vec::new();
     for index in 0..site.instances.len() {
-        let name = &site.instances[index].name;
+        let mut last_reply = String::new();
         let served = wait_up_to(RECOVERY_MS, async || {
             let id = format!("recovery-{index}");
             let caller = site.caller(index).prompt_text(prompt);
             let reply = caller.generate("/draft/x", &id, "a0").await;
-            let is_served = reply.is_ok_and(|reply| reply.status == 200);
+            let status = reply.map(|reply| reply.status);
+            last_reply = format!("{status:?}");
+            let is_served = status.is_ok_and(|status| status == 200);
             (site.is_ready(index).await && is_served).then_some(())
         });
         if served.await.is_none() {
-            let what = format!("{name} does not serve {RECOVERY_MS} ms after the last fault");
+            let is_ready = site.is_ready(index).await;
+            let instance = &mut site.instances[index];
+            let name = &instance.name;
+            let exit_status = instance.process.exit_status();
+            let what = format!(
+                "{name} does not serve {RECOVERY_MS} ms after the last fault \
+                 (ready: {is_ready}, last reply: {last_reply}, exit status: {exit_status:?})"
+            );
             violations.push(Violation::new("recovery", what));
         }
     }
--- a/standin/src/soak/injector.rs
+++ b/standin/src/soak/injector.rs
@@ -1,10 +1,12 @@
 //! Injects the planned faults and ends them.
 
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use serde_json::json;
 use tokio::time::sleep_until;
 
+use super::checker::Violation;
 use super::plan::{Fault, Strike};
 use crate::fleet::{Behaviour, FleetServer, FleetSite};
 use crate::harness::Relay;
@@ -36,6 +38,12 @@
     site: &'a mut FleetSite,
     started: Instant,
     version: u64,
+    /// Processes that were told to stop, by the index of their instance.
+    stopping_pids: HashMap<usize, u32>,
+    /// Processes that were suspended.
+    frozen_pids: HashSet<u32>,
+    /// Violations that only the processes show.
+    violations: Vec<Violation>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -50,11 +58,15 @@
             site,
             started,
             version: 1,
+            stopping_pids: HashMap::new(),
+            frozen_pids: HashSet::new(),
+            violations: Vec::new(),
         }
     }
 
-    /// Injects all faults at their times, ends them and restores the site. Returns the drain periods.
-    pub(super) async fn run(mut self, injections: &[Strike]) -> Vec<DrainPeriod> {
+    /// Injects all faults at their times, ends them and restores the site. Returns the drain periods
+    /// and the violations seen.
+    pub(super) async fn run(mut self, injections: &[Strike]) -> (Vec<DrainPeriod>, Vec<Violation>) {
         let mut steps: Vec<(u64, Phase, Strike)> = Vec::new();
         for injection in injections {
             steps.push((injection.at_ms, Phase::Begin, *injection));
@@ -70,7 +82,7 @@
             }
         }
         self.restore_all();
-        self.drain_periods(injections)
+        (self.drain_periods(injections), self.violations)
     }
 
     fn begin_fault(&mut self, injection: &Strike) {
@@ -79,8 +91,14 @@
         let process = &mut site.instances[instance].process;
         match injection.fault {
             Fault::Kill => process.kill(),
-            Fault::Freeze => process.freeze(),
-            Fault::Stop => process.terminate(),
+            Fault::Freeze => {
+                self.frozen_pids.insert(process.pid());
+                process.freeze();
+            }
+            Fault::Stop => {
+                self.stopping_pids.insert(instance, process.pid());
+                process.terminate();
+            }
             Fault::HangUp => process.hang_up(),
             Fault::StoreLinkCut => site.store_relays[instance].cut(),
             Fault::StoreLinkSilent => site.store_relays[instance].silence(),
@@ -108,7 +126,8 @@
     fn end_fault(&mut self, injection: &Strike) {
         let instance = injection.target % self.site.instances.len();
         match injection.fault {
-            Fault::Kill | Fault::Stop => self.start_if_ended(instance),
+            Fault::Kill => self.start_if_ended(instance),
+            Fault::Stop => self.end_stop(instance),
             Fault::Freeze => self.site.instances[instance].process.thaw(),
             Fault::StoreLinkCut | Fault::StoreLinkSilent => self.site.store_relays[instance].heal(),
             Fault::StoreDown => self.site.store.set_down(false),
@@ -138,6 +157,24 @@
         }
     }
 
+    /// Ends a stop as the platform does: a process that still runs is killed, and the instance starts
+    /// again.
+    fn end_stop(&mut self, index: usize) {
+        let instance = &mut self.site.instances[index];
+        let pid = instance.process.pid();
+        let is_running = instance.process.exit_status().is_none();
+        if is_running && self.stopping_pids.get(&index) != Some(&pid) {
+            // Another fault has ended the process, and the instance was started again.
+            return;
+        }
+        if is_running && !self.frozen_pids.contains(&pid) {
+            let name = &instance.name;
+            let what = format!("{name} still runs {STOP_MS} ms after the signal to stop");
+            self.violations.push(Violation::new("stops in time", what));
+        }
+        self.site.restart(index);
+    }
+
     fn start_if_ended(&mut self, instance: usize) {
         if self.site.instances[instance]
             .process
