Test answers that end with their connection

Tests: a complete stream and a complete plain answer so framed arrive whole and run once, also for four callers with 20 requests in a row each at one server, so that no request is sent on a connection that has ended an answer; a stream that ends inside an event is resumed where the route allows it and else breaks for its caller; a draft whose servers crash inside its first event is refused.

--- a/daemon/tests/gateway/main.rs
+++ b/daemon/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod bad_input;
 mod configuration;
+mod framing;
 mod logs;
 mod path;
 mod placer;
--- a/daemon/tests/gateway/quarantine.rs
+++ b/daemon/tests/gateway/quarantine.rs
@@ -1,8 +1,9 @@
 //! Requests that crash the servers that run them.
 
+use mimosabay_core::cases;
 use mimosabay_standin::fleet::{
-    Behaviour, CrashEnd, CrashPlan, CrashTrigger, FleetInstance, FleetOptions, FleetServer,
-    FleetSite, RestartId,
+    AnswerStart, Behaviour, ConnectionEnd, CrashEnd, CrashPlan, CrashTrigger, FleetInstance,
+    FleetOptions, FleetServer, FleetSite, RestartId,
 };
 use mimosabay_standin::harness::{block_on, wait_for};
 use serde_json::json;
@@ -155,3 +156,30 @@
         assert_eq!(site.run_count("first"), 1);
     });
 }
+
+/// Guards against taking the end of a crashed server's connection for an answer.
+mod draft_that_crashes_servers_as_they_begin_an_answer_is_refused {
+    use super::{AnswerStart, cases, check_refused_draft};
+
+    cases! {
+        check_refused_draft;
+        inside_the_first_event: (AnswerStart::HalfEvent);
+    }
+}
+
+fn check_refused_draft(start: AnswerStart) {
+    block_on(async {
+        let site = start_site().await;
+        let plan = CrashPlan {
+            end: CrashEnd::AtAnswer {
+                start,
+                connections: ConnectionEnd::InOrder,
+            },
+            ..PLAN
+        };
+        for engine in &site.engines {
+            engine.crash_on(plan);
+        }
+        wait_for_refused_draft(&site, 0).await;
+    });
+}
