Let a relay refuse connections while its target does

A relay accepts and closes connections to a server that has ended. Instances decide by two refused connections that a server has crashed (crash_probe), so that behind a relay no crash was seen before the entry of the server left the store. When a link ends, the relay now asks its target; if that refuses connections, the relay stops listening until the target accepts them again.

--- a/standin/src/harness/relay.rs
+++ b/standin/src/harness/relay.rs
@@ -1,15 +1,23 @@
 //! A TCP relay that can cut or silence the connections between two processes.
 
+use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::io::copy_bidirectional;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::sleep;
 
 use crate::connection::ConnectionSilencing;
 
-/// Forwards connections to a target address, unless the link is cut or silent.
+/// Time between two attempts to reach a target that refuses connections, in milliseconds.
+const RETRY_MS: u64 = 20;
+
+/// Forwards connections to a target address, unless the link is cut or silent. Refuses connections
+/// while the target does, once an open one has ended.
 #[derive(Debug)]
 pub struct Relay {
     /// IP number and port on which the relay listens.
@@ -79,20 +87,51 @@
     }
 }
 
+/// Accepts connections, and refuses them while the target does.
 async fn accept_connections(
-    listener: TcpListener,
+    mut listener: TcpListener,
     target: Arc<str>,
     silencer: ConnectionSilencing,
     changes: watch::Receiver<LinkState>,
 ) {
     let mut connections = JoinSet::new();
     loop {
-        while connections.try_join_next().is_some() {}
-        let Ok((stream, _)) = listener.accept().await else {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else {
+                    continue;
+                };
+                let link = forward(stream, target.clone(), silencer.clone(), changes.clone());
+                connections.spawn(link);
+            }
+            // The target may have ended with the link.
+            Some(_) = connections.join_next() => {
+                if refuses_connections(&target).await {
+                    listener = listen_again(listener, &target).await;
+                }
+            }
+        }
+    }
+}
+
+async fn refuses_connections(target: &str) -> bool {
+    let connected = TcpStream::connect(target).await;
+    connected.is_err_and(|cause| cause.kind() == ErrorKind::ConnectionRefused)
+}
+
+/// Closes the listener, and listens on its address again once the target accepts connections.
+async fn listen_again(listener: TcpListener, target: &str) -> TcpListener {
+    let address: SocketAddr = listener.local_addr().expect("a listener has an address");
+    drop(listener);
+    loop {
+        sleep(Duration::from_millis(RETRY_MS)).await;
+        if refuses_connections(target).await {
             continue;
-        };
-        let link = forward(stream, target.clone(), silencer.clone(), changes.clone());
-        connections.spawn(link);
+        }
+        // The port may be in use for a moment.
+        if let Ok(listener) = TcpListener::bind(address).await {
+            return listener;
+        }
     }
 }
 
