Count a process as overdue in a soak by its own signal to stop

Of two stops of one instance, the second can come after the process has ended and before the instance starts again. A stop now counts only if it signalled a running process that had not been told to stop before.

--- a/standin/src/soak/injector.rs
+++ b/standin/src/soak/injector.rs
@@ -33,13 +33,22 @@
     pub(super) is_observable: bool,
 }
 
+/// A process that was told to stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct StoppingProcess {
+    pid: u32,
+    /// Time of the signal, in milliseconds from the start of the soak.
+    at_ms: u64,
+}
+
 /// Injects faults into a site.
 pub(super) struct FaultInjector<'a> {
     site: &'a mut FleetSite,
     started: Instant,
     version: u64,
-    /// Processes that were told to stop, by the index of their instance.
-    stopping_pids: HashMap<usize, u32>,
+    /// Processes that were told to stop, with the time of the first signal, by the index of their
+    /// instance.
+    stopping: HashMap<usize, StoppingProcess>,
     /// Processes that were suspended.
     frozen_pids: HashSet<u32>,
     /// Violations that only the processes show.
@@ -58,7 +67,7 @@
             site,
             started,
             version: 1,
-            stopping_pids: HashMap::new(),
+            stopping: HashMap::new(),
             frozen_pids: HashSet::new(),
             violations: Vec::new(),
         }
@@ -95,10 +104,7 @@
                 self.frozen_pids.insert(process.pid());
                 process.freeze();
             }
-            Fault::Stop => {
-                self.stopping_pids.insert(instance, process.pid());
-                process.terminate();
-            }
+            Fault::Stop => self.begin_stop(instance, injection.at_ms),
             Fault::HangUp => process.hang_up(),
             Fault::StoreLinkCut => site.store_relays[instance].cut(),
             Fault::StoreLinkSilent => site.store_relays[instance].silence(),
@@ -127,7 +133,7 @@
         let instance = injection.target % self.site.instances.len();
         match injection.fault {
             Fault::Kill => self.start_if_ended(instance),
-            Fault::Stop => self.end_stop(instance),
+            Fault::Stop => self.end_stop(instance, injection.at_ms),
             Fault::Freeze => self.site.instances[instance].process.thaw(),
             Fault::StoreLinkCut | Fault::StoreLinkSilent => self.site.store_relays[instance].heal(),
             Fault::StoreDown => self.site.store.set_down(false),
@@ -157,14 +163,24 @@
         }
     }
 
-    /// Ends a stop as the platform does: a process that still runs is killed, and the instance starts
-    /// again.
-    fn end_stop(&mut self, index: usize) {
+    fn begin_stop(&mut self, index: usize, at_ms: u64) {
+        let process = &mut self.site.instances[index].process;
+        let pid = process.pid();
+        let was_told = self.stopping.get(&index).is_some_and(|it| it.pid == pid);
+        if !was_told && process.exit_status().is_none() {
+            self.stopping.insert(index, StoppingProcess { pid, at_ms });
+        }
+        process.terminate();
+    }
+
+    /// Ends the stop that began at `at_ms` as the platform does: a process that still runs is killed,
+    /// and the instance starts again.
+    fn end_stop(&mut self, index: usize, at_ms: u64) {
         let instance = &mut self.site.instances[index];
         let pid = instance.process.pid();
         let is_running = instance.process.exit_status().is_none();
-        if is_running && self.stopping_pids.get(&index) != Some(&pid) {
-            // Another fault has ended the process, and the instance was started again.
+        if is_running && self.stopping.get(&index) != Some(&StoppingProcess { pid, at_ms }) {
+            // The process was started after this stop, or told to stop before it.
             return;
         }
         if is_running && !self.frozen_pids.contains(&pid) {
