--- a/standin/src/bin/mimosabay-soak.rs
+++ b/standin/src/bin/mimosabay-soak.rs
@@ -4,7 +4,7 @@
 
 use clap::{Arg, ArgAction, Command};
 use mimosabay_standin::command;
-use mimosabay_standin::soak::{self, SoakOptions, SoakReport};
+use mimosabay_standin::soak::{self, SoakMode, SoakOptions, SoakReport};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Exit status after SIGTERM or SIGINT.
@@ -23,12 +23,20 @@
         eprintln!("--seed, --count, --seconds, --instances and --callers must be whole numbers");
         return ExitCode::from(2);
     };
+    let mode = match (
+        matches.get_flag("planned"),
+        matches.get_flag("crashing-part"),
+    ) {
+        (true, _) => SoakMode::Planned,
+        (false, true) => SoakMode::CrashingPart,
+        (false, false) => SoakMode::Mixed,
+    };
     let options = SoakOptions {
         seed,
         duration_ms: 1_000 * seconds,
         instances,
         callers,
-        is_planned_only: matches.get_flag("planned"),
+        mode,
     };
     match run(options, count) {
         Some(true) => ExitCode::SUCCESS,
@@ -63,7 +71,14 @@
         .arg(
             Arg::new("planned")
                 .long("planned")
-                .help("Injects only planned maintenance")
+                .help("Injects only planned maintenance and pauses of servers")
+                .action(ArgAction::SetTrue),
+        )
+        .arg(
+            Arg::new("crashing-part")
+                .long("crashing-part")
+                .help("Sends prompts with a part that crashes servers, beside a few other faults")
+                .conflicts_with("planned")
                 .action(ArgAction::SetTrue),
         )
 }
--- a/standin/src/soak.rs
+++ b/standin/src/soak.rs
@@ -9,6 +9,7 @@
 #![allow(clippy::missing_panics_doc)]
 
 mod checker;
+mod crashing_part;
 mod excuse;
 mod injector;
 mod load;
@@ -25,6 +26,7 @@
 pub use checker::Violation;
 pub use plan::{Fault, Strike, plan_faults};
 
+use crashing_part::CrashingPartCheck;
 use excuse::Excuses;
 use injector::FaultInjector;
 use load::Load;
@@ -41,6 +43,18 @@
 /// Duration of a stream at a server that does not pause, in milliseconds.
 const STREAM_MS: u64 = STREAM_EVENTS * EVENT_INTERVAL_MS;
 
+/// Which faults a soak injects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SoakMode {
+    /// Faults of all kinds but [`Fault::PromptPartCrashesServers`].
+    Mixed,
+    /// Only planned work and pauses of servers. Then no request that ran on a server may be cut off.
+    Planned,
+    /// [`Fault::PromptPartCrashesServers`] for the whole soak, and few other faults, so that most
+    /// instances are undisturbed.
+    CrashingPart,
+}
+
 /// Options of a soak.
 #[derive(Clone, Copy, Debug)]
 pub struct SoakOptions {
@@ -52,8 +66,8 @@
     pub instances: usize,
     /// Number of concurrent callers.
     pub callers: usize,
-    /// Whether to inject only planned work. Then no request that ran on a server may be cut off.
-    pub is_planned_only: bool,
+    /// Which faults to inject.
+    pub mode: SoakMode,
 }
 
 impl Default for SoakOptions {
@@ -63,7 +77,7 @@
             duration_ms: 15_000,
             instances: 4,
             callers: 12,
-            is_planned_only: false,
+            mode: SoakMode::Mixed,
         }
     }
 }
@@ -88,7 +102,10 @@
     let injections = plan_faults(&options);
     let mut site = FleetSite::start(FleetOptions {
         instances: options.instances,
-        engines: 3,
+        engines: match options.mode {
+            SoakMode::Mixed | SoakMode::Planned => 3,
+            SoakMode::CrashingPart => 6,
+        },
         plain_servers: 2,
         grace_s: injector::GRACE_S,
         has_relays: true,
@@ -111,6 +128,12 @@
         servers: site.engines.len() + site.plain_servers.len(),
     };
     violations.extend(checker::check_soak(&site, &requests, &drains, &excuses));
+    let check = CrashingPartCheck {
+        injections: &injections,
+        instances: options.instances,
+        started,
+    };
+    violations.extend(check.run(&site, &requests));
     let logs = site.instances.iter();
     let logs = logs.map(|instance| (instance.name.clone(), instance.whole_output()));
     SoakReport {
@@ -164,12 +187,11 @@
 /// All requests of the load have the same prompt. A prompt that was running on two servers when they
 /// crashed may be refused for a long time; another prompt is used then.
 fn recovery_prompt(injections: &[Strike]) -> &'static str {
-    let crashes = injections
-        .iter()
-        .filter(|injection| injection.fault == Fault::ServerCrash);
-    if crashes.count() < MAX_CRASHES {
-        "a prompt"
-    } else {
+    let count = |fault| injections.iter().filter(|it| it.fault == fault).count();
+    let has_crashing_part = count(Fault::PromptPartCrashesServers) > 0;
+    if has_crashing_part || count(Fault::ServerCrash) >= MAX_CRASHES {
         "another prompt"
+    } else {
+        "a prompt"
     }
 }
--- a/standin/src/soak/checker.rs
+++ b/standin/src/soak/checker.rs
@@ -6,10 +6,10 @@
 
 use mimosabay_http::Category;
 
-use super::STREAM_EVENTS;
 use super::excuse::Excuses;
 use super::injector::DrainPeriod;
 use super::load::SentRequest;
+use super::{STREAM_EVENTS, SoakMode};
 use crate::fleet::{FleetReply, FleetServer, FleetSite, ORGANISATION, ReceivedRequest};
 
 /// Time after which a leaving server receives no new requests, in milliseconds.
@@ -77,7 +77,8 @@
     excuses: &Excuses<'_>,
 ) -> Option<Violation> {
     let runs = servers.len();
-    let may_be_cut = || !excuses.options.is_planned_only || excuses.allow_cut(sent, servers);
+    let may_be_cut =
+        || excuses.options.mode != SoakMode::Planned || excuses.allow_cut(sent, servers);
     let violation = |guarantee, observation: &str| {
         let SentRequest {
             id, kind, instance, ..
--- a/standin/src/soak/injector.rs
+++ b/standin/src/soak/injector.rs
@@ -4,9 +4,11 @@
 use std::time::{Duration, Instant};
 
 use serde_json::json;
+use tokio::task::JoinSet;
 use tokio::time::sleep_until;
 
 use super::checker::Violation;
+use super::crashing_part::start_crashing;
 use super::plan::{Fault, Strike};
 use crate::fleet::{Behaviour, FleetServer, FleetSite};
 use crate::harness::Relay;
@@ -51,6 +53,8 @@
     stopping: HashMap<usize, StoppingProcess>,
     /// Processes that were suspended.
     frozen_pids: HashSet<u32>,
+    /// Senders of requests that crash servers.
+    crashing: JoinSet<()>,
     /// Violations that only the processes show.
     violations: Vec<Violation>,
 }
@@ -69,6 +73,7 @@
             version: 1,
             stopping: HashMap::new(),
             frozen_pids: HashSet::new(),
+            crashing: JoinSet::new(),
             violations: Vec::new(),
         }
     }
@@ -125,6 +130,9 @@
             Fault::ServerHangs => self.server(injection).plan(Behaviour::Hang),
             Fault::ServerDrains => self.server(injection).register("draining"),
             Fault::ServerPauses => self.server(injection).set_paused(true),
+            Fault::PromptPartCrashesServers => {
+                self.crashing = start_crashing(self.site, injection.target);
+            }
             Fault::Configuration => self.publish_configuration(),
         }
     }
@@ -140,6 +148,7 @@
             Fault::ServerLinkCut | Fault::ServerLinkSilent => self.server_link(injection).heal(),
             Fault::ServerDrains => self.server(injection).register("ready"),
             Fault::ServerPauses => self.server(injection).set_paused(false),
+            Fault::PromptPartCrashesServers => self.crashing.abort_all(),
             _ => {}
         }
     }
--- a/standin/src/soak/load.rs
+++ b/standin/src/soak/load.rs
@@ -10,7 +10,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
-use super::SoakOptions;
+use super::{SoakMode, SoakOptions};
 use crate::fleet::{FleetCaller, FleetReply, FleetSite};
 
 /// Number of adapters that requests name; more than the engines can hold.
@@ -18,6 +18,19 @@
 /// Range of a caller's pause between two requests, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 5..60;
 
+/// First part of all prompts that consist of parts.
+pub(super) const FIRST_PART: u64 = 0x5c1e_07a2;
+/// Second parts of such prompts.
+pub(super) const SECOND_PARTS: [u64; 3] = [0x91bd_3f06, 0x91bd_3f07, 0x91bd_3f08];
+/// Shared parts of such prompts. Each has a last part of its own.
+const PROMPTS: [&[u64]; 3] = [
+    &[FIRST_PART, SECOND_PARTS[0]],
+    &[FIRST_PART, SECOND_PARTS[1]],
+    &[FIRST_PART, SECOND_PARTS[2]],
+];
+/// Number of callers, beside the others, whose prompts consist of parts.
+const PART_CALLERS: u64 = 4;
+
 /// Deadline of each request, in milliseconds.
 pub(super) const DEADLINE_MS: u64 = 4_000;
 
@@ -82,12 +95,17 @@
     pub(super) fn start(site: &FleetSite, options: &SoakOptions, started: Instant) -> Self {
         let is_stopping = Arc::new(AtomicBool::new(false));
         let next_number = Arc::new(AtomicU64::new(0));
-        let callers = (0..options.callers as u64).map(|number| {
+        let same_prompt_callers = match options.mode {
+            SoakMode::Mixed | SoakMode::Planned => options.callers as u64,
+            SoakMode::CrashingPart => 0,
+        };
+        let callers = (0..options.callers as u64 + PART_CALLERS).map(|number| {
             let caller = Caller {
                 instances: (0..site.instances.len())
                     .map(|index| site.caller(index).deadline_ms(DEADLINE_MS))
                     .collect(),
                 random: StdRng::seed_from_u64(options.seed.wrapping_mul(1_000) + number),
+                has_prompts_of_parts: number >= same_prompt_callers,
                 next_number: next_number.clone(),
                 started,
                 is_stopping: is_stopping.clone(),
@@ -114,6 +132,7 @@
 struct Caller {
     instances: Vec<FleetCaller>,
     random: StdRng,
+    has_prompts_of_parts: bool,
     next_number: Arc<AtomicU64>,
     started: Instant,
     is_stopping: Arc<AtomicBool>,
@@ -142,7 +161,10 @@
         // Two draws make low adapter numbers more frequent than high ones.
         let adapter_count = self.random.random_range(1..=ADAPTERS);
         let adapter = format!("a{}", self.random.random_range(0..adapter_count));
-        let caller = &self.instances[instance];
+        let mut caller = self.instances[instance].clone();
+        if self.has_prompts_of_parts {
+            caller = caller.prompt_parts(PROMPTS[self.random.random_range(0..PROMPTS.len())]);
+        }
         let sent_ms = self.elapsed_ms();
         let reply = match kind {
             RequestKind::Draft => caller.generate("/draft/x", &id, &adapter).await,
--- a/standin/src/soak/plan.rs
+++ b/standin/src/soak/plan.rs
@@ -4,11 +4,15 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
-use super::SoakOptions;
 use super::injector::STOP_MS;
+use super::{SoakMode, SoakOptions};
 
 /// Range of the time between the beginnings of two faults, in milliseconds.
 const GAP_MS: std::ops::Range<u64> = 150..1_400;
+/// The same beside a part that crashes servers, in milliseconds.
+const SPARSE_GAP_MS: std::ops::Range<u64> = 1_500..4_500;
+/// Time before the first request with a part that crashes servers, in milliseconds.
+const CRASHING_PART_AFTER_MS: u64 = 500;
 /// Range of the duration of a fault, in milliseconds.
 const LENGTH_MS: std::ops::Range<u64> = 200..3_500;
 /// Range of the time between the beginnings of two pauses of servers, in milliseconds.
@@ -63,6 +67,9 @@
     ServerDrains,
     /// A sound server neither reads nor writes, and goes on where it was at the end.
     ServerPauses,
+    /// Requests with one part in their prompts, no two alike, crash each engine that begins to answer
+    /// them.
+    PromptPartCrashesServers,
     /// A new version of the configuration is published.
     Configuration,
 }
@@ -95,6 +102,20 @@
     Fault::Configuration,
 ];
 
+/// Faults beside a part that crashes servers: those of single instances, and some of servers.
+const SPARSE: [Fault; 10] = [
+    Fault::Kill,
+    Fault::Freeze,
+    Fault::Stop,
+    Fault::HangUp,
+    Fault::StoreLinkCut,
+    Fault::StoreLinkSilent,
+    Fault::StoreDown,
+    Fault::ServerRejects,
+    Fault::ServerFails,
+    Fault::Configuration,
+];
+
 /// The injection of one fault at one time. Reports print the names of the type and its fields.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Strike {
@@ -122,6 +143,9 @@
 pub fn plan_faults(options: &SoakOptions) -> Vec<Strike> {
     let mut injections = plan_series(options);
     injections.extend(plan_server_pauses(options));
+    if options.mode == SoakMode::CrashingPart {
+        injections.push(plan_crashing_part(options));
+    }
     injections.sort_by_key(|injection| injection.at_ms);
     injections
 }
@@ -129,13 +153,13 @@
 /// Returns the faults and the planned work of all kinds but pauses.
 fn plan_series(options: &SoakOptions) -> Vec<Strike> {
     let mut random = StdRng::seed_from_u64(options.seed);
-    let faults: &[Fault] = if options.is_planned_only {
-        &PLANNED
-    } else {
-        &ALL
+    let (faults, gap_ms): (&[Fault], _) = match options.mode {
+        SoakMode::Mixed => (&ALL, GAP_MS),
+        SoakMode::Planned => (&PLANNED, GAP_MS),
+        SoakMode::CrashingPart => (&SPARSE, SPARSE_GAP_MS),
     };
     let mut injections = Vec::new();
-    let mut at_ms = random.random_range(GAP_MS);
+    let mut at_ms = random.random_range(gap_ms.clone());
     while at_ms < options.duration_ms {
         let fault = *faults.choose(&mut random).expect("there are faults");
         let for_ms = random.random_range(LENGTH_MS);
@@ -149,11 +173,21 @@
             },
             target: random.random_range(0..64),
         });
-        at_ms += random.random_range(GAP_MS);
+        at_ms += random.random_range(gap_ms.clone());
     }
     injections
 }
 
+/// Returns a part that crashes servers for the rest of the soak; the target chooses how they end.
+fn plan_crashing_part(options: &SoakOptions) -> Strike {
+    Strike {
+        fault: Fault::PromptPartCrashesServers,
+        at_ms: CRASHING_PART_AFTER_MS,
+        for_ms: options.duration_ms,
+        target: usize::try_from(options.seed).expect("a seed fits"),
+    }
+}
+
 fn plan_server_pauses(options: &SoakOptions) -> Vec<Strike> {
     let mut random = StdRng::seed_from_u64(options.seed ^ SERVER_PAUSE_SEED);
     let mut injections = Vec::new();
