--- a/daemon/tests/gateway/main.rs
+++ b/daemon/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 mod bad_input;
+mod caller_connections;
 mod configuration;
 mod framing;
 mod logs;
@@ -9,6 +10,7 @@
 mod placer;
 mod quarantine;
 mod rates;
+mod replacement;
 mod servers;
 mod silence;
 mod stop;
