--- a/standin/src/bin/mimosabay-soak.rs
+++ b/standin/src/bin/mimosabay-soak.rs
@@ -109,11 +109,12 @@
 
 fn print_report(seed: u64, report: &SoakReport) {
     println!(
-        "seed {seed}: {} faults, {} requests, {} answered, {} promises broken",
+        "seed {seed}: {} faults, {} requests, {} answered, {} promises broken; {:?}",
         report.injections.len(),
         report.requests,
         report.answered,
-        report.violations.len()
+        report.violations.len(),
+        report.outcomes
     );
     if report.violations.is_empty() {
         return;
--- a/standin/src/soak.rs
+++ b/standin/src/soak.rs
@@ -15,6 +15,7 @@
 mod load;
 mod plan;
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use mimosabay_core::quarantine::MAX_CRASHES;
@@ -91,6 +92,8 @@
     pub requests: usize,
     /// Number of requests with a complete and successful answer of a server.
     pub answered: usize,
+    /// Number of requests by their status, or by the category of their failure.
+    pub outcomes: BTreeMap<String, usize>,
     /// Violated guarantees.
     pub violations: Vec<Violation>,
     /// Name and log of each instance if a guarantee was violated, otherwise empty.
@@ -134,6 +137,10 @@
         started,
     };
     violations.extend(check.run(&site, &requests));
+    let mut outcomes = BTreeMap::new();
+    for request in &requests {
+        *outcomes.entry(request.outcome()).or_default() += 1;
+    }
     let logs = site.instances.iter();
     let logs = logs.map(|instance| (instance.name.clone(), instance.whole_output()));
     SoakReport {
@@ -143,6 +150,7 @@
             .iter()
             .filter(|request| request.is_answered())
             .count(),
+        outcomes,
         logs: if violations.is_empty() {
             Vec::new()
         } else {
--- a/standin/src/soak/load.rs
+++ b/standin/src/soak/load.rs
@@ -82,6 +82,14 @@
         let reply = self.reply.as_ref();
         reply.is_ok_and(|reply| (200..300).contains(&reply.status))
     }
+
+    /// Returns the status of the answer, or the category of the failure.
+    pub(super) fn outcome(&self) -> String {
+        match &self.reply {
+            Ok(reply) => reply.status.to_string(),
+            Err(category) => format!("{category:?}"),
+        }
+    }
 }
 
 /// Running callers.
