--- a/daemon/src/gateway/successor.rs
+++ b/daemon/src/gateway/successor.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use mimosabay_core::attempt::ExecutionStatus;
-use mimosabay_core::cell::{Refusal, RefusalReason};
+use mimosabay_core::cell::Refusal;
 use mimosabay_core::name::Name;
 use tokio::time::{sleep, timeout};
 use tracing::info;
@@ -122,7 +122,7 @@
                 permit.spend();
                 return Ok(granted);
             }
-            Placement::Refused(refusal) if refusal.reason == RefusalReason::Quarantined => {
+            Placement::Refused(refusal) if refusal.reason.quarantined().is_some() => {
                 return Err(refusal);
             }
             Placement::Refused(refusal) => refusal.retry_after_ms,
--- a/standin/src/soak.rs
+++ b/standin/src/soak.rs
@@ -18,7 +18,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use mimosabay_core::quarantine::MAX_CRASHES;
+use mimosabay_core::quarantine::MAX_REQUEST_CRASHES;
 use tokio::time::sleep;
 
 use crate::fleet::{FleetOptions, FleetSite};
@@ -199,7 +199,7 @@
 fn recovery_prompt(injections: &[Strike]) -> &'static str {
     let count = |fault| injections.iter().filter(|it| it.fault == fault).count();
     let has_crashing_part = count(Fault::PromptPartCrashesServers) > 0;
-    if has_crashing_part || count(Fault::ServerCrash) >= MAX_CRASHES {
+    if has_crashing_part || count(Fault::ServerCrash) >= MAX_REQUEST_CRASHES {
         "another prompt"
     } else {
         "a prompt"
