--- /dev/null
+++ b/daemon/src/gateway/activity.rs
@@ -0,0 +1,186 @@
+//! What happens on one connection of a caller, as its socket and its requests report it.
+
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use mimosabay_core::site::CallerLimits;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use super::request::OpenRequest;
+
+/// Stage of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// Nothing has been read yet.
+    Unused,
+    /// The head of a request has been read in part.
+    Head,
+    /// A request is in progress, or its answer is not written yet.
+    Busy,
+    /// The answers to all requests have been written.
+    Idle,
+}
+
+impl Stage {
+    /// Whether the caller has begun a request, or has yet to use the connection for one.
+    pub(crate) fn expects_request(self) -> bool {
+        match self {
+            Self::Unused | Self::Head => true,
+            Self::Busy | Self::Idle => false,
+        }
+    }
+}
+
+/// Follows the stage of a connection.
+pub(crate) struct Activity {
+    progress: Mutex<Progress>,
+}
+
+struct Progress {
+    stage: Stage,
+    /// Time of the last answer, or of the start of the connection.
+    answered: Instant,
+    /// The last request if its answer is complete and perhaps not written. The stage is `Busy`.
+    unwritten: Option<OpenRequest>,
+}
+
+impl Activity {
+    /// Starts with a connection that was accepted now.
+    pub(crate) fn new() -> Self {
+        Self {
+            progress: Mutex::new(Progress {
+                stage: Stage::Unused,
+                answered: Instant::now(),
+                unwritten: None,
+            }),
+        }
+    }
+
+    pub(crate) fn stage(&self) -> Stage {
+        self.progress().stage
+    }
+
+    /// Time at which the connection is closed if its stage does not change; `None` if a request is
+    /// in progress.
+    pub(crate) fn deadline(&self, limits: &CallerLimits) -> Option<Instant> {
+        let progress = self.progress();
+        match progress.stage {
+            Stage::Unused | Stage::Head | Stage::Idle => {
+                Some(progress.answered + Duration::from_millis(limits.idle_timeout_ms))
+            }
+            Stage::Busy => None,
+        }
+    }
+
+    /// Records that the head of a request was read.
+    pub(crate) fn start_request(self: &Arc<Self>, open: OpenRequest) -> RequestInProgress {
+        let mut progress = self.progress();
+        progress.stage = Stage::Busy;
+        progress.unwritten = None;
+        drop(progress);
+        RequestInProgress {
+            activity: self.clone(),
+            open: Some(open),
+        }
+    }
+
+    /// Records that bytes were read.
+    fn record_read(&self) {
+        let mut progress = self.progress();
+        match progress.stage {
+            Stage::Unused | Stage::Idle => progress.stage = Stage::Head,
+            Stage::Head | Stage::Busy => {}
+        }
+    }
+
+    /// Records that everything buffered has been written to the socket.
+    fn record_flush(&self) {
+        let mut progress = self.progress();
+        if progress.unwritten.take().is_some() {
+            progress.stage = Stage::Idle;
+            progress.answered = Instant::now();
+        }
+    }
+
+    fn progress(&self) -> MutexGuard<'_, Progress> {
+        self.progress.lock().expect("progress lock")
+    }
+}
+
+/// A request in progress. Dropping it records that its answer is complete; the request counts as
+/// open until the answer is written or the connection ends.
+pub(crate) struct RequestInProgress {
+    activity: Arc<Activity>,
+    /// `None` once dropped.
+    open: Option<OpenRequest>,
+}
+
+impl Drop for RequestInProgress {
+    fn drop(&mut self) {
+        self.activity.progress().unwritten = self.open.take();
+    }
+}
+
+/// The socket of a connection; records what is read and when everything is written.
+pub(crate) struct CallerSocket {
+    socket: TcpStream,
+    activity: Arc<Activity>,
+}
+
+impl CallerSocket {
+    pub(crate) fn new(socket: TcpStream, activity: Arc<Activity>) -> Self {
+        Self { socket, activity }
+    }
+}
+
+impl AsyncRead for CallerSocket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled_before = buffer.filled().len();
+        ready!(Pin::new(&mut self.socket).poll_read(context, buffer))?;
+        if buffer.filled().len() > filled_before {
+            self.activity.record_read();
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for CallerSocket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.socket.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(Pin::new(&mut self.socket).poll_flush(context))?;
+        self.activity.record_flush();
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_shutdown(context)
+    }
+}
