Count a cut in a planned soak also if no server had read the request

The planned soak passed over requests that were cut before a server read them. Such a cut is now a violation with the same excuses.

--- a/standin/src/soak/checker.rs
+++ b/standin/src/soak/checker.rs
@@ -14,6 +14,8 @@
 
 /// Time after which a leaving server receives no new requests, in milliseconds.
 const DRAIN_EFFECT_MS: u64 = 2_000;
+/// Time after the sending of a request from which an instance has read it, in milliseconds.
+const LOSS_SLACK_MS: u64 = 200;
 /// Statuses that report that a request has not run.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 /// Statuses that report that a request is not allowed. All requests of a soak are allowed.
@@ -100,6 +102,11 @@
         Err(Category::Interrupted | Category::Timeout) if runs > 0 && !may_be_cut() => {
             violation("planned work", "was cut though a server ran it")
         }
+        Err(Category::Interrupted | Category::Timeout)
+            if sent.ended_ms - sent.sent_ms > LOSS_SLACK_MS && !may_be_cut() =>
+        {
+            violation("planned work", "was cut though an instance had read it")
+        }
         Ok(reply) if DENIED.contains(&reply.status) => violation(
             "allowed requests",
             &format!("was answered {}", reply.status),
