Reproduce a request that a stopping instance accepts too late for a silent server

What callers see: beside a planned stop, a connection that ends without an answer, for a request that the instance has read and sent to a sound server.

Cause: a stopping instance accepts lookups and bookings until 1.5 s before it ends (REFUSE_BEFORE_END_MS). A sound server may be silent for longer; the request is then cut when the process ends, 0.3 s before its grace period does.

The test pauses both plain servers for 1.9 s from 5.9 s after the signal on.

--- a/daemon/tests/gateway/stop.rs
+++ b/daemon/tests/gateway/stop.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
-use mimosabay_standin::fleet::{Behaviour, FleetOptions, FleetReply, FleetSite, HOST, KEY};
+use mimosabay_standin::fleet::{
+    Behaviour, FleetOptions, FleetReply, FleetServer, FleetSite, HOST, KEY,
+};
 use mimosabay_standin::harness::{block_on, wait_for};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::sleep;
 
 /// Size of an answer that does not fit in the buffers of a connection, in bytes.
@@ -21,6 +23,10 @@
 const LONG_GRACE_S: u64 = 30;
 /// Time between opening a connection and sending a request on it, in milliseconds.
 const REQUEST_DELAY_MS: u64 = 50;
+/// Time from the phase in which connections are closed until servers fall silent, in milliseconds.
+const LATE_PAUSE_AFTER_MS: u64 = 3_200;
+/// Time for which they are silent, in milliseconds.
+const LATE_PAUSE_MS: u64 = 1_900;
 
 fn lookup(id: &str) -> String {
     format!(
@@ -260,3 +266,44 @@
         assert_eq!(call.await.unwrap().status, 200);
     });
 }
+
+/// Guards against accepting a request late in a stop whose sound server is silent until the end.
+#[test]
+fn request_accepted_late_in_a_stop_is_not_cut_at_a_silent_server() {
+    block_on(async {
+        let mut site = FleetSite::start(FleetOptions::default()).await;
+        let call = stop_until_connections_are_closed(&mut site).await;
+        let pause = tokio::spawn(pause_late_in_a_stop(site.plain_servers.clone()));
+        let mut bookings = JoinSet::new();
+        let is_refusing = |site: &FleetSite| {
+            let log = site.instances[0].log();
+            log.iter().any(|it| it["phase"] == "Refusing")
+        };
+        while !is_refusing(&site) {
+            let caller = site.caller(0);
+            let id = format!("late-{}", bookings.len());
+            bookings.spawn(async move { caller.post("/book/x", &id, "body").await });
+            sleep(Duration::from_millis(REQUEST_DELAY_MS)).await;
+        }
+        let answers = bookings.join_all().await;
+        let statuses = answers.into_iter().map(|answer| answer.map(|it| it.status));
+        let cut: Vec<_> = statuses
+            .filter(|status| !matches!(status, Ok(200 | 503)))
+            .collect();
+        assert!(cut.is_empty(), "{} bookings cut: {cut:?}", cut.len());
+        pause.await.unwrap();
+        assert_eq!(call.await.unwrap().status, 200);
+    });
+}
+
+/// Pauses servers shortly before a stopping instance refuses all requests.
+async fn pause_late_in_a_stop(servers: Vec<FleetServer>) {
+    sleep(Duration::from_millis(LATE_PAUSE_AFTER_MS)).await;
+    for server in &servers {
+        server.set_paused(true);
+    }
+    sleep(Duration::from_millis(LATE_PAUSE_MS)).await;
+    for server in &servers {
+        server.set_paused(false);
+    }
+}
