--- a/standin/src/soak/plan.rs
+++ b/standin/src/soak/plan.rs
@@ -4,13 +4,23 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
-use super::SoakOptions;
 use super::injector::STOP_MS;
+use super::{SoakMode, SoakOptions};
 
 /// Range of the time between the beginnings of two faults, in milliseconds.
 const GAP_MS: std::ops::Range<u64> = 150..1_400;
+/// The same beside a part that crashes servers, in milliseconds.
+const SPARSE_GAP_MS: std::ops::Range<u64> = 1_500..4_500;
+/// Time before the first request with a part that crashes servers, in milliseconds.
+const CRASHING_PART_AFTER_MS: u64 = 500;
 /// Range of the duration of a fault, in milliseconds.
 const LENGTH_MS: std::ops::Range<u64> = 200..3_500;
+/// Range of the time between the beginnings of two pauses of servers, in milliseconds.
+const SERVER_PAUSE_GAP_MS: std::ops::Range<u64> = 300..2_400;
+/// Range of the duration of a server's pause, in milliseconds.
+const SERVER_PAUSE_MS: std::ops::RangeInclusive<u64> = 800..=1_900;
+/// Distinguishes the random numbers of the pauses from those of the other faults.
+const SERVER_PAUSE_SEED: u64 = 0x7061_7573_6500_0000;
 
 /// A fault or planned work. Reports print the variant names.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,6 +65,11 @@
     ServerHangs,
     /// A server registers as leaving, and as ready again at the end.
     ServerDrains,
+    /// A sound server neither reads nor writes, and goes on where it was at the end.
+    ServerPauses,
+    /// Requests with one part in their prompts, no two alike, crash each engine that begins to answer
+    /// them.
+    PromptPartCrashesServers,
     /// A new version of the configuration is published.
     Configuration,
 }
@@ -62,6 +77,7 @@
 /// Planned work, which must not make a request fail.
 const PLANNED: [Fault; 3] = [Fault::Stop, Fault::HangUp, Fault::Configuration];
 
+/// Faults of the first series. A change of this list changes the faults of every seed.
 const ALL: [Fault; 21] = [
     Fault::Kill,
     Fault::Freeze,
@@ -86,6 +102,20 @@
     Fault::Configuration,
 ];
 
+/// Faults beside a part that crashes servers: those of single instances, and some of servers.
+const SPARSE: [Fault; 10] = [
+    Fault::Kill,
+    Fault::Freeze,
+    Fault::Stop,
+    Fault::HangUp,
+    Fault::StoreLinkCut,
+    Fault::StoreLinkSilent,
+    Fault::StoreDown,
+    Fault::ServerRejects,
+    Fault::ServerFails,
+    Fault::Configuration,
+];
+
 /// The injection of one fault at one time. Reports print the names of the type and its fields.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Strike {
@@ -107,15 +137,29 @@
 }
 
 /// Returns the faults of a soak, in the order in which they begin.
+///
+/// They come in two series, which overlap: pauses of sound servers, and all others. Pauses excuse
+/// no failure, so that they are also part of the planned work.
 pub fn plan_faults(options: &SoakOptions) -> Vec<Strike> {
+    let mut injections = plan_series(options);
+    injections.extend(plan_server_pauses(options));
+    if options.mode == SoakMode::CrashingPart {
+        injections.push(plan_crashing_part(options));
+    }
+    injections.sort_by_key(|injection| injection.at_ms);
+    injections
+}
+
+/// Returns the faults and the planned work of all kinds but pauses.
+fn plan_series(options: &SoakOptions) -> Vec<Strike> {
     let mut random = StdRng::seed_from_u64(options.seed);
-    let faults: &[Fault] = if options.is_planned_only {
-        &PLANNED
-    } else {
-        &ALL
+    let (faults, gap_ms): (&[Fault], _) = match options.mode {
+        SoakMode::Mixed => (&ALL, GAP_MS),
+        SoakMode::Planned => (&PLANNED, GAP_MS),
+        SoakMode::CrashingPart => (&SPARSE, SPARSE_GAP_MS),
     };
     let mut injections = Vec::new();
-    let mut at_ms = random.random_range(GAP_MS);
+    let mut at_ms = random.random_range(gap_ms.clone());
     while at_ms < options.duration_ms {
         let fault = *faults.choose(&mut random).expect("there are faults");
         let for_ms = random.random_range(LENGTH_MS);
@@ -129,7 +173,33 @@
             },
             target: random.random_range(0..64),
         });
-        at_ms += random.random_range(GAP_MS);
+        at_ms += random.random_range(gap_ms.clone());
+    }
+    injections
+}
+
+/// Returns a part that crashes servers for the rest of the soak; the target chooses how they end.
+fn plan_crashing_part(options: &SoakOptions) -> Strike {
+    Strike {
+        fault: Fault::PromptPartCrashesServers,
+        at_ms: CRASHING_PART_AFTER_MS,
+        for_ms: options.duration_ms,
+        target: usize::try_from(options.seed).expect("a seed fits"),
+    }
+}
+
+fn plan_server_pauses(options: &SoakOptions) -> Vec<Strike> {
+    let mut random = StdRng::seed_from_u64(options.seed ^ SERVER_PAUSE_SEED);
+    let mut injections = Vec::new();
+    let mut at_ms = random.random_range(SERVER_PAUSE_GAP_MS);
+    while at_ms < options.duration_ms {
+        injections.push(Strike {
+            fault: Fault::ServerPauses,
+            at_ms,
+            for_ms: random.random_range(SERVER_PAUSE_MS),
+            target: random.random_range(0..64),
+        });
+        at_ms += random.random_range(SERVER_PAUSE_GAP_MS);
     }
     injections
 }
