Refuse requests that may outlast a stopping instance once callers are sent elsewhere

Cause: requests were accepted until 1.5 s before the process ends, whatever their deadline; a sound server may be silent for longer.

Change: from the time on at which kept connections are closed, a request whose deadline lies beyond the end of the process is refused as not run, with 20 ms to retry at another instance. Shorter ones are served as before.

--- a/daemon/src/gateway/request.rs
+++ b/daemon/src/gateway/request.rs
@@ -182,6 +182,10 @@
     let service = service.ok_or(not_ready)?.clone();
     let requested_ms = ingress::deadline_ms(&parts.headers).unwrap_or(u64::MAX);
     let allowed_ms = requested_ms.min(route.timeout_ms);
+    let deadline_ms = arrived_ms.saturating_add(allowed_ms);
+    if state.is_too_late(deadline_ms) {
+        return Err(stopping);
+    }
     if declared_length(&parts.headers) > site.limits.body_bytes {
         return Err(OwnAnswer::TooLarge);
     }
@@ -198,7 +202,7 @@
         headers: parts.headers,
         body,
         arrived_ms,
-        deadline_ms: arrived_ms.saturating_add(allowed_ms),
+        deadline_ms,
     })
 }
 
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -64,6 +64,8 @@
     /// Time of the store's last response to a watch of the servers, in milliseconds.
     store_responded_ms: AtomicU64,
     next_request_number: AtomicU64,
+    /// Time at which a planned stop ends the process, in milliseconds; the largest number before it.
+    stop_end_ms: AtomicU64,
 }
 
 /// Phases of the planned stop of a process.
@@ -73,7 +75,8 @@
     Serving,
     /// The process is not ready any more, but the platform may still send callers here.
     Leaving,
-    /// Kept connections are closed once idle; streams are refused.
+    /// Kept connections are closed once idle; streams, and requests that may outlast the process, are
+    /// refused.
     Closing,
     /// Every request is refused.
     Refusing,
@@ -110,6 +113,7 @@
             ended_outages: watch::Sender::new(0),
             store_responded_ms: AtomicU64::new(0),
             next_request_number: AtomicU64::new(1),
+            stop_end_ms: AtomicU64::new(u64::MAX),
         })
     }
 
@@ -220,6 +224,17 @@
         has_listed_backends && self.site.borrow().is_some() && !self.is_stopping()
     }
 
+    /// Records when a planned stop ends the process.
+    pub(crate) fn set_stop_end(&self, end_ms: u64) {
+        self.stop_end_ms.store(end_ms, Ordering::Relaxed);
+    }
+
+    /// Whether a request that may last until `deadline_ms` is refused because of a planned stop, once
+    /// callers are sent elsewhere.
+    pub(crate) fn is_too_late(&self, deadline_ms: u64) -> bool {
+        self.phase() >= Phase::Closing && deadline_ms > self.stop_end_ms.load(Ordering::Relaxed)
+    }
+
     /// Returns a number that is unique among the requests of this process.
     pub(crate) fn next_request_number(&self) -> u64 {
         self.next_request_number.fetch_add(1, Ordering::Relaxed)
--- a/daemon/src/gateway/stop.rs
+++ b/daemon/src/gateway/stop.rs
@@ -38,6 +38,7 @@
     let resigning = state.clone();
     let resign = tokio::spawn(async move { election::resign(&resigning).await });
     let end_ms = stop_requested_ms + state.settings().stop_grace_ms.saturating_sub(END_MARGIN_MS);
+    state.set_stop_end(end_ms);
     let mut busy_ms = stop_requested_ms;
     loop {
         sleep(Duration::from_millis(CHECK_PERIOD_MS)).await;
