--- a/core/src/cell/suspects.rs
+++ b/core/src/cell/suspects.rs
@@ -1,12 +1,16 @@
 //! Tracks requests that may crash engines, and refuses those that crashed several.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use crate::name::Name;
-use crate::quarantine::{Crash, Fingerprint, Quarantine, QuarantineStatus};
+use crate::quarantine::{Crash, Quarantine};
+use crate::recent_answers::RecentAnswers;
+use crate::work::{Fingerprint, Work};
 
 /// Time within which a crash is attributed to a request whose connection broke, in milliseconds.
 const CRASH_WITHIN_MS: u64 = 3_000;
+/// Time between two removals of expired crashes, in milliseconds.
+const EXPIRY_PERIOD_MS: u64 = 1_000;
 
 /// Crash evidence against requests.
 #[derive(Debug, Default)]
@@ -14,15 +18,23 @@
     /// Requests whose connection broke recently, by server.
     broken: HashMap<Name, Vec<BrokenRequest>>,
     quarantine: Quarantine,
+    /// The latest answers of all instances. An instance that observes a crash need not have answered
+    /// the work that ran there.
+    answers: RecentAnswers,
     /// Work whose evidence has changed since the last call of [`Suspects::take_changes`].
     changed: BTreeSet<Fingerprint>,
+    /// Times of the answers to the work that was reported, as the instances know them, in Unix
+    /// milliseconds.
+    reported_answers: BTreeMap<Fingerprint, Option<u64>>,
+    /// Time from which on [`Suspects::expire`] has something to do, in milliseconds.
+    expiry_due_ms: u64,
     /// Unix time at time 0 of `now_ms`, in milliseconds.
     epoch_unix_ms: u64,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct BrokenRequest {
-    fingerprint: Fingerprint,
+    work: Work,
     broke_ms: u64,
 }
 
@@ -33,16 +45,11 @@
     }
 
     /// Records that the connection of a request at a server broke.
-    pub(super) fn record_broken_connection(
-        &mut self,
-        server: &Name,
-        fingerprint: Fingerprint,
-        now_ms: u64,
-    ) {
+    pub(super) fn record_broken_connection(&mut self, server: &Name, work: Work, now_ms: u64) {
         let broken = self.broken.entry(server.clone()).or_default();
         broken.retain(|request| is_recent(request, now_ms));
         broken.push(BrokenRequest {
-            fingerprint,
+            work,
             broke_ms: now_ms,
         });
     }
@@ -57,9 +64,20 @@
         for request in recent {
             let unix_ms = self.epoch_unix_ms + request.broke_ms;
             self.quarantine
-                .record_crash(&crash, [request.fingerprint], unix_ms);
-            self.changed.insert(request.fingerprint);
+                .record_crash(&crash, request.work.fingerprints(), unix_ms);
+            for fingerprint in request.work.fingerprints() {
+                self.answers.add_to(&mut self.quarantine, fingerprint);
+                self.changed.insert(fingerprint);
+            }
         }
+    }
+
+    /// Removes crashes that have expired.
+    pub(super) fn expire(&mut self, now_ms: u64) {
+        if now_ms < self.expiry_due_ms {
+            return;
+        }
+        self.expiry_due_ms = now_ms + EXPIRY_PERIOD_MS;
         self.quarantine.expire(self.epoch_unix_ms + now_ms);
     }
 
@@ -70,33 +88,50 @@
     }
 
     /// Records that a request was answered, so that it does not crash servers.
-    pub(super) fn record_answer(&mut self, fingerprint: Fingerprint, now_ms: u64) {
+    pub(super) fn record_answer(&mut self, work: &Work, now_ms: u64) {
         let unix_ms = self.epoch_unix_ms + now_ms;
-        if self.quarantine.record_answer(fingerprint, unix_ms) {
-            self.changed.insert(fingerprint);
+        self.answers.record(work, unix_ms);
+        for fingerprint in work.fingerprints() {
+            if self.quarantine.record_answer(fingerprint, unix_ms) {
+                self.changed.insert(fingerprint);
+            }
         }
     }
 
     /// Merges evidence of an instance or of an earlier placer.
     pub(super) fn merge(&mut self, quarantine: &Quarantine) {
         self.quarantine.merge(quarantine);
-        self.changed.extend(quarantine.fingerprints());
+        for fingerprint in quarantine.fingerprints() {
+            self.answers.add_to(&mut self.quarantine, fingerprint);
+            self.changed.insert(fingerprint);
+        }
     }
 
-    /// Returns the evidence that has changed since the last call, of work with several crashes. An
-    /// instance may know enough of them to refuse the work, but not the answer that clears it.
+    /// Returns the evidence that has changed since the last call, of work that is refused or that an
+    /// instance may refuse by the crashes that it knows, because it does not know the latest answer.
     pub(super) fn take_changes(&mut self) -> Option<Quarantine> {
         let mut fingerprints = std::mem::take(&mut self.changed);
-        fingerprints.retain(|it| self.quarantine.has_several_crashes(*it));
+        fingerprints.retain(|it| {
+            let reported_unix_ms = self.reported_answers.get(it).copied().flatten();
+            self.quarantine.may_be_refused(*it, reported_unix_ms)
+        });
         if fingerprints.is_empty() {
             return None;
         }
+        for fingerprint in &fingerprints {
+            let answered_unix_ms = self.quarantine.answered_unix_ms(*fingerprint);
+            self.reported_answers.insert(*fingerprint, answered_unix_ms);
+        }
+        let quarantine = &self.quarantine;
+        self.reported_answers
+            .retain(|it, _| quarantine.contains(*it));
         Some(self.quarantine.part(fingerprints))
     }
 
-    /// Returns whether a request is refused because it crashed several servers.
-    pub(super) fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
-        self.quarantine.status(fingerprint) == QuarantineStatus::Quarantined
+    /// Returns the fingerprint for which a request is refused, because such work crashed several
+    /// servers; `None` if it may run.
+    pub(super) fn refused_by(&self, work: &Work) -> Option<Fingerprint> {
+        self.quarantine.refused_by(work)
     }
 }
 
--- a/core/tests/cell/support.rs
+++ b/core/tests/cell/support.rs
@@ -118,7 +118,7 @@
         target_ms: 1_000,
         excluded: Vec::new(),
         previous: None,
-        fingerprint: number,
+        request_hash: number,
     }
 }
 
@@ -138,6 +138,7 @@
         ticket: Ticket { entry: 1, number },
         outcome,
         first_event_ms: None,
+        streamed_ms: 0,
     }
 }
 
--- a/daemon/src/gateway/body.rs
+++ b/daemon/src/gateway/body.rs
@@ -7,6 +7,8 @@
 use http_body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
+use super::activity::RequestInProgress;
+
 /// Error of a body that ended before it was complete. The connection to the caller is closed, so
 /// that the answer does not look complete.
 #[derive(Debug)]
@@ -24,8 +26,16 @@
 pub(crate) enum AnswerBody {
     /// The complete body; `None` once it was taken.
     Complete(Option<Bytes>),
-    /// Chunks as they arrive.
-    Chunks(mpsc::Receiver<Result<Bytes, Interrupted>>),
+    /// Chunks as they arrive. The body is complete only if the last one is [`Chunk::End`].
+    Chunks(mpsc::Receiver<Chunk>),
+}
+
+/// One step of a body.
+pub(crate) enum Chunk {
+    /// More of the body.
+    Data(Bytes),
+    /// The body is complete.
+    End,
 }
 
 impl AnswerBody {
@@ -45,9 +55,11 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Interrupted>>> {
         match &mut *self {
             Self::Complete(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Chunks(chunks) => chunks
-                .poll_recv(context)
-                .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
+            Self::Chunks(chunks) => chunks.poll_recv(context).map(|chunk| match chunk {
+                Some(Chunk::Data(bytes)) => Some(Ok(Frame::data(bytes))),
+                Some(Chunk::End) => None,
+                None => Some(Err(Interrupted)),
+            }),
         }
     }
 
@@ -64,3 +76,38 @@
         }
     }
 }
+
+/// Body of an answer on a connection; its request is in progress until the body is dropped.
+pub(crate) struct CallerBody {
+    body: AnswerBody,
+    _request: RequestInProgress,
+}
+
+impl CallerBody {
+    pub(crate) fn new(body: AnswerBody, request: RequestInProgress) -> Self {
+        Self {
+            body,
+            _request: request,
+        }
+    }
+}
+
+impl Body for CallerBody {
+    type Data = Bytes;
+    type Error = Interrupted;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Interrupted>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/daemon/src/gateway/engine_run.rs
+++ b/daemon/src/gateway/engine_run.rs
@@ -5,7 +5,7 @@
 use mimosabay_core::backend::Backend;
 use mimosabay_core::cell::{EndedRun, RunOutcome, Ticket};
 use mimosabay_core::name::Name;
-use mimosabay_core::quarantine::Fingerprint;
+use mimosabay_core::work::Work;
 
 use super::crash_probe::{self, RunEnd};
 use super::state::State;
@@ -23,13 +23,13 @@
 pub(crate) struct Run {
     state: Arc<State>,
     ticket: Ticket,
-    /// Hash of the request's work.
-    fingerprint: Fingerprint,
+    work: Work,
     pub(crate) server: Name,
     /// The server's entry; `None` until the request is sent.
     backend: Option<Arc<Backend>>,
     sent_ms: u64,
-    /// Time of the last data from the server, or of sending, in milliseconds.
+    /// Time of the last data from the server, or of sending, in milliseconds. Invariant: at least
+    /// `sent_ms`, plus `first_event_ms` if that is set.
     last_data_ms: u64,
     forecast: Option<Forecast>,
     first_event_ms: Option<u64>,
@@ -38,11 +38,11 @@
 
 impl Run {
     /// Creates the run of a request that waits for a placement.
-    pub(super) fn new(state: &Arc<State>, ticket: Ticket, fingerprint: Fingerprint) -> Self {
+    pub(super) fn new(state: &Arc<State>, ticket: Ticket, work: Work) -> Self {
         Self {
             state: state.clone(),
             ticket,
-            fingerprint,
+            work,
             server: "".into(),
             backend: None,
             sent_ms: state.now_ms(),
@@ -69,7 +69,7 @@
     pub(crate) fn record_data(&mut self) {
         self.last_data_ms = self.state.now_ms();
         if self.first_event_ms.is_none() {
-            let time_ms = self.state.now_ms() - self.sent_ms;
+            let time_ms = self.last_data_ms - self.sent_ms;
             self.state.metrics.observe_first_event_time(time_ms);
             if let Some(forecast) = self.forecast {
                 let time_ms = forecast.waited_ms + time_ms;
@@ -95,6 +95,15 @@
             ticket: self.ticket,
             outcome: self.outcome,
             first_event_ms: self.first_event_ms,
+            streamed_ms: self.streamed_ms(),
+        }
+    }
+
+    /// Time from the first to the last data of the server, in milliseconds.
+    fn streamed_ms(&self) -> u64 {
+        match self.first_event_ms {
+            Some(first_event_ms) => self.last_data_ms - self.sent_ms - first_event_ms,
+            None => 0,
         }
     }
 
@@ -113,7 +122,13 @@
             | RunOutcome::Rejected
             | RunOutcome::Unreachable => return,
         };
-        crash_probe::record_run_end(&self.state, self.fingerprint, backend, end);
+        let work = match end {
+            RunEnd::Answered => self.work.clone(),
+            RunEnd::Broken | RunEnd::TimedOut | RunEnd::Abandoned { .. } => {
+                self.work.interrupted_after(self.streamed_ms())
+            }
+        };
+        crash_probe::record_run_end(&self.state, &work, backend, end);
     }
 
     /// Sets the outcome, which is reported when the run is dropped.
--- a/daemon/src/gateway/plain_attempt.rs
+++ b/daemon/src/gateway/plain_attempt.rs
@@ -7,7 +7,7 @@
 use mimosabay_core::backend::{Backend, LoadSample};
 use mimosabay_core::name::Name;
 use mimosabay_core::plain::PlainOutcome;
-use mimosabay_core::quarantine::Fingerprint;
+use mimosabay_core::work::Work;
 
 use super::crash_probe::{self, RunEnd};
 use super::exchange::{self, CompleteResponse, Failure, Outgoing};
@@ -26,7 +26,7 @@
     pub(super) fn start(state: &Arc<State>, job: &Job, backend: Arc<Backend>) -> Self {
         let run = PlainRun {
             state: state.clone(),
-            fingerprint: job.fingerprint,
+            work: job.work(None),
             backend: backend.clone(),
             sent_ms: state.now_ms(),
             result: None,
@@ -71,7 +71,7 @@
 /// A request at one plain server. Dropping it records how it ended, also if its caller leaves.
 struct PlainRun {
     state: Arc<State>,
-    fingerprint: Fingerprint,
+    work: Work,
     backend: Arc<Backend>,
     sent_ms: u64,
     /// How it ended; `None` if it was abandoned.
@@ -114,7 +114,7 @@
         };
         let result = self.result.take().unwrap_or_else(abandoned);
         if let Some(end) = result.end {
-            crash_probe::record_run_end(&self.state, self.fingerprint, &self.backend, end);
+            crash_probe::record_run_end(&self.state, &self.work, &self.backend, end);
         }
         let mut plain = self.state.plain.lock().expect("plain lock");
         plain.record_outcome(&self.backend.id, result.outcome, result.load, now_ms);
--- a/daemon/src/gateway/plain_request.rs
+++ b/daemon/src/gateway/plain_request.rs
@@ -30,7 +30,7 @@
 
 /// Sends a request to servers of its service until one answers.
 pub(crate) async fn run(state: &Arc<State>, job: Job) -> Answer {
-    if state.suspects.is_refused(job.fingerprint) {
+    if is_refused(state, &job) {
         return quarantine_refusal(state, &job);
     }
     record_charge(state, &job);
@@ -54,6 +54,11 @@
     }
 }
 
+/// Whether a request is refused because it crashed several servers.
+fn is_refused(state: &State, job: &Job) -> bool {
+    state.suspects.refused_by(&job.work(None)).is_some()
+}
+
 /// Refuses a request that crashed several servers.
 fn quarantine_refusal(state: &State, job: &Job) -> Answer {
     let own_answer = OwnAnswer::NotRun {
@@ -64,7 +69,7 @@
         event = "refused",
         id = %job.id,
         reason = "Quarantined",
-        fingerprint = job.fingerprint
+        fingerprint = job.request_hash
     );
     own_answer.answer(Some(&job.id))
 }
@@ -127,7 +132,7 @@
         let stall = Duration::from_millis(stall_ms);
         match timeout(stall, &mut current.response).await {
             Ok(result) => Awaited::Current(result),
-            Err(_) => self.replace(current).await,
+            Err(_) => Box::pin(self.replace(current)).await,
         }
     }
 
@@ -163,7 +168,7 @@
     async fn next_attempt(&self, current: &Name) -> PlainAttempt {
         loop {
             let permit = RetryPermit::take(self.state, &self.job.service.name).await;
-            if self.state.suspects.is_refused(self.job.fingerprint) {
+            if is_refused(self.state, self.job) {
                 drop(permit);
                 return std::future::pending().await;
             }
@@ -216,7 +221,7 @@
     fn try_take_retry(&self) -> bool {
         self.job.remaining_ms(self.state) > 0
             && self.attempts.may_retry()
-            && !self.state.suspects.is_refused(self.job.fingerprint)
+            && !is_refused(self.state, self.job)
             && self.state.try_take_retry(&self.job.service.name)
     }
 
--- a/daemon/src/gateway/request.rs
+++ b/daemon/src/gateway/request.rs
@@ -9,8 +9,9 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use mimosabay_core::name::Name;
-use mimosabay_core::quarantine::Fingerprint;
+use mimosabay_core::prompt::Prompt;
 use mimosabay_core::site::{Denied, Organisation, Route, Service, Site};
+use mimosabay_core::work::Work;
 use mimosabay_platform::ingress::{self, ForwardOptions};
 use tokio::time::timeout;
 use tracing::info;
@@ -42,13 +43,11 @@
     pub(crate) body: Bytes,
     /// Hash of path, organisation and body. A retry by the same caller has the same hash, whatever
     /// its identifier.
-    pub(crate) fingerprint: Fingerprint,
+    pub(crate) request_hash: u64,
     /// When it arrived, in milliseconds.
     pub(crate) arrived_ms: u64,
     /// Time by which it must be answered, in milliseconds.
     pub(crate) deadline_ms: u64,
-    /// Held until the answer is complete.
-    _open: OpenRequest,
 }
 
 impl Job {
@@ -57,6 +56,12 @@
         self.deadline_ms.saturating_sub(state.now_ms())
     }
 
+    /// Identity of its work, by which requests that crash servers are found; `prompt` is that of a
+    /// request to an engine.
+    pub(crate) fn work(&self, prompt: Option<&Prompt>) -> Work {
+        Work::new(self.request_hash, prompt)
+    }
+
     /// Rank among the requests of its service; smaller is more urgent. The organisation's priority
     /// takes precedence over the route's.
     pub(crate) fn urgency(&self) -> u8 {
@@ -101,12 +106,12 @@
 }
 
 /// Counts a request while it is open.
-struct OpenRequest {
+pub(crate) struct OpenRequest {
     state: Arc<State>,
 }
 
 impl OpenRequest {
-    fn new(state: &Arc<State>) -> Self {
+    pub(crate) fn new(state: &Arc<State>) -> Self {
         state.metrics.request_opened();
         Self {
             state: state.clone(),
@@ -150,7 +155,6 @@
     request: Request<Incoming>,
     id: Option<&Name>,
 ) -> Result<Job, OwnAnswer> {
-    let open = OpenRequest::new(state);
     let arrived_ms = state.now_ms();
     let (parts, body) = request.into_parts();
     if is_framing_ambiguous(&parts.headers) {
@@ -178,6 +182,10 @@
     let service = service.ok_or(not_ready)?.clone();
     let requested_ms = ingress::deadline_ms(&parts.headers).unwrap_or(u64::MAX);
     let allowed_ms = requested_ms.min(route.timeout_ms);
+    let deadline_ms = arrived_ms.saturating_add(allowed_ms);
+    if state.is_too_late(deadline_ms) {
+        return Err(stopping);
+    }
     if declared_length(&parts.headers) > site.limits.body_bytes {
         return Err(OwnAnswer::TooLarge);
     }
@@ -187,19 +195,18 @@
         id: id.clone(),
         route,
         service,
-        fingerprint: fingerprint(&parts.uri, organisation.as_deref(), &body),
+        request_hash: request_hash(&parts.uri, organisation.as_deref(), &body),
         organisation,
         method: parts.method,
         uri: parts.uri,
         headers: parts.headers,
         body,
         arrived_ms,
-        deadline_ms: arrived_ms.saturating_add(allowed_ms),
-        _open: open,
+        deadline_ms,
     })
 }
 
-fn fingerprint(uri: &Uri, organisation: Option<&Organisation>, body: &Bytes) -> Fingerprint {
+fn request_hash(uri: &Uri, organisation: Option<&Organisation>, body: &Bytes) -> u64 {
     let mut hasher = DefaultHasher::new();
     uri.path().hash(&mut hasher);
     organisation.map(|it| &it.name).hash(&mut hasher);
--- a/daemon/src/gateway/successor.rs
+++ b/daemon/src/gateway/successor.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use mimosabay_core::attempt::ExecutionStatus;
-use mimosabay_core::cell::{Refusal, RefusalReason};
+use mimosabay_core::cell::Refusal;
 use mimosabay_core::name::Name;
 use tokio::time::{sleep, timeout};
 use tracing::info;
@@ -61,7 +61,8 @@
     let server = &current.server;
     info!(event = "server_stalled", id = %request.job.id, %server, silent_ms = current.stall_ms);
     request.excluded.push(server.clone());
-    let awaited = replace(state, request, current, result).await;
+    // On the heap, because each wait of a stream would hold its state otherwise.
+    let awaited = Box::pin(replace(state, request, current, result)).await;
     if matches!(awaited, Awaited::Current(_)) {
         request.excluded.retain(|excluded| excluded != server);
     }
@@ -122,7 +123,7 @@
                 permit.spend();
                 return Ok(granted);
             }
-            Placement::Refused(refusal) if refusal.reason == RefusalReason::Quarantined => {
+            Placement::Refused(refusal) if refusal.reason.quarantined().is_some() => {
                 return Err(refusal);
             }
             Placement::Refused(refusal) => refusal.retry_after_ms,
--- a/daemon/tests/gateway/stop.rs
+++ b/daemon/tests/gateway/stop.rs
@@ -2,10 +2,14 @@
 
 use std::time::Duration;
 
-use mimosabay_standin::fleet::{Behaviour, FleetOptions, FleetSite, HOST, KEY};
+use mimosabay_standin::fleet::{
+    Behaviour, FleetOptions, FleetReply, FleetServer, FleetSite, HOST, KEY,
+};
 use mimosabay_standin::harness::{block_on, wait_for};
+use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
+use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::sleep;
 
 /// Size of an answer that does not fit in the buffers of a connection, in bytes.
@@ -18,12 +22,22 @@
 const SLOW_RECEIVE_BUFFER_BYTES: u32 = 64 * 1024;
 /// Grace period in which a slow caller can read a large answer, in seconds.
 const LONG_GRACE_S: u64 = 30;
+/// Time within which a head must arrive, in milliseconds; longer than an instance takes to close
+/// connections.
+const LONG_HEADER_TIMEOUT_MS: u64 = 10_000;
 /// Time between opening a connection and sending a request on it, in milliseconds.
 const REQUEST_DELAY_MS: u64 = 50;
+/// Time from the phase in which connections are closed until servers fall silent, in milliseconds.
+const LATE_PAUSE_AFTER_MS: u64 = 3_200;
+/// Time for which they are silent, in milliseconds.
+const LATE_PAUSE_MS: u64 = 1_900;
+
+/// Deadline of a lookup, in milliseconds; it ends before a stopping instance does.
+const DEADLINE_MS: u64 = 2_000;
 
 fn lookup(id: &str) -> String {
     format!(
-        "GET /look/x HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer {KEY}\r\nX-Attempt-Id: {id}\r\n\r\n"
+        "GET /look/x HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer {KEY}\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: {DEADLINE_MS}\r\n\r\n"
     )
 }
 
@@ -181,39 +195,134 @@
     });
 }
 
+/// Starts a booking at the first instance that keeps it from ending, stops the instance, and waits
+/// until it closes connections.
+async fn stop_until_connections_are_closed(site: &mut FleetSite) -> JoinHandle<FleetReply> {
+    for server in &site.plain_servers {
+        server.plan(Behaviour::AnswerAfter(4_500));
+    }
+    let slow = site.caller(0).deadline_ms(6_000);
+    let call = tokio::spawn(async move {
+        let answer = slow.post("/book/x", "slow", "body").await;
+        answer.expect("an answer")
+    });
+    wait_for("a running booking", async || {
+        (site.run_count("slow") > 0).then_some(())
+    })
+    .await;
+    for server in &site.plain_servers {
+        server.clear_plan();
+    }
+    site.instances[0].process.terminate();
+    wait_for("the phase in which connections are closed", async || {
+        let log = site.instances[0].log();
+        let mut phases = log.iter().filter(|it| it["event"] == "stop_phase");
+        phases.any(|it| it["phase"] == "Closing").then_some(())
+    })
+    .await;
+    call
+}
+
 /// Guards against closing a new connection before its first request is read.
 #[test]
 fn request_on_a_new_connection_is_answered_while_kept_connections_are_closed() {
     block_on(async {
         let mut site = FleetSite::start(FleetOptions::default()).await;
-        for server in &site.plain_servers {
-            server.plan(Behaviour::AnswerAfter(4_500));
-        }
-        let slow = site.caller(0).deadline_ms(6_000);
-        let call = tokio::spawn(async move { slow.post("/book/x", "slow", "body").await });
-        wait_for("a running booking", async || {
-            (site.run_count("slow") > 0).then_some(())
-        })
-        .await;
-        for server in &site.plain_servers {
-            server.clear_plan();
-        }
-        site.instances[0].process.terminate();
-        wait_for("the phase in which connections are closed", async || {
+        let call = stop_until_connections_are_closed(&mut site).await;
+        let address = site.caller(0).address();
+        let mut socket = TcpStream::connect(address).await.expect("a connection");
+        sleep(Duration::from_millis(REQUEST_DELAY_MS)).await;
+        // A closed connection shows in the answer.
+        let _ = socket.write_all(lookup("late").as_bytes()).await;
+        let mut answer = Vec::new();
+        let _ = socket.read_to_end(&mut answer).await;
+        let answer = String::from_utf8_lossy(&answer);
+        assert!(answer.starts_with("HTTP/1.1 "), "{answer:?}");
+        assert_eq!(call.await.unwrap().status, 200);
+    });
+}
+
+/// Guards against closing a kept connection of which a head has been read in part.
+#[test]
+fn head_that_has_begun_is_read_while_kept_connections_are_closed() {
+    block_on(async {
+        let mut site = FleetSite::start(FleetOptions::default()).await;
+        site.configure(2, |it| {
+            it["limits"]["headerTimeoutMs"] = json!(LONG_HEADER_TIMEOUT_MS);
+        });
+        wait_for("the new configuration", async || {
             let log = site.instances[0].log();
-            let mut phases = log.iter().filter(|it| it["event"] == "stop_phase");
-            phases.any(|it| it["phase"] == "Closing").then_some(())
+            let mut applied = log
+                .iter()
+                .filter(|it| it["event"] == "configuration_in_force");
+            applied.any(|it| it["version"] == 2).then_some(())
         })
         .await;
         let address = site.caller(0).address();
         let mut socket = TcpStream::connect(address).await.expect("a connection");
+        let first = lookup("first");
+        socket.write_all(first.as_bytes()).await.expect("a request");
+        let mut buffer = vec![0; SLOW_READ_BYTES];
+        let mut answer_bytes = Vec::new();
+        while !answer_bytes.ends_with(b"}") {
+            let count = socket.read(&mut buffer).await.expect("an answer");
+            assert!(count > 0, "an open connection");
+            answer_bytes.extend_from_slice(&buffer[..count]);
+        }
+        let request = lookup("late");
+        let (start, rest) = request.split_at(request.len() / 2);
+        socket.write_all(start.as_bytes()).await.expect("a start");
+        let call = stop_until_connections_are_closed(&mut site).await;
         sleep(Duration::from_millis(REQUEST_DELAY_MS)).await;
         // A closed connection shows in the answer.
-        let _ = socket.write_all(lookup("late").as_bytes()).await;
+        let _ = socket.write_all(rest.as_bytes()).await;
         let mut answer = Vec::new();
         let _ = socket.read_to_end(&mut answer).await;
         let answer = String::from_utf8_lossy(&answer);
-        assert!(answer.starts_with("HTTP/1.1 "), "{answer:?}");
-        assert_eq!(call.await.unwrap().unwrap().status, 200);
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+        assert!(answer.contains("connection: close"), "{answer:?}");
+        assert_eq!(call.await.unwrap().status, 200);
     });
 }
+
+/// Guards against accepting a request late in a stop whose sound server is silent until the end.
+#[test]
+fn request_accepted_late_in_a_stop_is_not_cut_at_a_silent_server() {
+    block_on(async {
+        let mut site = FleetSite::start(FleetOptions::default()).await;
+        let call = stop_until_connections_are_closed(&mut site).await;
+        let pause = tokio::spawn(pause_late_in_a_stop(site.plain_servers.clone()));
+        let mut bookings = JoinSet::new();
+        let is_over = |site: &FleetSite| {
+            let log = site.instances[0].log();
+            log.iter()
+                .any(|it| it["phase"] == "Refusing" || it["event"] == "stopped")
+        };
+        while !is_over(&site) {
+            let caller = site.caller(0);
+            let id = format!("late-{}", bookings.len());
+            bookings.spawn(async move { caller.post("/book/x", &id, "body").await });
+            sleep(Duration::from_millis(REQUEST_DELAY_MS)).await;
+        }
+        let answers = bookings.join_all().await;
+        let statuses = answers.into_iter().map(|answer| answer.map(|it| it.status));
+        let cut: Vec<_> = statuses
+            .filter(|status| !matches!(status, Ok(200 | 503)))
+            .collect();
+        assert!(cut.is_empty(), "{} bookings cut: {cut:?}", cut.len());
+        pause.await.unwrap();
+        assert_eq!(call.await.unwrap().status, 200);
+    });
+}
+
+/// Pauses servers shortly before a stopping instance refuses all requests.
+async fn pause_late_in_a_stop(servers: Vec<FleetServer>) {
+    sleep(Duration::from_millis(LATE_PAUSE_AFTER_MS)).await;
+    for server in &servers {
+        server.set_paused(true);
+    }
+    sleep(Duration::from_millis(LATE_PAUSE_MS)).await;
+    for server in &servers {
+        server.set_paused(false);
+    }
+}
--- a/standin/src/bin/mimosabay-soak.rs
+++ b/standin/src/bin/mimosabay-soak.rs
@@ -4,7 +4,7 @@
 
 use clap::{Arg, ArgAction, Command};
 use mimosabay_standin::command;
-use mimosabay_standin::soak::{self, SoakOptions, SoakReport};
+use mimosabay_standin::soak::{self, SoakMode, SoakOptions, SoakReport};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Exit status after SIGTERM or SIGINT.
@@ -17,17 +17,26 @@
         command::parse_value(&matches, "count"),
         command::parse_value::<u64>(&matches, "seconds"),
         command::parse_value(&matches, "instances"),
+        command::parse_value(&matches, "callers"),
     );
-    let (Ok(seed), Ok(count), Ok(seconds), Ok(instances)) = numbers else {
-        eprintln!("--seed, --count, --seconds and --instances must be whole numbers");
+    let (Ok(seed), Ok(count), Ok(seconds), Ok(instances), Ok(callers)) = numbers else {
+        eprintln!("--seed, --count, --seconds, --instances and --callers must be whole numbers");
         return ExitCode::from(2);
     };
+    let mode = match (
+        matches.get_flag("planned"),
+        matches.get_flag("crashing-part"),
+    ) {
+        (true, _) => SoakMode::Planned,
+        (false, true) => SoakMode::CrashingPart,
+        (false, false) => SoakMode::Mixed,
+    };
     let options = SoakOptions {
         seed,
         duration_ms: 1_000 * seconds,
         instances,
-        is_planned_only: matches.get_flag("planned"),
-        ..SoakOptions::default()
+        callers,
+        mode,
     };
     match run(options, count) {
         Some(true) => ExitCode::SUCCESS,
@@ -54,10 +63,22 @@
             4_u64,
             "Number of instances of a site",
         ))
+        .arg(command::number_arg(
+            "callers",
+            12_u64,
+            "Number of concurrent callers",
+        ))
         .arg(
             Arg::new("planned")
                 .long("planned")
-                .help("Injects only planned maintenance")
+                .help("Injects only planned maintenance and pauses of servers")
+                .action(ArgAction::SetTrue),
+        )
+        .arg(
+            Arg::new("crashing-part")
+                .long("crashing-part")
+                .help("Sends prompts with a part that crashes servers, beside a few other faults")
+                .conflicts_with("planned")
                 .action(ArgAction::SetTrue),
         )
 }
@@ -88,11 +109,12 @@
 
 fn print_report(seed: u64, report: &SoakReport) {
     println!(
-        "seed {seed}: {} faults, {} requests, {} answered, {} promises broken",
+        "seed {seed}: {} faults, {} requests, {} answered, {} promises broken; {:?}",
         report.injections.len(),
         report.requests,
         report.answered,
-        report.violations.len()
+        report.violations.len(),
+        report.outcomes
     );
     if report.violations.is_empty() {
         return;
--- a/standin/src/soak.rs
+++ b/standin/src/soak.rs
@@ -9,13 +9,16 @@
 #![allow(clippy::missing_panics_doc)]
 
 mod checker;
+mod crashing_part;
+mod excuse;
 mod injector;
 mod load;
 mod plan;
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use mimosabay_core::quarantine::MAX_CRASHES;
+use mimosabay_core::quarantine::MAX_REQUEST_CRASHES;
 use tokio::time::sleep;
 
 use crate::fleet::{FleetOptions, FleetSite};
@@ -24,6 +27,8 @@
 pub use checker::Violation;
 pub use plan::{Fault, Strike, plan_faults};
 
+use crashing_part::CrashingPartCheck;
+use excuse::Excuses;
 use injector::FaultInjector;
 use load::Load;
 
@@ -32,6 +37,25 @@
 /// Time to wait at the end until requests that are still running have ended, in milliseconds.
 const SETTLE_MS: u64 = 6_000;
 
+/// Time between the events of a stream, in milliseconds. Most faults begin while streams run.
+const EVENT_INTERVAL_MS: u64 = 120;
+/// Number of events of a complete stream.
+const STREAM_EVENTS: u64 = 6;
+/// Duration of a stream at a server that does not pause, in milliseconds.
+const STREAM_MS: u64 = STREAM_EVENTS * EVENT_INTERVAL_MS;
+
+/// Which faults a soak injects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SoakMode {
+    /// Faults of all kinds but [`Fault::PromptPartCrashesServers`].
+    Mixed,
+    /// Only planned work and pauses of servers. Then no request that ran on a server may be cut off.
+    Planned,
+    /// [`Fault::PromptPartCrashesServers`] for the whole soak, and few other faults, so that most
+    /// instances are undisturbed.
+    CrashingPart,
+}
+
 /// Options of a soak.
 #[derive(Clone, Copy, Debug)]
 pub struct SoakOptions {
@@ -43,8 +67,8 @@
     pub instances: usize,
     /// Number of concurrent callers.
     pub callers: usize,
-    /// Whether to inject only planned work. Then no request that ran on a server may be cut off.
-    pub is_planned_only: bool,
+    /// Which faults to inject.
+    pub mode: SoakMode,
 }
 
 impl Default for SoakOptions {
@@ -54,7 +78,7 @@
             duration_ms: 15_000,
             instances: 4,
             callers: 12,
-            is_planned_only: false,
+            mode: SoakMode::Mixed,
         }
     }
 }
@@ -68,6 +92,8 @@
     pub requests: usize,
     /// Number of requests with a complete and successful answer of a server.
     pub answered: usize,
+    /// Number of requests by their status, or by the category of their failure.
+    pub outcomes: BTreeMap<String, usize>,
     /// Violated guarantees.
     pub violations: Vec<Violation>,
     /// Name and log of each instance if a guarantee was violated, otherwise empty.
@@ -79,23 +105,46 @@
     let injections = plan_faults(&options);
     let mut site = FleetSite::start(FleetOptions {
         instances: options.instances,
-        engines: 3,
+        engines: match options.mode {
+            SoakMode::Mixed | SoakMode::Planned => 3,
+            SoakMode::CrashingPart => 6,
+        },
         plain_servers: 2,
         grace_s: injector::GRACE_S,
         has_relays: true,
         ..FleetOptions::default()
     })
     .await;
-    let load = Load::start(&site, &options);
+    for engine in &site.engines {
+        engine.set_event_interval(EVENT_INTERVAL_MS);
+    }
     let started = Instant::now();
+    let load = Load::start(&site, &options, started);
     let injector = FaultInjector::new(&mut site, started);
-    let drains = injector.run(&injections).await;
-    let mut violations = check_recovery(&site, &injections).await;
+    let (drains, mut violations) = injector.run(&injections).await;
+    violations.extend(check_recovery(&mut site, &injections).await);
     let requests = load.stop().await;
     sleep(Duration::from_millis(SETTLE_MS)).await;
-    violations.extend(checker::check_soak(&site, &requests, &drains, &options));
+    let excuses = Excuses {
+        injections: &injections,
+        options: &options,
+        servers: site.engines.len() + site.plain_servers.len(),
+    };
+    violations.extend(checker::check_soak(
+        &site, &requests, &drains, &excuses, started,
+    ));
+    let check = CrashingPartCheck {
+        injections: &injections,
+        instances: options.instances,
+        started,
+    };
+    violations.extend(check.run(&site, &requests));
+    let mut outcomes = BTreeMap::new();
+    for request in &requests {
+        *outcomes.entry(request.outcome()).or_default() += 1;
+    }
     let logs = site.instances.iter();
-    let logs = logs.map(|instance| (instance.name.clone(), instance.process.output()));
+    let logs = logs.map(|instance| (instance.name.clone(), instance.whole_output()));
     SoakReport {
         injections,
         requests: requests.len(),
@@ -103,6 +152,7 @@
             .iter()
             .filter(|request| request.is_answered())
             .count(),
+        outcomes,
         logs: if violations.is_empty() {
             Vec::new()
         } else {
@@ -113,20 +163,29 @@
 }
 
 /// Checks that all instances become ready and serve again after the last fault.
-async fn check_recovery(site: &FleetSite, injections: &[Strike]) -> Vec<Violation> {
+async fn check_recovery(site: &mut FleetSite, injections: &[Strike]) -> Vec<Violation> {
     let prompt = recovery_prompt(injections);
     let mut violations = Vec::new();
     for index in 0..site.instances.len() {
-        let name = &site.instances[index].name;
+        let mut last_reply = String::new();
         let served = wait_up_to(RECOVERY_MS, async || {
             let id = format!("recovery-{index}");
             let caller = site.caller(index).prompt_text(prompt);
             let reply = caller.generate("/draft/x", &id, "a0").await;
-            let is_served = reply.is_ok_and(|reply| reply.status == 200);
+            let status = reply.map(|reply| reply.status);
+            last_reply = format!("{status:?}");
+            let is_served = status.is_ok_and(|status| status == 200);
             (site.is_ready(index).await && is_served).then_some(())
         });
         if served.await.is_none() {
-            let what = format!("{name} does not serve {RECOVERY_MS} ms after the last fault");
+            let is_ready = site.is_ready(index).await;
+            let instance = &mut site.instances[index];
+            let name = &instance.name;
+            let exit_status = instance.process.exit_status();
+            let what = format!(
+                "{name} does not serve {RECOVERY_MS} ms after the last fault \
+                 (ready: {is_ready}, last reply: {last_reply}, exit status: {exit_status:?})"
+            );
             violations.push(Violation::new("recovery", what));
         }
     }
@@ -138,12 +197,17 @@
 /// All requests of the load have the same prompt. A prompt that was running on two servers when they
 /// crashed may be refused for a long time; another prompt is used then.
 fn recovery_prompt(injections: &[Strike]) -> &'static str {
-    let crashes = injections
-        .iter()
-        .filter(|injection| injection.fault == Fault::ServerCrash);
-    if crashes.count() < MAX_CRASHES {
-        "a prompt"
-    } else {
+    let count = |fault| injections.iter().filter(|it| it.fault == fault).count();
+    let has_crashing_part = count(Fault::PromptPartCrashesServers) > 0;
+    if has_crashing_part || count(Fault::ServerCrash) >= MAX_REQUEST_CRASHES {
         "another prompt"
+    } else {
+        "a prompt"
     }
 }
+
+/// Returns the time from the start of a soak, in milliseconds.
+fn elapsed_ms(started: Instant, at: Instant) -> u64 {
+    let elapsed_ms = at.saturating_duration_since(started).as_millis();
+    u64::try_from(elapsed_ms).expect("a soak is short")
+}
--- a/standin/src/soak/checker.rs
+++ b/standin/src/soak/checker.rs
@@ -2,19 +2,20 @@
 
 use std::collections::HashMap;
 use std::fmt;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use mimosabay_http::Category;
 
-use super::SoakOptions;
+use super::excuse::{Excuses, ServerRun};
 use super::injector::DrainPeriod;
 use super::load::SentRequest;
+use super::{STREAM_EVENTS, SoakMode, elapsed_ms};
 use crate::fleet::{FleetReply, FleetServer, FleetSite, ORGANISATION, ReceivedRequest};
 
-/// Event ids of a complete stream.
-const STREAM_EVENTS: std::ops::RangeInclusive<u64> = 1..=6;
 /// Time after which a leaving server receives no new requests, in milliseconds.
 const DRAIN_EFFECT_MS: u64 = 2_000;
+/// Time after the sending of a request from which an instance has read it, in milliseconds.
+const LOSS_SLACK_MS: u64 = 200;
 /// Statuses that report that a request has not run.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 /// Statuses that report that a request is not allowed. All requests of a soak are allowed.
@@ -49,20 +50,22 @@
     site: &FleetSite,
     sent_requests: &[SentRequest],
     drains: &[DrainPeriod],
-    options: &SoakOptions,
+    excuses: &Excuses<'_>,
+    started: Instant,
 ) -> Vec<Violation> {
     let servers = || site.engines.iter().chain(&site.plain_servers);
-    let mut received: HashMap<String, Vec<ReceivedRequest>> = HashMap::new();
-    for request in servers().flat_map(FleetServer::requests) {
-        received
-            .entry(request.id.clone())
-            .or_default()
-            .push(request);
+    let mut runs: HashMap<String, Vec<ServerRun>> = HashMap::new();
+    for (server, received) in servers().map(FleetServer::requests).enumerate() {
+        for request in received.into_iter().filter(|request| request.has_run) {
+            let arrived_ms = elapsed_ms(started, request.arrived);
+            let run = ServerRun { server, arrived_ms };
+            runs.entry(request.id).or_default().push(run);
+        }
     }
     let mut violations = Vec::new();
     for sent in sent_requests {
-        let at_servers = received.get(&sent.id).map_or(&[][..], Vec::as_slice);
-        violations.extend(check_request(sent, at_servers, options));
+        let runs = runs.get(&sent.id).map_or(&[][..], Vec::as_slice);
+        violations.extend(check_request(sent, runs, excuses));
     }
     for server in servers() {
         violations.extend(check_server_requests(server, drains));
@@ -71,25 +74,39 @@
     violations
 }
 
+/// Checks a request and its answer, given its runs at servers.
 fn check_request(
     sent: &SentRequest,
-    at_servers: &[ReceivedRequest],
-    options: &SoakOptions,
+    server_runs: &[ServerRun],
+    excuses: &Excuses<'_>,
 ) -> Option<Violation> {
-    let runs = at_servers.iter().filter(|request| request.has_run).count();
+    let runs = server_runs.len();
+    let may_be_cut =
+        || excuses.options.mode != SoakMode::Planned || excuses.allow_cut(sent, server_runs);
     let violation = |guarantee, observation: &str| {
-        let SentRequest { id, kind, .. } = sent;
-        let instance = sent.instance;
-        let details = format!("{id} ({kind:?}, instance {instance}, {runs} runs) {observation}");
+        let SentRequest {
+            id, kind, instance, ..
+        } = sent;
+        let SentRequest {
+            sent_ms, ended_ms, ..
+        } = sent;
+        let details = format!(
+            "{id} ({kind:?}, instance {instance}, {runs} runs, {sent_ms} to {ended_ms} ms) {observation}"
+        );
         Some(Violation::new(guarantee, details))
     };
     if sent.kind.is_once() && runs > 1 {
         return violation("at most once", "ran more than once");
     }
     match &sent.reply {
-        Err(Category::Interrupted | Category::Timeout) if options.is_planned_only && runs > 0 => {
+        Err(Category::Interrupted | Category::Timeout) if runs > 0 && !may_be_cut() => {
             violation("planned work", "was cut though a server ran it")
         }
+        Err(Category::Interrupted | Category::Timeout)
+            if sent.ended_ms - sent.sent_ms > LOSS_SLACK_MS && !may_be_cut() =>
+        {
+            violation("planned work", "was cut though an instance had read it")
+        }
         Ok(reply) if DENIED.contains(&reply.status) => violation(
             "allowed requests",
             &format!("was answered {}", reply.status),
@@ -97,7 +114,7 @@
         Ok(reply) if NOT_RUN.contains(&reply.status) && sent.kind.is_once() && runs > 0 => {
             violation("true refusals", &format!("was answered {}", reply.status))
         }
-        Ok(reply) if options.is_planned_only && MAY_HAVE_RUN.contains(&reply.status) => {
+        Ok(reply) if MAY_HAVE_RUN.contains(&reply.status) && !may_be_cut() => {
             violation("planned work", &format!("was answered {}", reply.status))
         }
         Ok(reply) if sent.is_answered() => {
@@ -123,7 +140,7 @@
     }
     if sent.kind.is_stream() {
         let events = reply.event_ids();
-        let is_complete = events.iter().copied().eq(STREAM_EVENTS);
+        let is_complete = events.iter().copied().eq(1..=STREAM_EVENTS);
         return (!is_complete).then(|| format!("has events {events:?}"));
     }
     let body: serde_json::Value = serde_json::from_slice(&reply.body).unwrap_or_default();
--- a/standin/src/soak/injector.rs
+++ b/standin/src/soak/injector.rs
@@ -1,10 +1,14 @@
 //! Injects the planned faults and ends them.
 
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use serde_json::json;
+use tokio::task::JoinSet;
 use tokio::time::sleep_until;
 
+use super::checker::Violation;
+use super::crashing_part::start_crashing;
 use super::plan::{Fault, Strike};
 use crate::fleet::{Behaviour, FleetServer, FleetSite};
 use crate::harness::Relay;
@@ -31,11 +35,28 @@
     pub(super) is_observable: bool,
 }
 
+/// A process that was told to stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct StoppingProcess {
+    pid: u32,
+    /// Time of the signal, in milliseconds from the start of the soak.
+    at_ms: u64,
+}
+
 /// Injects faults into a site.
 pub(super) struct FaultInjector<'a> {
     site: &'a mut FleetSite,
     started: Instant,
     version: u64,
+    /// Processes that were told to stop, with the time of the first signal, by the index of their
+    /// instance.
+    stopping: HashMap<usize, StoppingProcess>,
+    /// Processes that were suspended.
+    frozen_pids: HashSet<u32>,
+    /// Senders of requests that crash servers.
+    crashing: JoinSet<()>,
+    /// Violations that only the processes show.
+    violations: Vec<Violation>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -50,11 +71,16 @@
             site,
             started,
             version: 1,
+            stopping: HashMap::new(),
+            frozen_pids: HashSet::new(),
+            crashing: JoinSet::new(),
+            violations: Vec::new(),
         }
     }
 
-    /// Injects all faults at their times, ends them and restores the site. Returns the drain periods.
-    pub(super) async fn run(mut self, injections: &[Strike]) -> Vec<DrainPeriod> {
+    /// Injects all faults at their times, ends them and restores the site. Returns the drain periods
+    /// and the violations seen.
+    pub(super) async fn run(mut self, injections: &[Strike]) -> (Vec<DrainPeriod>, Vec<Violation>) {
         let mut steps: Vec<(u64, Phase, Strike)> = Vec::new();
         for injection in injections {
             steps.push((injection.at_ms, Phase::Begin, *injection));
@@ -70,7 +96,7 @@
             }
         }
         self.restore_all();
-        self.drain_periods(injections)
+        (self.drain_periods(injections), self.violations)
     }
 
     fn begin_fault(&mut self, injection: &Strike) {
@@ -79,8 +105,11 @@
         let process = &mut site.instances[instance].process;
         match injection.fault {
             Fault::Kill => process.kill(),
-            Fault::Freeze => process.freeze(),
-            Fault::Stop => process.terminate(),
+            Fault::Freeze => {
+                self.frozen_pids.insert(process.pid());
+                process.freeze();
+            }
+            Fault::Stop => self.begin_stop(instance, injection.at_ms),
             Fault::HangUp => process.hang_up(),
             Fault::StoreLinkCut => site.store_relays[instance].cut(),
             Fault::StoreLinkSilent => site.store_relays[instance].silence(),
@@ -100,6 +129,10 @@
             Fault::ServerAnswersAnother => self.misbehave(injection, Behaviour::AnswerWithWrongId),
             Fault::ServerHangs => self.server(injection).plan(Behaviour::Hang),
             Fault::ServerDrains => self.server(injection).register("draining"),
+            Fault::ServerPauses => self.server(injection).set_paused(true),
+            Fault::PromptPartCrashesServers => {
+                self.crashing = start_crashing(self.site, injection.target);
+            }
             Fault::Configuration => self.publish_configuration(),
         }
     }
@@ -107,12 +140,15 @@
     fn end_fault(&mut self, injection: &Strike) {
         let instance = injection.target % self.site.instances.len();
         match injection.fault {
-            Fault::Kill | Fault::Stop => self.start_if_ended(instance),
+            Fault::Kill => self.start_if_ended(instance),
+            Fault::Stop => self.end_stop(instance, injection.at_ms),
             Fault::Freeze => self.site.instances[instance].process.thaw(),
             Fault::StoreLinkCut | Fault::StoreLinkSilent => self.site.store_relays[instance].heal(),
             Fault::StoreDown => self.site.store.set_down(false),
             Fault::ServerLinkCut | Fault::ServerLinkSilent => self.server_link(injection).heal(),
             Fault::ServerDrains => self.server(injection).register("ready"),
+            Fault::ServerPauses => self.server(injection).set_paused(false),
+            Fault::PromptPartCrashesServers => self.crashing.abort_all(),
             _ => {}
         }
     }
@@ -127,6 +163,7 @@
         links.for_each(Relay::heal);
         for server in self.site.engines.iter().chain(&self.site.plain_servers) {
             server.clear_plan();
+            server.set_paused(false);
             server.register("ready");
         }
         for index in 0..self.site.instances.len() {
@@ -135,6 +172,34 @@
         }
     }
 
+    fn begin_stop(&mut self, index: usize, at_ms: u64) {
+        let process = &mut self.site.instances[index].process;
+        let pid = process.pid();
+        let was_told = self.stopping.get(&index).is_some_and(|it| it.pid == pid);
+        if !was_told && process.exit_status().is_none() {
+            self.stopping.insert(index, StoppingProcess { pid, at_ms });
+        }
+        process.terminate();
+    }
+
+    /// Ends the stop that began at `at_ms` as the platform does: a process that still runs is killed,
+    /// and the instance starts again.
+    fn end_stop(&mut self, index: usize, at_ms: u64) {
+        let instance = &mut self.site.instances[index];
+        let pid = instance.process.pid();
+        let is_running = instance.process.exit_status().is_none();
+        if is_running && self.stopping.get(&index) != Some(&StoppingProcess { pid, at_ms }) {
+            // The process was started after this stop, or told to stop before it.
+            return;
+        }
+        if is_running && !self.frozen_pids.contains(&pid) {
+            let name = &instance.name;
+            let what = format!("{name} still runs {STOP_MS} ms after the signal to stop");
+            self.violations.push(Violation::new("stops in time", what));
+        }
+        self.site.restart(index);
+    }
+
     fn start_if_ended(&mut self, instance: usize) {
         if self.site.instances[instance]
             .process
