--- a/core/src/crash_observer.rs
+++ b/core/src/crash_observer.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeSet, VecDeque};
 
 use crate::name::Name;
-use crate::quarantine::{Crash, Quarantine, QuarantineStatus};
+use crate::quarantine::{Assessment, Crash, Quarantine, QuarantineStatus};
 use crate::quarantine_log::QuarantineChanges;
 use crate::recent_answers::RecentAnswers;
 use crate::work::{Fingerprint, Work};
@@ -121,17 +121,18 @@
     }
 
     /// Records that a server answered a request, which proves that neither the request nor the parts
-    /// of its prompt crash servers.
-    pub fn record_answer(&mut self, work: &Work, unix_ms: u64) {
+    /// of its prompt crash servers. Returns the work against which no crash counts any more.
+    pub fn record_answer(&mut self, work: &Work, unix_ms: u64) -> Vec<Fingerprint> {
         self.broken
             .retain(|request| request.work.request() != work.request());
         for request in &mut self.broken {
             request.work.remove_parts_of(work);
         }
         self.answers.record(work, unix_ms);
-        for fingerprint in work.fingerprints() {
-            self.report_answer(fingerprint, unix_ms);
-        }
+        let fingerprints = work.fingerprints();
+        fingerprints
+            .filter(|fingerprint| self.report_answer(*fingerprint, unix_ms))
+            .collect()
     }
 
     /// Decides which broken requests ran on servers that have ended.
@@ -219,6 +220,11 @@
         self.known.refused_by(work)
     }
 
+    /// Returns what this instance knows against the work.
+    pub fn assessment(&self, fingerprint: Fingerprint) -> Assessment {
+        self.known.assessment(fingerprint)
+    }
+
     /// Returns the crashes that this instance knows, for a placer that starts in its process.
     pub fn known(&self) -> &Quarantine {
         &self.known
@@ -291,13 +297,16 @@
         }
     }
 
-    /// Adds an answer to the evidence if a crash counts against the work.
-    fn report_answer(&mut self, fingerprint: Fingerprint, unix_ms: u64) {
+    /// Adds an answer to the evidence if a crash counts against the work. Returns whether none counts
+    /// any more.
+    fn report_answer(&mut self, fingerprint: Fingerprint, unix_ms: u64) -> bool {
         let status = self.known.status(fingerprint);
         let is_newer = self.known.record_answer(fingerprint, unix_ms);
-        if is_newer && status != QuarantineStatus::Clear {
-            self.mark_own(fingerprint);
+        if !is_newer || status == QuarantineStatus::Clear {
+            return false;
         }
+        self.mark_own(fingerprint);
+        self.known.status(fingerprint) == QuarantineStatus::Clear
     }
 
     fn mark_own(&mut self, fingerprint: Fingerprint) {
--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -65,6 +65,17 @@
 }
 
 crate::record! {
+    /// What the table holds against work, for logs.
+    #[derive(Copy, Default)]
+    pub struct Assessment {
+        /// Number of crashes that are not retracted.
+        pub crashes: usize,
+        /// Number of these that count.
+        pub counted_crashes: usize,
+        /// Time of the latest answer, in Unix milliseconds.
+        pub answered_unix_ms: Option<u64>,
+    }
+
     /// Crashes during which work with one fingerprint was running.
     #[derive(Default)]
     pub struct Evidence {
@@ -187,6 +198,18 @@
         }
     }
 
+    /// Returns what the table holds against the work.
+    pub fn assessment(&self, fingerprint: Fingerprint) -> Assessment {
+        let Some(evidence) = self.evidence.get(&fingerprint) else {
+            return Assessment::default();
+        };
+        Assessment {
+            crashes: evidence.crashes_after(None).count(),
+            counted_crashes: evidence.counted_crashes(fingerprint).count(),
+            answered_unix_ms: evidence.answered_unix_ms,
+        }
+    }
+
     /// Returns the fingerprint for which a request is refused, `None` if it may run. A part under
     /// quarantine is no reason if other work, which the request does not have, is under quarantine
     /// and ran at nearly all its crashes.
--- a/daemon/src/gateway/suspects.rs
+++ b/daemon/src/gateway/suspects.rs
@@ -48,7 +48,10 @@
     /// Records that a server answered a request.
     pub(crate) fn record_answer(&self, work: &Work) {
         let unix_ms = self.clock.unix_ms();
-        self.observer().record_answer(work, unix_ms);
+        let cleared = self.observer().record_answer(work, unix_ms);
+        for fingerprint in cleared {
+            info!(event = "evidence_cleared", %fingerprint);
+        }
     }
 
     /// Decides which broken requests ran on servers that have ended since, and removes what has
@@ -63,8 +66,7 @@
         let mut observer = self.observer();
         observer.expire(self.clock.unix_ms());
         let decisions = observer.check_servers(&list, self.clock.now_ms());
-        drop(observer);
-        log_decisions(&decisions);
+        log_decisions(&decisions, &observer, self.clock.unix_ms());
     }
 
     /// Begins a probe of a server; returns whether there was none.
@@ -78,8 +80,9 @@
         self.probed.lock().expect("probed lock").remove(crash);
         if has_ended {
             let now_ms = self.clock.now_ms();
-            let decisions = self.observer().record_refused_connections(crash, now_ms);
-            log_decisions(&decisions);
+            let mut observer = self.observer();
+            let decisions = observer.record_refused_connections(crash, now_ms);
+            log_decisions(&decisions, &observer, self.clock.unix_ms());
         }
     }
 
@@ -125,8 +128,10 @@
     }
 }
 
-fn log_decisions(decisions: &[Decision]) {
+fn log_decisions(decisions: &[Decision], observer: &CrashObserver, unix_ms: u64) {
     for decision in decisions {
+        let assessment = observer.assessment(decision.work.request());
+        let answered_unix_ms = assessment.answered_unix_ms;
         let event = match decision.verdict {
             Verdict::RefusesConnections | Verdict::Unregistered => "crash_observed",
             Verdict::Registered => "crash_undecided",
@@ -138,7 +143,10 @@
             server = %decision.crash.server,
             boot = decision.crash.boot,
             verdict = ?decision.verdict,
-            age_ms = decision.age_ms
+            age_ms = decision.age_ms,
+            crashes = assessment.crashes,
+            counted_crashes = assessment.counted_crashes,
+            answer_age_ms = answered_unix_ms.map(|it| unix_ms.saturating_sub(it))
         );
     }
 }
