Reproduce a request that crashes servers after it was answered and is sent on

Our test of such requests has crashed servers from the first arrival on; its 28 cases pass, so that the fault is not seen by them. A request now has a life: nine new cases answer it for 2.5 s first, or between its crashes.

--- a/core/tests/quarantine.rs
+++ b/core/tests/quarantine.rs
@@ -304,3 +304,17 @@
     }
     Ok(())
 }
+
+/// Guards against an answer that excuses a request, however many servers it crashes afterwards.
+#[test]
+fn request_that_was_answered_before_is_refused_after_its_third_crash() {
+    let mut table = Quarantine::default();
+    table.record_crash(&crash(1), [POISON], 10);
+    table.record_answer(POISON, 20);
+    for number in 2..=3 {
+        table.record_crash(&crash(number), [POISON], 20 + number);
+        assert_eq!(table.status(POISON), QuarantineStatus::Clear);
+    }
+    table.record_crash(&crash(4), [POISON], 24);
+    assert_eq!(table.status(POISON), QuarantineStatus::Quarantined);
+}
--- a/daemon/tests/poison.rs
+++ b/daemon/tests/poison.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use mimosabay_standin::fleet::{
-    CONTACT_MS, Condition, CrashEnd, CrashTrigger, Disturber, FleetServer, FleetSite, RestartId,
-    quarantine_log, start_crashing_site,
+    CONTACT_MS, Condition, CrashEnd, CrashTrigger, Disturber, FleetServer, FleetSite,
+    ReceivedRequest, RestartId, quarantine_log, start_crashing_site,
 };
 use mimosabay_standin::harness::{block_on, wait_for};
 use tokio::task::JoinSet;
@@ -74,6 +74,15 @@
         draft_store_down: (Route::Draft, CrashEnd::Close, RestartId::New, Condition::StoreDown);
         draft_once_store_loses_answers: (Route::DraftOnce, CrashEnd::Close, RestartId::New, Condition::StoreLosesAnswers);
         draft_once_silent_mid_stream: (Route::DraftOnce, CrashEnd::SilenceMidStream, RestartId::New, Condition::Calm);
+        booking_sound_at_first: (Route::Booking, CrashEnd::Close, RestartId::New, Condition::SoundAtFirst);
+        booking_sound_at_first_at_silent_servers: (Route::Booking, CrashEnd::Silence, RestartId::New, Condition::SoundAtFirst);
+        lookup_sound_at_first: (Route::Lookup, CrashEnd::Close, RestartId::New, Condition::SoundAtFirst);
+        lookup_sound_at_first_under_the_same_id: (Route::Lookup, CrashEnd::Close, RestartId::Same, Condition::SoundAtFirst);
+        lookup_answered_between_crashes: (Route::Lookup, CrashEnd::Close, RestartId::New, Condition::AnsweredBetweenCrashes);
+        draft_sound_at_first: (Route::Draft, CrashEnd::Close, RestartId::New, Condition::SoundAtFirst);
+        draft_mid_stream_sound_at_first: (Route::Draft, CrashEnd::CloseMidStream, RestartId::New, Condition::SoundAtFirst);
+        draft_answered_between_crashes: (Route::Draft, CrashEnd::Close, RestartId::New, Condition::AnsweredBetweenCrashes);
+        draft_once_sound_at_first: (Route::DraftOnce, CrashEnd::Silence, RestartId::New, Condition::SoundAtFirst);
         draft_once_at_silent_servers: (Route::DraftOnce, CrashEnd::Silence, RestartId::New, Condition::Calm);
     }
 }
@@ -88,7 +97,7 @@
         let trigger = CrashTrigger::BodyPrefix(POISON);
         let mut site = start_crashing_site(trigger, end, restart).await;
         let mut callers = Callers::new(route, condition, &site);
-        let mut disturber = Disturber::new(condition);
+        let mut disturber = Disturber::start(condition, &site);
         while disturber.advance() < POISON_TIME_MS {
             callers.send(&site, &disturber);
             disturber.disturb(&mut site).await;
@@ -166,13 +175,15 @@
         let servers = site.engines.iter().chain(&site.plain_servers);
         let requests = servers.flat_map(FleetServer::requests);
         let requests = requests.filter(|it| it.has_run && *it.body == *poison.as_bytes());
-        let mut arrivals: Vec<Instant> = requests.map(|request| request.arrived).collect();
-        arrivals.sort_unstable();
+        let mut requests: Vec<ReceivedRequest> = requests.collect();
+        requests.sort_unstable_by_key(|request| request.arrived);
+        let arrivals: Vec<Instant> = requests.iter().map(|request| request.arrived).collect();
+        let mut crashing = requests.iter().filter(|request| request.has_crashed_server);
         assert!(
-            *poison != *POISONS[0] || arrivals.len() >= 2,
-            "no server ran the request twice"
+            *poison != *POISONS[0] || crashing.clone().count() >= 2,
+            "the request did not crash two servers"
         );
-        let Some(third) = arrivals.get(2).copied() else {
+        let Some(third) = crashing.nth(2).map(|request| request.arrived) else {
             continue;
         };
         let times: Vec<Duration> = arrivals.iter().map(|at| *at - arrivals[0]).collect();
--- a/daemon/tests/poison_part.rs
+++ b/daemon/tests/poison_part.rs
@@ -105,7 +105,7 @@
         let trigger = CrashTrigger::PromptPart(&POISON_PARTS);
         let mut site = start_crashing_site(trigger, end, restart).await;
         let mut load = Load::new(route, condition);
-        let mut disturber = Disturber::new(condition);
+        let mut disturber = Disturber::start(condition, &site);
         while load.is_needed(&site, disturber.advance()) {
             load.send(&site, &disturber);
             disturber.disturb(&mut site).await;
--- a/standin/src/fleet/crash.rs
+++ b/standin/src/fleet/crash.rs
@@ -107,6 +107,11 @@
         self.with_state(|state| state.crash_plan = Some(plan));
     }
 
+    /// Answers the requests of the plan like others, or lets them crash the server again.
+    pub fn suspend_crashes(&self, is_suspended: bool) {
+        self.with_state(|state| state.is_plan_suspended = is_suspended);
+    }
+
     /// Returns the times of the crashes so far, oldest first.
     pub fn crash_times(&self) -> Vec<Instant> {
         self.with_state(|state| state.crash_times.clone())
@@ -114,12 +119,13 @@
 
     /// Returns the plan if the request crashes this server.
     pub(super) fn crash_plan_for(&self, call: &Call) -> Option<CrashPlan> {
+        let is_suspended = self.with_state(|state| state.is_plan_suspended);
         let plan = self.with_state(|state| state.crash_plan)?;
         let is_meant = match plan.trigger {
             CrashTrigger::BodyPrefix(prefix) => call.body.starts_with(prefix.as_bytes()),
             CrashTrigger::PromptPart(ids) => has_prompt_part(call, ids),
         };
-        is_meant.then_some(plan)
+        (is_meant && !is_suspended).then_some(plan)
     }
 
     /// Runs a request that crashes the server.
--- a/standin/src/fleet/poison.rs
+++ b/standin/src/fleet/poison.rs
@@ -17,6 +17,10 @@
 const DOWN_MS: u64 = 1_200;
 /// Time after which the store removes the entry of a crashed server, in milliseconds.
 const ENTRY_EXPIRY_MS: u64 = 3_000;
+/// Time for which requests are answered before they crash servers, in milliseconds.
+const SOUND_MS: u64 = 2_500;
+/// Shortest time in which requests crash servers before they are answered again, in milliseconds.
+const STEP_MS: u64 = 150;
 /// Number of answers that the store loses at each disturbance of it.
 const LOST_ANSWERS: u32 = 3;
 
@@ -41,6 +45,10 @@
     StoreLosesAnswers,
     /// Nothing else, but there are several kinds of such requests.
     SeveralPoisons,
+    /// The requests are answered at first.
+    SoundAtFirst,
+    /// The requests are answered for some time after the first crash, and again after the next.
+    AnsweredBetweenCrashes,
 }
 
 /// Disturbs the instances of a site under a condition, step by step.
@@ -92,7 +100,8 @@
 
 impl Disturber {
     /// Creates one whose time starts now.
-    pub fn new(condition: Condition) -> Self {
+    pub fn start(condition: Condition, site: &FleetSite) -> Self {
+        suspend_crashes(site, condition == Condition::SoundAtFirst);
         Self {
             condition,
             start: Instant::now(),
@@ -184,10 +193,22 @@
                     self.mark_disturbed(index, false);
                 }
             }
+            Condition::SoundAtFirst if self.reaches(SOUND_MS) => suspend_crashes(site, false),
+            Condition::AnsweredBetweenCrashes => self.answer_between_crashes(site),
             _ => {}
         }
     }
 
+    /// Answers the requests from the end of each of the first two steps in which they crash servers.
+    fn answer_between_crashes(&self, site: &FleetSite) {
+        if self.reaches(0) || self.reaches(SOUND_MS) {
+            suspend_crashes(site, true);
+        }
+        if self.reaches(SOUND_MS - STEP_MS) || self.reaches(2 * SOUND_MS) {
+            suspend_crashes(site, false);
+        }
+    }
+
     fn restart_all(&mut self, site: &mut FleetSite) {
         for instance in &mut site.instances {
             instance.process.kill();
@@ -199,6 +220,12 @@
     }
 }
 
+fn suspend_crashes(site: &FleetSite, is_suspended: bool) {
+    for server in site.engines.iter().chain(&site.plain_servers) {
+        server.suspend_crashes(is_suspended);
+    }
+}
+
 /// Returns the log lines of all instances about crashes and quarantine.
 pub fn quarantine_log(site: &FleetSite) -> String {
     const EVENTS: [&str; 8] = [
--- a/standin/src/fleet/server.rs
+++ b/standin/src/fleet/server.rs
@@ -104,6 +104,8 @@
     pub id: String,
     /// Whether the server ran the request.
     pub has_run: bool,
+    /// Whether the request crashed the server.
+    pub has_crashed_server: bool,
     /// All headers, in the order received.
     pub headers: Vec<(String, String)>,
     /// Complete request body.
@@ -120,6 +122,23 @@
     }
 }
 
+/// What a request did to the server that received it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RequestEffect {
+    /// Nothing: it was not run.
+    NotRun,
+    /// It ran.
+    Run,
+    /// It crashed the server.
+    Crash,
+}
+
+impl RequestEffect {
+    fn run(crashes: bool) -> Self {
+        if crashes { Self::Crash } else { Self::Run }
+    }
+}
+
 /// An order that a server received.
 #[derive(Clone, Debug)]
 pub struct ReceivedOrder {
@@ -165,6 +184,8 @@
     pub(super) restarted_id: Option<Name>,
     /// Requests that crash the server, and how it crashes.
     pub(super) crash_plan: Option<CrashPlan>,
+    /// Whether the requests of the plan are answered like others for now.
+    pub(super) is_plan_suspended: bool,
     /// Whether the server is down after a crash.
     pub(super) is_crashed: bool,
     /// Times of the crashes by requests of the plan, oldest first.
@@ -393,7 +414,7 @@
         }
         let after = call.header("last-event-id").parse().unwrap_or(0);
         let crash_plan = self.crash_plan_for(&call);
-        self.record_request(call, &id, true);
+        self.record_request(call, &id, RequestEffect::run(crash_plan.is_some()));
         let _running = RunningRequest::new(self);
         if let Some(plan) = crash_plan {
             return self.crash_while_running(plan, &id, after).await;
@@ -450,17 +471,18 @@
     }
 
     fn not_executed_response(&self, status: StatusCode, call: Call, id: &str) -> Reply {
-        self.record_request(call, id, false);
+        self.record_request(call, id, RequestEffect::NotRun);
         let mut response = reply::json(status, &json!({}))?;
         let headers = response.headers_mut();
         headers.insert("x-not-executed", HeaderValue::from_static("1"));
         Ok(response)
     }
 
-    fn record_request(&self, call: Call, id: &str, has_run: bool) {
+    fn record_request(&self, call: Call, id: &str, effect: RequestEffect) {
         let request = ReceivedRequest {
             id: id.to_owned(),
-            has_run,
+            has_run: effect != RequestEffect::NotRun,
+            has_crashed_server: effect == RequestEffect::Crash,
             headers: call.header_list(),
             body: call.body,
             arrived: Instant::now(),
