Run a request under quarantine again from time to time, so that an answer can end it

Cause: only an answer ends a quarantine, and a refused request has none; parts of prompts are excused by other work, whole requests had no way back.

One instance, chosen by rendezvous over the list of members, now lets a single run of such a request pass, as a half-open circuit breaker does: 3 s after it first refused it, then 36 s and 432 s after a run that failed, and no more. Only if there is doubt: the request was answered before, or other work under quarantine ran at all its crashes but one. A trial has one attempt; the placer grants it unless a part of the prompt is refused.

Ruled out: excusing a request by another one as for parts (both excuse each other, and both run at all instances at once); a fixed shorter quarantine (each instance would try).

Messages between instances change by one field.

--- a/core/src/cell/message.rs
+++ b/core/src/cell/message.rs
@@ -43,6 +43,9 @@
         pub excluded: Vec<Name>,
         /// Hash of path, organisation and body, which identifies requests that crash servers.
         pub request_hash: u64,
+        /// Whether the request is under quarantine and is run once nevertheless, to find out whether
+        /// it crashes servers.
+        pub is_trial: bool,
         /// Outcome of the previous attempt, if there was one.
         pub previous: Option<EndedRun>,
     }
--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -186,7 +186,7 @@
         if let Some(previous) = &request.previous {
             self.end_run(previous, now_ms);
         }
-        if let Some(fingerprint) = self.suspects.refused_by(&request.work()) {
+        if let Some(fingerprint) = self.suspects.refused_by(&request.work(), request.is_trial) {
             let refusal = Refusal {
                 reason: RefusalReason::Quarantined(fingerprint),
                 retry_after_ms: quarantine::RETRY_AFTER_MS,
--- a/core/src/cell/placed_request.rs
+++ b/core/src/cell/placed_request.rs
@@ -33,6 +33,7 @@
             excluded: Vec::new(),
             previous: None,
             request_hash: run.request_hash,
+            is_trial: false,
         };
         Self {
             request,
--- a/core/src/cell/suspects.rs
+++ b/core/src/cell/suspects.rs
@@ -129,9 +129,13 @@
     }
 
     /// Returns the fingerprint for which a request is refused, because such work crashed several
-    /// servers; `None` if it may run.
-    pub(super) fn refused_by(&self, work: &Work) -> Option<Fingerprint> {
-        self.quarantine.refused_by(work)
+    /// servers; `None` if it may run. A trial run is refused for a part of its prompt only.
+    pub(super) fn refused_by(&self, work: &Work, is_trial: bool) -> Option<Fingerprint> {
+        if is_trial {
+            self.quarantine.refused_by_part(work)
+        } else {
+            self.quarantine.refused_by(work)
+        }
     }
 }
 
--- a/core/src/crash_observer.rs
+++ b/core/src/crash_observer.rs
@@ -10,6 +10,7 @@
 use crate::quarantine::{Assessment, Crash, Quarantine, QuarantineStatus};
 use crate::quarantine_log::QuarantineChanges;
 use crate::recent_answers::RecentAnswers;
+use crate::trial::{TrialOutcome, Trials};
 use crate::work::{Fingerprint, Work};
 
 /// Time after which a server that is still registered counts as running, in heartbeats of the
@@ -45,6 +46,8 @@
     unsent: BTreeSet<Fingerprint>,
     /// The latest answers of this instance.
     answers: RecentAnswers,
+    /// Trial runs that this instance makes of requests under quarantine.
+    trials: Trials,
     /// Version of the quarantine received last.
     version: u64,
     /// Time of the last call of [`CrashObserver::check_servers`], in milliseconds.
@@ -83,6 +86,18 @@
     pub heartbeat_ms: u64,
 }
 
+/// Whether a request may be sent to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It may run.
+    Admitted,
+    /// It is under quarantine and may run once, to find out whether it crashes servers. The caller
+    /// has to call [`CrashObserver::finish_trial`].
+    Trial,
+    /// It is refused for this fingerprint.
+    Refused(Fingerprint),
+}
+
 /// A decision about a broken request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Decision {
@@ -220,6 +235,33 @@
         self.known.refused_by(work)
     }
 
+    /// Decides whether a request may be sent to its first server. `makes_trials` tells whether this
+    /// instance is the one that makes trial runs of the request.
+    pub fn admit(
+        &mut self,
+        work: &Work,
+        makes_trials: impl FnOnce() -> bool,
+        now_ms: u64,
+    ) -> Admission {
+        let Some(fingerprint) = self.known.refused_by(work) else {
+            return Admission::Admitted;
+        };
+        let may_be_sound =
+            self.known.is_doubtful(work.request()) && self.known.refused_by_part(work).is_none();
+        let is_trial =
+            may_be_sound && makes_trials() && self.trials.try_start(work.request_hash(), now_ms);
+        if is_trial {
+            Admission::Trial
+        } else {
+            Admission::Refused(fingerprint)
+        }
+    }
+
+    /// Records that a trial run has ended. An answer to it has been recorded before.
+    pub fn finish_trial(&mut self, request_hash: u64, outcome: TrialOutcome, now_ms: u64) {
+        self.trials.finish(request_hash, outcome, now_ms);
+    }
+
     /// Returns what this instance knows against the work.
     pub fn assessment(&self, fingerprint: Fingerprint) -> Assessment {
         self.known.assessment(fingerprint)
@@ -234,6 +276,10 @@
     pub fn expire(&mut self, unix_ms: u64) {
         self.known.expire(unix_ms);
         self.own.retain(|it| self.known.contains(*it));
+        let known = &self.known;
+        self.trials.retain(|request_hash| {
+            known.status(Fingerprint::Request(request_hash)) == QuarantineStatus::Quarantined
+        });
     }
 
     fn record_crash(&mut self, request: &BrokenRequest, was_registered: bool, now_ms: u64) {
--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -219,6 +219,23 @@
         quarantined.find(|it| self.is_refused(*it, work))
     }
 
+    /// Returns the part of a prompt for which a request is refused, `None` if no part is a reason.
+    pub fn refused_by_part(&self, work: &Work) -> Option<Fingerprint> {
+        let quarantined = |it: &Fingerprint| self.status(*it) == QuarantineStatus::Quarantined;
+        let mut parts = work.parts().filter(quarantined);
+        parts.find(|it| self.is_refused(*it, work))
+    }
+
+    /// Returns whether work under quarantine may not be what crashed the servers: it was answered
+    /// before, or other work under quarantine ran at nearly all its crashes.
+    pub fn is_doubtful(&self, fingerprint: Fingerprint) -> bool {
+        let is_explained_by = |other: Fingerprint| {
+            other != fingerprint
+                && self.counted_crashes_without(fingerprint, other) < MIN_CRASHES_WITHOUT_OTHER
+        };
+        self.answered_unix_ms(fingerprint).is_some() || self.quarantined().any(is_explained_by)
+    }
+
     /// Returns whether work is refused for this fingerprint of it, which is under quarantine.
     fn is_refused(&self, fingerprint: Fingerprint, work: &Work) -> bool {
         match fingerprint {
--- a/core/src/work.rs
+++ b/core/src/work.rs
@@ -67,8 +67,12 @@
 
     /// Returns all fingerprints of the work.
     pub fn fingerprints(&self) -> impl Iterator<Item = Fingerprint> {
-        let parts = self.parts.iter().map(|id| Fingerprint::PromptPart(*id));
-        [self.request()].into_iter().chain(parts)
+        [self.request()].into_iter().chain(self.parts())
+    }
+
+    /// Returns the fingerprints of the parts of its prompt.
+    pub fn parts(&self) -> impl Iterator<Item = Fingerprint> {
+        self.parts.iter().map(|id| Fingerprint::PromptPart(*id))
     }
 
     /// Returns the work that may have crashed a server which broke off after it had sent data for
--- a/core/tests/cell/support.rs
+++ b/core/tests/cell/support.rs
@@ -118,6 +118,7 @@
         target_ms: 1_000,
         excluded: Vec::new(),
         previous: None,
+        is_trial: false,
         request_hash: number,
     }
 }
--- a/core/tests/cell/suspects.rs
+++ b/core/tests/cell/suspects.rs
@@ -53,6 +53,19 @@
     assert_eq!(granted(&cell.take_actions()).len(), 1);
 }
 
+/// Guards against an instance's trial run of a request under quarantine that the placer refuses.
+#[test]
+fn trial_run_is_placed_though_the_request_is_under_quarantine() {
+    let mut cell = confirmed_cell();
+    let first = run_until_crash(&mut cell, 1, 77, 10, &[]);
+    run_until_crash(&mut cell, 2, 77, 1_000, &[first]);
+    let mut trial = placement_request(3, "a1");
+    trial.request_hash = 77;
+    trial.is_trial = true;
+    cell.request_placement(trial, 2_000);
+    assert_eq!(granted(&cell.take_actions()).len(), 1);
+}
+
 #[test]
 fn request_whose_connection_broke_at_a_live_server_is_not_suspected() {
     let mut cell = confirmed_cell();
--- a/daemon/src/gateway/engine_request.rs
+++ b/daemon/src/gateway/engine_request.rs
@@ -19,6 +19,7 @@
 use super::request::Job;
 use super::state::State;
 use super::successor::{self, Awaited, Current};
+use super::trial_run::TrialRun;
 
 /// Retry delay for a caller whose request could not be placed, in milliseconds.
 pub(super) const NO_PLACER_RETRY_MS: u64 = 500;
@@ -36,6 +37,10 @@
     /// Outcome of the previous attempt.
     pub(super) previous: Option<EndedRun>,
     failed_response: Option<CompleteResponse>,
+    /// Whether it was assigned to a server.
+    pub(super) was_placed: bool,
+    /// Set if the request is under quarantine.
+    pub(super) trial: Option<TrialRun>,
 }
 
 impl EngineRequest {
@@ -56,6 +61,20 @@
         servers.push(server);
     }
 
+    /// Whether the request is under quarantine and is run once nevertheless.
+    pub(super) fn is_trial(&self) -> bool {
+        self.trial.is_some()
+    }
+
+    /// Records that no server ran the request, if it is a trial run and none has.
+    pub(super) fn mark_trial_not_run(&mut self) {
+        if self.attempts.is_not_run()
+            && let Some(trial) = &mut self.trial
+        {
+            trial.mark_not_run();
+        }
+    }
+
     /// Name of the caller's organisation, for logs.
     pub(super) fn organisation(&self) -> &str {
         let organisation = self.job.organisation.as_ref();
@@ -77,6 +96,8 @@
         is_charged: false,
         previous: None,
         failed_response: None,
+        was_placed: false,
+        trial: None,
     };
     match first_response_head(state, &mut request).await {
         Ok((head, run)) if request.job.route.is_stream() && head.status.is_success() => {
--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -41,6 +41,7 @@
 mod stop;
 mod successor;
 mod suspects;
+mod trial_run;
 mod updates;
 mod watch;
 
--- a/daemon/src/gateway/placement.rs
+++ b/daemon/src/gateway/placement.rs
@@ -9,13 +9,14 @@
     AdoptedRun, Charge, PlacementRequest, PlacementResponse, Refusal, RefusalReason, Ticket,
 };
 use mimosabay_core::quarantine;
-use mimosabay_core::work::Fingerprint;
+use mimosabay_core::work::{Fingerprint, Work};
 use tokio::time::timeout;
 use tracing::info;
 
 use super::engine_request::{EngineRequest, NO_PLACER_RETRY_MS};
 use super::engine_run::{Forecast, Run};
 use super::state::State;
+use super::trial_run::TrialRun;
 
 /// A placement at a server. Dropping it releases the place.
 pub(crate) struct GrantedPlacement {
@@ -50,9 +51,9 @@
         request_hash: request.job.request_hash,
     });
     let requested_ms = state.now_ms();
-    let (response, is_placed) = match state.suspects.refused_by(&work) {
-        Some(fingerprint) => (quarantine_refusal(fingerprint), false),
-        None => request_placement(state, request, ticket).await,
+    let (response, is_placed) = match admit(state, request, &work) {
+        Ok(()) => request_placement(state, request, ticket).await,
+        Err(fingerprint) => (quarantine_refusal(fingerprint), false),
     };
     let waited_ms = state.now_ms() - requested_ms;
     match response {
@@ -71,6 +72,7 @@
                 waited_ms,
                 is_placed
             );
+            request.mark_trial_not_run();
             Placement::Refused(refusal)
         }
         PlacementResponse::Granted {
@@ -79,6 +81,7 @@
             first_event_ms,
         } => {
             request.is_charged = true;
+            request.was_placed = true;
             info!(
                 event = "placed",
                 id = %request.job.id,
@@ -113,6 +116,21 @@
     }
 }
 
+/// Checks the quarantine. Only the first attempt of a request may be a trial run.
+///
+/// # Errors
+///
+/// The fingerprint for which the request is refused.
+fn admit(state: &Arc<State>, request: &mut EngineRequest, work: &Work) -> Result<(), Fingerprint> {
+    if request.was_placed {
+        return state.suspects.refused_by(work).map_or(Ok(()), Err);
+    }
+    if let Some(trial) = TrialRun::admit(state, work, &request.job.id)? {
+        request.trial = Some(trial);
+    }
+    Ok(())
+}
+
 /// Returns the placement response, and whether it comes from the placer.
 async fn request_placement(
     state: &State,
@@ -143,6 +161,7 @@
         left_ms: job.remaining_ms(state),
         target_ms: job.route.target_latency_ms.saturating_sub(waited_ms),
         excluded: request.excluded.clone(),
+        is_trial: request.is_trial(),
         previous: request.previous.clone(),
         request_hash: job.request_hash,
     }
--- a/daemon/src/gateway/plain_request.rs
+++ b/daemon/src/gateway/plain_request.rs
@@ -19,6 +19,7 @@
 use super::retry_permit::RetryPermit;
 use super::state::State;
 use super::successor::OVERLAP_MS;
+use super::trial_run::TrialRun;
 
 /// Time beyond the target latency after which an idempotent request may be sent to another server, in
 /// milliseconds.
@@ -30,9 +31,9 @@
 
 /// Sends a request to servers of its service until one answers.
 pub(crate) async fn run(state: &Arc<State>, job: Job) -> Answer {
-    if is_refused(state, &job) {
+    let Ok(trial) = TrialRun::admit(state, &job.work(None), &job.id) else {
         return quarantine_refusal(state, &job);
-    }
+    };
     record_charge(state, &job);
     let mut request = PlainRequest {
         state,
@@ -40,6 +41,7 @@
         attempts: Attempts::new(job.route.retry_safety, job.route.max_attempts),
         excluded: Vec::new(),
         failed_response: None,
+        trial,
     };
     loop {
         let Some(backend) = request.choose_server(None) else {
@@ -91,6 +93,8 @@
     excluded: Vec<Name>,
     /// The latest response with a server error.
     failed_response: Option<CompleteResponse>,
+    /// Set if the request is under quarantine.
+    trial: Option<TrialRun>,
 }
 
 /// What came first.
@@ -241,6 +245,11 @@
     /// The final answer after the last attempt.
     fn failure_answer(self, failure: Failure) -> Answer {
         let Self { state, job, .. } = self;
+        if self.attempts.is_not_run()
+            && let Some(mut trial) = self.trial
+        {
+            trial.mark_not_run();
+        }
         if let Some(response) = self.failed_response {
             state.metrics.count_outcome(Outcome::ServerFailed);
             info!(event = "failed", id = %job.id, reason = "server_error");
