Let the placer permit the trials of requests under quarantine, one after the other

Cause, from the log of lookup_at_silent_servers: two instances made the trials of the crashing request and of the sound one by themselves, 0.3 s apart, at the same server (16.875 and 17.178 s, both without an answer), so that the sound one was held for the crash of the other; and a request that reaches one instance alone is never tried if another one was chosen.

The placer now permits trials: any instance asks it, at most once a second for each request; trials of different requests are 7 s apart unless the one before was answered; a crash more than 3 s after the one before counts as that of a trial, so that a new placer does not begin anew.

--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -27,6 +27,7 @@
 use crate::prompt::Prompt;
 use crate::quarantine::{self, Quarantine};
 use crate::site::{self, Site};
+use crate::work::Work;
 
 pub use engine::AdapterKey;
 pub use message::{
@@ -208,6 +209,11 @@
         self.advance(now_ms);
     }
 
+    /// Permits one run of a request under quarantine if a trial is due; returns whether it is.
+    pub fn try_start_trial(&mut self, work: &Work, now_ms: u64) -> bool {
+        self.suspects.try_start_trial(work, now_ms)
+    }
+
     /// Adds requests that were assigned by the previous placer.
     pub fn adopt_runs(&mut self, runs: Vec<AdoptedRun>, entry_zone: &str, now_ms: u64) {
         for run in runs {
--- a/core/src/cell/suspects.rs
+++ b/core/src/cell/suspects.rs
@@ -3,8 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use crate::name::Name;
-use crate::quarantine::{Crash, Quarantine};
+use crate::quarantine::{Crash, Quarantine, QuarantineStatus};
 use crate::recent_answers::RecentAnswers;
+use crate::trial::Trials;
 use crate::work::{Fingerprint, Work};
 
 /// Time within which a crash is attributed to a request whose connection broke, in milliseconds.
@@ -26,6 +27,8 @@
     /// Times of the answers to the work that was reported, as the instances know them, in Unix
     /// milliseconds.
     reported_answers: BTreeMap<Fingerprint, Option<u64>>,
+    /// Trial runs of requests under quarantine.
+    trials: Trials,
     /// Time from which on [`Suspects::expire`] has something to do, in milliseconds.
     expiry_due_ms: u64,
     /// Unix time at time 0 of `now_ms`, in milliseconds.
@@ -128,6 +131,19 @@
         Some(self.quarantine.part(fingerprints))
     }
 
+    /// Permits one run of a request under quarantine if a trial is due; returns whether it is.
+    pub(super) fn try_start_trial(&mut self, work: &Work, now_ms: u64) -> bool {
+        let quarantine = &self.quarantine;
+        self.trials.retain(|request_hash| {
+            let status = quarantine.status(Fingerprint::Request(request_hash));
+            status == QuarantineStatus::Quarantined
+        });
+        let crashes = quarantine.crash_history(work.request());
+        let unix_ms = self.epoch_unix_ms + now_ms;
+        quarantine.may_be_tried(work)
+            && self.trials.try_start(work.request_hash(), crashes, unix_ms)
+    }
+
     /// Returns the fingerprint for which a request is refused, because such work crashed several
     /// servers; `None` if it may run. A trial run is refused for a part of its prompt only.
     pub(super) fn refused_by(&self, work: &Work, is_trial: bool) -> Option<Fingerprint> {
--- a/core/src/crash_observer.rs
+++ b/core/src/crash_observer.rs
@@ -4,13 +4,12 @@
 //! the evidence, because a new placer knows only what instances send to it. What an instance knows
 //! grows by merging: a placer that knows less takes nothing away.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 
 use crate::name::Name;
 use crate::quarantine::{Assessment, Crash, Quarantine, QuarantineStatus};
 use crate::quarantine_log::QuarantineChanges;
 use crate::recent_answers::RecentAnswers;
-use crate::trial::{TrialOutcome, Trials};
 use crate::work::{Fingerprint, Work};
 
 /// Time after which a server that is still registered counts as running, in heartbeats of the
@@ -31,6 +30,9 @@
 /// longest ago are dropped first.
 const MAX_OWN: usize = 2_048;
 
+/// Shortest time between two requests for a trial run of the same request, in milliseconds.
+const TRIAL_REQUEST_PERIOD_MS: u64 = 1_000;
+
 /// The crashes, answers and quarantine that one instance knows.
 #[derive(Debug, Default)]
 pub struct CrashObserver {
@@ -46,8 +48,8 @@
     unsent: BTreeSet<Fingerprint>,
     /// The latest answers of this instance.
     answers: RecentAnswers,
-    /// Trial runs that this instance makes of requests under quarantine.
-    trials: Trials,
+    /// When this instance last asked the placer for a trial run of a request, in milliseconds.
+    trial_requested_ms: HashMap<u64, u64>,
     /// Version of the quarantine received last.
     version: u64,
     /// Time of the last call of [`CrashObserver::check_servers`], in milliseconds.
@@ -91,9 +93,9 @@
 pub enum Admission {
     /// It may run.
     Admitted,
-    /// It is under quarantine and may run once, to find out whether it crashes servers. The caller
-    /// has to call [`CrashObserver::finish_trial`].
-    Trial,
+    /// It is under quarantine for this fingerprint, and may only have run beside other work that
+    /// crashes servers. It may run once if the placer permits it.
+    NeedsTrial(Fingerprint),
     /// It is refused for this fingerprint.
     Refused(Fingerprint),
 }
@@ -235,31 +237,26 @@
         self.known.refused_by(work)
     }
 
-    /// Decides whether a request may be sent to its first server. `makes_trials` tells whether this
-    /// instance is the one that makes trial runs of the request.
-    pub fn admit(
-        &mut self,
-        work: &Work,
-        makes_trials: impl FnOnce() -> bool,
-        now_ms: u64,
-    ) -> Admission {
+    /// Decides whether a request may be sent to its first server.
+    pub fn admit(&mut self, work: &Work, now_ms: u64) -> Admission {
         let Some(fingerprint) = self.known.refused_by(work) else {
             return Admission::Admitted;
         };
-        let may_be_sound =
-            self.known.is_doubtful(work.request()) && self.known.refused_by_part(work).is_none();
-        let is_trial =
-            may_be_sound && makes_trials() && self.trials.try_start(work.request_hash(), now_ms);
-        if is_trial {
-            Admission::Trial
+        if self.known.may_be_tried(work) && self.may_request_trial(work.request_hash(), now_ms) {
+            Admission::NeedsTrial(fingerprint)
         } else {
             Admission::Refused(fingerprint)
         }
     }
 
-    /// Records that a trial run has ended. An answer to it has been recorded before.
-    pub fn finish_trial(&mut self, request_hash: u64, outcome: TrialOutcome, now_ms: u64) {
-        self.trials.finish(request_hash, outcome, now_ms);
+    /// Returns whether the placer may be asked for a trial run now, and records that it is.
+    fn may_request_trial(&mut self, request_hash: u64, now_ms: u64) -> bool {
+        let requested_ms = self.trial_requested_ms.get(&request_hash);
+        let is_due = requested_ms.is_none_or(|it| now_ms >= it + TRIAL_REQUEST_PERIOD_MS);
+        if is_due {
+            self.trial_requested_ms.insert(request_hash, now_ms);
+        }
+        is_due
     }
 
     /// Returns what this instance knows against the work.
@@ -277,8 +274,8 @@
         self.known.expire(unix_ms);
         self.own.retain(|it| self.known.contains(*it));
         let known = &self.known;
-        self.trials.retain(|request_hash| {
-            known.status(Fingerprint::Request(request_hash)) == QuarantineStatus::Quarantined
+        self.trial_requested_ms.retain(|request_hash, _| {
+            known.status(Fingerprint::Request(*request_hash)) == QuarantineStatus::Quarantined
         });
     }
 
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -46,8 +46,8 @@
 pub mod roster;
 pub mod site;
 pub mod takeover;
-pub mod trial;
 pub mod work;
 
 mod recent_answers;
 mod rounding;
+mod trial;
--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -19,6 +19,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::name::Name;
+use crate::trial::CrashHistory;
 use crate::work::{Fingerprint, Work};
 
 /// Time after which a crash expires, on the store's clock.
@@ -226,9 +227,17 @@
         parts.find(|it| self.is_refused(*it, work))
     }
 
-    /// Returns whether work under quarantine may not be what crashed the servers: it was answered
+    /// Returns whether a request under quarantine may be run once to find out whether it crashes
+    /// servers: no part of its prompt is a reason to refuse it, and there is doubt. It was answered
     /// before, or other work under quarantine ran at nearly all its crashes.
-    pub fn is_doubtful(&self, fingerprint: Fingerprint) -> bool {
+    pub fn may_be_tried(&self, work: &Work) -> bool {
+        let fingerprint = work.request();
+        self.status(fingerprint) == QuarantineStatus::Quarantined
+            && self.refused_by_part(work).is_none()
+            && self.is_doubtful(fingerprint)
+    }
+
+    fn is_doubtful(&self, fingerprint: Fingerprint) -> bool {
         let is_explained_by = |other: Fingerprint| {
             other != fingerprint
                 && self.counted_crashes_without(fingerprint, other) < MIN_CRASHES_WITHOUT_OTHER
@@ -236,6 +245,13 @@
         self.answered_unix_ms(fingerprint).is_some() || self.quarantined().any(is_explained_by)
     }
 
+    /// Returns when the crashes were that count against the work, in Unix milliseconds.
+    pub(crate) fn crash_history(&self, fingerprint: Fingerprint) -> CrashHistory {
+        let evidence = self.evidence.get(&fingerprint);
+        let time_of = |crash: &Crash| evidence.and_then(|it| it.crashes.get(crash)).copied();
+        CrashHistory::new(self.counted_crashes(fingerprint).filter_map(time_of))
+    }
+
     /// Returns whether work is refused for this fingerprint of it, which is under quarantine.
     fn is_refused(&self, fingerprint: Fingerprint, work: &Work) -> bool {
         match fingerprint {
--- a/core/tests/cell/suspects.rs
+++ b/core/tests/cell/suspects.rs
@@ -6,7 +6,7 @@
     ANSWER_VALIDITY_MS, CRASH_TTL_MS, Crash, Quarantine, QuarantineStatus,
 };
 use mimosabay_core::quarantine_log::QuarantineLog;
-use mimosabay_core::work::Fingerprint;
+use mimosabay_core::work::{Fingerprint, Work};
 
 use crate::support::{
     ADAPTER_LIMIT, backend, confirmed, ended, granted, placement_request, refused, report,
@@ -356,3 +356,68 @@
         assert_eq!(granted(&cell.take_actions()).len(), expected, "{now_ms}");
     }
 }
+
+/// A cell that knows two crashes at which the requests 77, 78 and 79 ran, the later one at 1,000 ms.
+fn cell_with_suspects() -> Cell {
+    let mut table = Quarantine::default();
+    for (number, unix_ms) in [(1, 500), (2, 1_000)] {
+        let running = [77, 78, 79].map(Fingerprint::Request);
+        table.record_crash(&Crash::new(&"one".into(), number), running, unix_ms);
+    }
+    let mut cell = confirmed_cell();
+    cell.merge_quarantine(&table);
+    cell
+}
+
+/// Asks for a trial of a request every 100 ms; returns the times of those permitted.
+fn trials(cell: &mut Cell, request_hash: u64, until_ms: u64) -> Vec<u64> {
+    let times = (1_000..until_ms).step_by(100);
+    let work = Work::new(request_hash, None);
+    times
+        .filter(|now_ms| cell.try_start_trial(&work, *now_ms))
+        .collect()
+}
+
+/// Guards against trials that crash one server after the other.
+#[test]
+fn request_that_crashes_servers_has_few_trials() {
+    assert_eq!(
+        trials(&mut cell_with_suspects(), 77, 60_000),
+        [4_000, 40_000]
+    );
+    assert_eq!(trials(&mut cell_with_suspects(), 77, 3_600_000).len(), 3);
+}
+
+/// Guards against a new placer that tries a request again which failed a trial of its predecessor.
+#[test]
+fn crash_of_a_trial_delays_the_trials_of_the_next_placer() {
+    let mut cell = cell_with_suspects();
+    let mut table = Quarantine::default();
+    table.record_crash(&Crash::new(&"two".into(), 1), [POISON], 4_100);
+    cell.merge_quarantine(&table);
+    assert_eq!(trials(&mut cell, 77, 60_000), [40_100]);
+}
+
+/// Guards against a trial of a sound request on a server that the trial of another one crashes.
+#[test]
+fn requests_are_tried_one_after_the_other() {
+    let mut cell = cell_with_suspects();
+    let [poison, sound] = [77, 78].map(|hash| Work::new(hash, None));
+    assert!(cell.try_start_trial(&poison, 4_000));
+    assert!(!cell.try_start_trial(&sound, 10_900));
+    assert!(cell.try_start_trial(&sound, 11_000));
+}
+
+/// Guards against waiting for the end of a trial that was answered.
+#[test]
+fn trial_follows_at_once_on_one_that_was_answered() {
+    let mut cell = cell_with_suspects();
+    let [poison, sound] = [77, 78].map(|hash| Work::new(hash, None));
+    assert!(cell.try_start_trial(&sound, 4_000));
+    let mut table = Quarantine::default();
+    table.record_crash(&Crash::new(&"one".into(), 1), [sound.request()], 500);
+    table.record_answer(sound.request(), 4_050);
+    cell.merge_quarantine(&table);
+    assert!(!cell.try_start_trial(&sound, 4_100));
+    assert!(cell.try_start_trial(&poison, 4_100));
+}
--- a/daemon/src/gateway/engine_attempt.rs
+++ b/daemon/src/gateway/engine_attempt.rs
@@ -83,7 +83,6 @@
             left_ms = request.job.remaining_ms(state)
         );
         request.attempts.record_failure(failure.execution_status());
-        request.mark_trial_not_run();
         request.exclude(self.run.server.clone(), failure);
         self.run.set_outcome(run_outcome(failure));
         request.previous = Some(self.run.as_ended());
--- a/daemon/src/gateway/engine_request.rs
+++ b/daemon/src/gateway/engine_request.rs
@@ -19,7 +19,6 @@
 use super::request::Job;
 use super::state::State;
 use super::successor::{self, Awaited, Current};
-use super::trial_run::TrialRun;
 
 /// Retry delay for a caller whose request could not be placed, in milliseconds.
 pub(super) const NO_PLACER_RETRY_MS: u64 = 500;
@@ -39,8 +38,8 @@
     failed_response: Option<CompleteResponse>,
     /// Whether it was assigned to a server.
     pub(super) was_placed: bool,
-    /// Set if the request is under quarantine.
-    pub(super) trial: Option<TrialRun>,
+    /// Whether it is under quarantine and is run once nevertheless.
+    pub(super) is_trial: bool,
 }
 
 impl EngineRequest {
@@ -61,20 +60,6 @@
         servers.push(server);
     }
 
-    /// Whether the request is under quarantine and is run once nevertheless.
-    pub(super) fn is_trial(&self) -> bool {
-        self.trial.is_some()
-    }
-
-    /// Records that no server ran the request, if it is a trial run and none has.
-    pub(super) fn mark_trial_not_run(&mut self) {
-        if self.attempts.is_not_run()
-            && let Some(trial) = &mut self.trial
-        {
-            trial.mark_not_run();
-        }
-    }
-
     /// Name of the caller's organisation, for logs.
     pub(super) fn organisation(&self) -> &str {
         let organisation = self.job.organisation.as_ref();
@@ -97,7 +82,7 @@
         previous: None,
         failed_response: None,
         was_placed: false,
-        trial: None,
+        is_trial: false,
     };
     match first_response_head(state, &mut request).await {
         Ok((head, run)) if request.job.route.is_stream() && head.status.is_success() => {
--- a/daemon/src/gateway/link.rs
+++ b/daemon/src/gateway/link.rs
@@ -9,6 +9,7 @@
     Charge, EndedRun, PlacementRequest, PlacementResponse, RunOutcome, Update,
 };
 use mimosabay_core::name::{InstanceId, Name};
+use mimosabay_core::work::Work;
 use mimosabay_peer::{Envelope, Message, Peer, Reply, Secret};
 use mimosabay_platform::ProcessSettings;
 use mimosabay_platform::store::StoredObject;
@@ -26,6 +27,8 @@
 pub(super) const BYPASS_AFTER_MS: u64 = 600;
 /// Time for which replicas count as fresh after the placer has relayed changes, in milliseconds.
 const RELAY_FRESH_MS: u64 = 700;
+/// Timeout of a request for a trial run, in milliseconds.
+const TRIAL_REQUEST_TIMEOUT_MS: u64 = 300;
 /// Time between two checks whether the placer is unresponsive, in milliseconds.
 const RESPONSE_CHECK_PERIOD_MS: u64 = 100;
 
@@ -276,6 +279,20 @@
         }
     }
 
+    /// Asks the placer for one run of a request under quarantine; returns whether it is permitted.
+    pub(crate) async fn request_trial(&self, state: &State, work: Work) -> bool {
+        let target = self.target.borrow().clone();
+        match target {
+            Target::None => false,
+            Target::Local(placer) => placer.request_trial(work).await,
+            Target::Remote(peer) => {
+                let envelope = envelope(state, Message::RequestTrial(work));
+                let reply = peer.call_unary(&envelope, TRIAL_REQUEST_TIMEOUT_MS).await;
+                matches!(reply, Ok(Reply::Trial { is_permitted: true }))
+            }
+        }
+    }
+
     /// Time since the last contact with the placer, in milliseconds.
     pub(crate) fn placer_contact_age_ms(&self, state: &State) -> u64 {
         if self.local_placer().is_some() {
--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 mod plain_attempt;
 mod plain_request;
 mod pool;
+mod quarantine_check;
 mod quarantine_store;
 mod relay;
 mod reload;
@@ -41,7 +42,6 @@
 mod stop;
 mod successor;
 mod suspects;
-mod trial_run;
 mod updates;
 mod watch;
 
--- a/daemon/src/gateway/placement.rs
+++ b/daemon/src/gateway/placement.rs
@@ -15,8 +15,8 @@
 
 use super::engine_request::{EngineRequest, NO_PLACER_RETRY_MS};
 use super::engine_run::{Forecast, Run};
+use super::quarantine_check::{self, Admitted};
 use super::state::State;
-use super::trial_run::TrialRun;
 
 /// A placement at a server. Dropping it releases the place.
 pub(crate) struct GrantedPlacement {
@@ -51,7 +51,7 @@
         request_hash: request.job.request_hash,
     });
     let requested_ms = state.now_ms();
-    let (response, is_placed) = match admit(state, request, &work) {
+    let (response, is_placed) = match admit(state, request, &work).await {
         Ok(()) => request_placement(state, request, ticket).await,
         Err(fingerprint) => (quarantine_refusal(fingerprint), false),
     };
@@ -72,7 +72,6 @@
                 waited_ms,
                 is_placed
             );
-            request.mark_trial_not_run();
             Placement::Refused(refusal)
         }
         PlacementResponse::Granted {
@@ -121,13 +120,12 @@
 /// # Errors
 ///
 /// The fingerprint for which the request is refused.
-fn admit(state: &Arc<State>, request: &mut EngineRequest, work: &Work) -> Result<(), Fingerprint> {
+async fn admit(state: &State, request: &mut EngineRequest, work: &Work) -> Result<(), Fingerprint> {
     if request.was_placed {
         return state.suspects.refused_by(work).map_or(Ok(()), Err);
     }
-    if let Some(trial) = TrialRun::admit(state, work, &request.job.id)? {
-        request.trial = Some(trial);
-    }
+    let admitted = quarantine_check::admit(state, work, &request.job.id).await?;
+    request.is_trial = admitted == Admitted::ForTrial;
     Ok(())
 }
 
@@ -161,7 +159,7 @@
         left_ms: job.remaining_ms(state),
         target_ms: job.route.target_latency_ms.saturating_sub(waited_ms),
         excluded: request.excluded.clone(),
-        is_trial: request.is_trial(),
+        is_trial: request.is_trial,
         previous: request.previous.clone(),
         request_hash: job.request_hash,
     }
--- a/daemon/src/gateway/placer.rs
+++ b/daemon/src/gateway/placer.rs
@@ -11,6 +11,7 @@
 use mimosabay_core::quarantine::Quarantine;
 use mimosabay_core::quarantine_log::QuarantineLog;
 use mimosabay_core::site::Site;
+use mimosabay_core::work::Work;
 use mimosabay_platform::server::{OrderAuthority, ServerControl};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::sleep_until;
@@ -33,6 +34,7 @@
 
 enum Input {
     RequestPlacement(Box<PlacementRequest>, oneshot::Sender<PlacementResponse>),
+    RequestTrial(Box<Work>, oneshot::Sender<bool>),
     Update(Box<Update>),
     OrderAnswered(Name, OrderAnswer),
     Reported(Name, Option<Report>),
@@ -82,6 +84,14 @@
         response.await.ok()
     }
 
+    /// Asks for one run of a request under quarantine; returns whether it is permitted.
+    pub(crate) async fn request_trial(&self, work: Work) -> bool {
+        let (sender, response) = oneshot::channel();
+        // A placer that has stopped drops the sender.
+        let _ = self.inbox.send(Input::RequestTrial(Box::new(work), sender));
+        response.await.unwrap_or(false)
+    }
+
     /// Passes an instance's update to the placer.
     pub(crate) fn send_update(&self, update: Update) {
         // A placer that has stopped does not need the update.
@@ -158,6 +168,13 @@
                 self.responders.insert(request.ticket, responder);
                 self.cell.request_placement(*request, now_ms);
             }
+            Input::RequestTrial(work, responder) => {
+                let is_permitted = self.cell.try_start_trial(&work, now_ms);
+                let fingerprint = work.request_hash();
+                debug!(event = "trial_requested", fingerprint, is_permitted);
+                // An instance that no longer waits does not run the request.
+                let _ = responder.send(is_permitted);
+            }
             Input::Update(update) => self.apply_update(*update, now_ms),
             Input::OrderAnswered(server, answer) => {
                 self.cell.handle_order_answer(&server, answer, now_ms);
--- a/daemon/src/gateway/plain_request.rs
+++ b/daemon/src/gateway/plain_request.rs
@@ -15,11 +15,11 @@
 use super::exchange::{CompleteResponse, Failure};
 use super::metrics::Outcome;
 use super::plain_attempt::PlainAttempt;
+use super::quarantine_check;
 use super::request::Job;
 use super::retry_permit::RetryPermit;
 use super::state::State;
 use super::successor::OVERLAP_MS;
-use super::trial_run::TrialRun;
 
 /// Time beyond the target latency after which an idempotent request may be sent to another server, in
 /// milliseconds.
@@ -31,9 +31,10 @@
 
 /// Sends a request to servers of its service until one answers.
 pub(crate) async fn run(state: &Arc<State>, job: Job) -> Answer {
-    let Ok(trial) = TrialRun::admit(state, &job.work(None), &job.id) else {
+    let admitted = quarantine_check::admit(state, &job.work(None), &job.id).await;
+    if admitted.is_err() {
         return quarantine_refusal(state, &job);
-    };
+    }
     record_charge(state, &job);
     let mut request = PlainRequest {
         state,
@@ -41,7 +42,6 @@
         attempts: Attempts::new(job.route.retry_safety, job.route.max_attempts),
         excluded: Vec::new(),
         failed_response: None,
-        trial,
     };
     loop {
         let Some(backend) = request.choose_server(None) else {
@@ -93,8 +93,6 @@
     excluded: Vec<Name>,
     /// The latest response with a server error.
     failed_response: Option<CompleteResponse>,
-    /// Set if the request is under quarantine.
-    trial: Option<TrialRun>,
 }
 
 /// What came first.
@@ -245,11 +243,6 @@
     /// The final answer after the last attempt.
     fn failure_answer(self, failure: Failure) -> Answer {
         let Self { state, job, .. } = self;
-        if self.attempts.is_not_run()
-            && let Some(mut trial) = self.trial
-        {
-            trial.mark_not_run();
-        }
         if let Some(response) = self.failed_response {
             state.metrics.count_outcome(Outcome::ServerFailed);
             info!(event = "failed", id = %job.id, reason = "server_error");
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -146,6 +146,12 @@
                 },
             }
         }
+        Message::RequestTrial(work) => match state.link.local_placer() {
+            None => Reply::NotPlacer,
+            Some(placer) => Reply::Trial {
+                is_permitted: placer.request_trial(work).await,
+            },
+        },
         Message::Update(update) => match state.link.local_placer() {
             None => Reply::NotPlacer,
             Some(placer) => {
--- a/daemon/src/gateway/suspects.rs
+++ b/daemon/src/gateway/suspects.rs
@@ -6,9 +6,8 @@
 use mimosabay_core::backend::Backend;
 use mimosabay_core::crash_observer::{Admission, CrashObserver, Decision, ServerList, Verdict};
 use mimosabay_core::name::Name;
-use mimosabay_core::quarantine::{Crash, Quarantine, QuarantineStatus};
+use mimosabay_core::quarantine::{Crash, Quarantine};
 use mimosabay_core::quarantine_log::QuarantineChanges;
-use mimosabay_core::trial::TrialOutcome;
 use mimosabay_core::work::{Fingerprint, Work};
 use tracing::info;
 
@@ -120,20 +119,9 @@
     }
 
     /// Decides whether a request may be sent to its first server.
-    pub(crate) fn admit(&self, work: &Work, makes_trials: impl FnOnce() -> bool) -> Admission {
+    pub(crate) fn admit(&self, work: &Work) -> Admission {
         let now_ms = self.clock.now_ms();
-        self.observer().admit(work, makes_trials, now_ms)
-    }
-
-    /// Whether work is under quarantine.
-    pub(crate) fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
-        self.observer().known().status(fingerprint) == QuarantineStatus::Quarantined
-    }
-
-    /// Records that a trial run has ended.
-    pub(crate) fn finish_trial(&self, request_hash: u64, outcome: TrialOutcome) {
-        let now_ms = self.clock.now_ms();
-        self.observer().finish_trial(request_hash, outcome, now_ms);
+        self.observer().admit(work, now_ms)
     }
 
     /// All evidence that this instance knows.
--- a/daemon/src/inbound.rs
+++ b/daemon/src/inbound.rs
@@ -59,9 +59,10 @@
             budget_messages::record_peer_version(instance, from, roster_version);
             budget_messages::respond(instance, from, &to, message)
         }
-        Message::RequestPlacement(_) | Message::Update(_) | Message::GetPlacerLastSeen => {
-            Reply::NotPlacer
-        }
+        Message::RequestPlacement(_)
+        | Message::RequestTrial(_)
+        | Message::Update(_)
+        | Message::GetPlacerLastSeen => Reply::NotPlacer,
         Message::Run { .. } => unreachable!("runs are handled separately"),
     }
 }
--- a/peer/src/message.rs
+++ b/peer/src/message.rs
@@ -8,6 +8,7 @@
 use mimosabay_core::quarantine_log::QuarantineChanges;
 use mimosabay_core::replica::{ReplicaChanges, ReplicaKind};
 use mimosabay_core::request::{Request, RunEvent};
+use mimosabay_core::work::Work;
 
 mimosabay_core::record! {
     /// A message with its sender.
@@ -35,6 +36,9 @@
         /// Asks the placer to place a request. Answered by [`Reply::Placement`] or
         /// [`Reply::NotPlacer`].
         RequestPlacement(Box<PlacementRequest>),
+        /// Asks the placer for one run of a request under quarantine. Answered by [`Reply::Trial`] or
+        /// [`Reply::NotPlacer`].
+        RequestTrial(Work),
         /// Reports the state of the sender's requests to the placer. Answered by
         /// [`Reply::Updated`] or [`Reply::NotPlacer`].
         Update(Box<Update>),
@@ -88,6 +92,11 @@
         },
         /// A placement or a refusal.
         Placement(PlacementResponse),
+        /// Whether the request may run once.
+        Trial {
+            /// Whether it may.
+            is_permitted: bool,
+        },
         /// The replying instance is not the placer.
         NotPlacer,
         /// The update was processed.
