Refuse a request after its third crash, though it was answered before

Cause: an answer excused a whole request for ten minutes, however many servers it crashed in that time. Class: a fact that was true once is taken for one that holds.

Three crashes after the latest answer now count in any case.

fifth_crash_after_the_latest_answer_puts_a_part_under_quarantine expected the request to stay clear after six crashes; that was the fault. It now expects the request under quarantine as well as the part.

--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -5,8 +5,8 @@
 //! crash with the same request running puts the request under quarantine, and the third with the
 //! same part puts the part. At most one suspect runs on a server at a time, so that work that does
 //! not cause crashes is not present at several of them. Work that a server answers does not crash
-//! servers, so crashes before the answer and for some time after it do not count against it. A part
-//! may begin to crash servers later, so that many crashes without an answer count in any case.
+//! servers, so crashes before the answer and for some time after it do not count against it. It
+//! may begin to crash servers later, so that several crashes without an answer count in any case.
 //!
 //! A part that was at the crashes of another part or of a request, and has not been answered, is under
 //! quarantine as well. Requests with both are refused, and requests with the part alone run until it
@@ -31,8 +31,10 @@
 /// Number of crashes with the same part of a prompt running after which requests with it are refused.
 /// Parts are shared, so that they run beside others at more crashes than requests do.
 pub const MAX_PART_CRASHES: usize = 3;
-/// Number of crashes after the latest answer to a part from which on they count, although the answer
-/// is still valid.
+/// Number of crashes after the latest answer to a request from which on they count, although the
+/// answer is still valid.
+pub const MAX_REQUEST_CRASHES_AFTER_ANSWER: usize = 3;
+/// The same for a part of a prompt.
 pub const MAX_PART_CRASHES_AFTER_ANSWER: usize = 5;
 /// Number of crashes without other work under quarantine from which on requests with a part are
 /// refused, although the other work ran at the rest of its crashes.
@@ -112,14 +114,8 @@
     /// Returns the crashes that count against the work with this fingerprint.
     fn counted_crashes(&self, fingerprint: Fingerprint) -> impl Iterator<Item = &Crash> {
         let valid_until_ms = self.answered_unix_ms.map(|it| it + ANSWER_VALIDITY_MS);
-        let counts_despite_answer = match fingerprint {
-            Fingerprint::Request(_) => false,
-            Fingerprint::PromptPart(_) => {
-                let after_answer = self.crashes_after(self.answered_unix_ms).count();
-                after_answer >= MAX_PART_CRASHES_AFTER_ANSWER
-            }
-        };
-        if counts_despite_answer {
+        let after_answer = self.crashes_after(self.answered_unix_ms).count();
+        if after_answer >= max_crashes_after_answer(fingerprint) {
             self.crashes_after(self.answered_unix_ms)
         } else {
             self.crashes_after(valid_until_ms)
@@ -414,6 +410,14 @@
     }
 }
 
+/// Returns the number of crashes after the latest answer from which on they count.
+fn max_crashes_after_answer(fingerprint: Fingerprint) -> usize {
+    match fingerprint {
+        Fingerprint::Request(_) => MAX_REQUEST_CRASHES_AFTER_ANSWER,
+        Fingerprint::PromptPart(_) => MAX_PART_CRASHES_AFTER_ANSWER,
+    }
+}
+
 /// Serialises the map as a list of rows, which both JSON and binary codecs can represent.
 mod as_rows {
     use std::collections::BTreeMap;
--- a/core/tests/quarantine.rs
+++ b/core/tests/quarantine.rs
@@ -182,7 +182,7 @@
     }
     table.record_crash(&crash(6), [PART, POISON], 60);
     assert_eq!(table.status(PART), QuarantineStatus::Quarantined);
-    assert_eq!(table.status(POISON), QuarantineStatus::Clear);
+    assert_eq!(table.status(POISON), QuarantineStatus::Quarantined);
     table.record_answer(PART, 60);
     assert_eq!(table.status(PART), QuarantineStatus::Clear);
 }
