Date the answer to a request by the time at which it was sent

A run that began before the request turned bad, and ends after its first crashes, excused it once more for ten minutes; at silent servers, where a crash is decided after seconds, it removed the evidence before it counted.

An answer now counts up to the time at which its request was sent. For parts of prompts it still counts up to its arrival: a part crashes servers that begin to answer, and a run that goes on has proven more than its start.

answer_to_a_run_that_began_before_a_crash_does_not_clear_it fails with the arrival put back (trial) and passes now.

--- a/core/src/cell/run_outcome.rs
+++ b/core/src/cell/run_outcome.rs
@@ -34,7 +34,8 @@
             RunOutcome::NotHeld | RunOutcome::Rejected if self.is_load_late(&placed, now_ms) => {}
             RunOutcome::Answered => {
                 let work = placed.request.work();
-                self.suspects.record_answer(&work, now_ms);
+                self.suspects
+                    .record_answer(&work, placed.requested_ms, now_ms);
             }
             RunOutcome::Failed | RunOutcome::Cancelled => {}
             RunOutcome::NotHeld => self.invalidate_engine(&placed.server, now_ms, now_ms),
--- a/core/src/cell/suspects.rs
+++ b/core/src/cell/suspects.rs
@@ -6,7 +6,7 @@
 use crate::quarantine::{Crash, Quarantine, QuarantineStatus};
 use crate::recent_answers::RecentAnswers;
 use crate::trial::Trials;
-use crate::work::{Fingerprint, Work};
+use crate::work::{AnswerTimes, Fingerprint, Work};
 
 /// Time within which a crash is attributed to a request whose connection broke, in milliseconds.
 const CRASH_WITHIN_MS: u64 = 3_000;
@@ -90,11 +90,15 @@
         self.changed.extend(self.quarantine.retract_crash(&crash));
     }
 
-    /// Records that a request was answered, so that it does not crash servers.
-    pub(super) fn record_answer(&mut self, work: &Work, now_ms: u64) {
-        let unix_ms = self.epoch_unix_ms + now_ms;
-        self.answers.record(work, unix_ms);
+    /// Records that a request was answered, which was sent to its server after `sent_ms`.
+    pub(super) fn record_answer(&mut self, work: &Work, sent_ms: u64, now_ms: u64) {
+        let times = AnswerTimes {
+            sent_unix_ms: self.epoch_unix_ms + sent_ms,
+            arrived_unix_ms: self.epoch_unix_ms + now_ms,
+        };
+        self.answers.record(work, times);
         for fingerprint in work.fingerprints() {
+            let unix_ms = times.proven_unix_ms(fingerprint);
             if self.quarantine.record_answer(fingerprint, unix_ms) {
                 self.changed.insert(fingerprint);
             }
--- a/core/src/crash_observer.rs
+++ b/core/src/crash_observer.rs
@@ -10,7 +10,7 @@
 use crate::quarantine::{Assessment, Crash, Quarantine, QuarantineStatus};
 use crate::quarantine_log::QuarantineChanges;
 use crate::recent_answers::RecentAnswers;
-use crate::work::{Fingerprint, Work};
+use crate::work::{AnswerTimes, Fingerprint, Work};
 
 /// Time after which a server that is still registered counts as running, in heartbeats of the
 /// servers. The entry of a crashed server expires after three. Only time in which the list of servers
@@ -138,17 +138,18 @@
     }
 
     /// Records that a server answered a request, which proves that neither the request nor the parts
-    /// of its prompt crash servers. Returns the work against which no crash counts any more.
-    pub fn record_answer(&mut self, work: &Work, unix_ms: u64) -> Vec<Fingerprint> {
-        self.broken
-            .retain(|request| request.work.request() != work.request());
+    /// of its prompt crashed servers by then. Returns the work against which no crash counts any more.
+    pub fn record_answer(&mut self, work: &Work, times: AnswerTimes) -> Vec<Fingerprint> {
+        self.broken.retain(|request| {
+            request.work.request() != work.request() || request.broke_unix_ms > times.sent_unix_ms
+        });
         for request in &mut self.broken {
             request.work.remove_parts_of(work);
         }
-        self.answers.record(work, unix_ms);
+        self.answers.record(work, times);
         let fingerprints = work.fingerprints();
         fingerprints
-            .filter(|fingerprint| self.report_answer(*fingerprint, unix_ms))
+            .filter(|it| self.report_answer(*it, times.proven_unix_ms(*it)))
             .collect()
     }
 
--- a/core/src/recent_answers.rs
+++ b/core/src/recent_answers.rs
@@ -1,9 +1,9 @@
-//! The work that was answered last, with the times of the answers.
+//! The work that was answered last, with the times up to which the answers count.
 
 use std::collections::{BTreeMap, HashMap};
 
 use crate::quarantine::Quarantine;
-use crate::work::{Fingerprint, Work};
+use crate::work::{AnswerTimes, Fingerprint, Work};
 
 /// Maximum number of requests whose answers are kept.
 const MAX_REQUESTS: usize = 2_048;
@@ -47,9 +47,10 @@
 }
 
 impl RecentAnswers {
-    /// Records an answer to work, at a Unix time in milliseconds.
-    pub(crate) fn record(&mut self, work: &Work, unix_ms: u64) {
+    /// Records an answer to work.
+    pub(crate) fn record(&mut self, work: &Work, times: AnswerTimes) {
         for fingerprint in work.fingerprints() {
+            let unix_ms = times.proven_unix_ms(fingerprint);
             match fingerprint {
                 Fingerprint::Request(_) => self.requests.record(fingerprint, unix_ms),
                 Fingerprint::PromptPart(_) => self.parts.record(fingerprint, unix_ms),
@@ -88,7 +89,11 @@
     fn record(&mut self, fingerprint: Fingerprint, unix_ms: u64) {
         let number = self.next;
         self.next += 1;
-        let answer = RecordedAnswer { unix_ms, number };
+        let known_ms = self.answers.get(&fingerprint).map_or(0, |it| it.unix_ms);
+        let answer = RecordedAnswer {
+            unix_ms: unix_ms.max(known_ms),
+            number,
+        };
         if let Some(before) = self.answers.insert(fingerprint, answer) {
             self.order.remove(&before.number);
         }
--- a/core/src/work.rs
+++ b/core/src/work.rs
@@ -10,6 +10,26 @@
 
 use crate::prompt::Prompt;
 
+/// When a request that was answered was sent to its server and when its answer arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerTimes {
+    /// In Unix milliseconds.
+    pub sent_unix_ms: u64,
+    /// In Unix milliseconds.
+    pub arrived_unix_ms: u64,
+}
+
+impl AnswerTimes {
+    /// Returns the time up to which crashes do not count against work, in Unix milliseconds. A
+    /// request may have begun to crash servers after it was sent.
+    pub fn proven_unix_ms(&self, fingerprint: Fingerprint) -> u64 {
+        match fingerprint {
+            Fingerprint::Request(_) => self.sent_unix_ms,
+            Fingerprint::PromptPart(_) => self.arrived_unix_ms,
+        }
+    }
+}
+
 /// Maximum number of parts of one prompt that identify work; later ones do not.
 const MAX_PARTS: usize = 32;
 /// Time with data from a server after which it no longer begins to answer, in milliseconds.
--- a/core/tests/cell/prompt_parts.rs
+++ b/core/tests/cell/prompt_parts.rs
@@ -10,6 +10,7 @@
 use mimosabay_core::prompt::PromptPart;
 use mimosabay_core::quarantine::Crash;
 use mimosabay_core::quarantine_log::QuarantineLog;
+use mimosabay_core::work::AnswerTimes;
 
 use crate::support::{
     ADAPTER_LIMIT, backend, confirmed, ended, granted, placement_request, refused, report,
@@ -213,7 +214,11 @@
         let complete: Vec<u64> = complete.map(|(number, _)| *number).collect();
         for number in complete {
             let run = self.runs.remove(&number).expect("a run");
-            self.observers[run.instance].record_answer(&run.request.work(), now_ms);
+            let times = AnswerTimes {
+                sent_unix_ms: now_ms,
+                arrived_unix_ms: now_ms,
+            };
+            self.observers[run.instance].record_answer(&run.request.work(), times);
             self.cell
                 .end_run(&ended(number, RunOutcome::Answered), now_ms);
         }
--- a/core/tests/crash_observer.rs
+++ b/core/tests/crash_observer.rs
@@ -5,7 +5,7 @@
 use mimosabay_core::prompt::{Prompt, PromptPart};
 use mimosabay_core::quarantine::{ANSWER_VALIDITY_MS, Crash, Quarantine, QuarantineStatus};
 use mimosabay_core::quarantine_log::QuarantineChanges;
-use mimosabay_core::work::{Fingerprint, Work};
+use mimosabay_core::work::{AnswerTimes, Fingerprint, Work};
 
 const POISON_HASH: u64 = 1;
 const POISON: Fingerprint = Fingerprint::Request(POISON_HASH);
@@ -34,6 +34,14 @@
     }
 }
 
+/// The times of an answer that took no time.
+fn at(unix_ms: u64) -> AnswerTimes {
+    AnswerTimes {
+        sent_unix_ms: unix_ms,
+        arrived_unix_ms: unix_ms,
+    }
+}
+
 /// Evidence of as many crashes against a request.
 fn evidence(crashes: u64, unix_ms: u64) -> Quarantine {
     let mut table = Quarantine::default();
@@ -120,7 +128,7 @@
 #[test]
 fn quarantined_work_that_this_instance_has_answered_is_cleared() {
     let mut observer = CrashObserver::default();
-    observer.record_answer(&poison(), 1_200);
+    observer.record_answer(&poison(), at(1_200));
     observer.apply(&changes(5, evidence(2, 1_000)));
     assert_eq!(observer.refused_by(&poison()), None);
     let reported = observer.take_evidence(false);
@@ -131,7 +139,7 @@
 #[test]
 fn answer_long_before_the_crashes_clears_nothing() {
     let mut observer = CrashObserver::default();
-    observer.record_answer(&poison(), 900);
+    observer.record_answer(&poison(), at(900));
     observer.apply(&changes(5, evidence(2, 901 + ANSWER_VALIDITY_MS)));
     assert_eq!(observer.refused_by(&poison()), Some(POISON));
 }
@@ -140,7 +148,7 @@
 #[test]
 fn answer_shortly_before_the_crashes_clears_them() {
     let mut observer = CrashObserver::default();
-    observer.record_answer(&poison(), 900);
+    observer.record_answer(&poison(), at(900));
     observer.record_broken(poison(), crash(1), 10, 1_000);
     observer.record_broken(poison(), crash(2), 20, 1_010);
     check(&mut observer, None, 500);
@@ -153,7 +161,7 @@
 fn answer_ends_the_observation_of_a_broken_request() {
     let mut observer = CrashObserver::default();
     observer.record_broken(poison(), crash(1), 10, 1_010);
-    observer.record_answer(&poison(), 1_050);
+    observer.record_answer(&poison(), at(1_050));
     assert_eq!(check(&mut observer, None, 500), []);
     assert!(observer.take_evidence(false).is_empty());
 }
@@ -266,13 +274,13 @@
 fn work_that_was_answered_again_is_remembered() {
     for others in (0..10_000).step_by(100) {
         let mut observer = CrashObserver::default();
-        observer.record_answer(&poison(), 1_000);
+        observer.record_answer(&poison(), at(1_000));
         for number in 0..others {
-            observer.record_answer(&Work::new(100 + number, None), 1_000);
+            observer.record_answer(&Work::new(100 + number, None), at(1_000));
         }
-        observer.record_answer(&poison(), 1_000);
+        observer.record_answer(&poison(), at(1_000));
         for number in 0..200 {
-            observer.record_answer(&Work::new(100_000 + number, None), 1_000);
+            observer.record_answer(&Work::new(100_000 + number, None), at(1_000));
         }
         observer.apply(&changes(5, evidence(2, 1_010)));
         assert_eq!(observer.refused_by(&poison()), None, "{others} others");
@@ -284,7 +292,7 @@
 fn answer_ends_the_observation_of_the_parts_that_it_shares() {
     let mut observer = CrashObserver::default();
     observer.record_broken(work_with_part(1, 7), crash(1), 10, 1_010);
-    observer.record_answer(&work_with_part(2, 7), 1_050);
+    observer.record_answer(&work_with_part(2, 7), at(1_050));
     let decisions = observer.record_refused_connections(&crash(1), 300);
     assert_eq!(decisions[0].work, Work::new(1, None));
     let evidence = observer.take_evidence(false);
@@ -350,7 +358,7 @@
     assert_eq!(observer.admit(&poison(), 0), needs_trial);
     assert_eq!(observer.admit(&poison(), 999), Admission::Refused(POISON));
     assert_eq!(observer.admit(&poison(), 1_000), needs_trial);
-    observer.record_answer(&poison(), 20_000);
+    observer.record_answer(&poison(), at(20_000));
     assert_eq!(observer.admit(&poison(), 1_001), Admission::Admitted);
     let evidence = observer.take_evidence(false);
     assert_eq!(evidence.status(POISON), QuarantineStatus::Clear);
@@ -363,3 +371,22 @@
     observer.apply(&changes(5, evidence(3, 10)));
     assert_eq!(observer.admit(&poison(), 0), Admission::Refused(POISON));
 }
+
+/// Guards against an answer that clears a crash, though its request was sent before the work began to
+/// crash servers.
+#[test]
+fn answer_to_a_run_that_began_before_a_crash_does_not_clear_it() {
+    let late_answer = AnswerTimes {
+        sent_unix_ms: 1_000,
+        arrived_unix_ms: 1_400,
+    };
+    let mut observer = CrashObserver::default();
+    observer.record_broken(poison(), crash(1), 10, 1_010);
+    observer.record_broken(poison(), crash(2), 20, 1_020);
+    observer.record_answer(&poison(), late_answer);
+    check(&mut observer, None, 500);
+    assert_eq!(observer.refused_by(&poison()), None);
+    observer.record_broken(poison(), crash(3), 510, 1_510);
+    check(&mut observer, None, 600);
+    assert_eq!(observer.refused_by(&poison()), Some(POISON));
+}
--- a/daemon/src/gateway/crash_probe.rs
+++ b/daemon/src/gateway/crash_probe.rs
@@ -32,7 +32,10 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum RunEnd {
     /// The server answered it.
-    Answered,
+    Answered {
+        /// When it was sent, in milliseconds.
+        sent_ms: u64,
+    },
     /// The connection broke.
     Broken,
     /// No answer arrived within the time of the attempt.
@@ -47,7 +50,7 @@
 /// Records how a request ended at a server, and probes the server if the connection broke.
 pub(crate) fn record_run_end(state: &Arc<State>, work: &Work, backend: &Backend, end: RunEnd) {
     match end {
-        RunEnd::Answered => state.suspects.record_answer(work),
+        RunEnd::Answered { sent_ms } => state.suspects.record_answer(work, sent_ms),
         RunEnd::Broken => {
             state.suspects.record_broken(work.clone(), backend);
             start_probe(state, backend);
--- a/daemon/src/gateway/engine_run.rs
+++ b/daemon/src/gateway/engine_run.rs
@@ -114,7 +114,9 @@
         };
         let silent_ms = self.silent_ms();
         let end = match self.outcome {
-            RunOutcome::Answered => RunEnd::Answered,
+            RunOutcome::Answered => RunEnd::Answered {
+                sent_ms: self.sent_ms,
+            },
             RunOutcome::Broken => RunEnd::Broken,
             RunOutcome::Cancelled => RunEnd::Abandoned { silent_ms },
             RunOutcome::Failed
@@ -123,7 +125,7 @@
             | RunOutcome::Unreachable => return,
         };
         let work = match end {
-            RunEnd::Answered => self.work.clone(),
+            RunEnd::Answered { .. } => self.work.clone(),
             RunEnd::Broken | RunEnd::TimedOut | RunEnd::Abandoned { .. } => {
                 self.work.interrupted_after(self.streamed_ms())
             }
--- a/daemon/src/gateway/plain_attempt.rs
+++ b/daemon/src/gateway/plain_attempt.rs
@@ -52,7 +52,7 @@
 
     /// Records how the attempt ended; returns the server.
     pub(super) fn end(mut self, result: &Result<CompleteResponse, Failure>) -> Name {
-        self.run.result = Some(RunResult::new(result));
+        self.run.result = Some(RunResult::new(result, self.run.sent_ms));
         self.backend.id.clone()
     }
 }
@@ -87,10 +87,10 @@
 }
 
 impl RunResult {
-    fn new(result: &Result<CompleteResponse, Failure>) -> Self {
+    fn new(result: &Result<CompleteResponse, Failure>, sent_ms: u64) -> Self {
         let (outcome, end) = match result {
             Ok(response) if response.status.is_server_error() => (PlainOutcome::Failed, None),
-            Ok(_) => (PlainOutcome::Answered, Some(RunEnd::Answered)),
+            Ok(_) => (PlainOutcome::Answered, Some(RunEnd::Answered { sent_ms })),
             Err(Failure::Unreachable) => (PlainOutcome::Unreachable, None),
             Err(Failure::NotHeld | Failure::Rejected) => (PlainOutcome::Rejected, None),
             Err(Failure::Broken) => (PlainOutcome::Failed, Some(RunEnd::Broken)),
--- a/daemon/src/gateway/suspects.rs
+++ b/daemon/src/gateway/suspects.rs
@@ -8,7 +8,7 @@
 use mimosabay_core::name::Name;
 use mimosabay_core::quarantine::{Crash, Quarantine};
 use mimosabay_core::quarantine_log::QuarantineChanges;
-use mimosabay_core::work::{Fingerprint, Work};
+use mimosabay_core::work::{AnswerTimes, Fingerprint, Work};
 use tracing::info;
 
 use super::backends::Snapshot;
@@ -45,10 +45,13 @@
         self.observer().record_broken(work, crash, now_ms, unix_ms);
     }
 
-    /// Records that a server answered a request.
-    pub(crate) fn record_answer(&self, work: &Work) {
-        let unix_ms = self.clock.unix_ms();
-        let cleared = self.observer().record_answer(work, unix_ms);
+    /// Records that a server answered a request that it was sent at `sent_ms`.
+    pub(crate) fn record_answer(&self, work: &Work, sent_ms: u64) {
+        let times = AnswerTimes {
+            sent_unix_ms: self.clock.start_unix_ms() + sent_ms,
+            arrived_unix_ms: self.clock.unix_ms(),
+        };
+        let cleared = self.observer().record_answer(work, times);
         for fingerprint in cleared {
             info!(event = "evidence_cleared", %fingerprint);
         }
