--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod retry_share;
 pub mod roster;
 pub mod site;
+pub mod stated_limit;
 pub mod takeover;
 pub mod work;
 
--- a/daemon/src/gateway/exchange.rs
+++ b/daemon/src/gateway/exchange.rs
@@ -117,7 +117,9 @@
             },
         };
         match connection.send(request).await {
-            Ok(response) => return check_response(backend, connection, response, &request_id),
+            Ok(response) => {
+                return check_response(state, backend, connection, response, &request_id);
+            }
             // A pooled connection was closed before the request was written to it.
             Err(Some(unsent)) if is_pooled => request = unsent,
             Err(Some(_)) => return Err(Failure::Unreachable),
@@ -135,6 +137,7 @@
 }
 
 fn check_response(
+    state: &State,
     backend: &Arc<Backend>,
     connection: Connection,
     response: Response<Incoming>,
@@ -145,7 +148,14 @@
     if response_id.is_some_and(|id| id != request_id) {
         return Err(Failure::Foreign);
     }
-    if ingress::reports_not_run(parts.status.as_u16(), &parts.headers) {
+    let is_not_run = ingress::reports_not_run(parts.status.as_u16(), &parts.headers);
+    let may_lift_limit = !is_not_run && ingress::has_server_seal(&parts.headers);
+    if parts.status != StatusCode::MISDIRECTED_REQUEST {
+        state
+            .server_limits
+            .observe(backend, &parts.headers, may_lift_limit);
+    }
+    if is_not_run {
         let failure = match parts.status {
             StatusCode::MISDIRECTED_REQUEST => Failure::NotHeld,
             _ => Failure::Rejected,
--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -38,6 +38,7 @@
 mod retry_permit;
 mod run;
 mod runs;
+mod server_limits;
 mod state;
 mod stop;
 mod successor;
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -23,6 +23,7 @@
 use super::metrics::Metrics;
 use super::pool::Pool;
 use super::replicas::Replicas;
+use super::server_limits::ServerLimits;
 use super::suspects::Suspects;
 use crate::clock::Clock;
 
@@ -47,6 +48,7 @@
     /// Rates of organisations that this instance applies while there is no placer.
     pub(crate) own_rates: Mutex<Rates>,
     pub(crate) suspects: Suspects,
+    pub(crate) server_limits: ServerLimits,
     /// Quarantine of requests that ran on servers that crashed, as reported by the placer in this
     /// process.
     pub(crate) quarantine: Mutex<QuarantineLog>,
@@ -104,6 +106,7 @@
             retries: Mutex::default(),
             own_rates: Mutex::new(Rates::for_entry()),
             suspects: Suspects::new(clock),
+            server_limits: ServerLimits::new(clock),
             quarantine: Mutex::default(),
             pool: Pool::new(clock),
             phase: watch::Sender::new(Phase::Serving),
