--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -10,6 +10,7 @@
 mod configuration;
 mod crash;
 mod framing;
+mod limit;
 mod poison;
 mod server;
 mod settings;
--- a/standin/src/fleet/server.rs
+++ b/standin/src/fleet/server.rs
@@ -17,6 +17,7 @@
 
 use super::crash::CrashPlan;
 use super::framing::cut_inside_piece;
+use super::limit::StatedLimit;
 use super::site::MODEL;
 use super::store::FleetStore;
 use crate::reply::{self, Closed, Reply};
@@ -190,6 +191,8 @@
     pub(super) is_crashed: bool,
     /// Times of the crashes by requests of the plan, oldest first.
     pub(super) crash_times: Vec<Instant>,
+    /// Limits that it has stated, the latest last.
+    pub(super) limits: Vec<StatedLimit>,
     requests: Vec<ReceivedRequest>,
     orders: Vec<ReceivedOrder>,
     report_count: usize,
@@ -475,6 +478,7 @@
         let mut response = reply::json(status, &json!({}))?;
         let headers = response.headers_mut();
         headers.insert("x-not-executed", HeaderValue::from_static("1"));
+        self.add_limit(headers);
         Ok(response)
     }
 
@@ -541,6 +545,7 @@
         headers.insert("x-attempt-id", id);
         let seal = HeaderValue::from_str(&format!("seal-{}", self.id)).map_err(|_| Closed)?;
         headers.insert("x-server-seal", seal);
+        self.add_limit(headers);
         Ok(())
     }
 }
