Send servers no more requests than the limit that they state

Cause: nothing read the limit. Class: a statement of another party that is in force from its first answer and has no reader.

The placer keeps a token bucket for each server with a limit. An engine without a token is no candidate, and a request that no other engine can answer in time waits for a token, the most urgent first; one for a plain service waits for a permit in the same way. First attempts, retries, second sends beside a silent server and resumptions all pass the same two places.

Core tests of buckets, order, refusal at once, callers that leave and permits that are not used. Messages between instances change.

--- a/core/src/bucket.rs
+++ b/core/src/bucket.rs
@@ -74,6 +74,18 @@
         self.level
     }
 
+    /// Tokens that may be spent at a time that is not before the last change.
+    pub fn level_at(&self, now_ms: u64) -> f64 {
+        let passed_ms = now_ms.saturating_sub(self.refilled_ms);
+        let refilled = self.level + self.rate_per_s * passed_ms as f64 / 1_000.0;
+        refilled.min(self.burst)
+    }
+
+    /// Tokens that are added each second.
+    pub fn rate_per_s(&self) -> f64 {
+        self.rate_per_s
+    }
+
     /// Time until `tokens` are available, in milliseconds; `None` if they never will be.
     pub fn wait_ms(&mut self, tokens: f64, now_ms: u64) -> Option<u64> {
         self.refill(now_ms);
@@ -88,9 +100,7 @@
     }
 
     fn refill(&mut self, now_ms: u64) {
-        let passed_ms = now_ms.saturating_sub(self.refilled_ms);
-        let refilled = self.level + self.rate_per_s * passed_ms as f64 / 1_000.0;
-        self.level = refilled.min(self.burst);
+        self.level = self.level_at(now_ms);
         self.refilled_ms = self.refilled_ms.max(now_ms);
     }
 }
--- a/core/src/cell/assignment.rs
+++ b/core/src/cell/assignment.rs
@@ -7,7 +7,8 @@
 use super::message::{PlacementRequest, PlacementResponse, Refusal, RefusalReason, Ticket};
 use super::placed_request::PlacedRequest;
 use super::prefill_queue::PendingPrefill;
-use super::{Action, Cell};
+use super::{Action, Cell, limited};
+use crate::backend::Backend;
 use crate::name::Name;
 use crate::rounding::floor_ms;
 
@@ -22,33 +23,49 @@
 const MAX_FIRST_EVENT_SHARE: f64 = 0.9;
 /// Retry delay sent to a caller if no server is available, in milliseconds.
 const NO_SERVER_RETRY_MS: u64 = 400;
-/// Bounds of the retry delay sent to a caller on overload, in milliseconds.
-const OVERLOAD_RETRY_MS: std::ops::RangeInclusive<u64> = 200..=2_000;
 
 impl Cell {
+    /// Assigns a request, lets it wait for the limit of an engine, or refuses it.
     pub(super) fn place(&mut self, request: PlacementRequest, requested_ms: u64, now_ms: u64) {
+        if let Some(request) = self.try_place(request, requested_ms, now_ms) {
+            self.limited.add_placement(request, requested_ms, now_ms);
+        }
+    }
+
+    /// Assigns a request or refuses it. Returns it if it has to wait for the limit of an engine.
+    pub(super) fn try_place(
+        &mut self,
+        request: PlacementRequest,
+        requested_ms: u64,
+        now_ms: u64,
+    ) -> Option<PlacementRequest> {
         for engine in self.engines.values_mut() {
             engine.prefills.advance(now_ms as f64);
         }
-        match self.choose(&request, now_ms) {
-            None => {
-                self.refund(&request, now_ms);
-                let refusal = Refusal {
-                    reason: RefusalReason::NoServer,
-                    retry_after_ms: NO_SERVER_RETRY_MS,
-                };
-                self.refuse(request.ticket, refusal);
-            }
-            Some(choice) if is_too_late(&choice, &request, now_ms - requested_ms) => {
-                self.refund(&request, now_ms);
-                let refusal = Refusal {
-                    reason: RefusalReason::Overloaded,
-                    retry_after_ms: overload_retry_ms(&choice),
-                };
-                self.refuse(request.ticket, refusal);
-            }
-            Some(choice) => self.assign(request, requested_ms, &choice, now_ms),
+        let waited_ms = now_ms - requested_ms;
+        let choice = self.choose(&request, now_ms);
+        if let Some(choice) = &choice
+            && !is_too_late(choice, &request, waited_ms)
+        {
+            self.assign(request, requested_ms, choice, now_ms);
+            return None;
         }
+        let ahead = self.limited.placements_ahead(request.urgency);
+        let limited_wait_ms = self.limited_wait_ms(&request, ahead, now_ms);
+        if limited_wait_ms.is_some_and(|it| it as f64 <= max_wait_ms(&request, waited_ms)) {
+            return Some(request);
+        }
+        self.refund(&request, now_ms);
+        let refusal = match (limited_wait_ms, choice) {
+            (Some(wait_ms), _) => overload_refusal(wait_ms),
+            (None, Some(choice)) => overload_refusal(floor_ms(choice.wait_ms)),
+            (None, None) => Refusal {
+                reason: RefusalReason::NoServer,
+                retry_after_ms: NO_SERVER_RETRY_MS,
+            },
+        };
+        self.refuse(request.ticket, refusal);
+        None
     }
 
     fn choose(&self, request: &PlacementRequest, now_ms: u64) -> Option<Choice> {
@@ -69,10 +86,16 @@
         let engines = self.engines.values().filter(|engine| {
             engine.backend.service == request.service
                 && !request.excluded.contains(&engine.backend.id)
+                && self.may_send_to(&engine.backend, now_ms)
         });
         choice::choose(engines, &request.prompt, &context)
     }
 
+    fn may_send_to(&self, backend: &Backend, now_ms: u64) -> bool {
+        let (server, boot) = limited::start_of(backend);
+        self.server_rates.may_send(server, boot, now_ms)
+    }
+
     fn assign(
         &mut self,
         request: PlacementRequest,
@@ -87,6 +110,9 @@
         let Some(engine) = self.engines.get_mut(&choice.server) else {
             return;
         };
+        let (server, boot) = limited::start_of(&engine.backend);
+        // The choice is among engines that may be sent a request.
+        let _ = self.server_rates.try_take(server, boot, now_ms);
         let placed = PlacedRequest {
             requested_ms,
             server: choice.server.clone(),
@@ -178,7 +204,10 @@
     }
 }
 
-fn overload_retry_ms(choice: &Choice) -> u64 {
-    let (least, most) = OVERLOAD_RETRY_MS.into_inner();
-    floor_ms(choice.wait_ms).clamp(least, most)
+fn overload_refusal(wait_ms: u64) -> Refusal {
+    let (least_ms, most_ms) = limited::RETRY_AFTER_MS.into_inner();
+    Refusal {
+        reason: RefusalReason::Overloaded,
+        retry_after_ms: wait_ms.clamp(least_ms, most_ms),
+    }
 }
--- a/core/src/cell/message.rs
+++ b/core/src/cell/message.rs
@@ -4,6 +4,7 @@
 use crate::prompt::Prompt;
 use crate::quarantine::Quarantine;
 use crate::replica::KnownRevision;
+use crate::stated_limit::StatedLimit;
 use crate::work::{Fingerprint, Work};
 
 crate::key_record! {
@@ -73,6 +74,33 @@
         Refused(Refusal),
     }
 
+    /// Asks the placer whether a request may be sent to a plain server that states a limit.
+    pub struct PermitRequest {
+        /// Identifies the request for the permit.
+        pub ticket: Ticket,
+        /// Servers that could run the request, the preferred one first, with the times of their
+        /// starts in Unix milliseconds.
+        pub candidates: Vec<(Name, u64)>,
+        /// Rank; a smaller one is more urgent.
+        pub urgency: u8,
+        /// Longest time to wait for the permit, in milliseconds.
+        pub max_wait_ms: u64,
+    }
+
+    /// Answer to a [`PermitRequest`].
+    pub enum PermitResponse {
+        /// The request may be sent to this server now.
+        Granted {
+            /// Identifier of the server.
+            server: Name,
+        },
+        /// The servers receive as many requests as they allow.
+        Refused {
+            /// Time after which the caller may retry, in milliseconds.
+            retry_after_ms: u64,
+        },
+    }
+
     /// Why a request is not assigned to an engine, and when to retry.
     pub struct Refusal {
         /// The reason.
@@ -108,6 +136,9 @@
         pub quarantine_version: u64,
         /// All requests in progress, sent once to each new placer.
         pub runs: Option<Vec<AdoptedRun>>,
+        /// Limits that servers have stated: what has changed since the previous update, or all of
+        /// them if the placer is new.
+        pub limits: Vec<StatedLimit>,
         /// Revisions of the instance's copies of the store.
         pub known: Vec<KnownRevision>,
         /// Address at which other instances reach this one.
--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -8,6 +8,7 @@
 mod assignment;
 mod choice;
 mod engine;
+mod limited;
 mod load_speed;
 mod message;
 mod order;
@@ -20,24 +21,26 @@
 mod run_outcome;
 mod suspects;
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 use crate::backend::Backend;
 use crate::name::Name;
 use crate::prompt::Prompt;
 use crate::quarantine::{self, Quarantine};
+use crate::server_rates::ServerRates;
 use crate::site::{self, Site};
 use crate::work::Work;
 
 pub use engine::AdapterKey;
 pub use message::{
-    AdoptedRun, Charge, EndedRun, PlacementRequest, PlacementResponse, Refusal, RefusalReason,
-    RunOutcome, Ticket, Update,
+    AdoptedRun, Charge, EndedRun, PermitRequest, PermitResponse, PlacementRequest,
+    PlacementResponse, Refusal, RefusalReason, RunOutcome, Ticket, Update,
 };
 pub use order::{Order, OrderAnswer, OrderKind, Report};
 pub use rates::Rates;
 
 use engine::Engine;
+use limited::LimitedRequests;
 use load_speed::LoadSpeed;
 use placed_request::PlacedRequest;
 use prefill_speed::PrefillSpeed;
@@ -52,6 +55,10 @@
     newest: HashMap<AdapterKey, u64>,
     rates: Rates,
     suspects: Suspects,
+    /// Limits that servers state.
+    server_rates: ServerRates,
+    /// Requests that wait until a server with a limit may be sent another one.
+    limited: LimitedRequests,
     load_speed: LoadSpeed,
     /// Requests that wait for their adapter.
     waiting: BTreeMap<Ticket, PlacedRequest>,
@@ -74,6 +81,13 @@
         /// The answer.
         response: PlacementResponse,
     },
+    /// Answer a request for a permit.
+    Permit {
+        /// Identifies the request.
+        ticket: Ticket,
+        /// The answer.
+        response: PermitResponse,
+    },
     /// Send an order to a server and pass its answer to [`Cell::handle_order_answer`].
     Order(Order),
     /// Request a report from a server and pass it to [`Cell::handle_report`].
@@ -99,6 +113,8 @@
             newest: HashMap::new(),
             rates: Rates::for_placer(),
             suspects: Suspects::default(),
+            server_rates: ServerRates::for_placer(),
+            limited: LimitedRequests::default(),
             load_speed: LoadSpeed::default(),
             waiting: BTreeMap::new(),
             running: HashMap::new(),
@@ -138,7 +154,9 @@
     /// Replaces the list of backend servers; those of plain services are ignored.
     pub fn set_backends<'a>(&mut self, list: impl Iterator<Item = &'a Backend>, now_ms: u64) {
         let mut removed: Vec<Name> = self.engines.keys().cloned().collect();
+        let mut listed = HashSet::new();
         for backend in list {
+            listed.insert(backend.id.clone());
             if !self.services.contains_key(&backend.service) {
                 continue;
             }
@@ -149,6 +167,7 @@
             self.engines.remove(&id);
             self.reassign_waiting(&id, now_ms);
         }
+        self.server_rates.retain(|server| listed.contains(server));
         self.load_speed.set_engine_count(self.engines.len());
         self.advance(now_ms);
     }
@@ -282,6 +301,7 @@
         let reports = engines.clone().filter_map(Engine::report_due_ms);
         reports
             .chain(engines.filter_map(Engine::next_load_due_ms))
+            .chain(self.limited.due_ms())
             .min()
     }
 
--- a/core/src/cell/run_outcome.rs
+++ b/core/src/cell/run_outcome.rs
@@ -20,6 +20,9 @@
 impl Cell {
     /// Ends a request that has left its server or no longer waits.
     pub fn end_run(&mut self, ended: &EndedRun, now_ms: u64) {
+        for request in self.limited.remove(|ticket| ticket == ended.ticket) {
+            self.refund(&request, now_ms);
+        }
         let waiting = self.waiting.remove(&ended.ticket);
         let was_waiting = waiting.is_some();
         let Some(placed) = waiting.or_else(|| self.running.remove(&ended.ticket)) else {
@@ -64,6 +67,9 @@
         let unresponsive: Vec<u64> = unresponsive.map(|(entry, _)| *entry).collect();
         for entry in unresponsive {
             self.entries_last_seen_ms.remove(&entry);
+            for request in self.limited.remove(|ticket| ticket.entry == entry) {
+                self.refund(&request, now_ms);
+            }
             let tickets = self.running.keys().chain(self.waiting.keys());
             let tickets: Vec<Ticket> = tickets.filter(|it| it.entry == entry).copied().collect();
             for ticket in tickets {
--- a/core/src/plain.rs
+++ b/core/src/plain.rs
@@ -65,15 +65,33 @@
         excluded: &[Name],
         now_ms: u64,
     ) -> Option<Name> {
-        let choice = backends
-            .filter(|backend| backend.is_ready())
-            .map(|backend| (self.cost_ms(backend, zone, excluded, now_ms), &backend.id))
-            .min_by(|one, other| one.0.total_cmp(&other.0))
-            .map(|(_, id)| id.clone())?;
-        self.servers.entry(choice.clone()).or_default().in_flight += 1;
+        let ranked = self.rank(backends, zone, excluded, now_ms);
+        let choice = ranked.into_iter().next()?;
+        self.count_request(&choice);
         Some(choice)
     }
 
+    /// Returns the servers that are ready, the one that is expected to answer first at the front.
+    pub fn rank<'a>(
+        &self,
+        backends: impl Iterator<Item = &'a Backend>,
+        zone: &str,
+        excluded: &[Name],
+        now_ms: u64,
+    ) -> Vec<Name> {
+        let ready = backends.filter(|backend| backend.is_ready());
+        let mut ranked: Vec<(f64, &Name)> = ready
+            .map(|backend| (self.cost_ms(backend, zone, excluded, now_ms), &backend.id))
+            .collect();
+        ranked.sort_by(|one, other| one.0.total_cmp(&other.0));
+        ranked.into_iter().map(|(_, id)| id.clone()).collect()
+    }
+
+    /// Counts a request as in flight at a server.
+    pub fn count_request(&mut self, id: &Name) {
+        self.servers.entry(id.clone()).or_default().in_flight += 1;
+    }
+
     /// Records the outcome of a request and the load that the server reported with its answer.
     pub fn record_outcome(
         &mut self,
--- a/core/tests/cell/invariants.rs
+++ b/core/tests/cell/invariants.rs
@@ -154,7 +154,7 @@
                 let adapter = self.adapter_of[&ticket.number].clone();
                 self.running.insert(ticket.number, (server, adapter));
             }
-            Action::Answer { .. } | Action::StepDown => {}
+            Action::Answer { .. } | Action::Permit { .. } | Action::StepDown => {}
             Action::Order(order) => self.answer_order(&order, choices.ratio(1, 5)?),
             Action::RequestReport(backend) => {
                 let report = self.servers[&backend.id].report(&backend.id);
--- a/core/tests/cell/main.rs
+++ b/core/tests/cell/main.rs
@@ -3,6 +3,7 @@
 mod adapters;
 mod assignment;
 mod invariants;
+mod limited;
 mod prefill;
 mod prompt_parts;
 mod rates;
--- a/daemon/src/gateway/link.rs
+++ b/daemon/src/gateway/link.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use mimosabay_core::cell::{
-    Charge, EndedRun, PlacementRequest, PlacementResponse, RunOutcome, Update,
+    Charge, EndedRun, PermitRequest, PermitResponse, PlacementRequest, PlacementResponse,
+    RunOutcome, Update,
 };
 use mimosabay_core::name::{InstanceId, Name};
 use mimosabay_core::work::Work;
@@ -251,10 +252,41 @@
         peer: &Peer,
         request: PlacementRequest,
     ) -> Option<PlacementResponse> {
+        let message = Message::RequestPlacement(Box::new(request));
+        match self.ask_placer(state, peer, message).await? {
+            Reply::Placement(response) => Some(response),
+            _ => None,
+        }
+    }
+
+    /// Requests a permit to send a request to a plain server that states a limit; `None` if no placer
+    /// answers.
+    pub(crate) async fn request_permit(
+        &self,
+        state: &State,
+        request: PermitRequest,
+    ) -> Option<PermitResponse> {
+        let target = self.target.borrow().clone();
+        match target {
+            Target::None => None,
+            Target::Local(placer) => placer.request_permit(request).await,
+            Target::Remote(peer) => {
+                let message = Message::RequestPermit(request);
+                match self.ask_placer(state, &peer, message).await? {
+                    Reply::Permit(response) => Some(response),
+                    _ => None,
+                }
+            }
+        }
+    }
+
+    /// Sends a message to the placer and waits for its reply as long as it is responsive. Returns
+    /// `None` if there is none, or if the receiver is not the placer.
+    async fn ask_placer(&self, state: &State, peer: &Peer, message: Message) -> Option<Reply> {
         if self.is_placer_unresponsive(state) {
             return None;
         }
-        let envelope = envelope(state, Message::RequestPlacement(Box::new(request)));
+        let envelope = envelope(state, message);
         let exchange = async {
             let mut replies = peer.call_streaming(&envelope).await.ok()?;
             replies.next().await.ok()?
@@ -263,12 +295,11 @@
         loop {
             tokio::select! {
                 reply = &mut exchange => return match reply? {
-                    Reply::Placement(response) => Some(response),
                     Reply::NotPlacer => {
                         self.mark_record_stale();
                         None
                     }
-                    _ => None,
+                    reply => Some(reply),
                 },
                 () = sleep(Duration::from_millis(RESPONSE_CHECK_PERIOD_MS)) => {
                     if self.is_placer_unresponsive(state) {
@@ -374,6 +405,7 @@
             evidence,
             quarantine_version: state.suspects.version(),
             runs: is_new_placer.then(|| self.runs.placed()),
+            limits: state.server_limits.take_unsent(is_new_placer),
             known: state.replicas.known_revisions(),
             address: self.own_address.clone(),
             members_version: state.members.version(),
--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod placement;
 mod placer;
 mod plain_attempt;
+mod plain_choice;
 mod plain_request;
 mod pool;
 mod quarantine_check;
--- a/daemon/src/gateway/placement.rs
+++ b/daemon/src/gateway/placement.rs
@@ -195,17 +195,22 @@
         backend.service == request.job.service.name
             && backend.is_ready()
             && !request.has_tried(&backend.id)
+            && state.server_limits.may_send(backend)
             && (holds || last_server.as_ref() == Some(&backend.id))
     });
     let loads = state.link.runs.count_by_server();
     let least_loaded = holders.min_by_key(|backend| loads.get(&backend.id).copied().unwrap_or(0));
     match least_loaded {
         Some(backend) => match charge_own_rates(state, request) {
-            Ok(()) => PlacementResponse::Granted {
-                server: backend.id.clone(),
-                version: newest,
-                first_event_ms: request.job.route.target_latency_ms,
-            },
+            Ok(()) => {
+                // The holders are servers that may be sent a request.
+                let _ = state.server_limits.try_take(backend);
+                PlacementResponse::Granted {
+                    server: backend.id.clone(),
+                    version: newest,
+                    first_event_ms: request.job.route.target_latency_ms,
+                }
+            }
             Err(retry_after_ms) => PlacementResponse::Refused(Refusal {
                 reason: RefusalReason::OverRate,
                 retry_after_ms,
--- a/daemon/src/gateway/placer.rs
+++ b/daemon/src/gateway/placer.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use mimosabay_core::cell::{
-    Action, AdapterKey, Cell, Order, OrderAnswer, PlacementRequest, PlacementResponse, Report,
-    Ticket, Update,
+    Action, AdapterKey, Cell, Order, OrderAnswer, PermitRequest, PermitResponse, PlacementRequest,
+    PlacementResponse, Report, Ticket, Update,
 };
 use mimosabay_core::name::Name;
 use mimosabay_core::quarantine::Quarantine;
@@ -34,6 +34,7 @@
 
 enum Input {
     RequestPlacement(Box<PlacementRequest>, oneshot::Sender<PlacementResponse>),
+    RequestPermit(PermitRequest, oneshot::Sender<PermitResponse>),
     RequestTrial(Box<Work>, oneshot::Sender<bool>),
     Update(Box<Update>),
     OrderAnswered(Name, OrderAnswer),
@@ -57,9 +58,11 @@
         let mut cell = Cell::new(orders_from_ms);
         cell.set_epoch(state.clock.start_unix_ms());
         cell.merge_quarantine(&state.suspects.known());
+        cell.apply_limits(&state.server_limits.all(), state.now_ms());
         let driver = Driver {
             cell,
             responders: HashMap::new(),
+            permit_responders: HashMap::new(),
             control: ServerControl::default(),
             authority,
             inbox: placer.inbox.downgrade(),
@@ -84,6 +87,16 @@
         response.await.ok()
     }
 
+    /// Requests a permit to send a request to a plain server that states a limit; `None` if the placer
+    /// has stopped. Dropping the future returns the permit.
+    pub(crate) async fn request_permit(&self, request: PermitRequest) -> Option<PermitResponse> {
+        let (sender, response) = oneshot::channel();
+        self.inbox
+            .send(Input::RequestPermit(request, sender))
+            .ok()?;
+        response.await.ok()
+    }
+
     /// Asks for one run of a request under quarantine; returns whether it is permitted.
     pub(crate) async fn request_trial(&self, work: Work) -> bool {
         let (sender, response) = oneshot::channel();
@@ -107,6 +120,7 @@
 struct Driver {
     cell: Cell,
     responders: HashMap<Ticket, oneshot::Sender<PlacementResponse>>,
+    permit_responders: HashMap<Ticket, oneshot::Sender<PermitResponse>>,
     control: ServerControl,
     authority: OrderAuthority,
     inbox: mpsc::WeakUnboundedSender<Input>,
@@ -168,6 +182,10 @@
                 self.responders.insert(request.ticket, responder);
                 self.cell.request_placement(*request, now_ms);
             }
+            Input::RequestPermit(request, responder) => {
+                self.permit_responders.insert(request.ticket, responder);
+                self.cell.request_permit(request, now_ms);
+            }
             Input::RequestTrial(work, responder) => {
                 let is_permitted = self.cell.try_start_trial(&work, now_ms);
                 let fingerprint = work.request_hash();
@@ -199,6 +217,7 @@
         }
         self.cell.count_charges(&update.charges, now_ms);
         self.cell.merge_quarantine(&update.evidence);
+        self.cell.apply_limits(&update.limits, now_ms);
     }
 
     fn start_quarantine_log(&self) {
@@ -258,6 +277,7 @@
                         let _ = responder.send(response);
                     }
                 }
+                Action::Permit { ticket, response } => self.answer_permit(ticket, response),
                 Action::Order(order) => self.send_order(order),
                 Action::RequestReport(backend) => self.fetch_report(backend),
                 Action::StepDown => {
@@ -273,6 +293,16 @@
         }
     }
 
+    /// Answers a request for a permit. An instance that no longer waits does not use it.
+    fn answer_permit(&mut self, ticket: Ticket, response: PermitResponse) {
+        let Some(responder) = self.permit_responders.remove(&ticket) else {
+            return;
+        };
+        if let Err(PermitResponse::Granted { server }) = responder.send(response) {
+            self.cell.return_permit(&server, self.state.now_ms());
+        }
+    }
+
     fn send_order(&self, order: Order) {
         self.state.metrics.count_order();
         let control = self.control.clone();
--- a/daemon/src/gateway/plain_request.rs
+++ b/daemon/src/gateway/plain_request.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use mimosabay_core::attempt::{Attempts, ExecutionStatus};
-use mimosabay_core::backend::Backend;
 use mimosabay_core::name::Name;
 use mimosabay_core::quarantine;
 use mimosabay_core::site::RetrySafety;
@@ -15,6 +14,7 @@
 use super::exchange::{CompleteResponse, Failure};
 use super::metrics::Outcome;
 use super::plain_attempt::PlainAttempt;
+use super::plain_choice::{Candidates, NoServer};
 use super::quarantine_check;
 use super::request::Job;
 use super::retry_permit::RetryPermit;
@@ -44,8 +44,9 @@
         failed_response: None,
     };
     loop {
-        let Some(backend) = request.choose_server(None) else {
-            return request.failure_answer(Failure::Unreachable);
+        let backend = match request.candidates(None).choose().await {
+            Ok(backend) => backend,
+            Err(reason) => return request.no_server_answer(reason),
         };
         let attempt = PlainAttempt::start(state, &job, backend);
         match request.await_response(attempt).await {
@@ -174,7 +175,7 @@
                 drop(permit);
                 return std::future::pending().await;
             }
-            if let Some(backend) = self.choose_server(Some(current)) {
+            if let Some(backend) = self.candidates(Some(current)).choose_now().await {
                 permit.spend();
                 return PlainAttempt::start(self.state, self.job, backend);
             }
@@ -227,17 +228,37 @@
             && self.state.try_take_retry(&self.job.service.name)
     }
 
-    /// Chooses a server other than `silent`.
-    fn choose_server(&self, silent: Option<&Name>) -> Option<Arc<Backend>> {
-        let snapshot = self.state.backends.snapshot();
-        let servers = snapshot.values().map(|backend| &**backend);
-        let servers = servers.filter(|backend| {
-            backend.service == self.job.service.name && Some(&backend.id) != silent
-        });
-        let mut plain = self.state.plain.lock().expect("plain lock");
-        let zone = &self.state.settings().zone;
-        let server = plain.start_request(servers, zone, &self.excluded, self.state.now_ms())?;
-        snapshot.get(&server).cloned()
+    fn candidates<'b>(&'b self, silent: Option<&'b Name>) -> Candidates<'b> {
+        Candidates {
+            state: self.state,
+            job: self.job,
+            excluded: &self.excluded,
+            silent,
+        }
+    }
+
+    /// The final answer if no server can be sent the request.
+    fn no_server_answer(self, reason: NoServer) -> Answer {
+        if self.attempts.count() > 0 {
+            self.state.return_retry(&self.job.service.name);
+        }
+        match reason {
+            NoServer::OverLimit { retry_after_ms } if self.attempts.is_not_run() => {
+                self.not_run_answer(retry_after_ms)
+            }
+            NoServer::OverLimit { .. } | NoServer::Unavailable => {
+                self.failure_answer(Failure::Unreachable)
+            }
+        }
+    }
+
+    fn not_run_answer(&self, retry_after_ms: u64) -> Answer {
+        let own_answer = OwnAnswer::NotRun {
+            retry_after_ms: Some(retry_after_ms),
+        };
+        self.state.metrics.count_outcome(own_answer.outcome());
+        info!(event = "refused", id = %self.job.id, reason = "OverLimit", retry_after_ms);
+        own_answer.answer(Some(&self.job.id))
     }
 
     /// The final answer after the last attempt.
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -99,6 +99,7 @@
             .suspects
             .check_servers(&snapshot, is_current, heartbeat_ms);
         state.pool.remove_expired(|id| snapshot.contains_key(id));
+        state.server_limits.retain(|id| snapshot.contains_key(id));
         let mut plain = state.plain.lock().expect("plain lock");
         plain.retain(|id| snapshot.contains_key(id));
     }
@@ -137,6 +138,7 @@
                             evidence: Quarantine::default(),
                             quarantine_version: 0,
                             runs: None,
+                            limits: Vec::new(),
                             known: Vec::new(),
                             address: "".into(),
                             members_version: 0,
@@ -146,6 +148,13 @@
                 },
             }
         }
+        Message::RequestPermit(request) => match state.link.local_placer() {
+            None => Reply::NotPlacer,
+            Some(placer) => tokio::select! {
+                response = placer.request_permit(request) => response.map_or(Reply::NotPlacer, Reply::Permit),
+                () = responder.wait_for_reset() => return,
+            },
+        },
         Message::RequestTrial(work) => match state.link.local_placer() {
             None => Reply::NotPlacer,
             Some(placer) => Reply::Trial {
--- a/daemon/src/gateway/server_limits.rs
+++ b/daemon/src/gateway/server_limits.rs
@@ -6,21 +6,22 @@
 use http::HeaderMap;
 use mimosabay_core::backend::Backend;
 use mimosabay_core::name::Name;
-use mimosabay_core::stated_limit::{StatedLimit, StatedLimits};
+use mimosabay_core::server_rates::ServerRates;
+use mimosabay_core::stated_limit::StatedLimit;
 use mimosabay_platform::ingress;
 use tracing::{info, warn};
 
 use crate::clock::Clock;
 
-/// The statements that this instance has seen or was sent.
+/// The statements that this instance has seen or was sent, and its own share of the limits, which
+/// it uses while no placer answers.
 pub(crate) struct ServerLimits {
     clock: Clock,
     known: Mutex<Known>,
 }
 
-#[derive(Default)]
 struct Known {
-    stated: StatedLimits,
+    rates: ServerRates,
     /// Servers whose statements the placer does not know yet.
     unsent: BTreeSet<Name>,
 }
@@ -29,7 +30,10 @@
     pub(crate) fn new(clock: Clock) -> Self {
         Self {
             clock,
-            known: Mutex::default(),
+            known: Mutex::new(Known {
+                rates: ServerRates::for_entry(),
+                unsent: BTreeSet::new(),
+            }),
         }
     }
 
@@ -51,23 +55,98 @@
             stated_unix_ms: self.clock.unix_ms(),
         };
         let mut known = self.known();
-        let is_changed = known.stated.apply(&stated);
+        let is_changed = known.rates.apply(&stated, self.clock.now_ms());
         if is_changed {
             known.unsent.insert(backend.id.clone());
         }
         drop(known);
         if is_changed {
-            info!(
-                event = "limit_stated",
-                server = %stated.server,
-                boot = stated.boot,
-                requests_per_s
-            );
+            log_change(&stated, "answer");
         }
         is_changed
     }
 
+    /// Applies statements that the placer sent.
+    pub(crate) fn apply(&self, stated: &[StatedLimit]) {
+        let now_ms = self.clock.now_ms();
+        let mut known = self.known();
+        let changed: Vec<&StatedLimit> = stated
+            .iter()
+            .filter(|limit| known.rates.apply(limit, now_ms))
+            .collect();
+        drop(known);
+        for limit in changed {
+            log_change(limit, "placer");
+        }
+    }
+
+    /// Returns all known statements.
+    pub(crate) fn all(&self) -> Vec<StatedLimit> {
+        self.known().rates.stated().iter().cloned().collect()
+    }
+
+    /// Takes the statements that the placer does not know yet: all of them if it is new.
+    pub(crate) fn take_unsent(&self, is_new_placer: bool) -> Vec<StatedLimit> {
+        let mut known = self.known();
+        let unsent = std::mem::take(&mut known.unsent);
+        let stated = known.rates.stated().iter();
+        let unsent = stated.filter(|limit| is_new_placer || unsent.contains(&limit.server));
+        unsent.cloned().collect()
+    }
+
+    /// Adds statements that did not reach the placer to what is sent next.
+    pub(crate) fn requeue(&self, stated: &[StatedLimit]) {
+        let servers = stated.iter().map(|limit| limit.server.clone());
+        self.known().unsent.extend(servers);
+    }
+
+    /// Whether a server states a limit.
+    pub(crate) fn is_limited(&self, backend: &Backend) -> bool {
+        let known = self.known();
+        known.rates.is_limited(&backend.id, backend.started_unix_ms)
+    }
+
+    /// Whether this instance may send a request to the server without a placer.
+    pub(crate) fn may_send(&self, backend: &Backend) -> bool {
+        let now_ms = self.clock.now_ms();
+        let known = self.known();
+        known
+            .rates
+            .may_send(&backend.id, backend.started_unix_ms, now_ms)
+    }
+
+    /// Counts a request to the server against this instance's share of the limit. Returns whether it
+    /// may be sent.
+    pub(crate) fn try_take(&self, backend: &Backend) -> bool {
+        let now_ms = self.clock.now_ms();
+        let mut known = self.known();
+        known
+            .rates
+            .try_take(&backend.id, backend.started_unix_ms, now_ms)
+    }
+
+    /// Divides the limits among `instances` while there is no placer.
+    pub(crate) fn set_instance_count(&self, instances: usize) {
+        let now_ms = self.clock.now_ms();
+        self.known().rates.set_instance_count(instances, now_ms);
+    }
+
+    /// Removes the servers that no longer exist.
+    pub(crate) fn retain(&self, exists: impl Fn(&str) -> bool) {
+        self.known().rates.retain(exists);
+    }
+
     fn known(&self) -> MutexGuard<'_, Known> {
         self.known.lock().expect("limits lock")
     }
 }
+
+fn log_change(stated: &StatedLimit, source: &'static str) {
+    info!(
+        event = "limit_stated",
+        server = %stated.server,
+        boot = stated.boot,
+        requests_per_s = stated.requests_per_s,
+        source
+    );
+}
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -163,6 +163,7 @@
         for share in self.retries.lock().expect("retries lock").values_mut() {
             share.set_instance_count(instances);
         }
+        self.server_limits.set_instance_count(instances);
         self.set_own_rate_instances(instances);
     }
 
--- a/daemon/src/gateway/updates.rs
+++ b/daemon/src/gateway/updates.rs
@@ -59,9 +59,11 @@
                 Ok(Reply::Updated {
                     reaches_store,
                     changes,
+                    limits,
                     members,
                     quarantine,
                 }) => {
+                    state.server_limits.apply(&limits);
                     if let Some(quarantine) = quarantine {
                         state.suspects.apply(&quarantine);
                     }
@@ -75,11 +77,13 @@
                     }
                 }
                 Ok(_) => {
+                    state.server_limits.requeue(&update.limits);
                     state.suspects.requeue(&update.evidence);
                     link.requeue_update(update);
                     link.mark_record_stale();
                 }
                 Err(cause) => {
+                    state.server_limits.requeue(&update.limits);
                     state.suspects.requeue(&update.evidence);
                     link.requeue_update(update);
                     record_failed_contact(state, cause.classify());
@@ -110,11 +114,13 @@
     state
         .members
         .record_contact(&update.address, state.now_ms());
+    state.server_limits.apply(&update.limits);
     let changes = update.known.iter();
     let changes = changes.map(|known| (known.kind, state.replicas.changes_since(known)));
     Reply::Updated {
         reaches_store: state.reaches_store(),
         changes: changes.collect(),
+        limits: state.server_limits.all(),
         members: state.members.changes_since(update.members_version),
         quarantine: quarantine_changes(state, update),
     }
--- a/daemon/src/inbound.rs
+++ b/daemon/src/inbound.rs
@@ -60,6 +60,7 @@
             budget_messages::respond(instance, from, &to, message)
         }
         Message::RequestPlacement(_)
+        | Message::RequestPermit(_)
         | Message::RequestTrial(_)
         | Message::Update(_)
         | Message::GetPlacerLastSeen => Reply::NotPlacer,
--- a/daemon/tests/gateway/configuration.rs
+++ b/daemon/tests/gateway/configuration.rs
@@ -130,6 +130,7 @@
         evidence: Quarantine::default(),
         quarantine_version: 0,
         runs: None,
+        limits: Vec::new(),
         known: vec![KnownRevision {
             kind: ReplicaKind::Configuration,
             revision: known_revision,
--- a/peer/src/message.rs
+++ b/peer/src/message.rs
@@ -1,13 +1,16 @@
 //! Messages between instances, encoded with `bincode`.
 
 use mimosabay_core::budget::BudgetMessage;
-use mimosabay_core::cell::{PlacementRequest, PlacementResponse, Update};
+use mimosabay_core::cell::{
+    PermitRequest, PermitResponse, PlacementRequest, PlacementResponse, Update,
+};
 use mimosabay_core::config::ConfigEntry;
 use mimosabay_core::membership::Heartbeat;
 use mimosabay_core::name::{InstanceId, Name};
 use mimosabay_core::quarantine_log::QuarantineChanges;
 use mimosabay_core::replica::{ReplicaChanges, ReplicaKind};
 use mimosabay_core::request::{Request, RunEvent};
+use mimosabay_core::stated_limit::StatedLimit;
 use mimosabay_core::work::Work;
 
 mimosabay_core::record! {
@@ -36,6 +39,9 @@
         /// Asks the placer to place a request. Answered by [`Reply::Placement`] or
         /// [`Reply::NotPlacer`].
         RequestPlacement(Box<PlacementRequest>),
+        /// Asks the placer whether a request may be sent to a plain server that states a limit.
+        /// Answered by [`Reply::Permit`], perhaps after a wait, or [`Reply::NotPlacer`].
+        RequestPermit(PermitRequest),
         /// Asks the placer for one run of a request under quarantine. Answered by [`Reply::Trial`] or
         /// [`Reply::NotPlacer`].
         RequestTrial(Work),
@@ -92,6 +98,8 @@
         },
         /// A placement or a refusal.
         Placement(PlacementResponse),
+        /// A permit or a refusal.
+        Permit(PermitResponse),
         /// Whether the request may run once.
         Trial {
             /// Whether it may.
@@ -105,6 +113,8 @@
             reaches_store: bool,
             /// Changes since the revisions that the sender knows, for each kind.
             changes: Vec<(ReplicaKind, ReplicaChanges)>,
+            /// Limits that servers have stated.
+            limits: Vec<StatedLimit>,
             /// The instances, if the sender has a different version of the list.
             members: Option<Members>,
             /// Changes of the quarantine, if the sender has a different version.
