State limits of servers in the soak, and check that they are kept

Servers now state limits of 0.5 to 20 requests a second for 4 to 9 s in each soak, in a series of their own beside all other faults. Requests from an instance that was ended or suspended within the contact time do not count, nor servers that crashed. The faults of the earlier series are the same for each seed.

--- a/daemon/tests/server_limits.rs
+++ b/daemon/tests/server_limits.rs
@@ -208,7 +208,7 @@
 fn check_limits(servers: &[FleetServer]) {
     let violations: Vec<String> = servers
         .iter()
-        .flat_map(FleetServer::limit_violations)
+        .flat_map(|server| server.limit_violations(|_| true))
         .collect();
     assert!(violations.is_empty(), "{violations:#?}");
 }
--- a/standin/src/fleet/limit.rs
+++ b/standin/src/fleet/limit.rs
@@ -5,7 +5,7 @@
 use http::{HeaderMap, HeaderValue};
 
 use super::poison::CONTACT_MS;
-use super::server::FleetServer;
+use super::server::{FleetServer, ReceivedRequest};
 
 /// Length of the spans in which requests are counted, in milliseconds.
 const SPAN_MS: u64 = 4_000;
@@ -43,10 +43,13 @@
     }
 
     /// Returns the spans in which the server received more than its limit allows, one for each
-    /// limit, from [`CONTACT_MS`] after it was stated until the next statement.
-    pub fn limit_violations(&self) -> Vec<String> {
+    /// limit, from [`CONTACT_MS`] after it was stated until the next statement. Only some requests are
+    /// counted.
+    pub fn limit_violations(&self, is_counted: impl Fn(&ReceivedRequest) -> bool) -> Vec<String> {
         let limits = self.with_state(|state| state.limits.clone());
-        let arrivals: Vec<Instant> = self.requests().iter().map(|it| it.arrived).collect();
+        let requests = self.requests();
+        let counted = requests.iter().filter(|request| is_counted(request));
+        let arrivals: Vec<Instant> = counted.map(|request| request.arrived).collect();
         let ends = limits.iter().skip(1).map(|next| Some(next.since));
         let periods = limits.iter().zip(ends.chain([None]));
         let violations = periods.filter_map(|(stated, end)| {
--- a/standin/src/soak.rs
+++ b/standin/src/soak.rs
@@ -12,6 +12,7 @@
 mod crashing_part;
 mod excuse;
 mod injector;
+mod limit;
 mod load;
 mod plan;
 
@@ -30,6 +31,7 @@
 use crashing_part::CrashingPartCheck;
 use excuse::Excuses;
 use injector::FaultInjector;
+use limit::LimitCheck;
 use load::Load;
 
 /// Time after the last fault within which each instance has to serve again, in milliseconds.
@@ -139,6 +141,12 @@
         started,
     };
     violations.extend(check.run(&site, &requests));
+    let check = LimitCheck {
+        injections: &injections,
+        instances: options.instances,
+        started,
+    };
+    violations.extend(check.run(&site, &requests));
     let mut outcomes = BTreeMap::new();
     for request in &requests {
         *outcomes.entry(request.outcome()).or_default() += 1;
--- a/standin/src/soak/crashing_part.rs
+++ b/standin/src/soak/crashing_part.rs
@@ -191,6 +191,7 @@
             | Fault::ServerHangs
             | Fault::ServerDrains
             | Fault::ServerPauses
+            | Fault::ServerStatesLimit
             | Fault::PromptPartCrashesServers
             | Fault::Configuration => false,
         };
--- a/standin/src/soak/injector.rs
+++ b/standin/src/soak/injector.rs
@@ -21,6 +21,8 @@
 const MISBEHAVING_REQUESTS: usize = 4;
 /// Number of writes whose answers the store loses.
 const LOST_ANSWERS: u32 = 3;
+/// Limits that servers state, in requests a second.
+const LIMITS_PER_S: [f64; 5] = [0.5, 1.1, 2.0, 5.0, 20.0];
 
 /// A period in which a server was registered as leaving.
 #[derive(Clone, Debug)]
@@ -130,6 +132,7 @@
             Fault::ServerHangs => self.server(injection).plan(Behaviour::Hang),
             Fault::ServerDrains => self.server(injection).register("draining"),
             Fault::ServerPauses => self.server(injection).set_paused(true),
+            Fault::ServerStatesLimit => self.state_limit(injection),
             Fault::PromptPartCrashesServers => {
                 self.crashing = start_crashing(self.site, injection.target);
             }
@@ -148,11 +151,17 @@
             Fault::ServerLinkCut | Fault::ServerLinkSilent => self.server_link(injection).heal(),
             Fault::ServerDrains => self.server(injection).register("ready"),
             Fault::ServerPauses => self.server(injection).set_paused(false),
+            Fault::ServerStatesLimit => self.server(injection).state_limit(None),
             Fault::PromptPartCrashesServers => self.crashing.abort_all(),
             _ => {}
         }
     }
 
+    fn state_limit(&self, injection: &Strike) {
+        let limit_per_s = LIMITS_PER_S[injection.target % LIMITS_PER_S.len()];
+        self.server(injection).state_limit(Some(limit_per_s));
+    }
+
     fn restore_all(&mut self) {
         self.site.store.set_down(false);
         let links = self
@@ -164,6 +173,7 @@
         for server in self.site.engines.iter().chain(&self.site.plain_servers) {
             server.clear_plan();
             server.set_paused(false);
+            server.state_limit(None);
             server.register("ready");
         }
         for index in 0..self.site.instances.len() {
--- a/standin/src/soak/plan.rs
+++ b/standin/src/soak/plan.rs
@@ -19,6 +19,12 @@
 const SERVER_PAUSE_GAP_MS: std::ops::Range<u64> = 300..2_400;
 /// Range of the duration of a server's pause, in milliseconds.
 const SERVER_PAUSE_MS: std::ops::RangeInclusive<u64> = 800..=1_900;
+/// Range of the time between the beginnings of two limits of servers, in milliseconds.
+const SERVER_LIMIT_GAP_MS: std::ops::Range<u64> = 500..4_000;
+/// Range of the duration of a server's limit, in milliseconds.
+const SERVER_LIMIT_MS: std::ops::Range<u64> = 4_000..9_000;
+/// Distinguishes the random numbers of the limits from those of the other faults.
+const SERVER_LIMIT_SEED: u64 = 0x6c69_6d69_7400_0000;
 /// Distinguishes the random numbers of the pauses from those of the other faults.
 const SERVER_PAUSE_SEED: u64 = 0x7061_7573_6500_0000;
 
@@ -67,6 +73,8 @@
     ServerDrains,
     /// A sound server neither reads nor writes, and goes on where it was at the end.
     ServerPauses,
+    /// A server states a limit in its answers, and lifts it at the end.
+    ServerStatesLimit,
     /// Requests with one part in their prompts, no two alike, crash each engine that begins to answer
     /// them.
     PromptPartCrashesServers,
@@ -138,11 +146,12 @@
 
 /// Returns the faults of a soak, in the order in which they begin.
 ///
-/// They come in two series, which overlap: pauses of sound servers, and all others. Pauses excuse
-/// no failure, so that they are also part of the planned work.
+/// They come in three series, which overlap: pauses of sound servers, limits that servers state, and all
+/// others. Pauses and limits excuse no failure, so that they are also part of the planned work.
 pub fn plan_faults(options: &SoakOptions) -> Vec<Strike> {
     let mut injections = plan_series(options);
     injections.extend(plan_server_pauses(options));
+    injections.extend(plan_server_limits(options));
     if options.mode == SoakMode::CrashingPart {
         injections.push(plan_crashing_part(options));
     }
@@ -189,17 +198,45 @@
 }
 
 fn plan_server_pauses(options: &SoakOptions) -> Vec<Strike> {
-    let mut random = StdRng::seed_from_u64(options.seed ^ SERVER_PAUSE_SEED);
+    plan_server_series(
+        options,
+        Fault::ServerPauses,
+        SERVER_PAUSE_SEED,
+        SERVER_PAUSE_GAP_MS,
+        |random| random.random_range(SERVER_PAUSE_MS),
+    )
+}
+
+fn plan_server_limits(options: &SoakOptions) -> Vec<Strike> {
+    plan_server_series(
+        options,
+        Fault::ServerStatesLimit,
+        SERVER_LIMIT_SEED,
+        SERVER_LIMIT_GAP_MS,
+        |random| random.random_range(SERVER_LIMIT_MS),
+    )
+}
+
+/// Returns a series of one fault. `gap_ms` is the time between two beginnings in milliseconds, and
+/// `length_ms` chooses a duration.
+fn plan_server_series(
+    options: &SoakOptions,
+    fault: Fault,
+    series_seed: u64,
+    gap_ms: std::ops::Range<u64>,
+    length_ms: impl Fn(&mut StdRng) -> u64,
+) -> Vec<Strike> {
+    let mut random = StdRng::seed_from_u64(options.seed ^ series_seed);
     let mut injections = Vec::new();
-    let mut at_ms = random.random_range(SERVER_PAUSE_GAP_MS);
+    let mut at_ms = random.random_range(gap_ms.clone());
     while at_ms < options.duration_ms {
         injections.push(Strike {
-            fault: Fault::ServerPauses,
+            fault,
             at_ms,
-            for_ms: random.random_range(SERVER_PAUSE_MS),
+            for_ms: length_ms(&mut random),
             target: random.random_range(0..64),
         });
-        at_ms += random.random_range(SERVER_PAUSE_GAP_MS);
+        at_ms += random.random_range(gap_ms.clone());
     }
     injections
 }
