--- a/daemon/tests/server_limits.rs
+++ b/daemon/tests/server_limits.rs
@@ -15,14 +15,18 @@
 const DEADLINE_MS: u64 = 3_000;
 /// Time for which requests are sent, in milliseconds.
 const LOAD_MS: u64 = 14_000;
-/// Time after which servers that lift their limit do so, in milliseconds.
-const LIFTED_MS: u64 = 6_000;
+/// Time after which servers that change or lift their limit do so, in milliseconds.
+const CHANGED_MS: u64 = 6_000;
 /// Limit of each server if all have one, in requests a second.
 const LIMIT_PER_S: f64 = 2.0;
 /// Limit of the first servers if only some have one, in requests a second.
 const LOW_LIMIT_PER_S: f64 = 1.1;
+/// Limit of each server if all have a low one, in requests a second.
+const LOWEST_LIMIT_PER_S: f64 = 0.5;
+/// Limit of each server before it is lowered, in requests a second.
+const HIGH_LIMIT_PER_S: f64 = 20.0;
 /// Share of what the servers allow that has to be used while callers wait.
-const MIN_USED_SHARE: f64 = 0.8;
+const MIN_USED_SHARE: f64 = 0.9;
 /// Share of the requests that has to be answered if other servers have no limit.
 const MIN_ANSWERED_SHARE: f64 = 0.9;
 
@@ -44,9 +48,13 @@
     Some,
     /// All.
     All,
+    /// All, to less than one request a second.
+    AllToLittle,
+    /// All, and the limit is lowered at [`CHANGED_MS`].
+    AllLowered,
     /// All, and many of their runs fail.
     AllFailing,
-    /// All, until [`LIFTED_MS`].
+    /// All, until [`CHANGED_MS`].
     AllForSomeTime,
 }
 
@@ -61,6 +69,12 @@
         limit_is_kept_and_used;
         drafts_some: (Route::Draft, Limited::Some, Condition::Calm);
         drafts_all: (Route::Draft, Limited::All, Condition::Calm);
+        drafts_all_to_little: (Route::Draft, Limited::AllToLittle, Condition::Calm);
+        drafts_lowered: (Route::Draft, Limited::AllLowered, Condition::Calm);
+        drafts_all_restarted: (Route::Draft, Limited::All, Condition::AllRestarted);
+        bookings_all_to_little: (Route::Booking, Limited::AllToLittle, Condition::Calm);
+        bookings_lowered: (Route::Booking, Limited::AllLowered, Condition::Calm);
+        lookups_all_restarted: (Route::Lookup, Limited::All, Condition::AllRestarted);
         drafts_failing: (Route::Draft, Limited::AllFailing, Condition::Calm);
         drafts_lifted: (Route::Draft, Limited::AllForSomeTime, Condition::Calm);
         drafts_placer_killed: (Route::Draft, Limited::All, Condition::PlacerKilledTwice);
@@ -90,15 +104,15 @@
         state_limits(&servers, limited);
         let mut load = Load::new(route);
         let mut disturber = Disturber::start(condition, &site);
-        let mut is_lifted = false;
+        let mut is_changed = false;
         loop {
             let now_ms = disturber.advance();
             if now_ms >= LOAD_MS {
                 break;
             }
-            if limited == Limited::AllForSomeTime && now_ms >= LIFTED_MS && !is_lifted {
-                is_lifted = true;
-                lift_limits(&servers);
+            if now_ms >= CHANGED_MS && !is_changed {
+                is_changed = true;
+                change_limits(&servers, limited);
             }
             load.send(&site, &disturber, limited);
             disturber.disturb(&mut site).await;
@@ -125,15 +139,22 @@
         Limited::All | Limited::AllFailing | Limited::AllForSomeTime => {
             (servers.len(), LIMIT_PER_S)
         }
+        Limited::AllToLittle => (servers.len(), LOWEST_LIMIT_PER_S),
+        Limited::AllLowered => (servers.len(), HIGH_LIMIT_PER_S),
     };
     for server in &servers[..count] {
         server.state_limit(Some(limit_per_s));
     }
 }
 
-fn lift_limits(servers: &[FleetServer]) {
+fn change_limits(servers: &[FleetServer], limited: Limited) {
+    let limit_per_s = match limited {
+        Limited::AllForSomeTime => None,
+        Limited::AllLowered => Some(LIMIT_PER_S),
+        Limited::Some | Limited::All | Limited::AllToLittle | Limited::AllFailing => return,
+    };
     for server in servers {
-        server.state_limit(None);
+        server.state_limit(limit_per_s);
     }
 }
 
@@ -215,19 +236,24 @@
 
 /// Checks that what the servers allow is used while callers wait, and what they do not limit as well.
 fn check_use(servers: &[FleetServer], load: &Load, limited: Limited) {
-    let later = load.sent_from(match limited {
-        Limited::AllForSomeTime => LIFTED_MS + CONTACT_MS,
-        Limited::Some | Limited::All | Limited::AllFailing => CONTACT_MS,
-    });
+    let from_ms = match limited {
+        Limited::AllForSomeTime | Limited::AllLowered => CHANGED_MS + CONTACT_MS,
+        Limited::Some | Limited::All | Limited::AllToLittle | Limited::AllFailing => CONTACT_MS,
+    };
+    let later = load.sent_from(from_ms);
     let answered = later.iter().filter(|it| it.status == 200).count() as f64;
     match limited {
         Limited::Some | Limited::AllForSomeTime => {
             let least = later.len() as f64 * MIN_ANSWERED_SHARE;
             assert!(answered >= least, "{answered} of {} answered", later.len());
         }
-        Limited::All => {
-            let time_s = (LOAD_MS - CONTACT_MS) as f64 / 1_000.0;
-            let allowed = LIMIT_PER_S * servers.len() as f64 * time_s;
+        Limited::All | Limited::AllToLittle | Limited::AllLowered => {
+            let limit_per_s = match limited {
+                Limited::AllToLittle => LOWEST_LIMIT_PER_S,
+                _ => LIMIT_PER_S,
+            };
+            let time_s = (LOAD_MS - from_ms) as f64 / 1_000.0;
+            let allowed = limit_per_s * servers.len() as f64 * time_s;
             let least = allowed * MIN_USED_SHARE;
             assert!(answered >= least, "{answered} answered, {allowed} allowed");
         }
