Keep the limit of a server whose entry is missing for a moment

Found by reading the change: the placer dropped the limit of a server that left its list, as entries do while the store is away, and the instances, which kept it, did not send it again; the server was then sent whatever was asked for. The same after a lift by an answer that came late. Limits are now kept for up to 1,000 servers whatever the list says, since a statement names the start of a server, and instances repeat limits that are stated again with their updates.

--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -21,7 +21,7 @@
 mod run_outcome;
 mod suspects;
 
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use crate::backend::Backend;
 use crate::name::Name;
@@ -154,9 +154,7 @@
     /// Replaces the list of backend servers; those of plain services are ignored.
     pub fn set_backends<'a>(&mut self, list: impl Iterator<Item = &'a Backend>, now_ms: u64) {
         let mut removed: Vec<Name> = self.engines.keys().cloned().collect();
-        let mut listed = HashSet::new();
         for backend in list {
-            listed.insert(backend.id.clone());
             if !self.services.contains_key(&backend.service) {
                 continue;
             }
@@ -167,7 +165,6 @@
             self.engines.remove(&id);
             self.reassign_waiting(&id, now_ms);
         }
-        self.server_rates.retain(|server| listed.contains(server));
         self.load_speed.set_engine_count(self.engines.len());
         self.advance(now_ms);
     }
--- a/core/src/server_rates.rs
+++ b/core/src/server_rates.rs
@@ -57,6 +57,9 @@
         let is_changed = self.stated.apply(stated);
         if is_changed {
             self.configure(stated, now_ms);
+            let stated = &self.stated;
+            self.buckets
+                .retain(|server, _| stated.get(server).is_some());
         }
         is_changed
     }
@@ -127,12 +130,6 @@
         (rate_per_s > 0.0).then(|| crate::rounding::seconds_to_ms(missing / rate_per_s))
     }
 
-    /// Removes the servers that no longer exist.
-    pub fn retain(&mut self, exists: impl Fn(&str) -> bool) {
-        self.stated.retain(&exists);
-        self.buckets.retain(|server, _| exists(server));
-    }
-
     fn limited_bucket(&self, server: &str, boot: u64) -> Option<&Bucket> {
         let bucket = self.buckets.get(server);
         bucket.filter(|_| self.is_limited(server, boot))
--- a/core/src/stated_limit.rs
+++ b/core/src/stated_limit.rs
@@ -4,6 +4,10 @@
 
 use crate::name::Name;
 
+/// Largest number of servers whose statements are kept; those that stated theirs the longest ago are
+/// dropped first. A server whose entry is missing for a moment keeps its limit.
+pub const MAX_SERVERS: usize = 1_000;
+
 crate::record! {
     /// What one start of a server has stated.
     pub struct StatedLimit {
@@ -41,9 +45,20 @@
             known.boot != stated.boot || known.requests_per_s != stated.requests_per_s
         });
         self.by_server.insert(stated.server.clone(), stated.clone());
+        self.evict_excess();
         is_changed
     }
 
+    fn evict_excess(&mut self) {
+        if self.by_server.len() <= MAX_SERVERS {
+            return;
+        }
+        let oldest = self.by_server.values().min_by_key(|it| it.stated_unix_ms);
+        if let Some(server) = oldest.map(|it| it.server.clone()) {
+            self.by_server.remove(&server);
+        }
+    }
+
     /// Returns the limit in force for a start of a server, in requests a second.
     pub fn requests_per_s(&self, server: &str, boot: u64) -> Option<f64> {
         let known = self.by_server.get(server)?;
@@ -59,9 +74,4 @@
     pub fn iter(&self) -> impl Iterator<Item = &StatedLimit> {
         self.by_server.values()
     }
-
-    /// Removes the servers that no longer exist.
-    pub fn retain(&mut self, exists: impl Fn(&str) -> bool) {
-        self.by_server.retain(|server, _| exists(server));
-    }
 }
--- a/core/tests/cell/limited.rs
+++ b/core/tests/cell/limited.rs
@@ -118,6 +118,18 @@
     assert_eq!(permitted(&cell.take_actions()).len(), 10);
 }
 
+/// Guards against a limit that is forgotten because the entry of its server is missing for a moment.
+#[test]
+fn server_that_is_listed_again_keeps_its_limit() {
+    let mut cell = limited_cell();
+    cell.set_backends([].into_iter(), 1_010);
+    let returned = backend("one", &["a1"]);
+    cell.set_backends([&returned].into_iter(), 1_020);
+    let permit = permit(1, &[("one", returned.started_unix_ms)], 0);
+    cell.request_permit(permit, 1_030);
+    assert!(permitted(&cell.take_actions()).is_empty());
+}
+
 fn permit(number: u64, candidates: &[(&str, u64)], max_wait_ms: u64) -> PermitRequest {
     let candidates = candidates.iter();
     PermitRequest {
--- a/core/tests/stated_limit.rs
+++ b/core/tests/stated_limit.rs
@@ -1,6 +1,6 @@
 //! Limits that backend servers state in their answers.
 
-use mimosabay_core::stated_limit::{StatedLimit, StatedLimits};
+use mimosabay_core::stated_limit::{MAX_SERVERS, StatedLimit, StatedLimits};
 
 fn stated(boot: u64, requests_per_s: Option<f64>, stated_unix_ms: u64) -> StatedLimit {
     StatedLimit {
@@ -38,6 +38,20 @@
     assert!(limits.apply(&stated(2, Some(3.0), 5)));
     assert!(!limits.apply(&stated(1, Some(1.0), 20)));
     assert_eq!(limits.requests_per_s("desk-0", 2), Some(3.0));
-    limits.retain(|_| false);
-    assert_eq!(limits.requests_per_s("desk-0", 2), None);
+}
+
+/// Guards against a table that grows with each server that ever stated a limit.
+#[test]
+fn oldest_statements_are_dropped_beyond_the_bound() {
+    let mut limits = StatedLimits::default();
+    for number in 0..=MAX_SERVERS as u64 {
+        let limit = StatedLimit {
+            server: format!("desk-{number}").into(),
+            ..stated(1, Some(1.0), number)
+        };
+        limits.apply(&limit);
+    }
+    assert_eq!(limits.iter().count(), MAX_SERVERS);
+    assert_eq!(limits.requests_per_s("desk-0", 1), None);
+    assert_eq!(limits.requests_per_s("desk-1", 1), Some(1.0));
 }
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -99,7 +99,6 @@
             .suspects
             .check_servers(&snapshot, is_current, heartbeat_ms);
         state.pool.remove_expired(|id| snapshot.contains_key(id));
-        state.server_limits.retain(|id| snapshot.contains_key(id));
         let mut plain = state.plain.lock().expect("plain lock");
         plain.retain(|id| snapshot.contains_key(id));
     }
--- a/daemon/src/gateway/server_limits.rs
+++ b/daemon/src/gateway/server_limits.rs
@@ -56,7 +56,8 @@
         };
         let mut known = self.known();
         let is_changed = known.rates.apply(&stated, self.clock.now_ms());
-        if is_changed {
+        // A limit that is stated again corrects a placer that holds it for lifted.
+        if is_changed || requests_per_s.is_some() {
             known.unsent.insert(backend.id.clone());
         }
         drop(known);
@@ -131,11 +132,6 @@
         self.known().rates.set_instance_count(instances, now_ms);
     }
 
-    /// Removes the servers that no longer exist.
-    pub(crate) fn retain(&self, exists: impl Fn(&str) -> bool) {
-        self.known().rates.retain(exists);
-    }
-
     fn known(&self) -> MutexGuard<'_, Known> {
         self.known.lock().expect("limits lock")
     }
