Count only requests for the same servers as ahead, and do not wait at an overloaded engine

Found by reading the change. Requests that wait for the limit of a server of one service counted as ahead of those of another one, which were refused though their server had a token. And a request that no engine could answer in time waited if one of them stated a limit that was not used up, instead of being refused at once.

--- a/core/src/cell/assignment.rs
+++ b/core/src/cell/assignment.rs
@@ -50,7 +50,7 @@
             self.assign(request, requested_ms, choice, now_ms);
             return None;
         }
-        let ahead = self.limited.placements_ahead(request.urgency);
+        let ahead = self.limited.placements_ahead(&request);
         let limited_wait_ms = self.limited_wait_ms(&request, ahead, now_ms);
         if limited_wait_ms.is_some_and(|it| it as f64 <= max_wait_ms(&request, waited_ms)) {
             return Some(request);
@@ -91,7 +91,7 @@
         choice::choose(engines, &request.prompt, &context)
     }
 
-    fn may_send_to(&self, backend: &Backend, now_ms: u64) -> bool {
+    pub(super) fn may_send_to(&self, backend: &Backend, now_ms: u64) -> bool {
         let (server, boot) = limited::start_of(backend);
         self.server_rates.may_send(server, boot, now_ms)
     }
--- a/core/src/cell/limited.rs
+++ b/core/src/cell/limited.rs
@@ -65,10 +65,22 @@
         (!self.is_empty()).then_some(self.due_ms)
     }
 
-    /// Returns the number of waiting requests to engines that are served before a new one.
-    pub(super) fn placements_ahead(&self, urgency: u8) -> usize {
-        let ranks = self.placements.keys();
-        ranks.filter(|rank| rank.urgency <= urgency).count()
+    /// Returns the number of waiting requests to the same engines that are served before a new one.
+    pub(super) fn placements_ahead(&self, request: &PlacementRequest) -> usize {
+        let waiting = self.placements.iter().filter(|(rank, waiting)| {
+            rank.urgency <= request.urgency && waiting.request.service == request.service
+        });
+        waiting.count()
+    }
+
+    /// Returns the number of waiting requests to the same plain servers that are served before a new
+    /// one.
+    fn permits_ahead(&self, request: &PermitRequest) -> usize {
+        let waiting = self.permits.iter().filter(|(rank, waiting)| {
+            let mut candidates = waiting.request.candidates.iter();
+            rank.urgency <= request.urgency && candidates.any(|it| request.candidates.contains(it))
+        });
+        waiting.count()
     }
 
     /// Removes a request to an engine whose caller has left, or whose instance has ended.
@@ -120,7 +132,7 @@
     /// Permits a request to one of several plain servers with a limit, at once or later, or refuses
     /// it.
     pub fn request_permit(&mut self, request: PermitRequest, now_ms: u64) {
-        let ahead = self.limited.permits.len();
+        let ahead = self.limited.permits_ahead(&request);
         if ahead == 0 && self.try_permit(&request, now_ms) {
             return;
         }
@@ -195,8 +207,8 @@
         }
     }
 
-    /// Returns the time until a request can be placed at an engine with a limit, in milliseconds;
-    /// `None` if no engine that could run it waits for its limit.
+    /// Returns the time until a request can be placed at an engine that receives as much as its limit
+    /// allows, in milliseconds; `None` if no such engine could run it.
     pub(super) fn limited_wait_ms(
         &self,
         request: &PlacementRequest,
@@ -207,6 +219,7 @@
             engine.backend.service == request.service
                 && engine.serves(&request.prompt.model, now_ms)
                 && !request.excluded.contains(&engine.backend.id)
+                && !self.may_send_to(&engine.backend, now_ms)
         });
         let servers = engines.map(|engine| start_of(&engine.backend));
         self.server_rates.wait_ms(servers, ahead, now_ms)
--- a/core/tests/cell/limited.rs
+++ b/core/tests/cell/limited.rs
@@ -130,6 +130,34 @@
     assert!(permitted(&cell.take_actions()).is_empty());
 }
 
+/// Guards against holding a request for the limit of an engine that is overloaded.
+#[test]
+fn overloaded_engine_with_a_limit_left_does_not_make_requests_wait() {
+    let mut cell = confirmed(ADAPTER_LIMIT, &[backend("one", &["a1"])]);
+    cell.apply_limits(&[stated("one", Some(1_000.0), 1)], 1_000);
+    let mut refused_count = 0;
+    for number in 1..=100 {
+        place(&mut cell, number, 3, 2_000);
+        let actions = cell.take_actions();
+        refused_count += refused(&actions).len();
+        assert_eq!(granted(&actions).len() + refused(&actions).len(), 1);
+    }
+    assert!(refused_count > 0, "nothing refused");
+}
+
+/// Guards against requests of one service that are refused because those of another one wait.
+#[test]
+fn permits_of_other_servers_do_not_count_as_ahead() {
+    let mut cell = limited_cell();
+    cell.apply_limits(&[stated("two", Some(LIMIT_PER_S), 1)], 1_000);
+    let boot = backend("one", &[]).started_unix_ms;
+    for number in 1..=5 {
+        cell.request_permit(permit(number, &[("one", boot)], 10_000), 1_010);
+    }
+    cell.request_permit(permit(6, &[("two", boot)], 0), 1_600);
+    assert_eq!(permitted(&cell.take_actions()), ["two".into()]);
+}
+
 fn permit(number: u64, candidates: &[(&str, u64)], max_wait_ms: u64) -> PermitRequest {
     let candidates = candidates.iter();
     PermitRequest {
