Check the server and the quarantine again after a wait for a limit

Found by reading the change: a request that waited for a permit, for up to half of its time, was sent to the server that was ready when it began to wait, though it had begun to leave since; and a request that came under quarantine while it waited was placed or sent.

request_that_waits_for_a_server_does_not_reach_it_once_it_leaves (200 instead of 503, one arrival too many) fails with the product code of the commit before and passes now; core waiting_request_that_comes_under_quarantine_is_refused passes. PlainServers::start_request went into rank and count_request, which the tests of the choice now use.

--- a/core/src/cell/limited.rs
+++ b/core/src/cell/limited.rs
@@ -197,6 +197,10 @@
                 request,
                 requested_ms,
             } = waiting;
+            if self.refuse_quarantined(&request) {
+                self.refund(&request, now_ms);
+                continue;
+            }
             if let Some(request) = self.try_place(request, requested_ms, now_ms) {
                 let waiting = WaitingPlacement {
                     request,
--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -203,12 +203,7 @@
         if let Some(previous) = &request.previous {
             self.end_run(previous, now_ms);
         }
-        if let Some(fingerprint) = self.suspects.refused_by(&request.work(), request.is_trial) {
-            let refusal = Refusal {
-                reason: RefusalReason::Quarantined(fingerprint),
-                retry_after_ms: quarantine::RETRY_AFTER_MS,
-            };
-            self.refuse(request.ticket, refusal);
+        if self.refuse_quarantined(&request) {
             return;
         }
         if let Some(charge) = &request.charge
@@ -307,6 +302,20 @@
         (self.waiting.len(), self.running.len())
     }
 
+    /// Refuses a request that crashed several servers. Returns whether it did.
+    fn refuse_quarantined(&mut self, request: &PlacementRequest) -> bool {
+        let work = request.work();
+        let Some(fingerprint) = self.suspects.refused_by(&work, request.is_trial) else {
+            return false;
+        };
+        let refusal = Refusal {
+            reason: RefusalReason::Quarantined(fingerprint),
+            retry_after_ms: quarantine::RETRY_AFTER_MS,
+        };
+        self.refuse(request.ticket, refusal);
+        true
+    }
+
     fn refuse(&mut self, ticket: Ticket, refusal: Refusal) {
         let response = PlacementResponse::Refused(refusal);
         self.actions.push(Action::Answer { ticket, response });
--- a/core/src/plain.rs
+++ b/core/src/plain.rs
@@ -57,20 +57,6 @@
 }
 
 impl PlainServers {
-    /// Chooses the server that is expected to answer first, and counts the request as in flight there.
-    pub fn start_request<'a>(
-        &mut self,
-        backends: impl Iterator<Item = &'a Backend>,
-        zone: &str,
-        excluded: &[Name],
-        now_ms: u64,
-    ) -> Option<Name> {
-        let ranked = self.rank(backends, zone, excluded, now_ms);
-        let choice = ranked.into_iter().next()?;
-        self.count_request(&choice);
-        Some(choice)
-    }
-
     /// Returns the servers that are ready, the one that is expected to answer first at the front.
     pub fn rank<'a>(
         &self,
--- a/core/tests/cell/limited.rs
+++ b/core/tests/cell/limited.rs
@@ -4,6 +4,7 @@
     Action, Cell, PermitRequest, PermitResponse, RefusalReason, RunOutcome, Ticket,
 };
 use mimosabay_core::name::Name;
+use mimosabay_core::quarantine::{Crash, Quarantine};
 use mimosabay_core::stated_limit::StatedLimit;
 
 use crate::support::{
@@ -118,6 +119,22 @@
     assert_eq!(permitted(&cell.take_actions()).len(), 10);
 }
 
+/// Guards against placing a request that came under quarantine while it waited.
+#[test]
+fn waiting_request_that_comes_under_quarantine_is_refused() {
+    let mut cell = limited_cell();
+    place(&mut cell, 1, 3, 1_300);
+    let fingerprint = placement_request(1, "a1").work().request();
+    let mut table = Quarantine::default();
+    for number in 1..=2 {
+        table.record_crash(&Crash::new(&"gone".into(), number), [fingerprint], 1_000);
+    }
+    cell.merge_quarantine(&table);
+    cell.tick(1_600);
+    let refused = refused(&cell.take_actions());
+    assert_eq!(refused, [(1, RefusalReason::Quarantined(fingerprint))]);
+}
+
 /// Guards against a limit that is forgotten because the entry of its server is missing for a moment.
 #[test]
 fn server_that_is_listed_again_keeps_its_limit() {
--- a/core/tests/plain.rs
+++ b/core/tests/plain.rs
@@ -25,7 +25,20 @@
 }
 
 fn start(servers: &mut PlainServers, backends: &[Backend], excluded: &[Name]) -> Option<Name> {
-    servers.start_request(backends.iter(), "zone-1", excluded, 1_000)
+    start_at(servers, backends, excluded, 1_000)
+}
+
+/// Sends a request to the best server; returns it.
+fn start_at(
+    servers: &mut PlainServers,
+    backends: &[Backend],
+    excluded: &[Name],
+    now_ms: u64,
+) -> Option<Name> {
+    let ranked = servers.rank(backends.iter(), "zone-1", excluded, now_ms);
+    let best = ranked.into_iter().next()?;
+    servers.count_request(&best);
+    Some(best)
 }
 
 #[test]
@@ -49,7 +62,7 @@
         servers.record_outcome(&id, PlainOutcome::Failed, None, 1_000);
     }
     assert_eq!(start(&mut servers, &two(), &[]).as_deref(), Some("two"));
-    let later = servers.start_request(two().iter(), "zone-1", &[], 60_000);
+    let later = start_at(&mut servers, &two(), &[], 60_000);
     assert_eq!(later.as_deref(), Some("one"));
 }
 
--- a/daemon/src/gateway/plain_choice.rs
+++ b/daemon/src/gateway/plain_choice.rs
@@ -23,6 +23,8 @@
 /// Why no server is chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum NoServer {
+    /// The request has come under quarantine while it waited.
+    Quarantined,
     /// None is ready.
     Unavailable,
     /// All that are ready receive as many requests as they allow.
@@ -36,6 +38,8 @@
 pub(super) struct Candidates<'a> {
     pub(super) state: &'a State,
     pub(super) job: &'a Job,
+    /// Whether the request is under quarantine and is run once nevertheless.
+    pub(super) is_trial: bool,
     /// Servers that failed an attempt; they are the last choice.
     pub(super) excluded: &'a [Name],
     /// A server that is not chosen, because it has the request already.
@@ -50,13 +54,34 @@
     ///
     /// Why there is none.
     pub(super) async fn choose(&self) -> Result<Arc<Backend>, NoServer> {
-        let left_ms = self.job.remaining_ms(self.state);
-        self.choose_within(left_ms / MAX_WAIT_DIVISOR).await
+        loop {
+            let left_ms = self.job.remaining_ms(self.state);
+            let chosen = self.choose_within(left_ms / MAX_WAIT_DIVISOR).await?;
+            if self.is_refused() {
+                return Err(NoServer::Quarantined);
+            }
+            if self.is_still_ready(&chosen) {
+                return Ok(self.count(chosen));
+            }
+        }
     }
 
     /// Chooses a server that may be sent the request now, and counts the request there.
     pub(super) async fn choose_now(&self) -> Option<Arc<Backend>> {
-        self.choose_within(0).await.ok()
+        let chosen = self.choose_within(0).await.ok();
+        let chosen = chosen.filter(|chosen| self.is_still_ready(chosen));
+        chosen.map(|chosen| self.count(chosen))
+    }
+
+    fn is_refused(&self) -> bool {
+        let work = self.job.work(None);
+        !self.is_trial && self.state.suspects.refused_by(&work).is_some()
+    }
+
+    /// Whether a server has not begun to leave during a wait.
+    fn is_still_ready(&self, chosen: &Backend) -> bool {
+        let current = self.state.backend(&chosen.id);
+        current.is_some_and(|it| it.is_ready() && it.started_unix_ms == chosen.started_unix_ms)
     }
 
     async fn choose_within(&self, max_wait_ms: u64) -> Result<Arc<Backend>, NoServer> {
@@ -67,7 +92,7 @@
         let alternative = others.first();
         if limited.is_empty() {
             let best = alternative.ok_or(NoServer::Unavailable)?;
-            return Ok(self.count(best));
+            return Ok(best.clone());
         }
         let max_wait_ms = if alternative.is_some() {
             0
@@ -75,9 +100,9 @@
             max_wait_ms
         };
         match self.permit(limited, max_wait_ms).await {
-            Ok(server) => Ok(self.count(server)),
+            Ok(server) => Ok(server.clone()),
             Err(retry_after_ms) => alternative
-                .map(|backend| self.count(backend))
+                .cloned()
                 .ok_or(NoServer::OverLimit { retry_after_ms }),
         }
     }
@@ -151,9 +176,9 @@
         backends.cloned().collect()
     }
 
-    fn count(&self, backend: &Arc<Backend>) -> Arc<Backend> {
+    fn count(&self, backend: Arc<Backend>) -> Arc<Backend> {
         let mut plain = self.state.plain.lock().expect("plain lock");
         plain.count_request(&backend.id);
-        backend.clone()
+        backend
     }
 }
--- a/daemon/src/gateway/plain_request.rs
+++ b/daemon/src/gateway/plain_request.rs
@@ -15,7 +15,7 @@
 use super::metrics::Outcome;
 use super::plain_attempt::PlainAttempt;
 use super::plain_choice::{Candidates, NoServer};
-use super::quarantine_check;
+use super::quarantine_check::{self, Admitted};
 use super::request::Job;
 use super::retry_permit::RetryPermit;
 use super::state::State;
@@ -31,10 +31,9 @@
 
 /// Sends a request to servers of its service until one answers.
 pub(crate) async fn run(state: &Arc<State>, job: Job) -> Answer {
-    let admitted = quarantine_check::admit(state, &job.work(None), &job.id).await;
-    if admitted.is_err() {
+    let Ok(admitted) = quarantine_check::admit(state, &job.work(None), &job.id).await else {
         return quarantine_refusal(state, &job);
-    }
+    };
     record_charge(state, &job);
     let mut request = PlainRequest {
         state,
@@ -42,6 +41,7 @@
         attempts: Attempts::new(job.route.retry_safety, job.route.max_attempts),
         excluded: Vec::new(),
         failed_response: None,
+        is_trial: admitted == Admitted::ForTrial,
     };
     loop {
         let backend = match request.candidates(None).choose().await {
@@ -94,6 +94,8 @@
     excluded: Vec<Name>,
     /// The latest response with a server error.
     failed_response: Option<CompleteResponse>,
+    /// Whether it is under quarantine and is run once nevertheless.
+    is_trial: bool,
 }
 
 /// What came first.
@@ -232,6 +234,7 @@
         Candidates {
             state: self.state,
             job: self.job,
+            is_trial: self.is_trial,
             excluded: &self.excluded,
             silent,
         }
@@ -246,7 +249,10 @@
             NoServer::OverLimit { retry_after_ms } if self.attempts.is_not_run() => {
                 self.not_run_answer(retry_after_ms)
             }
-            NoServer::OverLimit { .. } | NoServer::Unavailable => {
+            NoServer::Quarantined if self.attempts.is_not_run() => {
+                quarantine_refusal(self.state, self.job)
+            }
+            NoServer::Quarantined | NoServer::OverLimit { .. } | NoServer::Unavailable => {
                 self.failure_answer(Failure::Unreachable)
             }
         }
--- a/daemon/tests/server_limits.rs
+++ b/daemon/tests/server_limits.rs
@@ -264,3 +264,31 @@
         .filter(|it| !matches!(it.status, 200 | 500 | 503));
     assert_eq!(failed.count(), 0, "answers other than 200, 500 and 503");
 }
+
+/// Guards against sending a request to a server that began to leave while the request waited for it.
+#[test]
+fn request_that_waits_for_a_server_does_not_reach_it_once_it_leaves() {
+    block_on(async {
+        let site = FleetSite::start(FleetOptions {
+            instances: 1,
+            engines: 1,
+            plain_servers: 1,
+            ..FleetOptions::default()
+        })
+        .await;
+        let server = &site.plain_servers[0];
+        server.state_limit(Some(LOWEST_LIMIT_PER_S));
+        let caller = site.caller(0).deadline_ms(5_000);
+        let first = caller.post("/look/x", "first", "first").await;
+        assert_eq!(first.expect("an answer").status, 200);
+        // The placer learns the limit with the next update.
+        sleep(Duration::from_millis(500)).await;
+        let waiting = tokio::spawn(async move { caller.post("/look/x", "waiting", "x").await });
+        sleep(Duration::from_millis(500)).await;
+        server.register("draining");
+        let reply = waiting.await.expect("the task of a request");
+        assert_eq!(reply.expect("an answer").status, 503);
+        let ids: Vec<String> = server.requests().into_iter().map(|it| it.id).collect();
+        assert_eq!(ids, ["first"]);
+    });
+}
