--- a/daemon/src/gateway/link.rs
+++ b/daemon/src/gateway/link.rs
@@ -184,6 +184,10 @@
         view.is_record_stale = false;
         view.absent_since_ms = None;
         if revision <= known {
+            drop(view);
+            if revision < known {
+                info!(event = "placer_record_dropped", instance = %record.instance, revision, known);
+            }
             return;
         }
         view.record = Some((revision, record.clone()));
--- a/daemon/src/gateway/replicate.rs
+++ b/daemon/src/gateway/replicate.rs
@@ -35,7 +35,12 @@
 
 /// Applies changes received from the store.
 pub(crate) fn apply_changes(state: &State, kind: ReplicaKind, changes: &Changes) {
-    if changes.revision <= state.replicas.revision(kind) {
+    let known_revision = state.replicas.revision(kind);
+    if changes.revision <= known_revision {
+        if !changes.events.is_empty() {
+            let revision = changes.revision;
+            info!(event = "changes_dropped", ?kind, revision, known_revision);
+        }
         return;
     }
     let events = changes.events.iter();
@@ -64,6 +69,13 @@
         .replicas
         .with_log(update.kind, |log| log.accepts(&update));
     if !is_accepted {
+        info!(
+            event = "update_rejected",
+            kind = ?update.kind,
+            after = update.after,
+            revision = update.revision,
+            known_revision = state.replicas.revision(update.kind)
+        );
         return;
     }
     let events: Vec<Event> = update.events.iter().filter_map(stored_event).collect();
@@ -177,6 +189,13 @@
             revision = object.metadata.revision
         );
         state.set_site(site);
+    } else {
+        info!(
+            event = "configuration_dropped",
+            version = site.version,
+            in_force = state.site().map(|current| current.version),
+            revision = object.metadata.revision
+        );
     }
 }
 
--- a/daemon/src/gateway/watch.rs
+++ b/daemon/src/gateway/watch.rs
@@ -83,6 +83,7 @@
         revision: 0,
         failures: 0,
         pause_ms: RETRY_PAUSE_RANGE_MS.0,
+        era: None,
     };
     loop {
         watcher.run_once().await;
@@ -98,6 +99,8 @@
     /// Number of consecutive failed calls.
     failures: u32,
     pause_ms: u64,
+    /// Era of the store's last answer.
+    era: Option<u64>,
     ended_outages: tokio::sync::watch::Receiver<u64>,
 }
 
@@ -140,6 +143,7 @@
         match self.state.store.list(self.kind.name()).await {
             Ok(listing) => {
                 self.on_store_response();
+                self.log_era(listing.era, listing.revision);
                 self.revision = listing.revision;
                 self.apply_list(&listing);
             }
@@ -164,6 +168,7 @@
         match result {
             Ok(changes) => {
                 self.on_store_response();
+                self.log_era(changes.era, changes.revision);
                 self.apply_changes(changes).await;
             }
             Err(cause) if cause.classify() == Category::Gone => {
@@ -178,6 +183,20 @@
         }
     }
 
+    fn log_era(&mut self, era: Option<u64>, revision: u64) {
+        if era != self.era {
+            info!(
+                event = "store_era",
+                kind = self.kind.name(),
+                era,
+                before = self.era,
+                revision,
+                known_revision = self.revision
+            );
+            self.era = era;
+        }
+    }
+
     fn reset_revision(&mut self) {
         self.revision = 0;
         if let WatchKind::Replicated(kind) = self.kind {
