Reproduce changes and leaving servers that instances miss after the store came back from an older copy

Callers see: a key or route that was confirmed is refused at 3 of 4 instances until the next change but one (CONFIG); a server that has said it leaves gets 112 requests later than 5 s after that (DRAIN).

--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -27,5 +27,5 @@
 pub use site::{
     DESK, ENGINES, FleetInstance, FleetOptions, FleetSite, HOST, KEY, MODEL, ORGANISATION,
 };
-pub use store::FleetStore;
+pub use store::{FleetStore, LostWrites, StoreCopy, WaitingWatches};
 pub use version::software_versions;
--- a/standin/src/fleet/store.rs
+++ b/standin/src/fleet/store.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use http::{Method, StatusCode};
+use http::{HeaderValue, Method, StatusCode};
 use mimosabay_core::name::Name;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
@@ -16,6 +16,8 @@
 
 /// Number of objects on one page of a list.
 const PAGE_SIZE: usize = 20;
+/// Kinds of objects that the operator and the servers write.
+const FOREIGN_KINDS: [&str; 3] = ["config", "servers", "versions"];
 
 /// An object store. Clones share its state.
 #[derive(Clone, Debug)]
@@ -25,8 +27,34 @@
     connection_faults: ConnectionFaults,
 }
 
+/// Content of a store at one time, from which it can come back.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    revision: u64,
+    objects: BTreeMap<(Name, Name), Value>,
+    events: Vec<(u64, Name, Value)>,
+}
+
+/// What becomes of watches that wait while the store comes back from a copy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WaitingWatches {
+    /// Their connections are closed.
+    Cut,
+    /// They go on, and hear of changes with a larger revision only.
+    Kept,
+}
+
+/// Objects that the operator and the servers had written after the copy was made; `None` for those
+/// that they had removed.
+#[derive(Clone, Debug, Default)]
+pub struct LostWrites(Vec<((Name, Name), Option<Value>)>);
+
 #[derive(Debug, Default)]
 struct Tables {
+    /// Number of the copy that the store runs on.
+    era: u64,
+    /// Number of times that waiting watches were cut.
+    cut_count: u64,
     revision: u64,
     /// Watches from a revision before this one are answered with 410.
     compacted_revision: u64,
@@ -38,6 +66,7 @@
     /// Number of further writes that are applied but not answered.
     responses_to_drop: u32,
     write_count: u64,
+    read_count: u64,
     /// Number of watches so far, by kind of object.
     watch_counts: BTreeMap<Name, u64>,
 }
@@ -46,6 +75,7 @@
     /// Starts serving an empty store on a listener.
     pub fn start(listener: TcpListener) -> Self {
         let tables = Tables {
+            era: 1,
             revision: 1,
             ..Tables::default()
         };
@@ -90,6 +120,56 @@
         self.with_tables(|tables| tables.compacted_revision = tables.revision);
     }
 
+    /// Returns a copy of the store's content.
+    pub fn copy(&self) -> StoreCopy {
+        let tables = self.tables.lock().expect("store lock");
+        StoreCopy {
+            revision: tables.revision,
+            objects: tables.objects.clone(),
+            events: tables.events.clone(),
+        }
+    }
+
+    /// Replaces the content by an older copy: revisions continue from that of the copy, and the era
+    /// rises. Returns what the operator and the servers have to write again.
+    pub fn come_back_from(&self, copy: &StoreCopy, watches: WaitingWatches) -> LostWrites {
+        let mut tables = self.tables.lock().expect("store lock");
+        let lost = tables.writes_since(copy);
+        tables.era += 1;
+        tables.revision = copy.revision;
+        tables.objects = copy.objects.clone();
+        tables.events = copy.events.clone();
+        if watches == WaitingWatches::Cut {
+            tables.cut_count += 1;
+        }
+        let revision = tables.revision;
+        drop(tables);
+        self.revision_sender.send_replace(revision);
+        lost
+    }
+
+    /// Writes again what the operator and the servers had written.
+    pub fn write_again(&self, lost: LostWrites) {
+        self.with_tables(|tables| {
+            for ((kind, name), spec) in lost.0 {
+                match spec {
+                    Some(spec) => drop(tables.write(&kind, &name, &spec)),
+                    None => tables.remove(&kind, &name),
+                }
+            }
+        });
+    }
+
+    /// Returns the revision of the last change.
+    pub fn revision(&self) -> u64 {
+        self.tables.lock().expect("store lock").revision
+    }
+
+    /// Returns the number of reads received over HTTP so far, watches included.
+    pub fn read_count(&self) -> u64 {
+        self.tables.lock().expect("store lock").read_count
+    }
+
     /// Silences every open connection permanently; new connections work.
     pub fn silence_open_connections(&self) {
         self.connection_faults.silence_open();
@@ -127,9 +207,19 @@
 
     async fn watch(&self, kind: &str, since: u64, wait_ms: u64) -> Reply {
         let mut revisions = self.revision_sender.subscribe();
+        let cut_count = {
+            let tables = self.tables.lock().expect("store lock");
+            if since > tables.revision {
+                return reply::error(StatusCode::GONE, "no such revision");
+            }
+            tables.cut_count
+        };
         let first_change = async {
             loop {
                 revisions.borrow_and_update();
+                if self.tables.lock().expect("store lock").cut_count != cut_count {
+                    return Err(Closed);
+                }
                 if let Some(response) = self.watch_response(kind, since, false) {
                     return response;
                 }
@@ -239,6 +329,16 @@
     }
 
     async fn handle(&self, call: Call) -> Reply {
+        let mut response = self.answer(call).await?;
+        let era = self.tables.lock().expect("store lock").era;
+        let era = HeaderValue::from(era);
+        response.headers_mut().insert("store-era", era);
+        Ok(response)
+    }
+}
+
+impl FleetStore {
+    async fn answer(&self, call: Call) -> Reply {
         let segments = call.segments();
         let (kind, name) = match segments.as_slice() {
             ["api", "objects", kind] => (*kind, None),
@@ -251,6 +351,7 @@
         if call.method != Method::GET {
             return self.handle_write(&call, kind, name);
         }
+        self.tables.lock().expect("store lock").read_count += 1;
         if let Some(since) = call.number("watch") {
             let wait_ms = call.number("waitMs").unwrap_or(0);
             self.count_watch(kind);
@@ -270,6 +371,22 @@
 }
 
 impl Tables {
+    fn writes_since(&self, copy: &StoreCopy) -> LostWrites {
+        let is_foreign = |key: &(Name, Name)| FOREIGN_KINDS.contains(&&*key.0);
+        let written = self.objects.iter().filter(|(key, object)| {
+            is_foreign(key)
+                && copy
+                    .objects
+                    .get(*key)
+                    .is_none_or(|it| it["spec"] != object["spec"])
+        });
+        let written = written.map(|(key, object)| (key.clone(), Some(object["spec"].clone())));
+        let removed = copy.objects.keys();
+        let removed = removed.filter(|key| is_foreign(key) && !self.objects.contains_key(*key));
+        let removed = removed.map(|key| (key.clone(), None));
+        LostWrites(written.chain(removed).collect())
+    }
+
     fn write(&mut self, kind: &str, name: &str, spec: &Value) -> u64 {
         self.revision += 1;
         let revision = self.revision;
