--- a/standin/src/fleet/store.rs
+++ b/standin/src/fleet/store.rs
@@ -137,8 +137,8 @@
         let lost = tables.writes_since(copy);
         tables.era += 1;
         tables.revision = copy.revision;
-        tables.objects = copy.objects.clone();
-        tables.events = copy.events.clone();
+        tables.objects.clone_from(&copy.objects);
+        tables.events.clone_from(&copy.events);
         if watches == WaitingWatches::Cut {
             tables.cut_count += 1;
         }
