--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod once;
 pub mod ownership;
 pub mod placement;
+pub mod placer_record;
 pub mod plain;
 pub mod prompt;
 pub mod quarantine;
--- /dev/null
+++ b/core/tests/placer_record.rs
@@ -0,0 +1,172 @@
+//! Fencing numbers of placers, while the store comes back from older copies.
+
+use arbtest::arbitrary::{Result, Unstructured};
+use arbtest::arbtest;
+use mimosabay_core::placer_record::{PlacerRecord, PlacerView, Reading, StoredRecord};
+
+/// Number of instances.
+const INSTANCES: usize = 3;
+/// Number of steps of one history.
+const STEPS: usize = 40;
+/// Largest number of other changes of the store in one step.
+const MAX_OTHER_CHANGES: u64 = 30;
+
+/// The part of a store that holds the record.
+#[derive(Clone, Debug)]
+struct Store {
+    era: u64,
+    revision: u64,
+    record: Option<(u64, PlacerRecord)>,
+}
+
+/// An instance that takes part in the election.
+#[derive(Clone, Debug, Default)]
+struct Instance {
+    view: PlacerView,
+    /// Era of the store that it knows; `None` before its first call.
+    era: Option<u64>,
+}
+
+/// A history of claims, readings, restarts and returns from older copies.
+struct History {
+    store: Store,
+    copies: Vec<Store>,
+    instances: Vec<Instance>,
+    next_incarnation: u64,
+    /// Fencing numbers in the order in which placers began to use them.
+    used: Vec<u64>,
+}
+
+impl Instance {
+    fn read(&mut self, store: &Store) -> Reading {
+        self.era = Some(store.era);
+        match &store.record {
+            Some((revision, record)) => self.view.observe_record(record, *revision, self.era, 0),
+            None => self.view.observe_absence(self.era),
+        }
+    }
+}
+
+impl History {
+    fn new() -> Self {
+        let store = Store {
+            era: 1,
+            revision: 1,
+            record: None,
+        };
+        Self {
+            copies: vec![store.clone()],
+            store,
+            instances: vec![Instance::default(); INSTANCES],
+            next_incarnation: 1,
+            used: Vec::new(),
+        }
+    }
+
+    fn step(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        let index = u.choose_index(INSTANCES)?;
+        match u.int_in_range(0..=6)? {
+            0 | 1 => drop(self.instances[index].read(&self.store)),
+            2 | 3 => self.claim(index),
+            4 => self.restart(index, u)?,
+            5 => self.copies.push(self.store.clone()),
+            _ => self.come_back(u)?,
+        }
+        self.store.revision += u.int_in_range(0..=MAX_OTHER_CHANGES)?;
+        Ok(())
+    }
+
+    /// Starts an instance again. Before that it may remove the record, if it is its own.
+    fn restart(&mut self, index: usize, u: &mut Unstructured<'_>) -> Result<()> {
+        let resigns = u.arbitrary()?;
+        let instance = std::mem::take(&mut self.instances[index]);
+        let stored = self.store.record.as_ref().map(|(_, record)| record);
+        let known = instance.view.record.as_ref().map(|(_, record)| record);
+        if resigns && stored.is_some() && stored == known {
+            self.store.revision += 1;
+            self.store.record = None;
+        }
+        Ok(())
+    }
+
+    fn come_back(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        let era = self.store.era + 1;
+        self.store = u.choose(&self.copies)?.clone();
+        self.store.era = era;
+        Ok(())
+    }
+
+    /// Writes the record if the condition of the write holds. The writer uses the number of the record
+    /// that the answer brings.
+    fn claim(&mut self, index: usize) {
+        let instance = &mut self.instances[index];
+        let Some(era) = instance.era else {
+            return;
+        };
+        let present = self.store.record.as_ref().map(|(revision, _)| *revision);
+        let holds = match instance.view.stored {
+            StoredRecord::Unread => false,
+            StoredRecord::Absent => present.is_none(),
+            StoredRecord::Present { revision, .. } => present == Some(revision),
+        };
+        // The condition can only be relied on in the era in which the record was read.
+        if !holds || era != self.store.era {
+            return;
+        }
+        let record = PlacerRecord {
+            address: format!("10.0.0.{index}:1"),
+            instance: format!("instance-{index}").into(),
+            incarnation: self.next_incarnation,
+            fencing_offset: instance.view.next_offset(era, false),
+            store_era: Some(era),
+        };
+        self.next_incarnation += 1;
+        self.store.revision += 1;
+        self.store.record = Some((self.store.revision, record));
+        let reading = instance.read(&self.store);
+        assert_eq!(reading, Reading::Newer, "its own record");
+        self.used.push(instance.view.largest_number);
+    }
+}
+
+#[test]
+fn fencing_numbers_grow_although_the_store_forgets_them() {
+    arbtest(|u| {
+        let mut history = History::new();
+        for _ in 0..STEPS {
+            history.step(u)?;
+        }
+        for pair in history.used.windows(2) {
+            assert!(pair[0] < pair[1], "{:?}", history.used);
+        }
+        Ok(())
+    })
+    .budget_ms(2_000);
+}
+
+#[test]
+fn fencing_number_is_the_revision_without_an_older_copy() {
+    let mut history = History::new();
+    for index in [0, 1, 2, 0] {
+        history.instances[index].read(&history.store);
+        history.claim(index);
+        history.store.revision += 7;
+    }
+    assert_eq!(history.used, [2, 10, 18, 26]);
+}
+
+#[test]
+fn resignation_is_told_from_a_record_that_the_copy_lacks() {
+    let mut history = History::new();
+    history.instances[0].read(&history.store);
+    history.claim(0);
+    let without_record = history.copies[0].clone();
+    let mut resigned = history.instances[0].clone();
+    history.store.record = None;
+    assert_eq!(resigned.read(&history.store), Reading::Removed);
+    let later = Store {
+        era: 2,
+        ..without_record
+    };
+    assert_eq!(history.instances[0].read(&later), Reading::Lost);
+}
--- a/daemon/src/gateway/backends.rs
+++ b/daemon/src/gateway/backends.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex};
 
-use mimosabay_core::backend::Backend;
+use mimosabay_core::backend::{Backend, ServerState};
 use mimosabay_core::name::Name;
 use mimosabay_core::software_versions::SoftwareVersions;
 use tokio::sync::watch;
@@ -13,6 +13,12 @@
 /// milliseconds.
 const RETURN_GRACE_MS: u64 = 2_000;
 
+/// Time for which an entry that a new era of the store still has, although the server was removed, is
+/// not used, in milliseconds. A server that is gone is removed again within it.
+const HOLD_BACK_MS: u64 = 6_000;
+/// Time for which removed servers are remembered, in milliseconds.
+const REMEMBER_REMOVED_MS: u64 = 60_000;
+
 /// All registered servers at one point in time.
 pub(crate) type Snapshot = Arc<BTreeMap<Name, Arc<Backend>>>;
 
@@ -29,9 +35,36 @@
     missing: HashMap<Name, u64>,
     /// Until when missing entries may be registered again, in milliseconds.
     grace_until_ms: u64,
+    /// Servers that were removed.
+    removed: HashMap<Name, Removal>,
+    /// Servers that leave, whatever their entries say.
+    leaving: HashMap<Name, Leaving>,
+    /// When the era of the store began, in milliseconds; `None` if it has not changed.
+    era_began_ms: Option<u64>,
+    /// Entries of servers that were removed in an earlier era of the store. They are used once
+    /// [`HOLD_BACK_MS`] have passed since the era began.
+    held_back: BTreeMap<Name, Backend>,
     software_versions: SoftwareVersions,
 }
 
+/// Removal of a server.
+#[derive(Clone, Copy, Debug)]
+struct Removal {
+    /// Start of the removed server in Unix milliseconds.
+    started_unix_ms: u64,
+    /// Time of the removal, in milliseconds.
+    removed_ms: u64,
+}
+
+/// A server that leaves, which holds until it starts again.
+#[derive(Clone, Copy, Debug)]
+struct Leaving {
+    /// Its start in Unix milliseconds.
+    started_unix_ms: u64,
+    /// Time at which it was noted, in milliseconds.
+    noted_ms: u64,
+}
+
 impl Backends {
     pub(crate) fn new() -> Self {
         Self {
@@ -69,13 +102,23 @@
         self.table.lock().expect("backends lock").grace_until_ms = now_ms + RETURN_GRACE_MS;
     }
 
+    /// Prepares for entries from an older copy of the store. Servers that registered after the copy was
+    /// made have time to return, and those that leave stay so although the copy may be older.
+    pub(crate) fn begin_store_era(&self, now_ms: u64) {
+        let mut table = self.table.lock().expect("backends lock");
+        table.grace_until_ms = now_ms + RETURN_GRACE_MS;
+        table.era_began_ms = Some(now_ms);
+        table.note_all_leaving(now_ms);
+    }
+
     /// Replaces the table by a complete list.
     pub(crate) fn reset(&self, list: impl IntoIterator<Item = Backend>, now_ms: u64) {
         let mut table = self.table.lock().expect("backends lock");
         let mut unseen: Vec<Name> = table.servers.keys().cloned().collect();
+        table.held_back.clear();
         for backend in list {
             unseen.retain(|id| *id != backend.id);
-            table.put(backend);
+            table.put(backend, now_ms);
         }
         for id in unseen {
             table.remove(&id, now_ms);
@@ -92,7 +135,7 @@
         let mut table = self.table.lock().expect("backends lock");
         for change in changes {
             match change {
-                BackendChange::Put(backend) => table.put(backend),
+                BackendChange::Put(backend) => table.put(backend, now_ms),
                 BackendChange::Removed(id) => table.remove(&id, now_ms),
             }
         }
@@ -102,7 +145,7 @@
     /// Removes servers whose entry was not registered again in time.
     pub(crate) fn remove_expired(&self, now_ms: u64) {
         let mut table = self.table.lock().expect("backends lock");
-        if table.remove_expired(now_ms) {
+        if table.remove_expired(now_ms) | table.release_held_back(now_ms) {
             self.publish(&mut table, now_ms);
         }
     }
@@ -130,18 +173,89 @@
         }
     }
 
-    fn put(&mut self, backend: Backend) {
+    fn put(&mut self, mut backend: Backend, now_ms: u64) {
         self.missing.remove(&backend.id);
-        let is_older = self
-            .servers
-            .get(&backend.id)
-            .is_some_and(|known| known.started_unix_ms > backend.started_unix_ms);
-        if !is_older {
-            self.servers.insert(backend.id.clone(), Arc::new(backend));
+        if self.is_held_back(&backend, now_ms) {
+            info!(event = "server_held_back", server = %backend.id);
+            self.held_back.insert(backend.id.clone(), backend);
+            return;
+        }
+        self.removed.remove(&backend.id);
+        let known = self.servers.get(&backend.id);
+        if known.is_some_and(|known| known.started_unix_ms > backend.started_unix_ms) {
+            return;
+        }
+        if self.is_leaving(&backend) && backend.is_ready() {
+            info!(event = "server_stays_leaving", server = %backend.id);
+            backend.state = ServerState::Draining;
+        }
+        self.servers.insert(backend.id.clone(), Arc::new(backend));
+    }
+
+    fn is_leaving(&self, backend: &Backend) -> bool {
+        let leaving = self.leaving.get(&backend.id);
+        leaving.is_some_and(|leaving| leaving.started_unix_ms == backend.started_unix_ms)
+    }
+
+    fn note_all_leaving(&mut self, now_ms: u64) {
+        let leaving = self.servers.values().filter(|backend| !backend.is_ready());
+        let leaving = leaving.map(|backend| {
+            let noted = Leaving {
+                started_unix_ms: backend.started_unix_ms,
+                noted_ms: now_ms,
+            };
+            (backend.id.clone(), noted)
+        });
+        self.leaving.extend(leaving);
+    }
+
+    /// Whether an entry may be from an older copy of the store, and the server was removed since.
+    fn is_held_back(&self, backend: &Backend, now_ms: u64) -> bool {
+        let Some(era_began_ms) = self.era_began_ms else {
+            return false;
+        };
+        let removal = self.removed.get(&backend.id);
+        now_ms < era_began_ms + HOLD_BACK_MS
+            && removal.is_some_and(|removal| {
+                removal.started_unix_ms == backend.started_unix_ms
+                    && removal.removed_ms <= era_began_ms
+            })
+    }
+
+    /// Uses the entries that were held back, once they have been there long enough.
+    fn release_held_back(&mut self, now_ms: u64) -> bool {
+        let is_due = self
+            .era_began_ms
+            .is_some_and(|era_began_ms| now_ms >= era_began_ms + HOLD_BACK_MS);
+        if !is_due || self.held_back.is_empty() {
+            return false;
+        }
+        for backend in std::mem::take(&mut self.held_back).into_values() {
+            self.put(backend, now_ms);
+        }
+        true
+    }
+
+    fn drop_server(&mut self, id: &Name, now_ms: u64) {
+        self.missing.remove(id);
+        self.removed
+            .retain(|_, it| now_ms.saturating_sub(it.removed_ms) <= REMEMBER_REMOVED_MS);
+        let servers = &self.servers;
+        self.leaving.retain(|id, it| {
+            let age_ms = now_ms.saturating_sub(it.noted_ms);
+            servers.contains_key(id) || age_ms <= REMEMBER_REMOVED_MS
+        });
+        if let Some(backend) = self.servers.remove(id) {
+            let removal = Removal {
+                started_unix_ms: backend.started_unix_ms,
+                removed_ms: now_ms,
+            };
+            self.removed.insert(id.clone(), removal);
         }
     }
 
     fn remove(&mut self, id: &Name, now_ms: u64) {
+        self.held_back.remove(id);
         let may_return = self
             .servers
             .get(id)
@@ -151,8 +265,7 @@
                 .entry(id.clone())
                 .or_insert(self.grace_until_ms);
         } else {
-            self.missing.remove(id);
-            self.servers.remove(id);
+            self.drop_server(id, now_ms);
         }
     }
 
@@ -165,8 +278,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in expired {
-            self.missing.remove(&id);
-            self.servers.remove(&id);
+            self.drop_server(&id, now_ms);
         }
         self.servers.len() != before
     }
--- a/daemon/src/gateway/election.rs
+++ b/daemon/src/gateway/election.rs
@@ -1,7 +1,8 @@
 //! Election of the placer, the instance that places requests.
 //!
 //! One object in the store names the placer. Its revision is the fencing number of the placer's
-//! orders, so the number grows with each change and needs no clock. The object is never renewed:
+//! orders, so the number grows with each change and needs no clock; once the store has come back from
+//! an older copy, the object names a larger number itself. The object is never renewed:
 //! another instance replaces it once most other instances have lost contact with the placer too,
 //! and sends orders only after the lease of the previous placer has expired. A placer that stops
 //! removes the object.
@@ -10,6 +11,7 @@
 use std::time::Duration;
 
 use mimosabay_core::name::Name;
+use mimosabay_core::placer_record::{PlacerRecord, PlacerView, StoredRecord};
 use mimosabay_core::rendezvous;
 use mimosabay_peer::{Message, Peer, Reply};
 use mimosabay_platform::store::{StoredObject, may_have_been_written};
@@ -17,9 +19,10 @@
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
 
-use super::link::{self, PlacerRecord, PlacerView};
+use super::link;
 use super::placer::Placer;
 use super::state::State;
+use super::store_era::{self, AnswerEra};
 
 /// Name of the store object that names the placer.
 const RECORD_NAME: &str = "cell-0";
@@ -53,14 +56,12 @@
     /// Read the record again.
     ReadRecord,
     /// Start the placer: the record names this process.
-    Start { revision: u64 },
-    /// Create the record.
-    Create,
-    /// Query the other instances, and replace the record if most of them have lost contact with the
+    Start { fencing_number: u64 },
+    /// Query the other instances, and write the record if most of them have lost contact with the
     /// placer.
-    QueryOthers { revision: u64 },
-    /// Replace the record at this revision.
-    Replace { revision: u64 },
+    QueryOthers,
+    /// Write the record, naming this process.
+    Claim,
 }
 
 /// Takes part in the election until the process ends.
@@ -71,18 +72,17 @@
         // The next step is determined after a change and after a time-out alike.
         let _ = timeout(period, state.link.wait_for_change()).await;
         let step = match next_step(&state) {
-            Step::QueryOthers { revision } if is_placer_lost(&state).await => {
+            Step::QueryOthers if is_placer_lost(&state).await => {
                 let last_seen_ms = state.link.placer_view().last_seen_ms;
                 orders_from_ms = last_seen_ms + state.settings().lease_ms;
-                Step::Replace { revision }
+                Step::Claim
             }
-            Step::QueryOthers { .. } => Step::Wait,
-            step => {
-                if matches!(step, Step::Replace { .. } | Step::Create) {
-                    orders_from_ms = 0;
-                }
-                step
+            Step::QueryOthers => Step::Wait,
+            Step::Claim => {
+                orders_from_ms = first_orders_ms(&state);
+                Step::Claim
             }
+            step => step,
         };
         if let Err(cause) = execute_step(&state, step, orders_from_ms).await {
             warn!(event = "election_failed", %cause);
@@ -92,25 +92,43 @@
 }
 
 async fn execute_step(state: &Arc<State>, step: Step, orders_from_ms: u64) -> Result<(), Error> {
-    let kind = wire_names::kind::PLACERS;
     match step {
-        Step::Wait | Step::QueryOthers { .. } => Ok(()),
+        Step::Wait | Step::QueryOthers => Ok(()),
         Step::ReadRecord => read_record(state).await,
-        Step::Start { revision } => {
-            start_placer(state, revision, orders_from_ms);
+        Step::Start { fencing_number } => {
+            start_placer(state, fencing_number, orders_from_ms);
             Ok(())
         }
-        Step::Create => {
-            let record = own_record(state);
-            let created = state.store.create(kind, RECORD_NAME, &record).await;
-            handle_write(state, created)
+        Step::Claim => claim(state).await,
+    }
+}
+
+async fn claim(state: &State) -> Result<(), Error> {
+    let kind = wire_names::kind::PLACERS;
+    let view = state.link.placer_view();
+    let record = own_record(state, &view);
+    let sent_in = state.store_era.known();
+    let store = &state.store;
+    let written = match view.stored {
+        StoredRecord::Present { revision, .. } => {
+            store.replace(kind, RECORD_NAME, revision, &record).await
         }
-        Step::Replace { revision } => {
-            let record = own_record(state);
-            let store = &state.store;
-            let replaced = store.replace(kind, RECORD_NAME, revision, &record).await;
-            handle_write(state, replaced)
+        StoredRecord::Absent | StoredRecord::Unread => {
+            store.create(kind, RECORD_NAME, &record).await
         }
+    };
+    handle_write(state, written, sent_in)
+}
+
+/// Time from which this process may send orders if it becomes the placer now and knows that the placer
+/// before it has ended.
+fn first_orders_ms(state: &State) -> u64 {
+    let view = state.link.placer_view();
+    let store_era = state.store_era.known().unwrap_or(0);
+    if state.link.local_placer().is_none() && view.may_have_lost_record(store_era) {
+        state.now_ms() + state.settings().lease_ms
+    } else {
+        0
     }
 }
 
@@ -118,17 +136,29 @@
 /// process continues to place requests until the removal has succeeded.
 pub(crate) async fn resign(state: &State) {
     loop {
-        let Some((revision, record)) = state.link.placer_view().record else {
+        let view = state.link.placer_view();
+        let Some((number, record)) = &view.record else {
             return;
         };
-        if !state.link.names_this_process(&record) {
+        if !state.link.names_this_process(record) {
             return;
         }
+        let StoredRecord::Present { revision, .. } = view.stored else {
+            return state.link.forget_placer();
+        };
+        if !view.is_record_stored() {
+            info!(
+                event = "placer_not_resigned",
+                number,
+                reason = "record lost"
+            );
+            return state.link.forget_placer();
+        }
         let kind = wire_names::kind::PLACERS;
         match state.store.delete(kind, RECORD_NAME, revision).await {
             Ok(()) => {
                 info!(event = "placer_resigned", revision);
-                return state.link.on_record_absent();
+                return state.link.forget_placer();
             }
             Err(cause) => warn!(event = "placer_not_resigned", revision, %cause),
         }
@@ -141,46 +171,50 @@
 
 fn next_step(state: &State) -> Step {
     let view = state.link.placer_view();
-    if !view.is_read || state.is_stopping() {
+    if !view.is_read() || state.is_stopping() {
         return Step::Wait;
     }
     match step_by_record(state, &view) {
         // A placer that reaches no server is of no use.
-        Step::Create | Step::Replace { .. } | Step::QueryOthers { .. }
-            if state.server_links.are_lost() =>
-        {
-            Step::Wait
-        }
+        Step::Claim | Step::QueryOthers if state.server_links.are_lost() => Step::Wait,
         step => step,
     }
 }
 
 fn step_by_record(state: &State, view: &PlacerView) -> Step {
     match &view.record {
-        Some((revision, record)) if state.link.names_this_process(record) => {
-            let revision = *revision;
-            match state.link.local_placer() {
-                Some(placer) if placer.fencing_number == revision && view.is_record_stale => {
-                    Step::ReadRecord
-                }
-                Some(placer) if placer.fencing_number == revision => Step::Wait,
-                // Its orders were fenced, so a newer record must exist.
-                None if view.is_record_stale => Step::ReadRecord,
-                _ => Step::Start { revision },
-            }
+        Some((number, record)) if state.link.names_this_process(record) => {
+            step_as_placer(state, view, *number)
         }
-        Some((revision, record)) if state.link.names_this_instance(record) => Step::Replace {
-            revision: *revision,
-        },
+        Some((_, record)) if state.link.names_this_instance(record) => Step::Claim,
         _ if view.is_record_stale => Step::ReadRecord,
-        Some((revision, _)) => step_with_remote_placer(state, view, *revision),
+        Some(_) => step_with_remote_placer(state, view),
         None => step_without_record(state),
     }
 }
 
+/// Next step if the record names this process.
+fn step_as_placer(state: &State, view: &PlacerView, fencing_number: u64) -> Step {
+    match state.link.local_placer() {
+        Some(placer) if placer.fencing_number == fencing_number => {
+            if view.is_record_stale {
+                Step::ReadRecord
+            } else if view.is_record_stored() {
+                Step::Wait
+            } else {
+                // The store has lost the record.
+                Step::Claim
+            }
+        }
+        // Its orders were fenced, so a newer record must exist.
+        None if view.is_record_stale => Step::ReadRecord,
+        _ => Step::Start { fencing_number },
+    }
+}
+
 /// Next step if the record names another instance. A process whose address refuses connections has
 /// terminated and sends no more orders.
-fn step_with_remote_placer(state: &State, view: &PlacerView, revision: u64) -> Step {
+fn step_with_remote_placer(state: &State, view: &PlacerView) -> Step {
     let now_ms = state.now_ms();
     let stagger_ms = stagger_ms(state);
     let unresponsive_ms = now_ms.saturating_sub(view.last_seen_ms);
@@ -188,10 +222,10 @@
         .refused_since_ms
         .map_or(0, |since_ms| now_ms.saturating_sub(since_ms));
     if refused_ms > REPLACE_REFUSED_AFTER_MS + stagger_ms {
-        return Step::Replace { revision };
+        return Step::Claim;
     }
     if unresponsive_ms > REPLACE_AFTER_MS + stagger_ms {
-        return Step::QueryOthers { revision };
+        return Step::QueryOthers;
     }
     Step::Wait
 }
@@ -258,7 +292,7 @@
 fn step_without_record(state: &State) -> Step {
     let absent_since_ms = state.link.absence_start_ms(state.now_ms());
     if state.now_ms() >= absent_since_ms + stagger_ms(state) {
-        Step::Create
+        Step::Claim
     } else {
         Step::Wait
     }
@@ -272,27 +306,40 @@
 }
 
 async fn read_record(state: &State) -> Result<(), Error> {
-    match state
-        .store
-        .get(wire_names::kind::PLACERS, RECORD_NAME)
-        .await
-    {
+    let sent_in = state.store_era.known();
+    let read = state.store.get(wire_names::kind::PLACERS, RECORD_NAME);
+    match read.await {
         Ok(object) => {
-            state.link.apply_record(&object, state.now_ms());
+            apply_answer(state, &object, sent_in);
             Ok(())
         }
         Err(cause) if cause.classify() == Category::NotFound => {
-            state.link.on_record_absent();
+            state.link.on_record_absent(sent_in);
             Ok(())
         }
         Err(cause) => Err(cause),
     }
 }
 
-fn handle_write(state: &State, result: Result<StoredObject, Error>) -> Result<(), Error> {
+/// Applies the record in an answer of the store, unless the era of the answer has ended.
+fn apply_answer(state: &State, object: &StoredObject, sent_in: Option<u64>) {
+    match store_era::observe_answer(state, object.era, sent_in) {
+        AnswerEra::Ended => state.link.mark_record_stale(),
+        AnswerEra::Same | AnswerEra::New => {
+            let store_era = state.store_era.known();
+            state.link.apply_record(object, store_era, state.now_ms());
+        }
+    }
+}
+
+fn handle_write(
+    state: &State,
+    result: Result<StoredObject, Error>,
+    sent_in: Option<u64>,
+) -> Result<(), Error> {
     match result {
         Ok(object) => {
-            state.link.apply_record(&object, state.now_ms());
+            apply_answer(state, &object, sent_in);
             Ok(())
         }
         Err(cause) => {
@@ -308,18 +355,17 @@
     }
 }
 
-fn start_placer(state: &Arc<State>, revision: u64, orders_from_ms: u64) {
-    info!(
-        event = "placer_started",
-        fencing_number = revision,
-        orders_from_ms
-    );
-    let placer = Placer::start(state.clone(), revision, orders_from_ms);
+fn start_placer(state: &Arc<State>, fencing_number: u64, orders_from_ms: u64) {
+    info!(event = "placer_started", fencing_number, orders_from_ms);
+    let placer = Placer::start(state.clone(), fencing_number, orders_from_ms);
     state.link.set_local_placer(placer);
 }
 
-fn own_record(state: &State) -> PlacerRecord {
+fn own_record(state: &State, view: &PlacerView) -> PlacerRecord {
+    let store_era = state.store_era.known();
     PlacerRecord {
+        fencing_offset: view.next_offset(store_era.unwrap_or(0), state.settings().is_first_start),
+        store_era,
         address: state.settings().peer_address().to_string(),
         instance: state.settings().instance.clone(),
         incarnation: state.incarnation,
--- a/daemon/src/gateway/link.rs
+++ b/daemon/src/gateway/link.rs
@@ -10,11 +10,12 @@
     RunOutcome, Update,
 };
 use mimosabay_core::name::{InstanceId, Name};
+use mimosabay_core::placer_record::{PlacerRecord, PlacerView, Reading};
 use mimosabay_core::work::Work;
 use mimosabay_peer::{Envelope, Message, Peer, Reply, Secret};
 use mimosabay_platform::ProcessSettings;
 use mimosabay_platform::store::StoredObject;
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
 use tokio::sync::{Notify, watch};
 use tokio::time::sleep;
 use tracing::{info, warn};
@@ -33,17 +34,6 @@
 /// Time between two checks whether the placer is unresponsive, in milliseconds.
 const RESPONSE_CHECK_PERIOD_MS: u64 = 100;
 
-/// The store's record of the placer.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub(crate) struct PlacerRecord {
-    /// Address on which it listens for other instances.
-    pub(crate) address: String,
-    /// Name of the instance.
-    pub(crate) instance: Name,
-    /// Incarnation number of its process.
-    pub(crate) incarnation: u64,
-}
-
 /// The placer as known to this instance.
 #[derive(Clone)]
 pub(crate) enum Target {
@@ -55,23 +45,6 @@
     Remote(Peer),
 }
 
-/// What this instance knows about the placer.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct PlacerView {
-    /// Whether the store was read, with or without finding a record.
-    pub(crate) is_read: bool,
-    /// Revision and content of the record.
-    pub(crate) record: Option<(u64, PlacerRecord)>,
-    /// Time of the last contact with the placer, or when it became the placer, in milliseconds.
-    pub(crate) last_seen_ms: u64,
-    /// Since when its address has refused connections, in milliseconds.
-    pub(crate) refused_since_ms: Option<u64>,
-    /// Since when there is no record, in milliseconds.
-    pub(crate) absent_since_ms: Option<u64>,
-    /// Whether the record has to be read again before it is relied on.
-    pub(crate) is_record_stale: bool,
-}
-
 /// State of the communication with the placer, and the data to send to it.
 pub(crate) struct Link {
     zone: Name,
@@ -154,47 +127,52 @@
         &self.zone
     }
 
-    /// Records that the store holds no placer record.
-    pub(crate) fn on_record_absent(&self) {
+    /// Records that the store holds no placer record in an era.
+    pub(crate) fn on_record_absent(&self, store_era: Option<u64>) {
         let mut view = self.view.lock().expect("placer view lock");
-        let was_absent = view.is_read && view.record.is_none();
-        view.is_read = true;
-        view.is_record_stale = false;
-        if !was_absent {
-            view.record = None;
-            view.absent_since_ms = None;
-        }
+        let reading = view.observe_absence(store_era);
         drop(view);
-        if !was_absent {
-            self.target.send_replace(Target::None);
-            self.election_wake.notify_one();
+        match reading {
+            Reading::Known | Reading::Newer => {}
+            Reading::Lost => {
+                info!(event = "placer_record_lost", store_era);
+                self.election_wake.notify_one();
+            }
+            Reading::Removed => self.forget_placer(),
         }
     }
 
-    /// Applies a placer record from the store if it is newer than the known one.
-    pub(crate) fn apply_record(&self, object: &StoredObject, now_ms: u64) {
+    /// Forgets the placer, which has resigned.
+    pub(crate) fn forget_placer(&self) {
+        self.view.lock().expect("placer view lock").forget();
+        self.target.send_replace(Target::None);
+        self.election_wake.notify_one();
+    }
+
+    /// Applies a placer record that was read in an era of the store, if it is newer than the known one.
+    pub(crate) fn apply_record(&self, object: &StoredObject, store_era: Option<u64>, now_ms: u64) {
         let Ok(record) = PlacerRecord::deserialize(&object.spec) else {
             warn!(event = "placer_record_unreadable", name = %object.metadata.name);
             return;
         };
         let revision = object.metadata.revision;
         let mut view = self.view.lock().expect("placer view lock");
-        let known = view.record.as_ref().map_or(0, |(known, _)| *known);
-        view.is_read = true;
-        view.is_record_stale = false;
-        view.absent_since_ms = None;
-        if revision <= known {
-            drop(view);
-            if revision < known {
-                info!(event = "placer_record_dropped", instance = %record.instance, revision, known);
+        let reading = view.observe_record(&record, revision, store_era, now_ms);
+        let known = view.largest_number;
+        drop(view);
+        match reading {
+            Reading::Newer => self.follow(&record, revision, known),
+            Reading::Known | Reading::Removed => {}
+            Reading::Lost => {
+                let number = record.fencing_number(revision);
+                info!(event = "placer_record_dropped", number, known, store_era);
+                self.election_wake.notify_one();
             }
-            return;
         }
-        view.record = Some((revision, record.clone()));
-        view.last_seen_ms = now_ms;
-        view.refused_since_ms = None;
-        drop(view);
-        info!(event = "placer_changed", instance = %record.instance, revision);
+    }
+
+    fn follow(&self, record: &PlacerRecord, revision: u64, number: u64) {
+        info!(event = "placer_changed", instance = %record.instance, revision, number);
         self.outbox.lock().expect("outbox lock").is_new_placer = true;
         // The election handles a record of this process or of an earlier process of this instance.
         let target = if *record.address == *self.own_address {
@@ -207,6 +185,11 @@
         self.election_wake.notify_one();
     }
 
+    /// Wakes the election: the store has come back from an older copy.
+    pub(crate) fn on_store_era(&self) {
+        self.election_wake.notify_one();
+    }
+
     /// Makes this process the placer.
     pub(crate) fn set_local_placer(&self, placer: Placer) {
         self.outbox.lock().expect("outbox lock").is_new_placer = true;
--- a/daemon/src/gateway/metrics.rs
+++ b/daemon/src/gateway/metrics.rs
@@ -71,6 +71,7 @@
     failures: Family<FailureLabel, Counter>,
     dependencies_lost: Family<DependencyLabel, Counter>,
     orders: Counter,
+    store_eras: Counter,
     answer_s: Histogram,
     first_event_s: Histogram,
     forecast_ratio: Histogram,
@@ -89,6 +90,7 @@
             failures: Family::default(),
             dependencies_lost: Family::default(),
             orders: Counter::default(),
+            store_eras: Counter::default(),
             answer_s: latency_histogram(),
             first_event_s: latency_histogram(),
             forecast_ratio: Histogram::new(FORECAST_RATIOS),
@@ -119,6 +121,11 @@
             self.dependencies_lost.clone(),
         );
         registry.register("orders", "Orders given to servers", self.orders.clone());
+        registry.register(
+            "store_eras",
+            "Times that the store came back from an older copy",
+            self.store_eras.clone(),
+        );
         registry.register(
             "answer_seconds",
             "Time to the whole answer of a plain service",
@@ -165,6 +172,10 @@
             .inc();
     }
 
+    pub(crate) fn count_store_era(&self) {
+        self.store_eras.inc();
+    }
+
     pub(crate) fn count_order(&self) {
         self.orders.inc();
     }
--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -44,6 +44,7 @@
 mod server_links;
 mod state;
 mod stop;
+mod store_era;
 mod streams;
 mod successor;
 mod suspects;
--- a/daemon/src/gateway/quarantine_store.rs
+++ b/daemon/src/gateway/quarantine_store.rs
@@ -35,13 +35,17 @@
     is_unread: bool,
     /// Whether the quarantine has changed since it was written.
     is_unwritten: bool,
+    /// Changes when the store has come back from an older copy.
+    eras: watch::Receiver<Option<u64>>,
 }
 
 impl QuarantineStore {
     /// Creates the store of a placer that starts. At the first start of a site nothing is stored.
     pub(super) fn new(state: Arc<State>) -> Self {
         let is_unread = !state.settings().is_first_start;
+        let eras = state.store_era.subscribe();
         Self {
+            eras,
             state,
             revision: None,
             stored: Quarantine::default(),
@@ -62,11 +66,15 @@
                 self.read(&merge).await
             } else if self.is_unwritten {
                 self.write().await
-            } else if changes.changed().await.is_ok() {
-                self.is_unwritten = true;
-                continue;
             } else {
-                return;
+                tokio::select! {
+                    result = changes.changed() => match result {
+                        Ok(()) => self.is_unwritten = true,
+                        Err(_) => return,
+                    },
+                    Ok(()) = self.eras.changed() => self.on_store_era(),
+                }
+                continue;
             };
             if let Err(cause) = step {
                 warn!(event = "quarantine_not_stored", %cause);
@@ -76,9 +84,19 @@
                 Ok(has_changed) => self.is_unwritten |= has_changed,
                 Err(_) => return,
             }
+            if self.eras.has_changed().unwrap_or(false) {
+                self.eras.mark_unchanged();
+                self.on_store_era();
+            }
         }
     }
 
+    /// Reads the object again, and writes what the copy of the store lacks.
+    fn on_store_era(&mut self) {
+        self.is_unread = true;
+        self.is_unwritten = true;
+    }
+
     async fn read(&mut self, merge: impl Fn(Quarantine)) -> Result<(), Error> {
         let kind = wire_names::kind::QUARANTINE;
         match self.state.store.get(kind, OBJECT_NAME).await {
@@ -87,7 +105,10 @@
                 self.stored = stored_quarantine(&object);
                 merge(self.stored.clone());
             }
-            Err(cause) if cause.classify() == Category::NotFound => self.revision = None,
+            Err(cause) if cause.classify() == Category::NotFound => {
+                self.revision = None;
+                self.stored = Quarantine::default();
+            }
             Err(cause) => return Err(cause),
         }
         self.is_unread = false;
--- a/daemon/src/gateway/replicas.rs
+++ b/daemon/src/gateway/replicas.rs
@@ -42,6 +42,14 @@
         self.with_log(kind, |log| *log = ReplicaLog::default());
     }
 
+    /// Discards the logs of all kinds.
+    pub(crate) fn reset_all(&self) {
+        for kind in KINDS {
+            self.reset(kind);
+        }
+        self.unread.notify_waiters();
+    }
+
     pub(crate) fn with_log<T>(
         &self,
         kind: ReplicaKind,
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -111,7 +111,9 @@
 }
 
 async fn serve_peers(state: Arc<State>, listener: TcpListener) {
-    mimosabay_peer::serve(listener, link::peer_secret(), move |inbound| {
+    let own_state = state.clone();
+    let own_facts = move || own_state.store_era.sender_facts();
+    mimosabay_peer::serve(listener, link::peer_secret(), own_facts, move |inbound| {
         handle_peer_message(state.clone(), inbound)
     })
     .await;
@@ -120,6 +122,7 @@
 async fn handle_peer_message(state: Arc<State>, inbound: Inbound) {
     let Inbound {
         envelope,
+        sender,
         mut responder,
     } = inbound;
     let reply = match envelope.message {
@@ -174,7 +177,7 @@
         Message::Update(update) => match state.link.local_placer() {
             None => Reply::NotPlacer,
             Some(placer) => {
-                let reply = updates::build_reply(&state, &update);
+                let reply = updates::build_reply(&state, &update, &sender);
                 placer.send_update(*update);
                 reply
             }
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -27,6 +27,7 @@
 use super::server_connection::Relays;
 use super::server_limits::ServerLimits;
 use super::server_links::Links;
+use super::store_era::StoreEra;
 use super::streams::Streams;
 use super::suspects::Suspects;
 use crate::clock::Clock;
@@ -42,6 +43,8 @@
     /// Incarnation number of this process.
     pub(crate) incarnation: u64,
     pub(crate) store: Store,
+    /// Era of the store.
+    pub(crate) store_era: StoreEra,
     /// The configuration in force; `None` until it has been read once.
     pub(crate) site: watch::Sender<Option<Arc<Site>>>,
     pub(crate) backends: Backends,
@@ -128,6 +131,7 @@
             metrics: Metrics::new(dropped_lines),
             has_listed_backends: AtomicBool::new(false),
             replicas: Replicas::default(),
+            store_era: StoreEra::new(),
             ended_outages: watch::Sender::new(0),
             store_responded_ms: AtomicU64::new(0),
             next_request_number: AtomicU64::new(1),
--- a/daemon/src/gateway/updates.rs
+++ b/daemon/src/gateway/updates.rs
@@ -5,8 +5,9 @@
 
 use mimosabay_core::cell::Update;
 use mimosabay_core::quarantine_log::QuarantineChanges;
+use mimosabay_core::replica::ReplicaChanges;
 use mimosabay_core::stream_log::StreamChanges;
-use mimosabay_peer::{Category, Message, Reply};
+use mimosabay_peer::{Category, Message, Reply, SenderFacts};
 use tokio::time::{Instant, sleep, timeout};
 use tracing::{info, warn};
 
@@ -14,6 +15,7 @@
 use super::metrics::Dependency;
 use super::replicate;
 use super::state::State;
+use super::store_era;
 
 /// Longest time between two updates, in milliseconds. An update also shows that this instance is
 /// live, and its reply that the placer is.
@@ -73,18 +75,22 @@
         Target::Remote(peer) => {
             let update = link.drain_outbox(state);
             let message = Message::Update(Box::new(update.clone()));
-            let reply = peer
-                .call_unary(&envelope(state, message), UPDATE_TIMEOUT_MS)
+            let facts = state.store_era.sender_facts();
+            let exchange = peer
+                .exchange(&envelope(state, message), facts, UPDATE_TIMEOUT_MS)
                 .await;
-            match reply {
-                Ok(Reply::Updated {
-                    reaches_store,
-                    changes,
-                    limits,
-                    streams,
-                    members,
-                    quarantine,
-                }) => {
+            match exchange {
+                Ok((
+                    Reply::Updated {
+                        reaches_store,
+                        changes,
+                        limits,
+                        streams,
+                        members,
+                        quarantine,
+                    },
+                    placer,
+                )) => {
                     state.server_limits.apply(&limits);
                     if let Some(streams) = streams {
                         state.streams.apply(&streams);
@@ -96,9 +102,12 @@
                         state.apply_members(members);
                     }
                     record_contact(state);
-                    link.record_relay(state, reaches_store);
-                    for (kind, replica_changes) in changes {
-                        replicate::apply_replica_changes(state, kind, replica_changes);
+                    let is_same_era = store_era::observe_peer(state, &placer);
+                    link.record_relay(state, reaches_store && is_same_era);
+                    if is_same_era {
+                        for (kind, replica_changes) in changes {
+                            replicate::apply_replica_changes(state, kind, replica_changes);
+                        }
                     }
                 }
                 Ok(_) => {
@@ -145,13 +154,21 @@
 }
 
 /// Builds the placer's reply to an update: the changes that the sender does not know yet.
-pub(crate) fn build_reply(state: &State, update: &Update) -> Reply {
+pub(crate) fn build_reply(state: &State, update: &Update, sender: &SenderFacts) -> Reply {
     state
         .members
         .record_contact(&update.address, state.now_ms());
     state.server_limits.apply(&update.limits);
-    let changes = update.known.iter();
-    let changes = changes.map(|known| (known.kind, state.replicas.changes_since(known)));
+    let is_same_era = store_era::observe_peer(state, sender);
+    let changes = update.known.iter().map(|known| {
+        let changes = if is_same_era {
+            state.replicas.changes_since(known)
+        } else {
+            // The sender lists the objects of the new era itself.
+            ReplicaChanges::None
+        };
+        (known.kind, changes)
+    });
     Reply::Updated {
         reaches_store: state.reaches_store(),
         changes: changes.collect(),
--- a/daemon/src/gateway/watch.rs
+++ b/daemon/src/gateway/watch.rs
@@ -13,6 +13,7 @@
 use super::metrics::Dependency;
 use super::replicate;
 use super::state::State;
+use super::store_era::{self, AnswerEra};
 
 /// Longest wait of one watch call, in milliseconds.
 const WATCH_WAIT_MS: u64 = 20_000;
@@ -99,13 +100,18 @@
     /// Number of consecutive failed calls.
     failures: u32,
     pause_ms: u64,
-    /// Era of the store's last answer.
+    /// Era of the store in which the revision was read.
     era: Option<u64>,
     ended_outages: tokio::sync::watch::Receiver<u64>,
 }
 
 impl Watcher {
     async fn run_once(&mut self) {
+        let era = self.state.store_era.known();
+        if self.era != era {
+            self.era = era;
+            self.revision = 0;
+        }
         if let WatchKind::Replicated(kind) = self.kind {
             self.revision = self.state.replicas.revision(kind);
             let fresh_ms = self.state.link.relay_fresh_ms(self.state.now_ms());
@@ -142,8 +148,12 @@
     async fn list(&mut self) {
         match self.state.store.list(self.kind.name()).await {
             Ok(listing) => {
+                let answer_era = self.observe_era(listing.era);
                 self.on_store_response();
-                self.log_era(listing.era, listing.revision);
+                if answer_era == AnswerEra::Ended {
+                    return;
+                }
+                self.era = self.state.store_era.known();
                 self.revision = listing.revision;
                 self.apply_list(&listing);
             }
@@ -167,9 +177,12 @@
         };
         match result {
             Ok(changes) => {
+                let answer_era = self.observe_era(changes.era);
                 self.on_store_response();
-                self.log_era(changes.era, changes.revision);
-                self.apply_changes(changes).await;
+                match answer_era {
+                    AnswerEra::Same => self.apply_changes(changes).await,
+                    AnswerEra::New | AnswerEra::Ended => self.reset_revision(),
+                }
             }
             Err(cause) if cause.classify() == Category::Gone => {
                 info!(
@@ -183,18 +196,8 @@
         }
     }
 
-    fn log_era(&mut self, era: Option<u64>, revision: u64) {
-        if era != self.era {
-            info!(
-                event = "store_era",
-                kind = self.kind.name(),
-                era,
-                before = self.era,
-                revision,
-                known_revision = self.revision
-            );
-            self.era = era;
-        }
+    fn observe_era(&self, stated: Option<u64>) -> AnswerEra {
+        store_era::observe_answer(&self.state, stated, self.era)
     }
 
     fn reset_revision(&mut self) {
@@ -208,8 +211,11 @@
         match self.kind {
             WatchKind::Replicated(kind) => replicate::apply_list(&self.state, kind, listing),
             WatchKind::Placer => match listing.objects.first() {
-                Some(object) => self.state.link.apply_record(object, self.state.now_ms()),
-                None => self.state.link.on_record_absent(),
+                Some(object) => {
+                    let now_ms = self.state.now_ms();
+                    self.state.link.apply_record(object, self.era, now_ms);
+                }
+                None => self.state.link.on_record_absent(self.era),
             },
         }
     }
@@ -222,10 +228,12 @@
             WatchKind::Placer => {
                 for event in changes.events {
                     if event.deleted {
-                        self.state.link.on_record_absent();
+                        self.state.link.on_record_absent(self.era);
                     } else {
                         let now_ms = self.state.now_ms();
-                        self.state.link.apply_record(&event.object, now_ms);
+                        self.state
+                            .link
+                            .apply_record(&event.object, self.era, now_ms);
                     }
                 }
             }
--- a/daemon/src/inbound.rs
+++ b/daemon/src/inbound.rs
@@ -21,6 +21,7 @@
     let Inbound {
         envelope,
         responder,
+        ..
     } = inbound;
     let from = envelope.from;
     match envelope.message {
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -4,6 +4,7 @@
 
 use mimosabay_caller::CallerLimits;
 use mimosabay_operator::Settings;
+use mimosabay_peer::SenderFacts;
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 use tracing::info;
@@ -53,7 +54,12 @@
 fn start_tasks(instance: &Arc<Instance>, peers: TcpListener) {
     let for_inbound = instance.clone();
     let handle = move |message| inbound::handle(for_inbound.clone(), message);
-    tokio::spawn(mimosabay_peer::serve(peers, instance.secret(), handle));
+    tokio::spawn(mimosabay_peer::serve(
+        peers,
+        instance.secret(),
+        || SenderFacts::of_this_build(None),
+        handle,
+    ));
     tokio::spawn(heartbeat::run_list(instance.clone()));
     tokio::spawn(heartbeat::run(instance.clone()));
     tokio::spawn(config_sync::run(instance.clone()));
--- a/daemon/tests/store_copies.rs
+++ b/daemon/tests/store_copies.rs
@@ -194,6 +194,34 @@
     }
 }
 
+/// Guards against listing everything again, or missing changes, for a statement that is no era.
+mod statement_that_is_no_era_is_taken_for_a_new_one {
+    use mimosabay_core::cases;
+
+    use super::odd_era_changes_nothing;
+
+    cases! {
+        odd_era_changes_nothing;
+        missing: ("");
+        smaller: ("0");
+        text: ("second");
+        negative: ("-1");
+        too_large: ("18446744073709551616");
+    }
+}
+
+fn odd_era_changes_nothing(stated: &str) {
+    block_on(async {
+        let site = start_site().await;
+        site.store.state_era(stated);
+        add_key(&site, 5, &["second"]);
+        let missing = instances_without_key(&site, "second").await;
+        assert!(missing.is_empty(), "change not in force at {missing:?}");
+        let mut instances = site.instances.iter();
+        assert!(!instances.any(|instance| instance.has_logged("store_era_changed")));
+    });
+}
+
 async fn start_site() -> FleetSite {
     FleetSite::start(FleetOptions {
         instances: INSTANCES,
@@ -243,7 +271,7 @@
         NextRevision::Larger => advance_revision(site, left + LOST_REVISIONS),
     }
     if how.fault == OtherFault::PlacerFrozen {
-        sleep(Duration::from_millis(2_000)).await;
+        sleep(Duration::from_secs(2)).await;
         site.instances[placer].process.thaw();
     }
 }
--- a/peer/src/client.rs
+++ b/peer/src/client.rs
@@ -16,6 +16,7 @@
 use crate::byte_stream::ByteStream;
 use crate::error::{Category, Error};
 use crate::frame::{Reader, Writer};
+use crate::headers::SenderFacts;
 use crate::message::{Envelope, Reply};
 
 /// Timeout of opening a TCP connection.
@@ -47,6 +48,7 @@
 /// The replies to one message. Dropping the value resets the HTTP/2 stream.
 pub struct ReplyStream {
     reader: Reader,
+    replier: SenderFacts,
     writer: Writer,
 }
 
@@ -71,9 +73,19 @@
     /// [`Category::Unauthenticated`](crate::Category::Unauthenticated), or
     /// [`Category::Interrupted`](crate::Category::Interrupted).
     pub async fn call_streaming(&self, envelope: &Envelope) -> Result<ReplyStream, Error> {
+        self.call_stating(envelope, SenderFacts::of_this_build(None))
+            .await
+    }
+
+    async fn call_stating(
+        &self,
+        envelope: &Envelope,
+        facts: SenderFacts,
+    ) -> Result<ReplyStream, Error> {
         let sender = self.sender().await?;
         let mut sender = sender.ready().await.map_err(Error::not_sent)?;
-        let request = Request::post("/").body(()).map_err(Error::not_sent)?;
+        let mut request = Request::post("/").body(()).map_err(Error::not_sent)?;
+        facts.write(request.headers_mut());
         let (response, stream) = sender
             .send_request(request, false)
             .map_err(Error::not_sent)?;
@@ -81,6 +93,7 @@
         writer.write(envelope, false).await?;
         let response = response.await.map_err(Error::interrupted)?;
         Ok(ReplyStream {
+            replier: SenderFacts::read(response.headers()),
             reader: Reader::new(response.into_body()),
             writer,
         })
@@ -93,12 +106,29 @@
     /// As for [`Peer::call_streaming`]. A missing reply is reported as
     /// [`Category::Interrupted`](crate::Category::Interrupted).
     pub async fn call_unary(&self, envelope: &Envelope, timeout_ms: u64) -> Result<Reply, Error> {
+        let facts = SenderFacts::of_this_build(None);
+        let (reply, _) = self.exchange(envelope, facts, timeout_ms).await?;
+        Ok(reply)
+    }
+
+    /// As [`Peer::call_unary`], with facts about this process beside the message. Returns the reply and
+    /// what the replying process says of itself.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Peer::call_unary`].
+    pub async fn exchange(
+        &self,
+        envelope: &Envelope,
+        facts: SenderFacts,
+        timeout_ms: u64,
+    ) -> Result<(Reply, SenderFacts), Error> {
         let exchange = async {
-            let mut replies = self.call_streaming(envelope).await?;
-            replies
-                .next()
-                .await?
-                .ok_or_else(|| Error::interrupted("peer closed the stream without a reply"))
+            let mut replies = self.call_stating(envelope, facts).await?;
+            let reply = replies.next().await?;
+            let reply = reply
+                .ok_or_else(|| Error::interrupted("peer closed the stream without a reply"))?;
+            Ok((reply, replies.replier))
         };
         timeout(Duration::from_millis(timeout_ms), exchange)
             .await
--- /dev/null
+++ b/peer/src/headers.rs
@@ -0,0 +1,56 @@
+//! Facts about the sender that go beside a message, as headers of its HTTP/2 stream.
+//!
+//! Builds that do not know a header ignore it.
+
+use http::{HeaderMap, HeaderValue};
+
+/// Number of this build's protocol. It grows when a variant is added to a message or a reply.
+const PROTOCOL: u64 = 2;
+/// Protocol of builds that state none.
+const FIRST_PROTOCOL: u64 = 1;
+/// Header with the number of the sender's protocol.
+const PROTOCOL_HEADER: &str = "protocol";
+/// Header with the era of the platform's store, as far as the sender knows it.
+const STORE_ERA_HEADER: &str = "store-era";
+
+/// What a process says of itself beside a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SenderFacts {
+    /// Number of the protocol that it speaks.
+    pub protocol: u64,
+    /// Era of the platform's store; `None` if it knows none.
+    pub store_era: Option<u64>,
+}
+
+impl SenderFacts {
+    /// Facts about this process.
+    pub fn of_this_build(store_era: Option<u64>) -> Self {
+        Self {
+            protocol: PROTOCOL,
+            store_era,
+        }
+    }
+
+    /// Whether the sender's build knows the eras of the store.
+    pub fn knows_eras(&self) -> bool {
+        self.protocol > FIRST_PROTOCOL
+    }
+
+    pub(crate) fn write(self, headers: &mut HeaderMap) {
+        headers.insert(PROTOCOL_HEADER, HeaderValue::from(self.protocol));
+        if let Some(era) = self.store_era {
+            headers.insert(STORE_ERA_HEADER, HeaderValue::from(era));
+        }
+    }
+
+    pub(crate) fn read(headers: &HeaderMap) -> Self {
+        Self {
+            protocol: number(headers, PROTOCOL_HEADER).unwrap_or(FIRST_PROTOCOL),
+            store_era: number(headers, STORE_ERA_HEADER),
+        }
+    }
+}
+
+fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
--- a/peer/src/lib.rs
+++ b/peer/src/lib.rs
@@ -10,6 +10,7 @@
 mod client;
 mod error;
 mod frame;
+mod headers;
 mod message;
 mod server;
 
@@ -17,5 +18,6 @@
 pub use byte_stream::ByteStream;
 pub use client::{Peer, ReplyStream};
 pub use error::{Category, Error};
+pub use headers::SenderFacts;
 pub use message::{Envelope, Members, Message, NotConnected, Reply};
 pub use server::{Inbound, Responder, serve};
--- a/peer/src/server.rs
+++ b/peer/src/server.rs
@@ -15,6 +15,7 @@
 use crate::client::WINDOW_BYTES;
 use crate::error::Error;
 use crate::frame::{Reader, Writer};
+use crate::headers::SenderFacts;
 use crate::message::{Envelope, Reply};
 
 /// Pause after a failed accept, so that the loop does not spin while no file descriptors are free.
@@ -24,6 +25,8 @@
 pub struct Inbound {
     /// The message and its sender.
     pub envelope: Envelope,
+    /// What the sending process says of itself.
+    pub sender: SenderFacts,
     /// Sends the replies.
     pub responder: Responder,
 }
@@ -35,19 +38,21 @@
     reader: Option<Reader>,
 }
 
-/// Accepts connections and passes each message to `handle`. Never returns.
+/// Accepts connections and passes each message to `handle`. Never returns. Each reply goes with what
+/// `own_facts` returns about this process.
 ///
 /// A connection that fails to authenticate with the shared secret is logged and closed.
-pub async fn serve<H, F>(listener: TcpListener, secret: Secret, handle: H)
+pub async fn serve<H, F, O>(listener: TcpListener, secret: Secret, own_facts: O, handle: H)
 where
+    O: Fn() -> SenderFacts + Send + Sync + 'static,
     H: Fn(Inbound) -> F + Send + Sync + 'static,
     F: Future<Output = ()> + Send + 'static,
 {
-    let handle = Arc::new(handle);
+    let service = Arc::new(Service { own_facts, handle });
     loop {
         match listener.accept().await {
             Ok((socket, _)) => {
-                tokio::spawn(serve_connection(socket, secret.clone(), handle.clone()));
+                tokio::spawn(serve_connection(socket, secret.clone(), service.clone()));
             }
             Err(cause) => {
                 warn!(%cause, "accepting a peer connection failed");
@@ -114,8 +119,18 @@
     }
 }
 
-async fn serve_connection<H, F>(mut socket: TcpStream, secret: Secret, handle: Arc<H>)
-where
+/// What is done with each message.
+struct Service<H, O> {
+    own_facts: O,
+    handle: H,
+}
+
+async fn serve_connection<H, F, O>(
+    mut socket: TcpStream,
+    secret: Secret,
+    service: Arc<Service<H, O>>,
+) where
+    O: Fn() -> SenderFacts + Send + Sync + 'static,
     H: Fn(Inbound) -> F + Send + Sync + 'static,
     F: Future<Output = ()> + Send + 'static,
 {
@@ -127,13 +142,14 @@
         warn!(address, %cause, "rejected a connection that did not authenticate as a peer");
         return;
     }
-    if let Err(cause) = serve_streams(socket, handle).await {
+    if let Err(cause) = serve_streams(socket, service).await {
         debug!(address, %cause, "peer connection closed");
     }
 }
 
-async fn serve_streams<H, F>(socket: TcpStream, handle: Arc<H>) -> Result<(), Error>
+async fn serve_streams<H, F, O>(socket: TcpStream, service: Arc<Service<H, O>>) -> Result<(), Error>
 where
+    O: Fn() -> SenderFacts + Send + Sync + 'static,
     H: Fn(Inbound) -> F + Send + Sync + 'static,
     F: Future<Output = ()> + Send + 'static,
 {
@@ -146,10 +162,10 @@
         .map_err(Error::interrupted)?;
     while let Some(stream) = connection.accept().await {
         let (request, response_sender) = stream.map_err(Error::interrupted)?;
-        let handle = handle.clone();
+        let service = service.clone();
         tokio::spawn(async move {
-            match receive(request, response_sender).await {
-                Ok(inbound) => handle(inbound).await,
+            match receive(request, response_sender, &service.own_facts).await {
+                Ok(inbound) => (service.handle)(inbound).await,
                 Err(cause) => debug!(%cause, "receiving a message from a peer failed"),
             }
         });
@@ -160,17 +176,22 @@
 async fn receive(
     request: Request<h2::RecvStream>,
     mut response_sender: SendResponse<Bytes>,
+    own_facts: &impl Fn() -> SenderFacts,
 ) -> Result<Inbound, Error> {
+    let sender = SenderFacts::read(request.headers());
     let mut reader = Reader::new(request.into_body());
     let envelope = reader
         .read()
         .await?
         .ok_or_else(|| Error::malformed("peer closed the stream without a message"))?;
+    let mut response = Response::new(());
+    own_facts().write(response.headers_mut());
     let stream = response_sender
-        .send_response(Response::new(()), false)
+        .send_response(response, false)
         .map_err(Error::interrupted)?;
     Ok(Inbound {
         envelope,
+        sender,
         responder: Responder {
             writer: Some(Writer::new(stream)),
             reader: Some(reader),
--- a/standin/src/fleet/store.rs
+++ b/standin/src/fleet/store.rs
@@ -53,6 +53,8 @@
 struct Tables {
     /// Number of the copy that the store runs on.
     era: u64,
+    /// What the answers state instead of the era; an empty text for no header.
+    stated_era: Option<String>,
     /// Number of times that waiting watches were cut.
     cut_count: u64,
     revision: u64,
@@ -160,6 +162,11 @@
         });
     }
 
+    /// Sets what the answers state as the store's era; an empty text for no header.
+    pub fn state_era(&self, text: &str) {
+        self.with_tables(|tables| tables.stated_era = Some(text.into()));
+    }
+
     /// Returns the revision of the last change.
     pub fn revision(&self) -> u64 {
         self.tables.lock().expect("store lock").revision
@@ -330,14 +337,23 @@
 
     async fn handle(&self, call: Call) -> Reply {
         let mut response = self.answer(call).await?;
-        let era = self.tables.lock().expect("store lock").era;
-        let era = HeaderValue::from(era);
-        response.headers_mut().insert("store-era", era);
+        if let Some(era) = self.stated_era() {
+            response.headers_mut().insert("store-era", era);
+        }
         Ok(response)
     }
 }
 
 impl FleetStore {
+    fn stated_era(&self) -> Option<HeaderValue> {
+        let tables = self.tables.lock().expect("store lock");
+        match &tables.stated_era {
+            Some(text) if text.is_empty() => None,
+            Some(text) => HeaderValue::from_str(text).ok(),
+            None => Some(HeaderValue::from(tables.era)),
+        }
+    }
+
     async fn answer(&self, call: Call) -> Reply {
         let segments = call.segments();
         let (kind, name) = match segments.as_slice() {
