Reproduce requests to servers that say they leave, or that want none for some time

New on the users' pages: a server that leaves says so in its answers (Server-Leaving), and one that refuses may say for how long (Retry-After).

--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -16,6 +16,7 @@
 mod server;
 mod settings;
 mod site;
+mod statement;
 mod store;
 mod version;
 
--- a/standin/src/fleet/server.rs
+++ b/standin/src/fleet/server.rs
@@ -19,6 +19,7 @@
 use super::framing::cut_inside_piece;
 use super::limit::StatedLimit;
 use super::site::MODEL;
+use super::statement::Statements;
 use super::store::FleetStore;
 use super::version::FIRST_VERSION;
 use crate::reply::{self, Closed, Reply};
@@ -194,6 +195,8 @@
     pub(super) crash_times: Vec<Instant>,
     /// Limits that it has stated, the latest last.
     pub(super) limits: Vec<StatedLimit>,
+    /// What it states beside limits.
+    pub(super) statements: Statements,
     requests: Vec<ReceivedRequest>,
     orders: Vec<ReceivedOrder>,
     report_count: usize,
@@ -431,7 +434,7 @@
         }
         let behaviour = self.with_state(|state| state.planned_behaviours.pop_front());
         let behaviour = behaviour.unwrap_or(Behaviour::Answer);
-        if behaviour == Behaviour::Reject {
+        if behaviour == Behaviour::Reject || self.refuses() {
             return self.not_executed_response(StatusCode::SERVICE_UNAVAILABLE, call, &id);
         }
         let after = call.header("last-event-id").parse().unwrap_or(0);
@@ -497,7 +500,10 @@
         let mut response = reply::json(status, &json!({}))?;
         let headers = response.headers_mut();
         headers.insert("x-not-executed", HeaderValue::from_static("1"));
-        self.add_limit(headers);
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            self.add_retry_after(headers);
+        }
+        self.add_statements(headers);
         Ok(response)
     }
 
@@ -566,7 +572,7 @@
         headers.insert("x-attempt-id", id);
         let seal = HeaderValue::from_str(&format!("seal-{}", self.id)).map_err(|_| Closed)?;
         headers.insert("x-server-seal", seal);
-        self.add_limit(headers);
+        self.add_statements(headers);
         Ok(())
     }
 }
