Leave a server alone for as long as its refusal asks

Cause: Retry-After of servers was decoded nowhere.

Change: server_pauses keeps, for this instance and one start of the server, until when it wants nothing; plain choice, placements with and without the placer and successors leave it out. If all servers pause, the request is refused at once with the shortest pause.

--- a/daemon/src/gateway/exchange.rs
+++ b/daemon/src/gateway/exchange.rs
@@ -156,7 +156,7 @@
     request_id: &str,
 ) -> Result<ResponseHead, Failure> {
     let (parts, body) = response.into_parts();
-    observe_leaving(state, backend, &parts);
+    observe_statements(state, backend, &parts);
     let response_id = ingress::request_id(&parts.headers);
     if response_id.is_some_and(|id| id != request_id) {
         return Err(Failure::Foreign);
@@ -193,13 +193,18 @@
     })
 }
 
-/// Records that a server leaves, if its response says so. A server with another identifier may have its
-/// address.
-fn observe_leaving(state: &State, backend: &Backend, parts: &Parts) {
-    let is_own = parts.status != StatusCode::MISDIRECTED_REQUEST;
-    if is_own && ingress::says_leaving(&parts.headers) {
+/// Records whether a server leaves, or wants no requests for some time, if its response says so. A
+/// server with another identifier may have its address.
+fn observe_statements(state: &State, backend: &Backend, parts: &Parts) {
+    if parts.status == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    if ingress::says_leaving(&parts.headers) {
         state.backends.note_leaving(backend, state.now_ms());
     }
+    if parts.status == StatusCode::SERVICE_UNAVAILABLE {
+        state.server_pauses.observe_refusal(backend, &parts.headers);
+    }
 }
 
 impl ConnectionGuard {
--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -42,6 +42,7 @@
 mod server_connection;
 mod server_limits;
 mod server_links;
+mod server_pauses;
 mod state;
 mod stop;
 mod store_era;
--- a/daemon/src/gateway/placement.rs
+++ b/daemon/src/gateway/placement.rs
@@ -112,8 +112,10 @@
                 });
             }
             state.link.runs.set_server(ticket, &server);
-            let is_usable =
-                |it: &Arc<Backend>| is_as_assigned(it, software_version.as_ref(), &request.stream);
+            let is_usable = |it: &Arc<Backend>| {
+                !state.server_pauses.is_paused(it)
+                    && is_as_assigned(it, software_version.as_ref(), &request.stream)
+            };
             if let Some(backend) = backend.filter(is_usable) {
                 return Placement::Granted(GrantedPlacement {
                     run,
@@ -222,8 +224,14 @@
 
 /// Servers that the placer must not choose.
 fn unusable_servers(state: &State, request: &EngineRequest) -> Vec<Name> {
+    let service = &request.job.service.name;
     let mut servers = request.excluded.clone();
-    servers.extend(state.backends.noted_leaving(&request.job.service.name));
+    servers.extend(state.backends.noted_leaving(service));
+    let snapshot = state.backends.snapshot();
+    let paused = snapshot
+        .values()
+        .filter(|backend| backend.service == *service && state.server_pauses.is_paused(backend));
+    servers.extend(paused.map(|backend| backend.id.clone()));
     servers
 }
 
@@ -270,6 +278,7 @@
             && backend.is_ready()
             && required.is_none_or(|it| backend.software_version.as_ref() == Some(it))
             && !request.has_tried(&backend.id)
+            && !state.server_pauses.is_paused(backend)
             && state.server_limits.may_send(backend)
             && (holds || last_server.as_ref() == Some(&backend.id))
     });
--- a/daemon/src/gateway/plain_choice.rs
+++ b/daemon/src/gateway/plain_choice.rs
@@ -27,7 +27,7 @@
     Quarantined,
     /// None is ready.
     Unavailable,
-    /// All that are ready receive as many requests as they allow.
+    /// All that are ready receive as many requests as they allow, or want none for some time.
     OverLimit {
         /// Time after which the caller may retry, in milliseconds.
         retry_after_ms: u64,
@@ -81,7 +81,11 @@
     /// Whether a server has not begun to leave during a wait.
     fn is_still_ready(&self, chosen: &Backend) -> bool {
         let current = self.state.backend(&chosen.id);
-        current.is_some_and(|it| it.is_ready() && it.started_unix_ms == chosen.started_unix_ms)
+        current.is_some_and(|it| {
+            it.is_ready()
+                && it.started_unix_ms == chosen.started_unix_ms
+                && !self.state.server_pauses.is_paused(&it)
+        })
     }
 
     async fn choose_within(&self, max_wait_ms: u64) -> Result<Arc<Backend>, NoServer> {
@@ -91,7 +95,7 @@
         let (limited, others) = ranked.split_at(limited.count());
         let alternative = others.first();
         if limited.is_empty() {
-            let best = alternative.ok_or(NoServer::Unavailable)?;
+            let best = alternative.ok_or_else(|| self.no_server())?;
             return Ok(best.clone());
         }
         let max_wait_ms = if alternative.is_some() {
@@ -161,12 +165,26 @@
         }
     }
 
+    /// Why no server is ready. If some pause, the caller may retry after the shortest pause.
+    fn no_server(&self) -> NoServer {
+        let snapshot = self.state.backends.snapshot();
+        let servers = snapshot.values();
+        let ready = servers.filter(|it| it.service == self.job.service.name && it.is_ready());
+        let pauses_ms = ready.map(|it| self.state.server_pauses.left_ms(it));
+        match pauses_ms.filter(|left_ms| *left_ms > 0).min() {
+            Some(retry_after_ms) => NoServer::OverLimit { retry_after_ms },
+            None => NoServer::Unavailable,
+        }
+    }
+
     /// Returns the servers that are ready, the best one first.
     fn ranked(&self) -> Vec<Arc<Backend>> {
         let snapshot = self.state.backends.snapshot();
         let servers = snapshot.values().map(|backend| &**backend);
         let servers = servers.filter(|backend| {
-            backend.service == self.job.service.name && Some(&backend.id) != self.silent
+            backend.service == self.job.service.name
+                && Some(&backend.id) != self.silent
+                && !self.state.server_pauses.is_paused(backend)
         });
         let zone = &self.state.settings().zone;
         let plain = self.state.plain.lock().expect("plain lock");
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -27,6 +27,7 @@
 use super::server_connection::Relays;
 use super::server_limits::ServerLimits;
 use super::server_links::Links;
+use super::server_pauses::ServerPauses;
 use super::store_era::StoreEra;
 use super::streams::Streams;
 use super::suspects::Suspects;
@@ -56,6 +57,7 @@
     pub(crate) own_rates: Mutex<Rates>,
     pub(crate) suspects: Suspects,
     pub(crate) server_limits: ServerLimits,
+    pub(crate) server_pauses: ServerPauses,
     /// This instance's own links to the servers.
     pub(crate) server_links: Links,
     /// Instances through which servers are reached.
@@ -121,6 +123,7 @@
             own_rates: Mutex::new(Rates::for_entry()),
             suspects: Suspects::new(clock),
             server_limits: ServerLimits::new(clock),
+            server_pauses: ServerPauses::new(clock),
             server_links: Links::new(clock),
             relays: Relays::default(),
             streams: Streams::new(clock),
