Skip an entry of another writer without losing the others

Callers saw: one entry that is nested 300 deep, holds a number that no float holds, half a surrogate pair or bytes that are no UTF-8 made the list and each watch of the servers fail, so that a new instance never became ready and leaving servers stayed in use (report of another operator).

An entry of a known server that cannot be read names no server any more; before, its old entry held.

--- a/daemon/src/gateway/replicate.rs
+++ b/daemon/src/gateway/replicate.rs
@@ -88,7 +88,7 @@
 
 fn apply_events(state: &State, kind: ReplicaKind, events: &[Event]) {
     if kind == ReplicaKind::Servers {
-        let changes = events.iter().filter_map(|it| backend_change(state, it));
+        let changes = events.iter().map(|it| backend_change(state, it));
         state.backends.apply_changes(changes, state.now_ms());
         return;
     }
@@ -103,10 +103,10 @@
     if kind != ReplicaKind::Servers || event.deleted {
         return true;
     }
+    let known = state.backend(&event.object.metadata.name);
     let Some(backend) = discovery::decode_backend(&event.object) else {
-        return false;
+        return known.is_some();
     };
-    let known = state.backend(&backend.id);
     known.is_none_or(|known| !is_same_registration(&known, &backend))
 }
 
@@ -137,13 +137,17 @@
     })
 }
 
-fn backend_change(state: &State, event: &Event) -> Option<BackendChange> {
+fn backend_change(state: &State, event: &Event) -> BackendChange {
     let name: Name = event.object.metadata.name.clone();
     if event.deleted {
         info!(event = "server_removed", server = %name);
-        return Some(BackendChange::Removed(name));
+        return BackendChange::Removed(name);
     }
-    let backend = discovery::decode_backend(&event.object)?;
+    let Some(backend) = discovery::decode_backend(&event.object) else {
+        // An entry that cannot be read names no server.
+        warn!(event = "server_unreadable", server = %name);
+        return BackendChange::Removed(name);
+    };
     let known = state.backend(&backend.id);
     if known.is_none_or(|it| it.started_unix_ms < backend.started_unix_ms) {
         info!(
@@ -157,7 +161,7 @@
     if !backend.is_ready() {
         info!(event = "server_leaving", server = %name, leaves_soon = backend.is_leaving);
     }
-    Some(BackendChange::Put(backend))
+    BackendChange::Put(backend)
 }
 
 fn apply_object(state: &State, kind: ReplicaKind, object: &StoredObject) {
--- a/daemon/tests/gateway/servers.rs
+++ b/daemon/tests/gateway/servers.rs
@@ -125,6 +125,53 @@
     });
 }
 
+/// Guards against an entry of another writer that hides the entries of the servers.
+mod entry_of_another_writer_hides_the_others {
+    use mimosabay_core::cases;
+
+    use super::leaving_server_is_seen_beside;
+
+    cases! {
+        leaving_server_is_seen_beside;
+        nested: (&format!("{}1{}", "[".repeat(300), "]".repeat(300)));
+        nested_objects: (&format!("{}1{}", "{\"a\":".repeat(5_000), "}".repeat(5_000)));
+        number_too_large: ("1e400");
+        negative_number: ("-1");
+        port_out_of_range: (r#"{ "service": "desk", "address": "127.0.0.1:70000", "zone": "z",
+            "version": "v1", "slots": 6, "state": "ready", "sequence": 0 }"#);
+        lone_surrogate: (r#""\ud800""#);
+        no_utf_8: ("\"\u{fffd}\"");
+    }
+}
+
+/// Registers an odd entry, restarts an instance, and checks that all instances see a server leave.
+fn leaving_server_is_seen_beside(spec: &str) {
+    block_on(async {
+        let mut site = FleetSite::start(FleetOptions::default()).await;
+        site.store.set_odd_entry("servers", spec);
+        site.restart(1);
+        site.wait_ready(1).await;
+        site.plain_servers[0].register("draining");
+        wait_for("no requests at the draining server", async || {
+            (count_received_of_ten(&site, 0).await == 0).then_some(())
+        })
+        .await;
+    });
+}
+
+#[test]
+fn server_whose_entry_turns_unreadable_is_not_used() {
+    block_on(async {
+        let site = FleetSite::start(FleetOptions::default()).await;
+        count_received_of_ten(&site, 0).await;
+        site.store.put("servers", "desk-0", &json!({ "state": 7 }));
+        wait_for("no requests at the server", async || {
+            (count_received_of_ten(&site, 0).await == 0).then_some(())
+        })
+        .await;
+    });
+}
+
 #[test]
 fn new_version_of_an_adapter_is_loaded_before_it_is_used() {
     block_on(async {
--- a/standin/src/fleet/store.rs
+++ b/standin/src/fleet/store.rs
@@ -4,18 +4,22 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::{HeaderValue, Method, StatusCode};
+use http_body_util::{BodyExt, Full};
 use mimosabay_core::name::Name;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::timeout;
 
-use crate::reply::{self, Closed, Reply};
+use crate::reply::{self, Body, Closed, Reply};
 use crate::server::{self, Call, ConnectionFaults, Service};
 
 /// Number of objects on one page of a list.
 const PAGE_SIZE: usize = 20;
+/// Stands for the content of an entry of another writer.
+const ODD_ENTRY: &str = "odd entry";
 /// Kinds of objects that the operator and the servers write.
 const FOREIGN_KINDS: [&str; 3] = ["config", "servers", "versions"];
 
@@ -63,6 +67,8 @@
     objects: BTreeMap<(Name, Name), Value>,
     /// Changes as revision, kind of object and event, oldest first.
     events: Vec<(u64, Name, Value)>,
+    /// Content of an entry of another writer, as text that need not be valid.
+    odd_entry: Option<String>,
     /// Whether every request is answered with 503.
     is_down: bool,
     /// Number of further writes that are applied but not answered.
@@ -167,6 +173,13 @@
         self.with_tables(|tables| tables.stated_era = Some(text.into()));
     }
 
+    /// Adds an entry of another writer to a kind. Its content is sent as it is; the replacement character
+    /// is sent as a byte that is no UTF-8.
+    pub fn set_odd_entry(&self, kind: &str, spec: &str) {
+        self.put(kind, "odd-entry", &json!(ODD_ENTRY));
+        self.with_tables(|tables| tables.odd_entry = Some(spec.into()));
+    }
+
     /// Returns the revision of the last change.
     pub fn revision(&self) -> u64 {
         self.tables.lock().expect("store lock").revision
@@ -337,6 +350,7 @@
 
     async fn handle(&self, call: Call) -> Reply {
         let mut response = self.answer(call).await?;
+        response = self.with_odd_entry(response).await?;
         if let Some(era) = self.stated_era() {
             response.headers_mut().insert("store-era", era);
         }
@@ -345,6 +359,27 @@
 }
 
 impl FleetStore {
+    /// Puts the content of the odd entry in its place.
+    async fn with_odd_entry(&self, response: http::Response<Body>) -> Reply {
+        let odd_entry = self.tables.lock().expect("store lock").odd_entry.clone();
+        let Some(spec) = odd_entry else {
+            return Ok(response);
+        };
+        let (parts, body) = response.into_parts();
+        let body = body.collect().await?.to_bytes();
+        let text = String::from_utf8_lossy(&body);
+        let text = text.replace(&format!("\"{ODD_ENTRY}\""), &spec);
+        let mut bytes = Vec::new();
+        for (index, part) in text.split('\u{fffd}').enumerate() {
+            if index > 0 {
+                bytes.push(0xff);
+            }
+            bytes.extend_from_slice(part.as_bytes());
+        }
+        let body = Full::new(Bytes::from(bytes)).map_err(|never| match never {});
+        Ok(http::Response::from_parts(parts, body.boxed()))
+    }
+
     fn stated_era(&self) -> Option<HeaderValue> {
         let tables = self.tables.lock().expect("store lock");
         match &tables.stated_era {
