Do not take a refusal without an identifier on a kept connection for one of this request

Callers saw (report of another operator): a faulty server wrote an earlier refusal once more on a kept connection, and a booking that the server had run was sent to a server again: it ran twice and was answered 200 (TWICE), or would have been refused as not run.

Cause: a response counted as foreign only if it names another request; a refusal that names none counted for this one. Change: a response without an identifier belongs to a request only if that is the first on its connection. With the earlier request's identifier it was foreign before already.

Evidence: without_id of repeated_refusal_is_taken_for_one_of_a_request_that_ran failed before (200 after two runs), passes here; with_the_earlier_id passed before and after.

--- a/daemon/src/gateway/exchange.rs
+++ b/daemon/src/gateway/exchange.rs
@@ -117,7 +117,12 @@
         match response {
             Ok(response) => {
                 state.server_links.record_data();
-                return check_response(state, backend, connection, response, &request_id);
+                let exchange = Exchange {
+                    connection,
+                    is_first: !is_pooled,
+                    request_id: &request_id,
+                };
+                return check_response(state, backend, exchange, response);
             }
             // A pooled connection was closed before the request was written to it.
             Err(Some(unsent)) if is_pooled => request = unsent,
@@ -148,17 +153,32 @@
     request
 }
 
+/// A request that was sent over a connection.
+struct Exchange<'a> {
+    connection: Connection,
+    /// Whether it is the first one on the connection.
+    is_first: bool,
+    request_id: &'a str,
+}
+
+impl Exchange<'_> {
+    /// Whether a response belongs to the request. One without an identifier, such as a rejection, can be
+    /// the repetition of an earlier one unless it is the first on its connection.
+    fn is_answered_by(&self, response_id: Option<&str>) -> bool {
+        response_id.map_or(self.is_first, |id| id == self.request_id)
+    }
+}
+
 fn check_response(
     state: &State,
     backend: &Arc<Backend>,
-    connection: Connection,
+    exchange: Exchange<'_>,
     response: Response<Incoming>,
-    request_id: &str,
 ) -> Result<ResponseHead, Failure> {
     let (parts, body) = response.into_parts();
     observe_statements(state, backend, &parts);
     let response_id = ingress::request_id(&parts.headers);
-    if response_id.is_some_and(|id| id != request_id) {
+    if !exchange.is_answered_by(response_id) {
         return Err(Failure::Foreign);
     }
     let is_not_run = ingress::reports_not_run(parts.status.as_u16(), &parts.headers);
@@ -181,7 +201,7 @@
     }
     let guard = ConnectionGuard {
         backend: backend.clone(),
-        connection,
+        connection: exchange.connection,
         server_idle_timeout_ms: ingress::keep_alive_timeout_ms(&parts.headers),
         is_reusable: !ingress::closes_connection(&parts.headers),
     };
--- a/daemon/tests/gateway/attempts.rs
+++ b/daemon/tests/gateway/attempts.rs
@@ -72,6 +72,37 @@
     });
 }
 
+/// Guards against telling callers "not run" because a server repeats an earlier refusal on a kept
+/// connection.
+mod repeated_refusal_is_taken_for_one_of_a_request_that_ran {
+    use mimosabay_core::cases;
+
+    use super::booking_is_not_refused;
+
+    cases! {
+        booking_is_not_refused;
+        with_the_earlier_id: (true);
+        without_id: (false);
+    }
+}
+
+fn booking_is_not_refused(has_id: bool) {
+    block_on(async {
+        let options = FleetOptions {
+            plain_servers: 1,
+            ..FleetOptions::default()
+        };
+        let site = FleetSite::start(options).await;
+        let caller = site.caller(0);
+        let answer = caller.post("/book/x", "first", "a body").await.unwrap();
+        assert_eq!(answer.status, 200);
+        site.plain_servers[0].plan(Behaviour::RepeatRejection { has_id });
+        let answer = caller.post("/book/x", "second", "a body").await.unwrap();
+        assert_eq!(answer.status, 502, "it may have run");
+        assert_eq!(site.run_count("second"), 1);
+    });
+}
+
 #[test]
 fn refused_caller_receives_a_retry_delay() {
     block_on(async {
--- a/standin/src/fleet/server.rs
+++ b/standin/src/fleet/server.rs
@@ -65,6 +65,11 @@
     AnswerWithWrongId,
     /// Rejects the request with a header stating that it was not executed.
     Reject,
+    /// Runs the request and answers with an earlier rejection.
+    RepeatRejection {
+        /// Whether the rejection names the earlier request.
+        has_id: bool,
+    },
     /// Runs the request and closes the connection after this many events of the stream.
     BreakAfter(u64),
     /// Runs the request and pauses in the middle of the stream.
@@ -136,6 +141,17 @@
     Crash,
 }
 
+/// Rejection of another request.
+fn earlier_rejection(has_id: bool) -> Reply {
+    let mut response = reply::json(StatusCode::SERVICE_UNAVAILABLE, &json!({}))?;
+    let headers = response.headers_mut();
+    headers.insert("x-not-executed", HeaderValue::from_static("1"));
+    if has_id {
+        headers.insert("x-attempt-id", HeaderValue::from_static("an-earlier-one"));
+    }
+    Ok(response)
+}
+
 impl RequestEffect {
     fn run(crashes: bool) -> Self {
         if crashes { Self::Crash } else { Self::Run }
@@ -450,6 +466,7 @@
                 return self.complete_response(StatusCode::INTERNAL_SERVER_ERROR, &id);
             }
             Behaviour::LoseAnswer => return Err(Closed),
+            Behaviour::RepeatRejection { has_id } => return earlier_rejection(has_id),
             Behaviour::Crash => {
                 self.restart();
                 return Err(Closed);
@@ -500,6 +517,9 @@
         let mut response = reply::json(status, &json!({}))?;
         let headers = response.headers_mut();
         headers.insert("x-not-executed", HeaderValue::from_static("1"));
+        if let Ok(id) = HeaderValue::from_str(id) {
+            headers.insert("x-attempt-id", id);
+        }
         if status == StatusCode::SERVICE_UNAVAILABLE {
             self.add_retry_after(headers);
         }
