Do not end a stream as complete where the next server adds nothing to it

Cause: any success of the next server was relayed, and its end was the end of the stream. Change: a stream goes on only with a stream of events; if the next server adds no event, a second one has to agree before the stream counts as complete.

--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -28,6 +28,8 @@
 /// Range of the time without data in the middle of a stream after which another server is requested, in
 /// milliseconds. A sound server may be silent for a second or two.
 const STALL_RANGE_MS: (u64, u64) = (1_500, 2_500);
+/// Number of servers that have to end a resumed stream without an event until it counts as complete.
+const AGREED_EMPTY_ENDS: u32 = 2;
 
 /// A stream that is relayed to the caller.
 struct Relay {
@@ -42,6 +44,8 @@
     /// Identifier of the last event that was forwarded.
     last_id: Option<u64>,
     events: u64,
+    /// Number of servers that ended the resumed stream without an event.
+    empty_ends: u32,
     /// Time at which the last event was forwarded, in milliseconds.
     last_event_ms: Option<u64>,
     /// Longest time between two events, in milliseconds.
@@ -123,6 +127,7 @@
         successor: None,
         last_id: None,
         events: 0,
+        empty_ends: 0,
         last_event_ms: None,
         longest_pause_ms: 0,
     };
@@ -224,7 +229,8 @@
                     if !self.splitter.take_rest().is_empty() {
                         return StreamEnd::Broken(BreakCause::EndedInsideEvent);
                     }
-                    if ends_with_connection && self.events == events_before {
+                    let is_empty = self.events == events_before;
+                    if is_empty && (ends_with_connection || !self.is_empty_end_agreed()) {
                         return StreamEnd::Broken(BreakCause::EndedBeforeEvent);
                     }
                     guard.return_to_pool(&self.state);
@@ -234,6 +240,16 @@
         }
     }
 
+    /// Whether a server that adds no event to a resumed stream can be believed: another one has added none
+    /// either. A stream that has no event at all is the server's whole answer.
+    fn is_empty_end_agreed(&mut self) -> bool {
+        if self.last_id.is_none() {
+            return true;
+        }
+        self.empty_ends += 1;
+        self.empty_ends >= AGREED_EMPTY_ENDS
+    }
+
     /// Forwards complete events; returns whether the caller is still connected.
     async fn forward_events(&mut self, data: &[u8], run: &Run) -> bool {
         let Some(complete) = self.splitter.push(data) else {
@@ -339,7 +355,9 @@
             None => next_attempt(state, request, last_id).await?,
         };
         match engine_request::await_head(state, request, attempt, last_id).await {
-            Ok((head, run)) if head.status.is_success() => {
+            Ok((head, run))
+                if head.status.is_success() && ingress::may_be_event_stream(&head.headers) =>
+            {
                 let server = &run.server;
                 info!(
                     event = "stream_resumed",
@@ -350,7 +368,11 @@
                 );
                 return Ok((head, run));
             }
-            Ok(_) => request.attempts.record_failure(ExecutionStatus::Ran),
+            Ok((head, run)) => {
+                let status = head.status.as_u16();
+                info!(event = "stream_not_resumed", id = %request.job.id, server = %run.server, status);
+                request.attempts.record_failure(ExecutionStatus::Ran);
+            }
             // The failure is logged and counted.
             Err(_) => {}
         }
--- a/daemon/tests/gateway/streams.rs
+++ b/daemon/tests/gateway/streams.rs
@@ -1,6 +1,6 @@
 //! Streams that break, and callers that leave.
 
-use mimosabay_standin::fleet::{Behaviour, FleetOptions, FleetServer, FleetSite};
+use mimosabay_standin::fleet::{Behaviour, FleetOptions, FleetServer, FleetSite, event_ids};
 use mimosabay_standin::harness::{block_on, wait_for};
 
 #[test]
@@ -22,6 +22,65 @@
     });
 }
 
+/// Guards against the text of an error in the middle of a stream, and against an end that looks complete,
+/// if the server that a broken stream goes on at does not go on with it.
+mod stream_goes_on_with_what_is_no_event {
+    use mimosabay_core::cases;
+    use mimosabay_standin::fleet::Behaviour;
+
+    use super::caller_receives_events_only;
+
+    cases! {
+        caller_receives_events_only;
+        error: (Behaviour::Fail);
+        rejection: (Behaviour::Reject);
+        earlier_rejection: (Behaviour::RepeatRejection { has_id: false });
+        no_answer: (Behaviour::LoseAnswer);
+        another_answer: (Behaviour::AnswerWithWrongId);
+        head_only: (Behaviour::EndAfterHead);
+        length_without_body: (Behaviour::CutShort(0));
+        inside_an_event: (Behaviour::EndInsideEvent(1));
+        empty_body: (Behaviour::AnswerBytes(0));
+        other_body: (Behaviour::AnswerBytes(64));
+    }
+}
+
+fn caller_receives_events_only(next: Behaviour) {
+    block_on(async {
+        let site = FleetSite::start(FleetOptions::default()).await;
+        for engine in &site.engines {
+            engine.set_event_interval(200);
+            engine.plan(Behaviour::BreakAfter(3));
+        }
+        let mut stream = site
+            .caller(0)
+            .open_stream("/draft/x", "one", "")
+            .await
+            .unwrap();
+        let mut body = stream.read_first_event().await.to_vec();
+        for engine in &site.engines {
+            engine.clear_plan();
+            engine.plan(next);
+        }
+        let rest = stream.read_available().await;
+        body.extend_from_slice(&rest.bytes);
+        let ids = event_ids(&body);
+        let expected: Vec<u64> = (1..=6).take(ids.len()).collect();
+        assert_eq!(ids, expected);
+        let text = String::from_utf8_lossy(&body);
+        let is_event_line = |line: &str| line.is_empty() || line.contains(": ");
+        assert!(text.lines().all(is_event_line), "{text}");
+        assert!(
+            !text.contains("HTTP/1.1") && !text.contains("server\":"),
+            "{text}"
+        );
+        assert!(
+            !rest.is_complete || ids.len() == 6,
+            "it looks complete: {ids:?}"
+        );
+    });
+}
+
 #[test]
 fn stream_that_may_not_be_resumed_breaks_for_its_caller() {
     block_on(async {
--- a/standin/src/fleet/caller.rs
+++ b/standin/src/fleet/caller.rs
@@ -285,6 +285,33 @@
     pub async fn read_to_end(self) -> Option<Bytes> {
         Some(self.body.collect().await.ok()?.to_bytes())
     }
+
+    /// Reads the rest of the stream, up to where it breaks.
+    pub async fn read_available(mut self) -> ReceivedRest {
+        let mut bytes = Vec::new();
+        loop {
+            match self.body.frame().await {
+                Some(Ok(frame)) => bytes.extend_from_slice(&frame.into_data().unwrap_or_default()),
+                Some(Err(_)) => {
+                    let is_complete = false;
+                    return ReceivedRest { bytes, is_complete };
+                }
+                None => {
+                    let is_complete = true;
+                    return ReceivedRest { bytes, is_complete };
+                }
+            }
+        }
+    }
+}
+
+/// The rest of a stream.
+#[derive(Clone, Debug)]
+pub struct ReceivedRest {
+    /// What was received.
+    pub bytes: Vec<u8>,
+    /// Whether the stream ended as if it were complete.
+    pub is_complete: bool,
 }
 
 /// Returns the numbers of the events in a body.
