--- a/standin/src/fleet/server.rs
+++ b/standin/src/fleet/server.rs
@@ -317,7 +317,7 @@
     }
 
     /// Simulates a crash and restart under the same name: clears the state and registers again.
-    fn restart(&self) {
+    pub(crate) fn restart(&self) {
         self.with_state(State::clear);
         self.register("ready");
     }
--- a/standin/src/soak/crashing_part.rs
+++ b/standin/src/soak/crashing_part.rs
@@ -194,6 +194,7 @@
             | Fault::ServerStatesLimit
             | Fault::PromptPartCrashesServers
             | Fault::ServerLinksLost
+            | Fault::StoreReturnsOlder
             | Fault::Configuration => false,
         };
         let mut disturbances = self.injections.iter().filter(disturbs);
--- a/standin/src/soak/injector.rs
+++ b/standin/src/soak/injector.rs
@@ -1,6 +1,6 @@
 //! Injects the planned faults and ends them.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use serde_json::json;
@@ -10,7 +10,9 @@
 use super::checker::Violation;
 use super::crashing_part::start_crashing;
 use super::plan::{Fault, Strike};
-use crate::fleet::{Behaviour, FleetServer, FleetSite, InstanceLinks, LinkLoss};
+use crate::fleet::{
+    Behaviour, FleetServer, FleetSite, InstanceLinks, LinkLoss, StoreCopy, WaitingWatches,
+};
 use crate::harness::Relay;
 
 /// Grace period of an instance for a stop, in seconds.
@@ -59,6 +61,10 @@
     frozen_pids: HashSet<u32>,
     /// Senders of requests that crash servers.
     crashing: JoinSet<()>,
+    /// Copies from which the store comes back, oldest first.
+    store_copies: VecDeque<StoreCopy>,
+    /// Whether the store has come back from a copy.
+    has_returned: bool,
     /// Violations that only the processes show.
     violations: Vec<Violation>,
 }
@@ -78,6 +84,8 @@
             stopping: HashMap::new(),
             frozen_pids: HashSet::new(),
             crashing: JoinSet::new(),
+            store_copies: VecDeque::new(),
+            has_returned: false,
             violations: Vec::new(),
         }
     }
@@ -123,6 +131,7 @@
             Fault::StoreDown => site.store.set_down(true),
             Fault::StoreLosesAnswers => site.store.lose_answers(LOST_ANSWERS),
             Fault::StoreForgets => site.store.compact(),
+            Fault::StoreReturnsOlder => self.store_copies.push_back(site.store.copy()),
             Fault::ServerLinkCut => self.server_link(injection).cut(),
             Fault::ServerLinkSilent => self.server_link(injection).silence(),
             Fault::ServerCrash => self.server(injection).plan(Behaviour::Crash),
@@ -154,8 +163,9 @@
             Fault::Freeze => self.site.instances[instance].process.thaw(),
             Fault::StoreLinkCut | Fault::StoreLinkSilent => self.site.store_relays[instance].heal(),
             Fault::StoreDown => self.site.store.set_down(false),
+            Fault::StoreReturnsOlder => self.return_from_copy(),
             Fault::ServerLinkCut | Fault::ServerLinkSilent => self.server_link(injection).heal(),
-            Fault::ServerDrains => self.server(injection).register("ready"),
+            Fault::ServerDrains => self.end_drain(injection),
             Fault::ServerPauses => self.server(injection).set_paused(false),
             Fault::ServerStatesLimit => self.server(injection).state_limit(None),
             Fault::PromptPartCrashesServers => self.crashing.abort_all(),
@@ -164,6 +174,27 @@
         }
     }
 
+    /// Brings the store back from the oldest copy; the operator and the servers write again at once.
+    fn return_from_copy(&mut self) {
+        if let Some(copy) = self.store_copies.pop_front() {
+            let store = &self.site.store;
+            let lost = store.come_back_from(&copy, WaitingWatches::Cut);
+            store.write_again(lost);
+            self.has_returned = true;
+        }
+    }
+
+    /// Makes a server ready again. A server that drained while the store came back from an older copy
+    /// leaves for good, so another start takes its place.
+    fn end_drain(&self, injection: &Strike) {
+        let server = self.server(injection);
+        if self.has_returned {
+            server.restart();
+        } else {
+            server.register("ready");
+        }
+    }
+
     fn state_limit(&self, injection: &Strike) {
         let limit_per_s = LIMITS_PER_S[injection.target % LIMITS_PER_S.len()];
         self.server(injection).state_limit(Some(limit_per_s));
@@ -296,6 +327,7 @@
                 | Fault::StoreDown
                 | Fault::StoreLosesAnswers
                 | Fault::StoreForgets
+                | Fault::StoreReturnsOlder
                 | Fault::ServerCrash
         );
     may_hide && other.at_ms < drain.end_ms() && other.end_ms() + RECONTACT_MS > drain.at_ms
--- a/standin/src/soak/plan.rs
+++ b/standin/src/soak/plan.rs
@@ -27,6 +27,10 @@
 const SERVER_LIMIT_SEED: u64 = 0x6c69_6d69_7400_0000;
 /// Range of the time between the beginnings of two losses of links, in milliseconds.
 const LINKS_LOST_GAP_MS: std::ops::Range<u64> = 800..4_000;
+/// Range of the time between the beginnings of two copies from which the store comes back, in milliseconds.
+const STORE_RETURNS_GAP_MS: std::ops::Range<u64> = 1_500..5_000;
+/// Distinguishes the random numbers of the returns from older copies from those of the other faults.
+const STORE_RETURNS_SEED: u64 = 0x6f6c_6465_7200_0000;
 /// Distinguishes the random numbers of the losses of links from those of the other faults.
 const LINKS_LOST_SEED: u64 = 0x6c69_6e6b_7300_0000;
 /// Distinguishes the random numbers of the pauses from those of the other faults.
@@ -55,6 +59,8 @@
     StoreLosesAnswers,
     /// The store compacts its history of changes.
     StoreForgets,
+    /// The store comes back at the end from a copy that it made at the beginning.
+    StoreReturnsOlder,
     /// The link to a server is cut.
     ServerLinkCut,
     /// The link to a server is silent.
@@ -153,13 +159,14 @@
 /// Returns the faults of a soak, in the order in which they begin.
 ///
 /// They come in series, which overlap: pauses of sound servers, limits that servers state, losses of links,
-/// and all others. Pauses and limits excuse no failure, so that they are also part of the planned work.
+/// returns of the store from older copies, and all others. Pauses and limits excuse no failure, so that they are also part of the planned work.
 pub fn plan_faults(options: &SoakOptions) -> Vec<Strike> {
     let mut injections = plan_series(options);
     injections.extend(plan_server_pauses(options));
     injections.extend(plan_server_limits(options));
     if options.mode.is_release() {
         injections.extend(plan_lost_links(options));
+        injections.extend(plan_store_returns(options));
     }
     if options.mode == SoakMode::CrashingPart {
         injections.push(plan_crashing_part(options));
@@ -236,6 +243,16 @@
     )
 }
 
+fn plan_store_returns(options: &SoakOptions) -> Vec<Strike> {
+    plan_server_series(
+        options,
+        Fault::StoreReturnsOlder,
+        STORE_RETURNS_SEED,
+        STORE_RETURNS_GAP_MS,
+        |random| random.random_range(LENGTH_MS),
+    )
+}
+
 /// Returns a series of one fault. `gap_ms` is the time between two beginnings in milliseconds, and
 /// `length_ms` chooses a duration.
 fn plan_server_series(
