--- a/peer/src/message.rs
+++ b/peer/src/message.rs
@@ -1,4 +1,7 @@
 //! Messages between instances, encoded with `bincode`.
+//!
+//! Instances of other builds read them, so layouts do not change: variants are appended, and the fields of
+//! what they hold stay. `docs/design/peer-messages.md` says how something new is sent.
 
 use mimosabay_core::budget::BudgetMessage;
 use mimosabay_core::cell::{
--- a/standin/src/bin/mimosabay-soak.rs
+++ b/standin/src/bin/mimosabay-soak.rs
@@ -1,8 +1,9 @@
 //! Runs soak tests and prints the results.
 
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use clap::{Arg, ArgAction, Command};
+use clap::{Arg, ArgAction, ArgMatches, Command};
 use mimosabay_standin::command;
 use mimosabay_standin::soak::{self, SoakMode, SoakOptions, SoakReport};
 use tokio::signal::unix::{SignalKind, signal};
@@ -39,6 +40,7 @@
         instances,
         callers,
         mode,
+        old_build: old_build(&matches),
     };
     match run(options, count) {
         Some(true) => ExitCode::SUCCESS,
@@ -50,6 +52,12 @@
     }
 }
 
+/// Program of an earlier build, kept until the process ends.
+fn old_build(matches: &ArgMatches) -> Option<&'static Path> {
+    let path: &PathBuf = matches.get_one("old-build")?;
+    Some(Box::leak(path.clone().into_boxed_path()))
+}
+
 fn build_command() -> Command {
     Command::new("mimosabay-soak")
         .about("Injects random faults into real instances under load and checks the outcome")
@@ -83,6 +91,13 @@
                 .conflicts_with("planned")
                 .action(ArgAction::SetTrue),
         )
+        .arg(
+            Arg::new("old-build")
+                .long("old-build")
+                .help("Program of an earlier build with which the instances start")
+                .value_name("PATH")
+                .value_parser(clap::value_parser!(PathBuf)),
+        )
         .arg(
             Arg::new("release")
                 .long("release")
--- a/standin/src/fleet/site.rs
+++ b/standin/src/fleet/site.rs
@@ -56,6 +56,8 @@
     pub has_relays: bool,
     /// Whether each instance has links of its own to the servers that are there at the start.
     pub has_instance_links: bool,
+    /// Program of an earlier build with which the instances start. A restart replaces it by this build.
+    pub old_build: Option<&'static Path>,
 }
 
 impl Default for FleetOptions {
@@ -71,6 +73,7 @@
             grace_s: 8,
             has_relays: false,
             has_instance_links: false,
+            old_build: None,
         }
     }
 }
@@ -335,8 +338,10 @@
         std::fs::write(&settings_file, settings.to_toml()).expect("the test directory is writable");
         let log_file = self.directory.join(format!("{name}.log"));
         let metrics_address = free_socket_address();
+        let program = self.options.old_build.map(Path::to_path_buf);
+        let program = program.unwrap_or_else(this_build);
         FleetInstance {
-            process: start_process(&settings_file, metrics_address, &log_file),
+            process: start_process(&program, &settings_file, metrics_address, &log_file),
             name,
             caller_address: settings.caller_address,
             ready_address: settings.ready_address,
@@ -374,7 +379,12 @@
     fn start(&mut self) {
         self.earlier_output.push_str(&self.process.output());
         let metrics_address = self.metrics_address;
-        self.process = start_process(&self.settings_file, metrics_address, &self.log_file);
+        self.process = start_process(
+            &this_build(),
+            &self.settings_file,
+            metrics_address,
+            &self.log_file,
+        );
     }
 
     /// Returns the JSON lines logged by the instance.
@@ -398,12 +408,21 @@
     }
 }
 
-fn start_process(settings_file: &Path, metrics_address: SocketAddr, log_file: &Path) -> Process {
+fn this_build() -> PathBuf {
+    find_binary("mimosabayd")
+}
+
+fn start_process(
+    program: &Path,
+    settings_file: &Path,
+    metrics_address: SocketAddr,
+    log_file: &Path,
+) -> Process {
     let settings_file = settings_file.to_string_lossy();
     let variables = [("MIMOSABAY_BOOT", &*settings_file)];
     let port = metrics_address.port().to_string();
     let arguments = ["--metrics-port", &port];
-    Process::start_with(&find_binary("mimosabayd"), &arguments, &variables, log_file)
+    Process::start_with(program, &arguments, &variables, log_file)
 }
 
 fn free_socket_address() -> SocketAddr {
--- a/standin/src/soak.rs
+++ b/standin/src/soak.rs
@@ -17,6 +17,7 @@
 mod plan;
 
 use std::collections::BTreeMap;
+use std::path::Path;
 use std::time::{Duration, Instant};
 
 use mimosabay_core::quarantine::MAX_REQUEST_CRASHES;
@@ -81,6 +82,8 @@
     pub callers: usize,
     /// Which faults to inject.
     pub mode: SoakMode,
+    /// Program of an earlier build with which the instances start; each restart replaces it.
+    pub old_build: Option<&'static Path>,
 }
 
 impl Default for SoakOptions {
@@ -91,6 +94,7 @@
             instances: 4,
             callers: 12,
             mode: SoakMode::Mixed,
+            old_build: None,
         }
     }
 }
@@ -126,6 +130,7 @@
         has_instance_links: options.mode.is_release(),
         grace_s: injector::GRACE_S,
         has_relays: true,
+        old_build: options.old_build,
         ..FleetOptions::default()
     })
     .await;
