--- a/peer/tests/layout.rs
+++ b/peer/tests/layout.rs
@@ -1,5 +1,7 @@
 //! Layout of messages between instances, which other builds read. The bytes are those of build d39ddef.
 
+use std::fmt::Write;
+
 use mimosabay_core::cell::{EndedRun, RunOutcome, Ticket, Update};
 use mimosabay_core::name::InstanceId;
 use mimosabay_core::quarantine::Quarantine;
@@ -76,7 +78,10 @@
 fn check<T: Serialize + DeserializeOwned>(value: &T, expected: &str) {
     let config = bincode::config::standard();
     let bytes = bincode::serde::encode_to_vec(value, config).unwrap();
-    let text: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
+    let mut text = String::new();
+    for byte in &bytes {
+        write!(text, "{byte:02x}").unwrap();
+    }
     assert_eq!(text, expected);
     let (decoded, _): (T, usize) = bincode::serde::decode_from_slice(&bytes, config).unwrap();
     assert_eq!(
