--- a/standin/src/soak/injector.rs
+++ b/standin/src/soak/injector.rs
@@ -327,7 +327,6 @@
                 | Fault::StoreDown
                 | Fault::StoreLosesAnswers
                 | Fault::StoreForgets
-                | Fault::StoreReturnsOlder
                 | Fault::ServerCrash
         );
     may_hide && other.at_ms < drain.end_ms() && other.end_ms() + RECONTACT_MS > drain.at_ms
