End a placer's right to order by itself, so that two never order by turns

Cause: nothing ended the right of a placer that runs on. One that is paused, or out of reach, and does not reach the store held its orders for 800 ms after the pause and then sent them again for as long as it did not read the new record. It also sent orders while its own removal of the record was on its way, and a refusal at an earlier placer was counted against the one that followed it, so that a live one could be replaced by one that orders at once. Change: core::order_lease. The store gives the right for a quarter of the lease, a majority of the other instances extends it, a pause ends it, and it is checked right before each order; a successor of a silent placer waits for half of the lease after its record was written; a placer gives the right up before it removes its record. An order is logged with its answer and its duration.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod membership;
 pub mod name;
 pub mod once;
+pub mod order_lease;
 pub mod ownership;
 pub mod placement;
 pub mod placer_record;
--- a/core/src/placer_record.rs
+++ b/core/src/placer_record.rs
@@ -104,6 +104,15 @@
     pub is_record_stale: bool,
 }
 
+/// A call to the placer that failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FailedContact {
+    /// Whether its address has begun to refuse connections.
+    pub is_first_refusal: bool,
+    /// Time since the last contact with it, in milliseconds.
+    pub silent_ms: u64,
+}
+
 /// What a reading of the record means.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reading {
@@ -167,6 +176,42 @@
         }
     }
 
+    /// Fencing number of the placer, if there is one.
+    pub fn number(&self) -> Option<u64> {
+        self.record.as_ref().map(|(number, _)| *number)
+    }
+
+    /// Records a reply of the placer with a fencing number, unless another one has followed it. Returns
+    /// whether its address has refused connections until now.
+    pub fn record_reply(&mut self, number: Option<u64>, now_ms: u64) -> bool {
+        if self.number() != number {
+            return false;
+        }
+        self.last_seen_ms = now_ms;
+        self.refused_since_ms.take().is_some()
+    }
+
+    /// Records that the placer with a fencing number did not reply. Returns what it means; `None` if
+    /// another one has followed it.
+    pub fn record_failure(
+        &mut self,
+        number: Option<u64>,
+        is_refused: bool,
+        now_ms: u64,
+    ) -> Option<FailedContact> {
+        if self.number() != number {
+            return None;
+        }
+        let is_first_refusal = is_refused && self.refused_since_ms.is_none();
+        if is_first_refusal {
+            self.refused_since_ms = Some(now_ms);
+        }
+        Some(FailedContact {
+            is_first_refusal,
+            silent_ms: now_ms.saturating_sub(self.last_seen_ms),
+        })
+    }
+
     /// Forgets the placer, which has resigned.
     pub fn forget(&mut self) {
         self.record = None;
@@ -180,7 +225,7 @@
 
     /// Whether the store holds the record that counts.
     pub fn is_record_stored(&self) -> bool {
-        let number = self.record.as_ref().map(|(number, _)| *number);
+        let number = self.number();
         match self.stored {
             StoredRecord::Present { fencing_number, .. } => number == Some(fencing_number),
             StoredRecord::Unread | StoredRecord::Absent => number.is_none(),
--- a/core/tests/placer_record.rs
+++ b/core/tests/placer_record.rs
@@ -170,3 +170,44 @@
     };
     assert_eq!(history.instances[0].read(&later), Reading::Lost);
 }
+
+/// View of a placer with number 7, which was last seen at 1 s.
+fn view_of_a_placer() -> PlacerView {
+    let record = PlacerRecord {
+        address: "10.0.0.1:7600".to_owned(),
+        instance: "instance-1".into(),
+        incarnation: 1,
+        fencing_offset: 0,
+        store_era: None,
+    };
+    let mut view = PlacerView::default();
+    assert_eq!(view.observe_record(&record, 7, None, 1_000), Reading::Newer);
+    view
+}
+
+#[test]
+fn refusal_at_an_earlier_placer_does_not_count_against_its_successor() {
+    let mut view = view_of_a_placer();
+    assert_eq!(view.record_failure(Some(6), true, 1_100), None);
+    assert_eq!(view.refused_since_ms, None);
+}
+
+#[test]
+fn reply_of_an_earlier_placer_does_not_count_for_its_successor() {
+    let mut view = view_of_a_placer();
+    view.record_failure(Some(7), true, 1_100);
+    assert!(!view.record_reply(Some(6), 1_200));
+    assert_eq!(
+        (view.last_seen_ms, view.refused_since_ms),
+        (1_000, Some(1_100))
+    );
+}
+
+#[test]
+fn reply_ends_a_refusal() {
+    let mut view = view_of_a_placer();
+    let failed = view.record_failure(Some(7), true, 1_100);
+    assert!(failed.is_some_and(|it| it.is_first_refusal && it.silent_ms == 100));
+    assert!(view.record_reply(Some(7), 1_200));
+    assert_eq!((view.last_seen_ms, view.refused_since_ms), (1_200, None));
+}
--- a/daemon/src/clock.rs
+++ b/daemon/src/clock.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use nix::time::{ClockId, clock_gettime};
+
 /// Bits of an incarnation that are random, below the start time.
 const RANDOM_BITS: u32 = 16;
 
@@ -53,6 +55,17 @@
     )
 }
 
+/// Milliseconds since the machine was started; counts also while it is suspended.
+pub fn boot_ms() -> u64 {
+    clock_ms(ClockId::CLOCK_BOOTTIME)
+}
+
+/// Reading of a clock of the system, in milliseconds. These clocks exist on all systems that run the
+/// daemon.
+pub fn clock_ms(clock: ClockId) -> u64 {
+    clock_gettime(clock).map_or(0, |time| millis(Duration::from(time)))
+}
+
 /// Incarnation for this process: larger than those of processes started in earlier milliseconds.
 pub fn new_incarnation() -> u64 {
     let random: u16 = rand::random();
--- a/daemon/src/gateway/election.rs
+++ b/daemon/src/gateway/election.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use mimosabay_core::name::Name;
+use mimosabay_core::order_lease;
 use mimosabay_core::placer_record::{PlacerRecord, PlacerView, StoredRecord};
 use mimosabay_core::rendezvous;
 use mimosabay_peer::{Message, Peer, Reply};
@@ -64,9 +65,21 @@
     Claim,
 }
 
+/// How the placer before this process has ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Takeover {
+    /// Its process has terminated, or it has removed its record.
+    AtOnce,
+    /// It is silent and may still send orders.
+    FromSilent {
+        /// Time of the last contact with it, in milliseconds.
+        last_seen_ms: u64,
+    },
+}
+
 /// Takes part in the election until the process ends.
 pub(crate) async fn run(state: Arc<State>) {
-    let mut orders_from_ms = 0;
+    let mut takeover = Takeover::AtOnce;
     loop {
         let period = Duration::from_millis(CHECK_PERIOD_MS);
         // The next step is determined after a change and after a time-out alike.
@@ -74,29 +87,29 @@
         let step = match next_step(&state) {
             Step::QueryOthers if is_placer_lost(&state).await => {
                 let last_seen_ms = state.link.placer_view().last_seen_ms;
-                orders_from_ms = last_seen_ms + state.settings().lease_ms;
+                takeover = Takeover::FromSilent { last_seen_ms };
                 Step::Claim
             }
             Step::QueryOthers => Step::Wait,
             Step::Claim => {
-                orders_from_ms = first_orders_ms(&state);
+                takeover = takeover_without_silent(&state);
                 Step::Claim
             }
             step => step,
         };
-        if let Err(cause) = execute_step(&state, step, orders_from_ms).await {
+        if let Err(cause) = execute_step(&state, step, takeover).await {
             warn!(event = "election_failed", %cause);
             sleep(Duration::from_millis(FAILURE_PAUSE_MS)).await;
         }
     }
 }
 
-async fn execute_step(state: &Arc<State>, step: Step, orders_from_ms: u64) -> Result<(), Error> {
+async fn execute_step(state: &Arc<State>, step: Step, takeover: Takeover) -> Result<(), Error> {
     match step {
         Step::Wait | Step::QueryOthers => Ok(()),
         Step::ReadRecord => read_record(state).await,
         Step::Start { fencing_number } => {
-            start_placer(state, fencing_number, orders_from_ms);
+            start_placer(state, fencing_number, takeover);
             Ok(())
         }
         Step::Claim => claim(state).await,
@@ -120,21 +133,39 @@
     handle_write(state, written, sent_in)
 }
 
-/// Time from which this process may send orders if it becomes the placer now and knows that the placer
-/// before it has ended.
-fn first_orders_ms(state: &State) -> u64 {
+/// How this process becomes the placer, if it knows that the placer before it has ended.
+fn takeover_without_silent(state: &State) -> Takeover {
     let view = state.link.placer_view();
     let store_era = state.store_era.known().unwrap_or(0);
     if state.link.local_placer().is_none() && view.may_have_lost_record(store_era) {
-        state.now_ms() + state.settings().lease_ms
+        Takeover::FromSilent {
+            last_seen_ms: state.now_ms(),
+        }
     } else {
-        0
+        Takeover::AtOnce
+    }
+}
+
+impl Takeover {
+    /// Time from which orders may be sent by a placer that starts at `now_ms`, after its record was written.
+    fn orders_from_ms(self, lease_ms: u64, now_ms: u64) -> u64 {
+        match self {
+            Self::AtOnce => now_ms,
+            Self::FromSilent { last_seen_ms } => {
+                let lease_end_ms = now_ms + order_lease::takeover_wait_ms(lease_ms);
+                lease_end_ms.max(last_seen_ms + lease_ms)
+            }
+        }
     }
 }
 
 /// Removes the record if it names this process, so that another instance takes over at once. This
-/// process continues to place requests until the removal has succeeded.
+/// process continues to place requests until the removal has succeeded, but sends no more orders.
 pub(crate) async fn resign(state: &State) {
+    if let Some(placer) = state.link.local_placer() {
+        placer.hold_orders(u64::MAX);
+        state.order_permission.resign(placer.fencing_number).await;
+    }
     loop {
         let view = state.link.placer_view();
         let Some((number, record)) = &view.record else {
@@ -199,10 +230,12 @@
         Some(placer) if placer.fencing_number == fencing_number => {
             if view.is_record_stale {
                 Step::ReadRecord
-            } else if view.is_record_stored() {
+            } else if view.is_record_stored()
+                && !state.order_permission.has_resigned(fencing_number)
+            {
                 Step::Wait
             } else {
-                // The store has lost the record.
+                // The store has lost the record, or may remove it late.
                 Step::Claim
             }
         }
@@ -305,7 +338,7 @@
     weight % STAGGER_STEPS * STAGGER_STEP_MS
 }
 
-async fn read_record(state: &State) -> Result<(), Error> {
+pub(super) async fn read_record(state: &State) -> Result<(), Error> {
     let sent_in = state.store_era.known();
     let read = state.store.get(wire_names::kind::PLACERS, RECORD_NAME);
     match read.await {
@@ -355,7 +388,9 @@
     }
 }
 
-fn start_placer(state: &Arc<State>, fencing_number: u64, orders_from_ms: u64) {
+fn start_placer(state: &Arc<State>, fencing_number: u64, takeover: Takeover) {
+    let lease_ms = state.settings().lease_ms;
+    let orders_from_ms = takeover.orders_from_ms(lease_ms, state.now_ms());
     info!(event = "placer_started", fencing_number, orders_from_ms);
     let placer = Placer::start(state.clone(), fencing_number, orders_from_ms);
     state.link.set_local_placer(placer);
--- a/daemon/src/gateway/freeze.rs
+++ b/daemon/src/gateway/freeze.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use nix::time::{ClockId, clock_gettime};
+use nix::time::ClockId;
 use tokio::time::sleep;
 use tracing::warn;
 
 use super::state::State;
+use crate::clock::clock_ms;
 
 /// Time between two checks, in milliseconds.
 const CHECK_PERIOD_MS: u64 = 100;
@@ -23,6 +24,7 @@
     loop {
         sleep(Duration::from_millis(CHECK_PERIOD_MS)).await;
         let now = read_clocks();
+        state.order_permission.advance();
         // The monotonic clock may stop during a freeze; the boot-time clock does not.
         let frozen_ms = now.0.saturating_sub(before.0);
         if frozen_ms > CHECK_PERIOD_MS + FREEZE_MS {
@@ -43,14 +45,7 @@
 /// Boot time and monotonic time, in milliseconds.
 fn read_clocks() -> (u64, u64) {
     (
-        read_clock_ms(ClockId::CLOCK_BOOTTIME),
-        read_clock_ms(ClockId::CLOCK_MONOTONIC),
+        clock_ms(ClockId::CLOCK_BOOTTIME),
+        clock_ms(ClockId::CLOCK_MONOTONIC),
     )
 }
-
-fn read_clock_ms(clock: ClockId) -> u64 {
-    let Ok(time) = clock_gettime(clock) else {
-        return 0;
-    };
-    u64::try_from(Duration::from(time).as_millis()).unwrap_or(u64::MAX)
-}
--- a/daemon/src/gateway/link.rs
+++ b/daemon/src/gateway/link.rs
@@ -102,6 +102,22 @@
         }
     }
 
+    /// Fencing number of the placer as known to this instance.
+    pub(super) fn placer_number(&self) -> Option<u64> {
+        self.view.lock().expect("placer view lock").number()
+    }
+
+    /// Whether the store held, at the last reading, the record of the placer in this process with a fencing
+    /// number.
+    pub(super) fn is_stored_placer(&self, fencing_number: u64) -> bool {
+        let view = self.view.lock().expect("placer view lock");
+        let record = view.record.as_ref();
+        view.is_record_stored()
+            && record.is_some_and(|(number, record)| {
+                *number == fencing_number && self.names_this_process(record)
+            })
+    }
+
     /// Returns once something has changed that the election may act on.
     pub(crate) async fn wait_for_change(&self) {
         self.election_wake.notified().await;
--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod link;
 mod members;
 mod metrics;
+mod order_permission;
 mod placement;
 mod placer;
 mod plain_attempt;
--- a/daemon/src/gateway/placer.rs
+++ b/daemon/src/gateway/placer.rs
@@ -19,6 +19,7 @@
 use tracing::{debug, info, warn};
 
 use super::backends::Snapshot;
+use super::order_permission;
 use super::quarantine_store::QuarantineStore;
 use super::server_connection;
 use super::state::State;
@@ -87,6 +88,7 @@
         driver.start_quarantine_log();
         driver.start_stream_log();
         driver.start_quarantine_store();
+        driver.obtain_lease();
         tokio::spawn(driver.run(inputs));
         placer
     }
@@ -146,6 +148,13 @@
 }
 
 impl Driver {
+    /// Obtains the lease before the first order needs it.
+    fn obtain_lease(&self) {
+        let state = self.state.clone();
+        let number = self.authority.fencing_number;
+        tokio::spawn(async move { drop(order_permission::obtain(&state, number).await) });
+    }
+
     async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<Input>) {
         let mut sites = self.state.site.subscribe();
         let mut backends = self.state.backends.subscribe();
@@ -351,17 +360,28 @@
         let control = self.control.clone();
         let authority = self.authority.clone();
         let inbox = self.inbox.clone();
+        let state = self.state.clone();
         tokio::spawn(async move {
-            let answer = control.send_order(order.address, &order, &authority).await;
-            debug!(
+            let planned_ms = state.now_ms();
+            let permitted = order_permission::obtain(&state, authority.fencing_number).await;
+            let answer = match &permitted {
+                Some(_) => control.send_order(order.address, &order, &authority).await,
+                None => OrderAnswer::NotSent,
+            };
+            info!(
                 event = "order",
                 server = %order.server,
                 kind = ?order.kind,
-                adapter = order.adapter.as_deref().unwrap_or_default(),
+                model = %order.model,
+                adapter = order.adapter.as_deref(),
+                version = order.version,
                 precondition = order.precondition,
                 fencing_number = authority.fencing_number,
-                ?answer
+                is_permitted = permitted.is_some(),
+                ?answer,
+                took_ms = state.now_ms() - planned_ms
             );
+            drop(permitted);
             if let Some(inbox) = inbox.upgrade() {
                 let _ = inbox.send(Input::OrderAnswered(order.server, answer));
             }
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -22,6 +22,7 @@
 use super::link::Link;
 use super::members::MemberList;
 use super::metrics::Metrics;
+use super::order_permission::OrderPermission;
 use super::pool::Pool;
 use super::replicas::Replicas;
 use super::server_connection::Relays;
@@ -71,6 +72,8 @@
     pub(crate) pool: Pool,
     pub(crate) link: Link,
     pub(crate) members: MemberList,
+    /// Permission of the placer in this process to send orders.
+    pub(crate) order_permission: OrderPermission,
     /// Phase of the planned stop.
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) metrics: Metrics,
@@ -111,6 +114,7 @@
         Arc::new(Self {
             link: Link::new(&settings, incarnation),
             members: MemberList::default(),
+            order_permission: OrderPermission::new(settings.lease_ms),
             settings: RwLock::new(Arc::new(settings)),
             clock,
             incarnation,
--- a/daemon/src/gateway/updates.rs
+++ b/daemon/src/gateway/updates.rs
@@ -73,6 +73,7 @@
             placer.send_update(update);
         }
         Target::Remote(peer) => {
+            let placer_number = link.placer_number();
             let update = link.drain_outbox(state);
             let message = Message::Update(Box::new(update.clone()));
             let facts = state.store_era.sender_facts();
@@ -101,7 +102,7 @@
                     if let Some(members) = members {
                         state.apply_members(members);
                     }
-                    record_contact(state);
+                    record_contact(state, placer_number);
                     let is_same_era = store_era::observe_peer(state, &placer);
                     link.record_relay(state, reaches_store && is_same_era);
                     if is_same_era {
@@ -116,7 +117,7 @@
                 }
                 Err(cause) => {
                     requeue(state, update);
-                    record_failed_contact(state, cause.classify());
+                    record_failed_contact(state, placer_number, cause.classify());
                 }
             }
         }
@@ -158,6 +159,7 @@
     state
         .members
         .record_contact(&update.address, state.now_ms());
+    state.order_permission.record_contact(&update.address);
     state.server_limits.apply(&update.limits);
     let is_same_era = store_era::observe_peer(state, sender);
     let changes = update.known.iter().map(|known| {
@@ -179,30 +181,31 @@
     }
 }
 
-fn record_contact(state: &State) {
+/// Records a reply of the placer with a number.
+fn record_contact(state: &State, placer_number: Option<u64>) {
     let mut view = state.link.view.lock().expect("placer view lock");
-    let was_refused = view.refused_since_ms.take().is_some();
-    view.last_seen_ms = state.now_ms();
+    let was_refused = view.record_reply(placer_number, state.now_ms());
     drop(view);
     if was_refused {
         info!(event = "placer_regained");
     }
 }
 
-fn record_failed_contact(state: &State, category: Category) {
-    let now_ms = state.now_ms();
+/// Records that the placer with a number did not reply.
+fn record_failed_contact(state: &State, placer_number: Option<u64>, category: Category) {
+    let is_refused = category == Category::Refused;
     let mut view = state.link.view.lock().expect("placer view lock");
-    let is_first = category == Category::Refused && view.refused_since_ms.is_none();
-    if is_first {
-        view.refused_since_ms = Some(now_ms);
-    }
-    let age_ms = now_ms.saturating_sub(view.last_seen_ms);
+    let failed = view.record_failure(placer_number, is_refused, state.now_ms());
     drop(view);
-    if is_first {
+    let Some(failed) = failed else {
+        info!(event = "earlier_placer_lost", ?category, placer_number);
+        return;
+    };
+    if failed.is_first_refusal {
         state.link.election_wake.notify_one();
     }
-    if is_first || age_ms > BYPASS_AFTER_MS {
-        warn!(event = "placer_lost", ?category, age_ms);
+    if failed.is_first_refusal || failed.silent_ms > BYPASS_AFTER_MS {
+        warn!(event = "placer_lost", ?category, age_ms = failed.silent_ms);
         state.metrics.count_dependency_loss(Dependency::Placer);
     }
 }
--- a/standin/src/fleet/server.rs
+++ b/standin/src/fleet/server.rs
@@ -169,7 +169,7 @@
 
 impl ReceivedOrder {
     /// Returns the fencing number and its holder.
-    fn holder(&self) -> (u64, String) {
+    pub fn holder(&self) -> (u64, String) {
         let number = self.fields["fencingToken"].as_u64();
         let holder = self.fields["holder"].as_str();
         let number = number.expect("an order has a fencing number");
@@ -197,6 +197,8 @@
     adapters: BTreeSet<String>,
     sequence: u64,
     fencing_number: u64,
+    /// Whether orders are accepted whatever their fencing number is.
+    ignores_fencing: bool,
     pub(super) start_count: u64,
     /// Name under which the server is registered since its last restart, if it differs from the
     /// first one.
@@ -329,6 +331,11 @@
         }
     }
 
+    /// Makes the server accept orders whatever their fencing numbers are.
+    pub fn ignore_fencing(&self) {
+        self.with_state(|state| state.ignores_fencing = true);
+    }
+
     /// Makes the server silent, or lets it go on. It neither reads nor writes in the meantime, and
     /// loses nothing.
     pub fn set_paused(&self, is_paused: bool) {
@@ -628,7 +635,7 @@
             return StatusCode::BAD_REQUEST;
         };
         let fencing_number = fields["fencingToken"].as_u64().unwrap_or(0);
-        if fencing_number < self.fencing_number {
+        if fencing_number < self.fencing_number && !self.ignores_fencing {
             return StatusCode::PRECONDITION_FAILED;
         }
         self.fencing_number = fencing_number;
