Place requests without going over all adapters of all engines

Cause: the processor time of the placer grew with the square of the site. Each request searched the list of up to 48 recently held adapters of each engine by name, twice (40% of the time in a profile); each event went over all adapters of all engines for due loads and for the next due time (38%); each planned load and each report counted all requests; each update hashed the addresses of all instances. Requests that wait for an adapter which a report shows as loaded are granted at once; before, they waited for the next load anywhere to end.

--- a/core/src/cell/choice.rs
+++ b/core/src/cell/choice.rs
@@ -2,9 +2,12 @@
 //!
 //! Handles long prompts that share parts, with many more adapters than the engines can hold.
 
-use super::engine::{AdapterKey, AdapterPhase, Engine, MAX_PENDING_LOADS, ReportState, is_current};
+use super::engine::{
+    AdapterKey, AdapterPhase, AdapterState, Engine, MAX_PENDING_LOADS, ReportState, is_current,
+};
 use super::load_speed::LoadSpeed;
 use super::prefill_speed::PrefillSpeed;
+use super::prompt_cache::PromptPrefixes;
 use crate::name::Name;
 use crate::prompt::Prompt;
 
@@ -65,8 +68,6 @@
     pub(crate) prefill_ms: f64,
     /// Prompt tokens that are not in the engine's prompt cache.
     pub(crate) uncached_tokens: u64,
-    /// Cost by which engines are compared, in milliseconds; the lowest is chosen.
-    score: f64,
 }
 
 /// Returns the engine with the lowest cost: the forecast time to the first event plus the penalties
@@ -76,18 +77,58 @@
     prompt: &Prompt,
     context: &ChoiceContext<'_>,
 ) -> Option<Choice> {
-    engines
-        .filter_map(|engine| forecast(engine, prompt, context))
-        .min_by(|one, other| one.score.total_cmp(&other.score))
+    let wanted = Wanted::new(prompt, context);
+    let forecasts = engines.filter_map(|engine| {
+        let forecast = forecast(engine, &wanted, context)?;
+        Some((engine, forecast))
+    });
+    let (engine, best) =
+        forecasts.min_by(|(_, one), (_, other)| one.score.total_cmp(&other.score))?;
+    Some(Choice {
+        server: engine.backend.id.clone(),
+        needs_load: best.needs_load,
+        adapter_ms: best.adapter_ms,
+        wait_ms: best.wait_ms,
+        prefill_ms: best.prefill_ms,
+        uncached_tokens: best.uncached_tokens,
+    })
+}
+
+/// What a request needs, in the form in which each engine is asked for it.
+struct Wanted<'a> {
+    prompt: &'a Prompt,
+    adapter: Option<AdapterKey>,
+    prefixes: PromptPrefixes,
+}
+
+impl<'a> Wanted<'a> {
+    fn new(prompt: &'a Prompt, context: &ChoiceContext<'_>) -> Self {
+        Self {
+            prompt,
+            adapter: prompt.adapter_key(),
+            prefixes: PromptPrefixes::new(prompt, context.newest.unwrap_or(0)),
+        }
+    }
+}
+
+/// What one engine could do for a request.
+struct Forecast {
+    needs_load: bool,
+    adapter_ms: f64,
+    wait_ms: f64,
+    prefill_ms: f64,
+    uncached_tokens: u64,
+    /// Cost by which engines are compared, in milliseconds; the lowest is chosen.
+    score: f64,
 }
 
-fn forecast(engine: &Engine, prompt: &Prompt, context: &ChoiceContext<'_>) -> Option<Choice> {
+fn forecast(engine: &Engine, wanted: &Wanted<'_>, context: &ChoiceContext<'_>) -> Option<Forecast> {
+    let prompt = wanted.prompt;
     if !engine.serves(&prompt.model, context.now_ms) {
         return None;
     }
-    let access = adapter_access(engine, prompt, context)?;
-    let version = context.newest.unwrap_or(0);
-    let cached_tokens = engine.cache.cached_tokens(prompt, version);
+    let access = adapter_access(engine, wanted, context)?;
+    let cached_tokens = engine.cache.cached_tokens(&wanted.prefixes);
     let uncached_tokens = prompt.prompt_tokens.saturating_sub(cached_tokens);
     let prefill_ms = context.speed.prefill_ms(uncached_tokens as f64);
     let now_ms = context.now_ms as f64;
@@ -98,8 +139,7 @@
     let wait_ms = start_ms - now_ms;
     let score =
         wait_ms + prefill_ms + access.penalty_ms + occupancy_penalty_ms(engine, prompt, context);
-    Some(Choice {
-        server: engine.backend.id.clone(),
+    Some(Forecast {
         needs_load: access.needs_load,
         adapter_ms: access.wait_ms,
         wait_ms,
@@ -118,28 +158,26 @@
 /// Returns how the engine gets the adapter; `None` if it cannot load it.
 fn adapter_access(
     engine: &Engine,
-    prompt: &Prompt,
+    wanted: &Wanted<'_>,
     context: &ChoiceContext<'_>,
 ) -> Option<AdapterAccess> {
-    let Some(key) = prompt.adapter_key() else {
+    let Some(key) = &wanted.adapter else {
         return Some(AdapterAccess::without_load(0.0));
     };
-    let held = engine.adapters.get(&key);
-    let held = held.filter(|held| is_current(held.version, context.newest));
+    let known = engine.adapters.get(key);
+    let held = known.filter(|held| is_current(held.version, context.newest));
     match held.map(|held| held.phase) {
         Some(AdapterPhase::Loaded) => Some(AdapterAccess::without_load(0.0)),
         Some(AdapterPhase::Loading { load }) => Some(AdapterAccess::without_load(
             load.due_ms.saturating_sub(context.now_ms) as f64,
         )),
-        Some(AdapterPhase::Planned) => Some(AdapterAccess::without_load(load_wait_ms(
-            engine, &key, context,
-        ))),
+        Some(AdapterPhase::Planned) => Some(AdapterAccess::without_load(
+            AdapterAccess::by_load(engine, key, context).wait_ms,
+        )),
         Some(AdapterPhase::Unloading) => None,
-        None => may_load(engine, &key, context).then(|| AdapterAccess {
-            wait_ms: load_wait_ms(engine, &key, context),
-            penalty_ms: load_penalty_ms(engine, &key, context),
-            needs_load: true,
-        }),
+        None => {
+            may_load(engine, known, context).then(|| AdapterAccess::by_load(engine, key, context))
+        }
     }
 }
 
@@ -151,32 +189,35 @@
             needs_load: false,
         }
     }
+
+    fn by_load(engine: &Engine, key: &AdapterKey, context: &ChoiceContext<'_>) -> Self {
+        let is_recently_held = engine.recently_held.contains(key, context.newest);
+        let load_ms = context
+            .load_speed
+            .load_ms(is_recently_held, context.loads_under_way);
+        Self {
+            wait_ms: load_ms as f64,
+            penalty_ms: if is_recently_held {
+                RELOAD_PENALTY_MS
+            } else {
+                LOAD_PENALTY_MS
+            },
+            needs_load: true,
+        }
+    }
 }
 
-fn may_load(engine: &Engine, key: &AdapterKey, context: &ChoiceContext<'_>) -> bool {
+/// Returns whether the engine may be ordered to load an adapter of which it has at most the `stale` state.
+fn may_load(engine: &Engine, stale: Option<&AdapterState>, context: &ChoiceContext<'_>) -> bool {
     let may_send_orders = context.may_send_orders && engine.report_state == ReportState::Confirmed;
-    if !may_send_orders || engine.pending_loads() >= MAX_PENDING_LOADS {
+    if !may_send_orders || engine.loads.pending >= MAX_PENDING_LOADS {
         return false;
     }
-    if let Some(stale) = engine.adapters.get(key) {
-        return stale.uses == 0 && stale.phase == AdapterPhase::Loaded;
+    if let Some(stale) = stale {
+        return stale.is_evictable();
     }
     engine.adapters.len() < context.adapter_slots
-        || engine.eviction_candidate(|_, _| false).is_some()
-}
-
-fn load_wait_ms(engine: &Engine, key: &AdapterKey, context: &ChoiceContext<'_>) -> f64 {
-    let is_recently_held = engine.recently_held.contains(key, context.newest);
-    let speed = context.load_speed;
-    speed.load_ms(is_recently_held, context.loads_under_way) as f64
-}
-
-fn load_penalty_ms(engine: &Engine, key: &AdapterKey, context: &ChoiceContext<'_>) -> f64 {
-    if engine.recently_held.contains(key, context.newest) {
-        RELOAD_PENALTY_MS
-    } else {
-        LOAD_PENALTY_MS
-    }
+        || engine.adapters.values().any(AdapterState::is_evictable)
 }
 
 fn occupancy_penalty_ms(engine: &Engine, prompt: &Prompt, context: &ChoiceContext<'_>) -> f64 {
--- a/core/src/cell/engine.rs
+++ b/core/src/cell/engine.rs
@@ -1,10 +1,14 @@
 //! The placer's state of one engine.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::hash::BuildHasherDefault;
 
+use super::adapter_map::{AdapterMap, NameHasher};
+use super::message::Ticket;
 use super::order::{OrderKind, Report};
 use super::prefill_queue::PrefillQueue;
 use super::prompt_cache::PromptCache;
+use super::recent_adapters::RecentAdapters;
 use crate::backend::Backend;
 use crate::name::Name;
 
@@ -26,11 +30,15 @@
     /// Number of orders that the engine has accepted, as counted by the placer.
     pub(crate) sequence: u64,
     /// Base models.
-    pub(crate) models: HashMap<Name, ModelPhase>,
+    pub(crate) models: HashMap<Name, ModelPhase, BuildHasherDefault<NameHasher>>,
     /// Adapters of all models.
-    pub(crate) adapters: HashMap<AdapterKey, AdapterState>,
+    pub(crate) adapters: AdapterMap<AdapterState>,
+    /// Loads among `adapters`. Invariant: [`Engine::update_loads`] is called after each change of a phase.
+    pub(crate) loads: Loads,
     /// Adapters that it held before, which load faster.
     pub(crate) recently_held: RecentAdapters,
+    /// Whether a report has listed adapters as loaded for which requests may wait.
+    pub(crate) has_reported_loads: bool,
     /// Orders to be sent, oldest first.
     pub(crate) planned: VecDeque<PlannedOrder>,
     /// The order that has been sent and not answered yet.
@@ -39,6 +47,8 @@
     pub(crate) prefills: PrefillQueue,
     /// Requests that run or wait there.
     pub(crate) running: usize,
+    /// Attempts of those requests.
+    pub(crate) tickets: BTreeSet<Ticket>,
     /// Tokens of the requests in `running`.
     pub(crate) running_tokens: u64,
     /// Prompt parts that it has cached.
@@ -97,41 +107,22 @@
     pub(crate) late_count: u32,
 }
 
-/// Adapters that a server recently held with their versions, oldest first.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct RecentAdapters {
-    adapters: VecDeque<(AdapterKey, u64)>,
-}
-
-/// Number of adapters that a server keeps a local copy of in addition to the loaded ones.
-const MAX_RECENT: usize = 48;
-
-impl RecentAdapters {
-    /// Returns whether the adapter was held recently; if `newest` is set, in at least that version.
-    pub(crate) fn contains(&self, key: &AdapterKey, newest: Option<u64>) -> bool {
-        let is_known =
-            |(known, version): &(AdapterKey, u64)| known == key && is_current(*version, newest);
-        self.adapters.iter().any(is_known)
-    }
-
-    pub(crate) fn insert(&mut self, key: AdapterKey, version: u64) {
-        self.remove(&key);
-        self.adapters.push_back((key, version));
-        if self.adapters.len() > MAX_RECENT {
-            self.adapters.pop_front();
-        }
-    }
-
-    pub(crate) fn remove(&mut self, key: &AdapterKey) {
-        self.adapters.retain(|(known, _)| known != key);
-    }
-}
-
 /// Returns whether a version is at least the newest one. Any version is if `newest` is `None`.
 pub(crate) fn is_current(version: u64, newest: Option<u64>) -> bool {
     newest.is_none_or(|newest| version >= newest)
 }
 
+/// The loads of an engine's adapters.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Loads {
+    /// Loads planned or in progress.
+    pub(crate) pending: usize,
+    /// Loads that share the bandwidth of the weight store.
+    pub(crate) under_way: usize,
+    /// When the next load in progress is due to end, in milliseconds.
+    pub(crate) next_due_ms: Option<u64>,
+}
+
 /// Progress of loading and unloading an adapter.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AdapterPhase {
@@ -167,13 +158,16 @@
         let mut engine = Self {
             report_state: ReportState::RequestAt(now_ms),
             sequence: backend.sequence,
-            models: HashMap::new(),
-            adapters: HashMap::new(),
+            models: HashMap::default(),
+            adapters: AdapterMap::default(),
+            loads: Loads::default(),
             recently_held: RecentAdapters::default(),
+            has_reported_loads: false,
             planned: VecDeque::new(),
             in_flight: None,
             prefills: PrefillQueue::default(),
             running: 0,
+            tickets: BTreeSet::new(),
             running_tokens: 0,
             cache: PromptCache::default(),
             avoided_until_ms: 0,
@@ -197,22 +191,25 @@
             && self.avoided_until_ms <= now_ms
     }
 
-    /// Returns the number of adapter loads planned or in progress.
-    pub(crate) fn pending_loads(&self) -> usize {
-        self.adapters
-            .values()
-            .filter(|adapter| adapter.is_pending())
-            .count()
-    }
-
-    /// Returns the number of loads that share the bandwidth of the weight store.
-    pub(crate) fn loads_under_way(&self) -> usize {
-        let shares = |adapter: &&AdapterState| match adapter.phase {
-            AdapterPhase::Planned => true,
-            AdapterPhase::Loading { load } => !load.is_reload,
-            AdapterPhase::Loaded | AdapterPhase::Unloading => false,
-        };
-        self.adapters.values().filter(shares).count()
+    /// Counts the loads among the adapters anew.
+    pub(crate) fn update_loads(&mut self) {
+        let mut loads = Loads::default();
+        for adapter in self.adapters.values() {
+            match adapter.phase {
+                AdapterPhase::Planned => {
+                    loads.pending += 1;
+                    loads.under_way += 1;
+                }
+                AdapterPhase::Loading { load } => {
+                    loads.pending += 1;
+                    loads.under_way += usize::from(!load.is_reload);
+                    let due_ms = loads.next_due_ms.unwrap_or(load.due_ms);
+                    loads.next_due_ms = Some(due_ms.min(load.due_ms));
+                }
+                AdapterPhase::Loaded | AdapterPhase::Unloading => {}
+            }
+        }
+        self.loads = loads;
     }
 
     /// Returns the adapter that costs least to unload: one not in use, stale ones first, then the
@@ -223,7 +220,7 @@
     ) -> Option<AdapterKey> {
         self.adapters
             .iter()
-            .filter(|(_, adapter)| adapter.uses == 0 && adapter.phase == AdapterPhase::Loaded)
+            .filter(|(_, adapter)| adapter.is_evictable())
             .min_by_key(|(key, adapter)| {
                 (
                     !is_stale(key, adapter),
@@ -253,6 +250,7 @@
             }
             AdapterPhase::Loading { .. } | AdapterPhase::Loaded => true,
         });
+        self.update_loads();
         lost
     }
 
@@ -264,9 +262,10 @@
         now_ms: u64,
     ) -> Vec<AdapterKey> {
         self.sequence = report.sequence;
+        self.has_reported_loads = true;
         self.report_state = ReportState::Confirmed;
         self.models.clear();
-        let mut reported: HashMap<AdapterKey, AdapterState> = HashMap::new();
+        let mut reported: AdapterMap<AdapterState> = AdapterMap::default();
         for model in &report.models {
             self.models.insert(model.name.clone(), ModelPhase::Loaded);
             for (name, version) in &model.adapters {
@@ -306,6 +305,7 @@
             self.cache.remove_adapter(adapter);
         }
         self.adapters = reported;
+        self.update_loads();
         lost
     }
 }
@@ -321,10 +321,8 @@
         }
     }
 
-    pub(super) fn is_pending(&self) -> bool {
-        matches!(
-            self.phase,
-            AdapterPhase::Planned | AdapterPhase::Loading { .. }
-        )
+    /// Returns whether it may be unloaded now.
+    pub(super) fn is_evictable(&self) -> bool {
+        self.uses == 0 && self.phase == AdapterPhase::Loaded
     }
 }
--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -5,6 +5,7 @@
 //! and then send the request to the server themselves. The placer's state is not persistent: a
 //! successor rebuilds it from the servers' reports and from the instances' updates.
 
+mod adapter_map;
 mod assignment;
 mod choice;
 mod engine;
@@ -18,11 +19,12 @@
 mod prefill_speed;
 mod prompt_cache;
 mod rates;
+mod recent_adapters;
 mod run_outcome;
 mod streams;
 mod suspects;
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 use crate::backend::Backend;
 use crate::name::Name;
@@ -158,14 +160,16 @@
 
     /// Replaces the list of backend servers; those of plain services are ignored.
     pub fn set_backends<'a>(&mut self, list: impl Iterator<Item = &'a Backend>, now_ms: u64) {
-        let mut removed: Vec<Name> = self.engines.keys().cloned().collect();
+        let mut listed = HashSet::new();
         for backend in list {
             if !self.services.contains_key(&backend.service) {
                 continue;
             }
-            removed.retain(|id| *id != backend.id);
+            listed.insert(backend.id.clone());
             self.set_backend(backend, now_ms);
         }
+        let known = self.engines.keys();
+        let removed: Vec<Name> = known.filter(|id| !listed.contains(*id)).cloned().collect();
         for id in removed {
             self.engines.remove(&id);
             self.reassign_waiting(&id, now_ms);
@@ -197,8 +201,11 @@
             let boot = before.backend.started_unix_ms;
             self.suspects.record_crash(&id, boot, now_ms);
         }
-        self.engines
-            .insert(id.clone(), Engine::new(backend, now_ms));
+        let mut engine = Engine::new(backend, now_ms);
+        let waiting = self.waiting.iter();
+        let waiting = waiting.filter(|(_, placed)| placed.server == id);
+        engine.tickets = waiting.map(|(ticket, _)| *ticket).collect();
+        self.engines.insert(id.clone(), engine);
         self.running.retain(|_, placed| placed.server != id);
         self.reassign_waiting(&id, now_ms);
     }
@@ -302,7 +309,7 @@
         let engines = self.engines.values();
         let reports = engines.clone().filter_map(Engine::report_due_ms);
         reports
-            .chain(engines.filter_map(Engine::next_load_due_ms))
+            .chain(engines.filter_map(|engine| engine.loads.next_due_ms))
             .chain(self.limited.due_ms())
             .chain(self.streams.due_ms())
             .min()
@@ -349,6 +356,7 @@
     }
 
     fn loads_under_way(&self) -> usize {
-        self.engines.values().map(Engine::loads_under_way).sum()
+        let engines = self.engines.values();
+        engines.map(|engine| engine.loads.under_way).sum()
     }
 }
--- a/core/src/cell/orders.rs
+++ b/core/src/cell/orders.rs
@@ -1,11 +1,13 @@
 //! Decides which orders are sent to the engines of a cell, and handles their answers.
 
+use std::collections::BTreeSet;
+
 use super::engine::{
     AdapterKey, AdapterLoad, AdapterPhase, AdapterState, Engine, ModelPhase, PlannedOrder,
     REPORT_LAG_MS, ReportState, is_current,
 };
 use super::load_speed::LoadSpeed;
-use super::{Action, Cell, EngineService, Order, OrderAnswer, OrderKind, PlacedRequest, Report};
+use super::{Action, Cell, EngineService, Order, OrderAnswer, OrderKind, Report};
 use crate::name::Name;
 use crate::prompt::Prompt;
 
@@ -166,32 +168,18 @@
 
     /// Marks due loads as ended and grants the requests that waited for them.
     fn finish_due_loads(&mut self, now_ms: u64) {
-        let mut any_finished = false;
+        let waiting = &self.waiting;
+        let mut due = BTreeSet::new();
         for engine in self.engines.values_mut() {
-            for adapter in engine.adapters.values_mut() {
-                if let AdapterPhase::Loading { load } = adapter.phase
-                    && load.due_ms <= now_ms
-                {
-                    adapter.unconfirmed = Some(load);
-                    adapter.phase = AdapterPhase::Loaded;
-                    any_finished = true;
-                }
+            if !engine.finish_due_loads(now_ms) {
+                continue;
             }
+            let tickets = engine.tickets.iter().filter(|ticket| {
+                let placed = waiting.get(ticket);
+                placed.is_some_and(|placed| engine.holds(&placed.request.prompt))
+            });
+            due.extend(tickets.copied());
         }
-        if !any_finished {
-            return;
-        }
-        let engines = &self.engines;
-        let is_due = |placed: &PlacedRequest| {
-            let engine = engines.get(&placed.server);
-            engine.is_some_and(|engine| engine.holds(&placed.request.prompt))
-        };
-        let due: Vec<_> = self
-            .waiting
-            .iter()
-            .filter(|(_, placed)| is_due(placed))
-            .map(|(ticket, _)| *ticket)
-            .collect();
         for ticket in due {
             if let Some(placed) = self.waiting.remove(&ticket) {
                 self.grant(placed, now_ms);
@@ -257,9 +245,13 @@
         for adapter in engine.adapters.values_mut() {
             adapter.uses = 0;
         }
-        let placed = self.running.values().chain(self.waiting.values());
-        for placed in placed.filter(|placed| placed.server == *server) {
-            if let Some(adapter) = engine.adapter_of(&placed.request.prompt) {
+        for ticket in &engine.tickets {
+            let placed = self
+                .running
+                .get(ticket)
+                .or_else(|| self.waiting.get(ticket));
+            let key = placed.and_then(|placed| placed.request.prompt.adapter_key());
+            if let Some(adapter) = key.and_then(|key| engine.adapters.get_mut(&key)) {
                 adapter.uses += 1;
             }
         }
@@ -282,6 +274,25 @@
 }
 
 impl Engine {
+    /// Marks due loads as ended; returns whether any has ended since the last call.
+    fn finish_due_loads(&mut self, now_ms: u64) -> bool {
+        let has_reported = std::mem::take(&mut self.has_reported_loads);
+        let is_due = |due_ms: u64| due_ms <= now_ms;
+        if !self.loads.next_due_ms.is_some_and(is_due) {
+            return has_reported;
+        }
+        for adapter in self.adapters.values_mut() {
+            if let AdapterPhase::Loading { load } = adapter.phase
+                && is_due(load.due_ms)
+            {
+                adapter.unconfirmed = Some(load);
+                adapter.phase = AdapterPhase::Loaded;
+            }
+        }
+        self.update_loads();
+        true
+    }
+
     /// Returns whether the engine holds no base model and can be ordered to load one.
     fn needs_model(&self) -> bool {
         let is_empty = self.models.is_empty() && self.planned.is_empty();
@@ -317,6 +328,7 @@
         if let Some(adapter) = self.adapters.get_mut(key) {
             adapter.phase = AdapterPhase::Unloading;
         }
+        self.update_loads();
         self.planned.push_back(PlannedOrder {
             kind: OrderKind::Unload,
             model: key.0.clone(),
@@ -334,6 +346,7 @@
         });
         let held = AdapterState::new(version.unwrap_or(0), AdapterPhase::Planned, now_ms);
         self.adapters.insert(key, held);
+        self.update_loads();
     }
 
     fn record_order_started(
@@ -367,6 +380,7 @@
             };
             held.phase = AdapterPhase::Loading { load };
         }
+        self.update_loads();
         self.recently_held.insert(key, order.version.unwrap_or(0));
     }
 
@@ -377,6 +391,7 @@
             if let Some(held) = self.adapters.remove(&key) {
                 self.recently_held.insert(key, held.version);
             }
+            self.update_loads();
             self.cache.remove_adapter(adapter);
         }
     }
@@ -388,6 +403,7 @@
         {
             self.adapters
                 .remove(&(order.model.clone(), adapter.clone()));
+            self.update_loads();
         }
     }
 }
--- a/core/src/cell/placed_request.rs
+++ b/core/src/cell/placed_request.rs
@@ -53,6 +53,7 @@
     /// Adds a request to the counts.
     pub(super) fn add_request(&mut self, placed: &PlacedRequest, now_ms: u64) {
         self.running += 1;
+        self.tickets.insert(placed.request.ticket);
         self.running_tokens += placed.request.prompt.charged_tokens();
         if let Some(adapter) = self.adapter_of(&placed.request.prompt) {
             adapter.uses += 1;
@@ -63,6 +64,7 @@
     /// Removes a request from the counts and from the prefill queue.
     pub(super) fn remove_request(&mut self, placed: &PlacedRequest, now_ms: u64) {
         self.running = self.running.saturating_sub(1);
+        self.tickets.remove(&placed.request.ticket);
         let tokens = placed.request.prompt.charged_tokens();
         self.running_tokens = self.running_tokens.saturating_sub(tokens);
         self.prefills.remove(placed.request.ticket);
@@ -105,14 +107,4 @@
             ReportState::Confirmed | ReportState::Requested => None,
         }
     }
-
-    /// Returns when the next load is due to end, in milliseconds.
-    pub(super) fn next_load_due_ms(&self) -> Option<u64> {
-        let adapters = self.adapters.values();
-        let due = adapters.filter_map(|adapter| match adapter.phase {
-            AdapterPhase::Loading { load } => Some(load.due_ms),
-            _ => None,
-        });
-        due.min()
-    }
 }
--- a/core/src/cell/prompt_cache.rs
+++ b/core/src/cell/prompt_cache.rs
@@ -1,17 +1,55 @@
 //! The placer's estimate of the prompt parts cached by an engine.
 
 use std::collections::HashMap;
+use std::hash::{BuildHasherDefault, Hasher};
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::name::Name;
 use crate::prompt::Prompt;
 
+/// A prompt as engines cache it: the hash of each of its prefixes, with the tokens of its last part.
+#[derive(Clone, Debug)]
+pub(crate) struct PromptPrefixes {
+    prefixes: Vec<(u64, u64)>,
+}
+
+impl PromptPrefixes {
+    /// Returns the prefixes of a prompt for a version of its adapter.
+    pub(crate) fn new(prompt: &Prompt, version: u64) -> Self {
+        Self {
+            prefixes: prefix_hashes(prompt, version).collect(),
+        }
+    }
+}
+
+/// Uses a key that is a hash already as its hash.
+#[derive(Clone, Copy, Debug, Default)]
+struct KeptHash {
+    hash: u64,
+}
+
+impl Hasher for KeptHash {
+    fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.write_u64(u64::from(*byte));
+        }
+    }
+
+    fn write_u64(&mut self, hash: u64) {
+        self.hash = self.hash.rotate_left(u8::BITS) ^ hash;
+    }
+
+    fn finish(&self) -> u64 {
+        self.hash
+    }
+}
+
 /// LRU cache of the prompt parts at one engine.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PromptCache {
     /// Cached parts by the hash of the adapter, its version and all parts up to this one.
-    parts: HashMap<u64, CachedPart>,
+    parts: HashMap<u64, CachedPart, BuildHasherDefault<KeptHash>>,
     /// Sum of the tokens of `parts`.
     tokens: u64,
     /// Number of insertions so far; orders the parts by last use.
@@ -27,8 +65,8 @@
 
 impl PromptCache {
     /// Returns the number of prompt tokens that need no prefill.
-    pub(crate) fn cached_tokens(&self, prompt: &Prompt, version: u64) -> u64 {
-        let prefixes = prefix_hashes(prompt, version);
+    pub(crate) fn cached_tokens(&self, prompt: &PromptPrefixes) -> u64 {
+        let prefixes = prompt.prefixes.iter();
         prefixes
             .take_while(|(key, _)| self.parts.contains_key(key))
             .map(|(_, tokens)| tokens)
--- a/core/src/cell/run_outcome.rs
+++ b/core/src/cell/run_outcome.rs
@@ -126,6 +126,7 @@
         }
         load.due_ms = now_ms + MIN_LATE_LOAD_DELAY_MS.max(load.forecast_ms / 3);
         adapter.phase = AdapterPhase::Loading { load };
+        engine.update_loads();
         if load.is_reload {
             if let Some(key) = placed.request.prompt.adapter_key() {
                 engine.recently_held.remove(&key);
--- a/core/tests/cell/main.rs
+++ b/core/tests/cell/main.rs
@@ -2,6 +2,8 @@
 
 mod adapters;
 mod assignment;
+mod fleet;
+mod fleet_load;
 mod invariants;
 mod limited;
 mod prefill;
