Let instances on large machines follow a placer first, and log how a placer keeps up

Cause: the election orders instances by a hash and knows nothing of their machines, and a placer that falls behind says so nowhere and stays. Change: instances state the processor time of their machines in a header of their updates, the placer answers with the largest of the others, and an instance with less than half of that takes over 600 ms later. A placer whose work is late by 200 ms for two seconds and which knows such an instance removes its record, so the record moves only to larger machines. A line placer_load once a second and gauges. The lease lasts a third of the site's, and a successor of a silent placer waits for 700 ms more than that: at the stand-ins' lease of 1.5 s a quarter was less than two updates. Conclusion: no message changes its layout; builds without the headers take over as before.

--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -42,7 +42,7 @@
 pub use order::{Order, OrderAnswer, OrderKind, Report};
 pub use rates::Rates;
 
-use engine::Engine;
+use engine::{Engine, ReportState};
 use limited::LimitedRequests;
 use load_speed::LoadSpeed;
 use placed_request::PlacedRequest;
@@ -102,6 +102,23 @@
     StepDown,
 }
 
+/// What a placer knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CellStatus {
+    /// Engines.
+    pub engines: usize,
+    /// Engines whose content a report has confirmed.
+    pub confirmed: usize,
+    /// Engines that were asked for a report and have not answered yet.
+    pub reports_requested: usize,
+    /// Adapters that engines hold or load.
+    pub adapters: usize,
+    /// Requests that wait for their adapter.
+    pub waiting: usize,
+    /// Requests that were sent to a server.
+    pub running: usize,
+}
+
 #[derive(Debug)]
 struct EngineService {
     spec: site::Engine,
@@ -315,9 +332,25 @@
             .min()
     }
 
-    /// Returns the numbers of waiting and running requests, for metrics.
-    pub fn request_counts(&self) -> (usize, usize) {
-        (self.waiting.len(), self.running.len())
+    /// Returns what is known, for logs and metrics.
+    pub fn status(&self) -> CellStatus {
+        let mut status = CellStatus {
+            engines: self.engines.len(),
+            confirmed: 0,
+            reports_requested: 0,
+            adapters: 0,
+            waiting: self.waiting.len(),
+            running: self.running.len(),
+        };
+        for engine in self.engines.values() {
+            status.adapters += engine.adapters.len();
+            match engine.report_state {
+                ReportState::Confirmed => status.confirmed += 1,
+                ReportState::Requested => status.reports_requested += 1,
+                ReportState::RequestAt(_) => {}
+            }
+        }
+        status
     }
 
     /// Refuses a request that crashed several servers. Returns whether it did.
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod order_lease;
 pub mod ownership;
 pub mod placement;
+pub mod placer_machine;
 pub mod placer_record;
 pub mod plain;
 pub mod prompt;
--- a/core/src/order_lease.rs
+++ b/core/src/order_lease.rs
@@ -14,16 +14,21 @@
 /// successor may be at work.
 const MAX_PAUSE_MS: u64 = 500;
 
-/// Duration of the lease if the lease of the site is `lease_ms`, in milliseconds. Orders take some time to
-/// arrive, so it is well under [`takeover_wait_ms`].
+/// Longest time until an order that was permitted has reached its server, in milliseconds: the timeout of the
+/// call.
+const ORDER_FLIGHT_MS: u64 = 400;
+/// Time within which instances leave a placer that was replaced, in milliseconds. They watch its record.
+const LEAVE_MS: u64 = 300;
+
+/// Duration of the lease if the lease of the site is `lease_ms`, in milliseconds.
 pub fn duration_ms(lease_ms: u64) -> u64 {
-    lease_ms / 4
+    lease_ms / 3
 }
 
 /// Time from the writing of a successor's record until its first order, in milliseconds. The lease of
 /// the placer before it has ended by then.
 pub fn takeover_wait_ms(lease_ms: u64) -> u64 {
-    lease_ms / 2
+    duration_ms(lease_ms) + LEAVE_MS + ORDER_FLIGHT_MS
 }
 
 /// Right of this process to send orders. Times are those of a clock that runs on while the machine is
--- a/core/tests/cell/assignment.rs
+++ b/core/tests/cell/assignment.rs
@@ -101,7 +101,7 @@
 fn requests_of_a_terminated_instance_are_removed() {
     let mut cell = confirmed(ADAPTER_LIMIT, &[backend("one", &["a1"])]);
     cell.request_placement(placement_request(1, "a1"), 10);
-    assert_eq!(cell.request_counts(), (0, 1));
+    assert_eq!((cell.status().waiting, cell.status().running), (0, 1));
     cell.tick(20_000);
-    assert_eq!(cell.request_counts(), (0, 0));
+    assert_eq!((cell.status().waiting, cell.status().running), (0, 0));
 }
--- a/daemon/src/gateway/election.rs
+++ b/daemon/src/gateway/election.rs
@@ -160,44 +160,52 @@
 }
 
 /// Removes the record if it names this process, so that another instance takes over at once. This
-/// process continues to place requests until the removal has succeeded, but sends no more orders.
+/// process continues to place requests until the removal has succeeded, but sends no more orders once the
+/// store can be asked for the removal.
 pub(crate) async fn resign(state: &State) {
+    while let Err(cause) = try_resign(state).await {
+        warn!(event = "placer_not_resigned", %cause);
+        sleep(Duration::from_millis(FAILURE_PAUSE_MS)).await;
+    }
+}
+
+/// Removes the record if the store answers and the record names this process.
+///
+/// # Errors
+///
+/// Those of the store. The removal may take effect late.
+async fn try_resign(state: &State) -> Result<(), Error> {
+    let view = state.link.placer_view();
+    let Some((number, record)) = &view.record else {
+        return Ok(());
+    };
+    if !state.link.names_this_process(record) {
+        return Ok(());
+    }
+    read_record(state).await?;
+    let view = state.link.placer_view();
+    let StoredRecord::Present { revision, .. } = view.stored else {
+        state.link.forget_placer();
+        return Ok(());
+    };
+    if !state.link.is_stored_placer(*number) {
+        info!(
+            event = "placer_not_resigned",
+            number,
+            reason = "record lost or replaced"
+        );
+        state.link.forget_placer();
+        return Ok(());
+    }
     if let Some(placer) = state.link.local_placer() {
         placer.hold_orders(u64::MAX);
-        state.order_permission.resign(placer.fencing_number).await;
-    }
-    loop {
-        let view = state.link.placer_view();
-        let Some((number, record)) = &view.record else {
-            return;
-        };
-        if !state.link.names_this_process(record) {
-            return;
-        }
-        let StoredRecord::Present { revision, .. } = view.stored else {
-            return state.link.forget_placer();
-        };
-        if !view.is_record_stored() {
-            info!(
-                event = "placer_not_resigned",
-                number,
-                reason = "record lost"
-            );
-            return state.link.forget_placer();
-        }
-        let kind = wire_names::kind::PLACERS;
-        match state.store.delete(kind, RECORD_NAME, revision).await {
-            Ok(()) => {
-                info!(event = "placer_resigned", revision);
-                return state.link.forget_placer();
-            }
-            Err(cause) => warn!(event = "placer_not_resigned", revision, %cause),
-        }
-        sleep(Duration::from_millis(FAILURE_PAUSE_MS)).await;
-        if let Err(cause) = read_record(state).await {
-            warn!(event = "election_failed", %cause);
-        }
     }
+    state.order_permission.resign(*number).await;
+    let kind = wire_names::kind::PLACERS;
+    state.store.delete(kind, RECORD_NAME, revision).await?;
+    info!(event = "placer_resigned", revision);
+    state.link.forget_placer();
+    Ok(())
 }
 
 fn next_step(state: &State) -> Step {
@@ -332,10 +340,12 @@
 }
 
 /// Delay of this instance. Instances have different delays, so that two rarely write at the same
-/// time.
+/// time, and those on much smaller machines than others have longer ones.
 fn stagger_ms(state: &State) -> u64 {
-    let weight = rendezvous::weight(RECORD_NAME, &state.settings().instance);
-    weight % STAGGER_STEPS * STAGGER_STEP_MS
+    let settings = state.settings();
+    let weight = rendezvous::weight(RECORD_NAME, &settings.instance);
+    let largest_other = state.members.largest_received();
+    weight % STAGGER_STEPS * STAGGER_STEP_MS + settings.processor.takeover_delay_ms(largest_other)
 }
 
 pub(super) async fn read_record(state: &State) -> Result<(), Error> {
--- a/daemon/src/gateway/members.rs
+++ b/daemon/src/gateway/members.rs
@@ -4,6 +4,7 @@
 use std::sync::Mutex;
 
 use mimosabay_core::name::Name;
+use mimosabay_core::placer_machine::Processor;
 use mimosabay_peer::Members;
 
 /// Time without contact after which an instance is removed from the list, in milliseconds.
@@ -23,26 +24,40 @@
 
 #[derive(Default)]
 struct Contacts {
-    /// Time of the last contact with each instance, in milliseconds.
-    last_seen_ms: BTreeMap<Name, u64>,
+    instances: BTreeMap<Name, Contact>,
+    /// Largest processor time of the other instances.
+    largest: Processor,
     /// Version of the list of these instances.
     version: u64,
     /// When instances without contact are searched for next, in milliseconds.
     forget_due_ms: u64,
 }
 
+/// The last contact with an instance.
+#[derive(Clone, Copy, Debug)]
+struct Contact {
+    /// Its time, in milliseconds.
+    seen_ms: u64,
+    /// Processor time of the instance's machine. That of this process counts as unknown, as it does not
+    /// hand over to itself.
+    processor: Processor,
+}
+
 impl Contacts {
-    fn record(&mut self, address: &Name, now_ms: u64) {
-        let instances = self.last_seen_ms.len();
-        match self.last_seen_ms.get_mut(address) {
-            Some(seen_ms) => *seen_ms = now_ms,
+    fn record(&mut self, address: &Name, contact: Contact) {
+        let before = self.instances.get_mut(address);
+        let is_known = before.is_some();
+        match before {
+            Some(known) => *known = contact,
             None => {
-                self.last_seen_ms.insert(address.clone(), now_ms);
+                self.instances.insert(address.clone(), contact);
             }
         }
-        let is_new = self.last_seen_ms.len() != instances;
-        if self.forget(now_ms) || is_new {
-            self.version = version_of(self.last_seen_ms.keys());
+        if self.forget(contact.seen_ms) || !is_known {
+            let instances = self.instances.values();
+            let largest = instances.map(|contact| contact.processor).max();
+            self.largest = largest.unwrap_or_default();
+            self.version = version_of(self.instances.keys());
         }
     }
 
@@ -52,10 +67,10 @@
             return false;
         }
         self.forget_due_ms = now_ms + FORGET_PERIOD_MS;
-        let instances = self.last_seen_ms.len();
-        self.last_seen_ms
-            .retain(|_, seen_ms| now_ms.saturating_sub(*seen_ms) <= FORGET_AFTER_MS);
-        self.last_seen_ms.len() != instances
+        let instances = self.instances.len();
+        self.instances
+            .retain(|_, contact| now_ms.saturating_sub(contact.seen_ms) <= FORGET_AFTER_MS);
+        self.instances.len() != instances
     }
 }
 
@@ -63,19 +78,47 @@
 struct ReceivedList {
     version: u64,
     addresses: Vec<Name>,
+    /// Largest processor time of other machines than the placer's.
+    largest: Processor,
 }
 
 impl MemberList {
-    /// Records that an instance has contacted the placer in this process.
-    pub(crate) fn record_contact(&self, address: &Name, now_ms: u64) {
+    /// Records that an instance on a machine with this processor time has contacted the placer in this
+    /// process.
+    pub(crate) fn record_contact(&self, address: &Name, processor: Processor, now_ms: u64) {
+        let contact = Contact {
+            seen_ms: now_ms,
+            processor,
+        };
         let mut contacts = self.contacts.lock().expect("members lock");
-        contacts.record(address, now_ms);
+        contacts.record(address, contact);
+    }
+
+    /// Records that the placer in this process is there.
+    pub(crate) fn record_own_contact(&self, address: &Name, now_ms: u64) {
+        self.record_contact(address, Processor::default(), now_ms);
+    }
+
+    /// Largest processor time of the machines of instances in contact with the placer in this process,
+    /// without its own.
+    pub(crate) fn largest_processor(&self) -> Processor {
+        self.contacts.lock().expect("members lock").largest
+    }
+
+    /// Records the largest processor time of other machines than the placer's, which the placer has sent.
+    pub(crate) fn set_largest_received(&self, largest: Processor) {
+        self.received.lock().expect("members lock").largest = largest;
+    }
+
+    /// Largest processor time of other machines than the placer's, as the placer has sent it.
+    pub(crate) fn largest_received(&self) -> Processor {
+        self.received.lock().expect("members lock").largest
     }
 
     /// Returns the addresses of the instances that are in contact with the placer in this process.
     pub(crate) fn in_contact(&self) -> Vec<Name> {
         let contacts = self.contacts.lock().expect("members lock");
-        contacts.last_seen_ms.keys().cloned().collect()
+        contacts.instances.keys().cloned().collect()
     }
 
     /// Returns the list for an instance that knows another version of it.
@@ -83,16 +126,15 @@
         let contacts = self.contacts.lock().expect("members lock");
         (contacts.version != known_version).then(|| Members {
             version: contacts.version,
-            addresses: contacts.last_seen_ms.keys().cloned().collect(),
+            addresses: contacts.instances.keys().cloned().collect(),
         })
     }
 
     /// Replaces the received list.
     pub(crate) fn apply(&self, members: Members) {
-        *self.received.lock().expect("members lock") = ReceivedList {
-            version: members.version,
-            addresses: members.addresses,
-        };
+        let mut received = self.received.lock().expect("members lock");
+        received.version = members.version;
+        received.addresses = members.addresses;
     }
 
     /// Version of the received list.
--- a/daemon/src/gateway/metrics.rs
+++ b/daemon/src/gateway/metrics.rs
@@ -64,6 +64,19 @@
     dependency: Dependency,
 }
 
+/// What is observed at the placer.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct PlacerGauges {
+    /// Longest delay of its work since the last observation, in milliseconds.
+    pub(crate) delay_ms: u64,
+    /// Inputs that wait.
+    pub(crate) waiting_inputs: usize,
+    /// Engines that it knows.
+    pub(crate) engines: usize,
+    /// Engines whose content a report has confirmed.
+    pub(crate) confirmed: usize,
+}
+
 /// Metrics of an instance.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -71,6 +84,10 @@
     failures: Family<FailureLabel, Counter>,
     dependencies_lost: Family<DependencyLabel, Counter>,
     orders: Counter,
+    placer_delay_ms: Gauge,
+    placer_inputs: Gauge,
+    placer_engines: Gauge,
+    placer_engines_confirmed: Gauge,
     store_eras: Counter,
     answer_s: Histogram,
     first_event_s: Histogram,
@@ -90,6 +107,10 @@
             failures: Family::default(),
             dependencies_lost: Family::default(),
             orders: Counter::default(),
+            placer_delay_ms: Gauge::default(),
+            placer_inputs: Gauge::default(),
+            placer_engines: Gauge::default(),
+            placer_engines_confirmed: Gauge::default(),
             store_eras: Counter::default(),
             answer_s: latency_histogram(),
             first_event_s: latency_histogram(),
@@ -121,6 +142,26 @@
             self.dependencies_lost.clone(),
         );
         registry.register("orders", "Orders given to servers", self.orders.clone());
+        registry.register(
+            "placer_delay_milliseconds",
+            "Longest delay of the placer's work in the last second",
+            self.placer_delay_ms.clone(),
+        );
+        registry.register(
+            "placer_inputs",
+            "Requests, updates, answers and reports that wait for the placer",
+            self.placer_inputs.clone(),
+        );
+        registry.register(
+            "placer_engines",
+            "Engines that the placer knows",
+            self.placer_engines.clone(),
+        );
+        registry.register(
+            "placer_engines_confirmed",
+            "Engines whose content a report has confirmed",
+            self.placer_engines_confirmed.clone(),
+        );
         registry.register(
             "store_eras",
             "Times that the store came back from an older copy",
@@ -180,6 +221,14 @@
         self.orders.inc();
     }
 
+    /// Sets what is observed at the placer; all of it is 0 at other instances.
+    pub(crate) fn set_placer(&self, gauges: &PlacerGauges) {
+        set(&self.placer_delay_ms, gauges.delay_ms);
+        set(&self.placer_inputs, gauges.waiting_inputs);
+        set(&self.placer_engines, gauges.engines);
+        set(&self.placer_engines_confirmed, gauges.confirmed);
+    }
+
     pub(crate) fn observe_answer_time(&self, time_ms: u64) {
         self.answer_s.observe(seconds(time_ms));
     }
@@ -227,6 +276,10 @@
     }
 }
 
+fn set(gauge: &Gauge, value: impl TryInto<i64>) {
+    gauge.set(value.try_into().unwrap_or(i64::MAX));
+}
+
 fn latency_histogram() -> Histogram {
     Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS))
 }
--- a/daemon/src/gateway/placer.rs
+++ b/daemon/src/gateway/placer.rs
@@ -8,6 +8,7 @@
     PlacementResponse, Report, Ticket, Update,
 };
 use mimosabay_core::name::Name;
+use mimosabay_core::placer_machine::Processor;
 use mimosabay_core::quarantine::Quarantine;
 use mimosabay_core::quarantine_log::QuarantineLog;
 use mimosabay_core::site::Site;
@@ -19,10 +20,13 @@
 use tracing::{debug, info, warn};
 
 use super::backends::Snapshot;
-use super::order_permission;
+use super::metrics::PlacerGauges;
+use super::placer_load::PlacerLoad;
 use super::quarantine_store::QuarantineStore;
 use super::server_connection;
 use super::state::State;
+use super::{election, order_permission};
+use crate::clock::Clock;
 
 /// Longest time between two ticks of the cell, in milliseconds.
 const MAX_TICK_MS: u64 = 250;
@@ -30,11 +34,58 @@
 /// Handle of a running placer. Clones refer to the same placer.
 #[derive(Clone)]
 pub(crate) struct Placer {
-    inbox: mpsc::UnboundedSender<Input>,
+    inbox: Inbox,
     /// Fencing number of its orders.
     pub(crate) fencing_number: u64,
 }
 
+/// Sends inputs to the placer. A placer that has stopped does not take them.
+#[derive(Clone)]
+struct Inbox {
+    sender: mpsc::UnboundedSender<SentInput>,
+    clock: Clock,
+}
+
+/// As [`Inbox`], without keeping the placer running.
+#[derive(Clone)]
+struct WeakInbox {
+    sender: mpsc::WeakUnboundedSender<SentInput>,
+    clock: Clock,
+}
+
+/// An input with the time at which it was sent.
+struct SentInput {
+    input: Input,
+    sent_ms: u64,
+}
+
+/// The placer has stopped.
+struct Stopped;
+
+impl Inbox {
+    fn send(&self, input: Input) -> Result<(), Stopped> {
+        let sent_ms = self.clock.now_ms();
+        let sent = self.sender.send(SentInput { input, sent_ms });
+        sent.map_err(|_| Stopped)
+    }
+
+    fn downgrade(&self) -> WeakInbox {
+        WeakInbox {
+            sender: self.sender.downgrade(),
+            clock: self.clock,
+        }
+    }
+}
+
+impl WeakInbox {
+    fn upgrade(&self) -> Option<Inbox> {
+        Some(Inbox {
+            sender: self.sender.upgrade()?,
+            clock: self.clock,
+        })
+    }
+}
+
 enum Input {
     RequestPlacement(Box<PlacementRequest>, oneshot::Sender<PlacementResponse>),
     RequestPermit(PermitRequest, oneshot::Sender<PermitResponse>),
@@ -60,7 +111,11 @@
 impl Placer {
     /// Starts the placer. It sends orders to servers from `orders_from_ms` on.
     pub(crate) fn start(state: Arc<State>, fencing_number: u64, orders_from_ms: u64) -> Self {
-        let (inbox, inputs) = mpsc::unbounded_channel();
+        let (sender, inputs) = mpsc::unbounded_channel();
+        let inbox = Inbox {
+            sender,
+            clock: state.clock,
+        };
         let placer = Self {
             inbox,
             fencing_number,
@@ -83,6 +138,7 @@
             authority,
             inbox: placer.inbox.downgrade(),
             quarantine_changes: watch::Sender::new(()),
+            load: PlacerLoad::new(state.now_ms()),
             state,
         };
         driver.start_quarantine_log();
@@ -141,9 +197,10 @@
     permit_responders: HashMap<Ticket, oneshot::Sender<PermitResponse>>,
     control: ServerControl,
     authority: OrderAuthority,
-    inbox: mpsc::WeakUnboundedSender<Input>,
+    inbox: WeakInbox,
     /// Signals changes of the quarantine to its store. Dropping it ends the store's task.
     quarantine_changes: watch::Sender<()>,
+    load: PlacerLoad,
     state: Arc<State>,
 }
 
@@ -155,7 +212,7 @@
         tokio::spawn(async move { drop(order_permission::obtain(&state, number).await) });
     }
 
-    async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<Input>) {
+    async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<SentInput>) {
         let mut sites = self.state.site.subscribe();
         let mut backends = self.state.backends.subscribe();
         let mut releases = self.state.releases.subscribe();
@@ -166,10 +223,14 @@
             self.run_actions();
             self.publish_quarantine();
             self.publish_streams();
-            let due = self.next_due();
+            self.observe_load(inputs.len());
+            let due_ms = self.next_due_ms();
             tokio::select! {
                 input = inputs.recv() => match input {
-                    Some(input) => self.handle_input(input),
+                    Some(SentInput { input, sent_ms }) => {
+                        self.load.record_input(sent_ms, self.state.now_ms());
+                        self.handle_input(input);
+                    }
                     None => break,
                 },
                 Ok(()) = sites.changed() => {
@@ -185,20 +246,55 @@
                     let newest = releases.borrow_and_update().clone();
                     self.apply_releases(&newest);
                 }
-                () = sleep_until(due) => self.cell.tick(self.state.now_ms()),
+                () = sleep_until(self.state.clock.instant(due_ms)) => {
+                    let now_ms = self.state.now_ms();
+                    self.load.record_timer(due_ms, now_ms);
+                    self.cell.tick(now_ms);
+                }
             }
         }
+        self.state.metrics.set_placer(&PlacerGauges::default());
         info!(
             event = "placer_stopped",
             fencing_number = self.authority.fencing_number
         );
     }
 
-    fn next_due(&self) -> tokio::time::Instant {
+    fn next_due_ms(&self) -> u64 {
         let now_ms = self.state.now_ms();
         let latest_ms = now_ms + MAX_TICK_MS;
         let due_ms = self.cell.next_due_ms().unwrap_or(latest_ms);
-        self.state.clock.instant(due_ms.clamp(now_ms, latest_ms))
+        due_ms.clamp(now_ms, latest_ms)
+    }
+
+    /// Logs the load once a second, and hands over to a larger machine if this one is behind.
+    fn observe_load(&mut self, waiting_inputs: usize) {
+        if !self.load.is_due(self.state.now_ms()) {
+            return;
+        }
+        let status = self.cell.status();
+        let is_behind = self.load.log(&self.state, &status, waiting_inputs);
+        let own = self.state.settings().processor;
+        let largest_other = self.state.members.largest_processor();
+        if is_behind && own.is_much_smaller_than(largest_other) {
+            self.hand_over(own, largest_other);
+        }
+    }
+
+    fn hand_over(&self, own: Processor, largest_other: Processor) {
+        let number = self.authority.fencing_number;
+        if self.state.order_permission.has_resigned(number) {
+            return;
+        }
+        warn!(
+            event = "placer_hands_over",
+            number,
+            reason = "behind",
+            millicores = own.millicores(),
+            largest_other_millicores = largest_other.millicores()
+        );
+        let state = self.state.clone();
+        tokio::spawn(async move { election::resign(&state).await });
     }
 
     fn handle_input(&mut self, input: Input) {
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -112,7 +112,7 @@
 
 async fn serve_peers(state: Arc<State>, listener: TcpListener) {
     let own_state = state.clone();
-    let own_facts = move || own_state.store_era.sender_facts();
+    let own_facts = move || own_state.sender_facts();
     mimosabay_peer::serve(listener, link::peer_secret(), own_facts, move |inbound| {
         handle_peer_message(state.clone(), inbound)
     })
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -12,7 +12,7 @@
 use mimosabay_core::retry_share::RetryShare;
 use mimosabay_core::site::Site;
 use mimosabay_core::stream_log::StreamLog;
-use mimosabay_peer::Members;
+use mimosabay_peer::{Members, SenderFacts};
 use mimosabay_platform::ProcessSettings;
 use mimosabay_platform::store::Store;
 use tokio::sync::watch;
@@ -209,6 +209,15 @@
         rates.configure(organisations, self.now_ms());
     }
 
+    /// What this process says of itself to other instances.
+    pub(crate) fn sender_facts(&self) -> SenderFacts {
+        SenderFacts {
+            processor: self.settings().processor,
+            largest_processor: self.members.largest_processor(),
+            ..SenderFacts::of_this_build(self.store_era.known())
+        }
+    }
+
     pub(crate) fn phase(&self) -> Phase {
         *self.phase.borrow()
     }
--- a/daemon/src/gateway/store_era.rs
+++ b/daemon/src/gateway/store_era.rs
@@ -49,11 +49,6 @@
     pub(crate) fn subscribe(&self) -> watch::Receiver<Option<u64>> {
         self.known.subscribe()
     }
-
-    /// What this process says of itself to other instances.
-    pub(crate) fn sender_facts(&self) -> SenderFacts {
-        SenderFacts::of_this_build(self.known())
-    }
 }
 
 /// Records the era that an answer of the store states. `sent_in` is the era that was known when the
--- a/daemon/src/gateway/updates.rs
+++ b/daemon/src/gateway/updates.rs
@@ -76,7 +76,7 @@
             let placer_number = link.placer_number();
             let update = link.drain_outbox(state);
             let message = Message::Update(Box::new(update.clone()));
-            let facts = state.store_era.sender_facts();
+            let facts = state.sender_facts();
             let exchange = peer
                 .exchange(&envelope(state, message), facts, UPDATE_TIMEOUT_MS)
                 .await;
@@ -103,6 +103,7 @@
                         state.apply_members(members);
                     }
                     record_contact(state, placer_number);
+                    state.members.set_largest_received(placer.largest_processor);
                     let is_same_era = store_era::observe_peer(state, &placer);
                     link.record_relay(state, reaches_store && is_same_era);
                     if is_same_era {
@@ -148,7 +149,7 @@
 fn apply_own_members(state: &State, update: &Update) {
     state
         .members
-        .record_contact(&update.address, state.now_ms());
+        .record_own_contact(&update.address, state.now_ms());
     if let Some(members) = state.members.changes_since(update.members_version) {
         state.apply_members(members);
     }
@@ -158,7 +159,7 @@
 pub(crate) fn build_reply(state: &State, update: &Update, sender: &SenderFacts) -> Reply {
     state
         .members
-        .record_contact(&update.address, state.now_ms());
+        .record_contact(&update.address, sender.processor, state.now_ms());
     state.order_permission.record_contact(&update.address);
     state.server_limits.apply(&update.limits);
     let is_same_era = store_era::observe_peer(state, sender);
--- a/peer/src/headers.rs
+++ b/peer/src/headers.rs
@@ -3,6 +3,7 @@
 //! Builds that do not know a header ignore it.
 
 use http::{HeaderMap, HeaderValue};
+use mimosabay_core::placer_machine::Processor;
 
 /// Number of this build's protocol. It grows when a variant is added to a message or a reply.
 const PROTOCOL: u64 = 2;
@@ -13,6 +14,12 @@
 /// Header with the era of the platform's store, as far as the sender knows it.
 const STORE_ERA_HEADER: &str = "store-era";
 
+/// Header with the processor time of the sender's machine, in thousandths of a core.
+const PROCESSOR_HEADER: &str = "processor-millicores";
+/// Header with the largest processor time of other instances' machines that the sender knows, in
+/// thousandths of a core.
+const LARGEST_PROCESSOR_HEADER: &str = "largest-processor-millicores";
+
 /// What a process says of itself beside a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SenderFacts {
@@ -20,6 +27,10 @@
     pub protocol: u64,
     /// Era of the platform's store; `None` if it knows none.
     pub store_era: Option<u64>,
+    /// Processor time of its machine.
+    pub processor: Processor,
+    /// Largest processor time of the machines of other instances that it knows.
+    pub largest_processor: Processor,
 }
 
 impl SenderFacts {
@@ -28,6 +39,8 @@
         Self {
             protocol: PROTOCOL,
             store_era,
+            processor: Processor::default(),
+            largest_processor: Processor::default(),
         }
     }
 
@@ -41,16 +54,27 @@
         if let Some(era) = self.store_era {
             headers.insert(STORE_ERA_HEADER, HeaderValue::from(era));
         }
+        write_processor(headers, PROCESSOR_HEADER, self.processor);
+        write_processor(headers, LARGEST_PROCESSOR_HEADER, self.largest_processor);
     }
 
     pub(crate) fn read(headers: &HeaderMap) -> Self {
         Self {
             protocol: number(headers, PROTOCOL_HEADER).unwrap_or(FIRST_PROTOCOL),
             store_era: number(headers, STORE_ERA_HEADER),
+            processor: Processor::stated(number(headers, PROCESSOR_HEADER)),
+            largest_processor: Processor::stated(number(headers, LARGEST_PROCESSOR_HEADER)),
         }
     }
 }
 
+/// Writes a processor time that is known.
+fn write_processor(headers: &mut HeaderMap, name: &'static str, processor: Processor) {
+    if processor != Processor::default() {
+        headers.insert(name, HeaderValue::from(processor.millicores()));
+    }
+}
+
 fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
--- a/standin/src/fleet/settings.rs
+++ b/standin/src/fleet/settings.rs
@@ -11,6 +11,7 @@
     pub(super) store_address: SocketAddr,
     pub(super) grace_s: u64,
     pub(super) lease_ms: u64,
+    pub(super) core_share: f64,
 }
 
 impl InstanceSettings {
@@ -37,6 +38,9 @@
 leaseMs = {lease_ms}
 retryRatio = 0.2
 retryBurst = 60
+[limits]
+cpuShare = {core_share}
+cores = 1
 [platform]
 address = "{store}"
 form = "objects"
@@ -49,6 +53,7 @@
             store = self.store_address,
             grace_s = self.grace_s,
             lease_ms = self.lease_ms,
+            core_share = self.core_share,
         )
     }
 }
--- a/standin/src/fleet/site.rs
+++ b/standin/src/fleet/site.rs
@@ -20,6 +20,11 @@
 /// Limits how many sites of one test program run at the same time.
 static PERMITS: Semaphore = Semaphore::const_new(3);
 
+/// Share of a core that a large machine states.
+const LARGE_CORE_SHARE: f64 = 0.5;
+/// Share of a core that other machines state.
+const SMALL_CORE_SHARE: f64 = 0.12;
+
 /// Name of the engines' service.
 pub const ENGINES: &str = "engines";
 /// Name of the plain servers' service.
@@ -56,6 +61,8 @@
     pub has_relays: bool,
     /// Whether each instance has links of its own to the servers that are there at the start.
     pub has_instance_links: bool,
+    /// Index of the only instance on a large machine.
+    pub large_instance: Option<usize>,
     /// Program of an earlier build with which the instances start. A restart replaces it by this build.
     pub old_build: Option<&'static Path>,
 }
@@ -73,6 +80,7 @@
             grace_s: 8,
             has_relays: false,
             has_instance_links: false,
+            large_instance: None,
             old_build: None,
         }
     }
@@ -323,6 +331,14 @@
         }
     }
 
+    fn core_share(&self, index: usize) -> f64 {
+        if self.options.large_instance == Some(index) {
+            LARGE_CORE_SHARE
+        } else {
+            SMALL_CORE_SHARE
+        }
+    }
+
     fn start_instance(&self, index: usize, store_address: SocketAddr) -> FleetInstance {
         let name = format!("instance-{index}");
         let settings = InstanceSettings {
@@ -333,6 +349,7 @@
             store_address,
             grace_s: self.options.grace_s,
             lease_ms: 1_500,
+            core_share: self.core_share(index),
         };
         let settings_file = self.directory.join(format!("{name}.toml"));
         std::fs::write(&settings_file, settings.to_toml()).expect("the test directory is writable");
