--- a/daemon/tests/gateway/stop.rs
+++ b/daemon/tests/gateway/stop.rs
@@ -35,6 +35,11 @@
 /// Deadline of a lookup, in milliseconds; it ends before a stopping instance does.
 const DEADLINE_MS: u64 = 2_000;
 
+/// Deadline of a booking that may outlast a stopping instance, in milliseconds.
+const LONG_DEADLINE_MS: u64 = 10_000;
+/// Size of the body of a booking that does not arrive with its head, in bytes.
+const BODY_BYTES: usize = 400_000;
+
 fn lookup(id: &str) -> String {
     format!(
         "GET /look/x HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer {KEY}\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: {DEADLINE_MS}\r\n\r\n"
@@ -326,3 +331,32 @@
         server.set_paused(false);
     }
 }
+
+/// Guards against closing a connection while the body of a refused request is on its way, which resets the
+/// connection, so that the caller may lose the refusal.
+#[test]
+fn refusal_is_not_lost_while_the_body_is_on_its_way() {
+    block_on(async {
+        let mut site = FleetSite::start(FleetOptions::default()).await;
+        let call = stop_until_connections_are_closed(&mut site).await;
+        let address = site.caller(0).address();
+        let mut socket = TcpStream::connect(address).await.expect("a connection");
+        let mut request = long_booking_head("late").into_bytes();
+        request.resize(request.len() + BODY_BYTES, b'x');
+        let written = socket.write_all(&request).await;
+        assert!(written.is_ok(), "{written:?}");
+        let mut answer = Vec::new();
+        let read = socket.read_to_end(&mut answer).await;
+        let answer = String::from_utf8_lossy(&answer);
+        assert!(read.is_ok(), "{read:?} after {answer:?}");
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}");
+        assert_eq!(call.await.unwrap().status, 200);
+    });
+}
+
+/// Returns the head of a booking that may outlast a stopping instance.
+fn long_booking_head(id: &str) -> String {
+    format!(
+        "POST /book/x HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer {KEY}\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: {LONG_DEADLINE_MS}\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
+    )
+}
