Resume a stream whose server sends only bytes of an event now and then

Cause: any frame of the server counted as progress, so that the stall never lasted long enough. Change: the relay waits for complete events; parts of one are buffered and are no progress. Ruled out: counting from the last event while each frame restarts the replacement; each byte would have used a retry. Conclusion: slow but sound streams are as before (server_that_pauses_for_less_than_two_seconds_is_not_replaced).

--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -5,6 +5,7 @@
 
 use http::Response;
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use mimosabay_core::attempt::ExecutionStatus;
 use mimosabay_core::cell::{RefusalReason, RunOutcome};
 use mimosabay_platform::ingress;
@@ -17,7 +18,7 @@
 use super::engine_attempt::EngineAttempt;
 use super::engine_request::{self, EngineRequest};
 use super::engine_run::Run;
-use super::events::EventSplitter;
+use super::events::{CompleteEvents, EventSplitter};
 use super::exchange::ResponseHead;
 use super::metrics::Outcome;
 use super::state::State;
@@ -25,7 +26,7 @@
 
 /// Number of chunks buffered for a caller that reads slowly.
 const CHUNK_BUFFER: usize = 8;
-/// Range of the time without data in the middle of a stream after which another server is requested, in
+/// Range of the time without an event in the middle of a stream after which another server is requested, in
 /// milliseconds. A sound server may be silent for a second or two.
 const STALL_RANGE_MS: (u64, u64) = (1_500, 2_500);
 /// Number of servers that have to end a resumed stream without an event until it counts as complete.
@@ -52,6 +53,16 @@
     longest_pause_ms: u64,
 }
 
+/// What comes next from a server.
+enum Received {
+    /// Complete events.
+    Events(CompleteEvents),
+    /// The end of the answer.
+    End,
+    /// The connection broke.
+    Broken,
+}
+
 /// An answer of which the caller has received nothing.
 struct UnsentAnswer {
     answer: Answer,
@@ -200,32 +211,23 @@
                 stall_ms,
                 resume_after: self.last_id,
             };
-            let frame =
-                successor::await_or_replace(&self.state, &mut self.request, &current, body.frame());
-            let frame = tokio::select! {
-                frame = frame => frame,
+            let next = next_events(&mut body, &mut self.splitter, run);
+            let next = successor::await_or_replace(&self.state, &mut self.request, &current, next);
+            let next = tokio::select! {
+                next = next => next,
                 () = self.chunks.closed() => return StreamEnd::CallerLeft,
                 () = &mut deadline => return StreamEnd::TimedOut,
             };
-            let frame = match frame {
-                Awaited::Current(frame) => frame,
-                Awaited::Successor(successor) => {
-                    self.successor = Some(successor);
-                    return StreamEnd::Broken(BreakCause::Stalled);
-                }
-            };
-            match frame {
-                Some(Ok(frame)) => {
-                    let Ok(data) = frame.into_data() else {
-                        continue;
-                    };
-                    run.record_data();
-                    if !self.forward_events(&data, run).await {
+            match next {
+                Awaited::Current(Received::Events(events)) => {
+                    if !self.forward_events(events, run).await {
                         return StreamEnd::CallerLeft;
                     }
                 }
-                Some(Err(_)) => return StreamEnd::Broken(BreakCause::ConnectionLost),
-                None => {
+                Awaited::Current(Received::Broken) => {
+                    return StreamEnd::Broken(BreakCause::ConnectionLost);
+                }
+                Awaited::Current(Received::End) => {
                     if !self.splitter.take_rest().is_empty() {
                         return StreamEnd::Broken(BreakCause::EndedInsideEvent);
                     }
@@ -236,6 +238,10 @@
                     guard.return_to_pool(&self.state);
                     return StreamEnd::Complete;
                 }
+                Awaited::Successor(successor) => {
+                    self.successor = Some(successor);
+                    return StreamEnd::Broken(BreakCause::Stalled);
+                }
             }
         }
     }
@@ -251,10 +257,7 @@
     }
 
     /// Forwards complete events; returns whether the caller is still connected.
-    async fn forward_events(&mut self, data: &[u8], run: &Run) -> bool {
-        let Some(complete) = self.splitter.push(data) else {
-            return true;
-        };
+    async fn forward_events(&mut self, complete: CompleteEvents, run: &Run) -> bool {
         if self.unsent.is_some() {
             self.request
                 .record_begun(&self.state, run.software_version());
@@ -333,7 +336,26 @@
     }
 }
 
-/// Time without data after which another server is requested: half of the time after which callers
+/// Waits for complete events. The parts of an event are no progress: a server that has stalled may send some
+/// bytes of it now and then.
+async fn next_events(body: &mut Incoming, splitter: &mut EventSplitter, run: &mut Run) -> Received {
+    loop {
+        let frame = match body.frame().await {
+            Some(Ok(frame)) => frame,
+            Some(Err(_)) => return Received::Broken,
+            None => return Received::End,
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        run.record_data();
+        if let Some(events) = splitter.push(&data) {
+            return Received::Events(events);
+        }
+    }
+}
+
+/// Time without an event after which another server is requested: half of the time after which callers
 /// abandon a stream.
 fn stall_ms(request: &EngineRequest) -> u64 {
     let (min_ms, max_ms) = STALL_RANGE_MS;
--- a/daemon/tests/gateway/silence.rs
+++ b/daemon/tests/gateway/silence.rs
@@ -4,7 +4,7 @@
 
 use futures::future::join_all;
 use mimosabay_core::cases;
-use mimosabay_standin::fleet::{Behaviour, FleetCaller, FleetOptions, FleetSite};
+use mimosabay_standin::fleet::{Behaviour, FleetCaller, FleetOptions, FleetServer, FleetSite};
 use mimosabay_standin::harness::{block_on, wait_for};
 use serde_json::Value;
 use tokio::time::sleep;
@@ -93,6 +93,29 @@
     });
 }
 
+/// Guards against waiting until the deadline for a stalled server that sends a byte now and then.
+#[test]
+fn stream_whose_server_sends_only_bytes_now_and_then_is_resumed() {
+    block_on(async {
+        let site = start_site(2).await;
+        plan_first_request(&site, Behaviour::TrickleAfter(3));
+        let caller = site.caller(0);
+        let request = caller.generate("/draft/x", "one", "");
+        let others = async {
+            wait_for("a running stream", async || {
+                (site.run_count("one") > 0).then_some(())
+            })
+            .await;
+            site.engines.iter().for_each(FleetServer::clear_plan);
+        };
+        let (answer, ()) = tokio::join!(request, others);
+        let answer = answer.expect("a complete stream");
+        assert_eq!(answer.status, 200);
+        assert_eq!(answer.event_ids(), [1, 2, 3, 4, 5, 6]);
+        assert_eq!(site.run_count("one"), 2);
+    });
+}
+
 /// Guards against giving up a silent server before another one has been assigned.
 mod stream_is_not_cut_at_a_silent_server {
     use super::{cases, check_stream};
--- a/standin/src/fleet/server.rs
+++ b/standin/src/fleet/server.rs
@@ -33,6 +33,10 @@
 const ADAPTER_LOAD_MS: u64 = 60;
 /// Receive buffer of a connection, in bytes. A server that does not read soon blocks the sender.
 const RECEIVE_BUFFER_BYTES: u32 = 4_096;
+/// Time between two bytes of an event that arrives byte by byte, in milliseconds.
+const TRICKLE_INTERVAL_MS: u64 = 400;
+/// Number of these bytes.
+const TRICKLED_BYTES: u64 = 100;
 /// Number of connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
@@ -79,6 +83,9 @@
         /// Length of the pause, in milliseconds.
         pause_ms: u64,
     },
+    /// Runs the request, stalls after this many events of the stream, and sends a byte of the next one now and
+    /// then.
+    TrickleAfter(u64),
     /// Runs the request and answers with neither a length nor chunks; the connection ends the answer.
     AnswerUntilClose,
     /// As [`Behaviour::AnswerUntilClose`], but ends inside the event after this many.
@@ -101,6 +108,8 @@
     None,
     /// The connection closes after the event with this number.
     BreakAfter(u64),
+    /// The event after the one with this number arrives byte by byte, and never whole.
+    TrickleAfter(u64),
     /// No event follows the one with number `last` for some time.
     PauseAfter { last: u64, pause_ms: u64 },
 }
@@ -497,6 +506,7 @@
             Behaviour::Answer
             | Behaviour::Reject
             | Behaviour::BreakAfter(_)
+            | Behaviour::TrickleAfter(_)
             | Behaviour::PauseAfter { .. } => {}
         }
         match (self.kind, behaviour) {
@@ -504,6 +514,9 @@
             (ServerKind::Engine { .. }, Behaviour::BreakAfter(count)) => {
                 self.stream_response(&id, after, StreamFault::BreakAfter(after + count))
             }
+            (ServerKind::Engine { .. }, Behaviour::TrickleAfter(count)) => {
+                self.stream_response(&id, after, StreamFault::TrickleAfter(after + count))
+            }
             (ServerKind::Engine { .. }, Behaviour::PauseAfter { events, pause_ms }) => {
                 let last = after + events;
                 self.stream_response(&id, after, StreamFault::PauseAfter { last, pause_ms })
@@ -564,7 +577,11 @@
         let running = RunningRequest::new(self);
         let interval_ms = self.with_state(|state| state.event_interval_ms);
         let version = self.software_version();
-        let numbers = stream::iter(after + 1..=EVENTS_PER_STREAM + 1);
+        let last_number = match fault {
+            StreamFault::TrickleAfter(last) => last + TRICKLED_BYTES,
+            _ => EVENTS_PER_STREAM + 1,
+        };
+        let numbers = stream::iter(after + 1..=last_number);
         let events = numbers.then(move |number| {
             let _is_running = &running;
             let version = version.clone();
@@ -575,6 +592,10 @@
                     StreamFault::PauseAfter { last, pause_ms } if number == last + 1 => {
                         sleep(Duration::from_millis(pause_ms)).await;
                     }
+                    StreamFault::TrickleAfter(last) if number > last => {
+                        sleep(Duration::from_millis(TRICKLE_INTERVAL_MS)).await;
+                        return Ok(Bytes::from_static(b":"));
+                    }
                     _ => {}
                 }
                 Ok(event(number, &version))
