Let requests wait for a placer or engine that can take them soon, and say when to come back

Cause: a placer that may not send orders yet, and an engine whose content is unknown until its next report, counted as no server at all. Instances without a placer stated a fixed delay although they know when a successor may order. Change: such requests wait, for as long as a request may wait for its prefill, the most urgent first; others are refused at once with the time until orders may be sent. Load it answers: the first seconds of a placer, and engines whose orders were not answered. Evidence: core/tests/cell/unserved.rs, core/tests/placer_record.rs. Test changed on purpose: unanswered_order_blocks_orders_until_a_report_arrives expected both requests to be refused at once; now they are neither granted nor refused until the wait is over, and refused then: as strict.

--- a/core/src/cell/assignment.rs
+++ b/core/src/cell/assignment.rs
@@ -21,7 +21,7 @@
 const MAX_WAIT_SHARE_OF_TARGET: f64 = 0.6;
 /// Share of the remaining time within which the first event must be forecast.
 const MAX_FIRST_EVENT_SHARE: f64 = 0.9;
-/// Retry delay sent to a caller if no server is available, in milliseconds.
+/// Shortest retry delay sent to a caller if no server is available, in milliseconds.
 const NO_SERVER_RETRY_MS: u64 = 400;
 
 impl Cell {
@@ -59,19 +59,31 @@
             self.add_waiting_stream(request, requested_ms);
             return None;
         }
+        let request = match choice {
+            Some(_) => request,
+            None => self.wait_unserved(request, requested_ms, now_ms)?,
+        };
         self.refund(&request, now_ms);
         let refusal = match (limited_wait_ms, choice) {
             (Some(wait_ms), _) => overload_refusal(wait_ms),
             (None, Some(choice)) => overload_refusal(floor_ms(choice.wait_ms)),
             (None, None) => Refusal {
                 reason: RefusalReason::NoServer,
-                retry_after_ms: NO_SERVER_RETRY_MS,
+                retry_after_ms: self.no_server_retry_ms(&request, now_ms),
             },
         };
         self.refuse(request.ticket, refusal);
         None
     }
 
+    /// Returns the time after which a caller may retry whom no engine can serve now, in milliseconds.
+    fn no_server_retry_ms(&self, request: &PlacementRequest, now_ms: u64) -> u64 {
+        let (_, most_ms) = limited::RETRY_AFTER_MS.into_inner();
+        let wait_ms = self.service_wait_ms(request, now_ms);
+        let wait_ms = wait_ms.filter(|wait_ms| *wait_ms <= most_ms);
+        wait_ms.unwrap_or(0).max(NO_SERVER_RETRY_MS)
+    }
+
     fn choose(&self, request: &PlacementRequest, now_ms: u64) -> Option<Choice> {
         let service = self.services.get(&request.service)?;
         let context = ChoiceContext {
@@ -199,7 +211,7 @@
 }
 
 /// Returns the longest time that a request may wait for its prefill to start.
-fn max_wait_ms(request: &PlacementRequest, waited_ms: u64) -> f64 {
+pub(super) fn max_wait_ms(request: &PlacementRequest, waited_ms: u64) -> f64 {
     let left_ms = request.left_ms.saturating_sub(waited_ms) as f64;
     let target_ms = request.target_ms.saturating_sub(waited_ms) as f64;
     let max_ms = left_ms * MAX_WAIT_SHARE;
--- a/core/src/cell/engine.rs
+++ b/core/src/cell/engine.rs
@@ -191,6 +191,16 @@
             && self.avoided_until_ms <= now_ms
     }
 
+    /// Returns the time until a report may confirm the engine's content, in milliseconds; `None` if it is
+    /// confirmed.
+    pub(crate) fn report_wait_ms(&self, now_ms: u64) -> Option<u64> {
+        match self.report_state {
+            ReportState::Confirmed => None,
+            ReportState::Requested => Some(0),
+            ReportState::RequestAt(at_ms) => Some(at_ms.saturating_sub(now_ms)),
+        }
+    }
+
     /// Counts the loads among the adapters anew.
     pub(crate) fn update_loads(&mut self) {
         let mut loads = Loads::default();
--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -23,6 +23,7 @@
 mod run_outcome;
 mod streams;
 mod suspects;
+mod unserved;
 
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
@@ -49,6 +50,7 @@
 use prefill_speed::PrefillSpeed;
 use streams::Streams;
 use suspects::Suspects;
+use unserved::Unserved;
 
 /// State and pending actions of the placer of a cell.
 #[derive(Debug)]
@@ -63,6 +65,8 @@
     server_rates: ServerRates,
     /// Requests that wait until a server with a limit may be sent another one.
     limited: LimitedRequests,
+    /// Requests that wait until some engine can take them.
+    unserved: Unserved,
     /// Software versions at which streams began.
     streams: Streams,
     load_speed: LoadSpeed,
@@ -138,6 +142,7 @@
             suspects: Suspects::default(),
             server_rates: ServerRates::for_placer(),
             limited: LimitedRequests::default(),
+            unserved: Unserved::default(),
             streams: Streams::default(),
             load_speed: LoadSpeed::default(),
             waiting: BTreeMap::new(),
@@ -328,6 +333,7 @@
         reports
             .chain(engines.filter_map(|engine| engine.loads.next_due_ms))
             .chain(self.limited.due_ms())
+            .chain(self.unserved.due_ms())
             .chain(self.streams.due_ms())
             .min()
     }
--- a/core/src/cell/orders.rs
+++ b/core/src/cell/orders.rs
@@ -149,6 +149,7 @@
     pub(super) fn advance(&mut self, now_ms: u64) {
         self.finish_due_loads(now_ms);
         self.serve_limited(now_ms);
+        self.serve_unserved(now_ms);
         self.plan_model_loads(now_ms);
         let may_send_orders = now_ms >= self.orders_from_ms;
         for engine in self.engines.values_mut() {
--- a/core/src/cell/run_outcome.rs
+++ b/core/src/cell/run_outcome.rs
@@ -84,6 +84,7 @@
     fn remove_waiting(&mut self, is_gone: impl Fn(Ticket) -> bool, now_ms: u64) {
         let mut removed = self.limited.remove(&is_gone);
         removed.extend(self.streams.remove(&is_gone));
+        removed.extend(self.unserved.remove(&is_gone));
         for request in removed {
             self.refund(&request, now_ms);
         }
--- a/core/src/cell/streams.rs
+++ b/core/src/cell/streams.rs
@@ -100,6 +100,9 @@
 
     /// Records what instances know of streams.
     pub fn record_streams(&mut self, streams: &[StreamVersion], now_ms: u64) {
+        if streams.is_empty() {
+            return;
+        }
         for stream in streams {
             self.streams.record(stream, now_ms);
         }
--- a/core/src/placer_record.rs
+++ b/core/src/placer_record.rs
@@ -9,6 +9,10 @@
 
 /// Distance between the fencing numbers of two eras of the store. Larger than any revision.
 const NUMBERS_PER_ERA: u64 = 1 << 32;
+/// Time that an election takes, in milliseconds.
+const ELECTION_MS: u64 = 500;
+/// Bounds of the retry delay of callers who cannot be served without a placer, in milliseconds.
+const RETRY_AFTER_RANGE_MS: std::ops::RangeInclusive<u64> = 500..=2_000;
 /// Era of a store that has never come back from an older copy.
 const FIRST_ERA: u64 = 1;
 
@@ -212,6 +216,21 @@
         })
     }
 
+    /// Returns the time after which a caller may retry who cannot be served without a placer, in milliseconds.
+    /// A successor of a silent placer waits for the lease before it has adapters loaded; one of a placer whose process has
+    /// ended does not.
+    pub fn retry_after_ms(&self, lease_ms: u64, now_ms: u64) -> u64 {
+        let is_silent = self.record.is_some() && self.refused_since_ms.is_none();
+        let silent_ms = now_ms.saturating_sub(self.last_seen_ms);
+        let orders_in_ms = if is_silent {
+            (lease_ms + ELECTION_MS).saturating_sub(silent_ms)
+        } else {
+            ELECTION_MS
+        };
+        let (shortest_ms, longest_ms) = RETRY_AFTER_RANGE_MS.into_inner();
+        orders_in_ms.clamp(shortest_ms, longest_ms)
+    }
+
     /// Forgets the placer, which has resigned.
     pub fn forget(&mut self) {
         self.record = None;
--- a/core/tests/cell/main.rs
+++ b/core/tests/cell/main.rs
@@ -13,3 +13,4 @@
 mod support;
 mod suspects;
 mod unknown_state;
+mod unserved;
--- a/core/tests/cell/unknown_state.rs
+++ b/core/tests/cell/unknown_state.rs
@@ -32,9 +32,12 @@
     cell.request_placement(placement_request(2, "a2"), 30);
     let actions = cell.take_actions();
     assert!(orders(&actions).is_empty());
-    assert_eq!(refused(&actions).len(), 2);
+    assert!(granted(&actions).is_empty());
     cell.tick(30 + LOADED_MS);
-    assert_eq!(requested_reports(&cell.take_actions()), ["one".into()]);
+    let actions = cell.take_actions();
+    assert_eq!(requested_reports(&actions), ["one".into()]);
+    assert!(orders(&actions).is_empty());
+    assert_eq!(refused(&actions).len(), 2);
     let mut answered = report(&one);
     answered.sequence = 1;
     cell.handle_report(&one.id, Some(&answered), 31 + LOADED_MS);
--- a/core/tests/placer_record.rs
+++ b/core/tests/placer_record.rs
@@ -211,3 +211,23 @@
     assert!(view.record_reply(Some(7), 1_200));
     assert_eq!((view.last_seen_ms, view.refused_since_ms), (1_200, None));
 }
+
+/// Lease of the site, in milliseconds.
+const LEASE_MS: u64 = 3_000;
+
+#[test]
+fn callers_return_once_a_successor_of_a_silent_placer_can_have_adapters_loaded() {
+    let view = view_of_a_placer();
+    assert_eq!(view.retry_after_ms(LEASE_MS, 1_600), 2_000);
+    assert_eq!(view.retry_after_ms(LEASE_MS, 3_000), 1_500);
+    assert_eq!(view.retry_after_ms(LEASE_MS, 9_000), 500);
+}
+
+#[test]
+fn callers_return_soon_if_the_process_of_the_placer_has_ended() {
+    let mut view = view_of_a_placer();
+    view.record_failure(Some(7), true, 1_100);
+    assert_eq!(view.retry_after_ms(LEASE_MS, 1_600), 500);
+    view.forget();
+    assert_eq!(view.retry_after_ms(LEASE_MS, 1_600), 500);
+}
--- a/daemon/src/gateway/placement.rs
+++ b/daemon/src/gateway/placement.rs
@@ -303,7 +303,10 @@
         },
         None => PlacementResponse::Refused(Refusal {
             reason: RefusalReason::NoServer,
-            retry_after_ms: NO_PLACER_RETRY_MS,
+            retry_after_ms: state
+                .link
+                .placer_view()
+                .retry_after_ms(state.settings().lease_ms, state.now_ms()),
         }),
     }
 }
