--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -6,6 +6,7 @@
 // A poisoned lock or a failure to set up the test site aborts the test.
 #![allow(clippy::missing_panics_doc)]
 
+mod behaviour;
 mod caller;
 mod configuration;
 mod crash;
@@ -13,6 +14,7 @@
 mod instance_links;
 mod limit;
 mod poison;
+mod received;
 mod server;
 mod settings;
 mod site;
@@ -20,11 +22,13 @@
 mod store;
 mod version;
 
+pub use behaviour::Behaviour;
 pub use caller::{FleetCaller, FleetReply, FleetStream, event_ids};
 pub use crash::{AnswerStart, ConnectionEnd, CrashEnd, CrashPlan, CrashTrigger, RestartId};
 pub use instance_links::{InstanceLinks, LinkLoss};
 pub use poison::{CONTACT_MS, Condition, Disturber, quarantine_log, start_crashing_site};
-pub use server::{Behaviour, FleetServer, ReceivedOrder, ReceivedRequest, ServerKind};
+pub use received::{ReceivedOrder, ReceivedRequest};
+pub use server::{FleetServer, ServerKind};
 pub use site::{
     DESK, ENGINES, FleetInstance, FleetOptions, FleetSite, HOST, KEY, MODEL, ORGANISATION,
 };
--- a/standin/src/fleet/crash.rs
+++ b/standin/src/fleet/crash.rs
@@ -7,8 +7,9 @@
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
+use super::behaviour::StreamFault;
 use super::framing::{Framing, cut_inside_piece};
-use super::server::{EVENT_INTERVAL_MS, FleetServer, StreamFault};
+use super::server::{EVENT_INTERVAL_MS, FleetServer};
 use crate::reply::Reply;
 use crate::server::Call;
 
--- a/standin/src/fleet/limit.rs
+++ b/standin/src/fleet/limit.rs
@@ -5,7 +5,8 @@
 use http::{HeaderMap, HeaderValue};
 
 use super::poison::CONTACT_MS;
-use super::server::{FleetServer, ReceivedRequest};
+use super::received::ReceivedRequest;
+use super::server::FleetServer;
 
 /// Length of the spans in which requests are counted, in milliseconds.
 const SPAN_MS: u64 = 4_000;
--- a/standin/src/fleet/server.rs
+++ b/standin/src/fleet/server.rs
@@ -15,9 +15,11 @@
 use tokio::task::AbortHandle;
 use tokio::time::sleep;
 
+use super::behaviour::{Behaviour, StreamFault};
 use super::crash::CrashPlan;
 use super::framing::cut_inside_piece;
 use super::limit::StatedLimit;
+use super::received::{ReceivedOrder, ReceivedRequest, RequestEffect};
 use super::site::MODEL;
 use super::statement::Statements;
 use super::store::FleetStore;
@@ -52,140 +54,6 @@
     Plain,
 }
 
-/// How a server handles a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Behaviour {
-    /// Runs the request and answers.
-    Answer,
-    /// Runs the request and answers after this time, in milliseconds.
-    AnswerAfter(u64),
-    /// Runs the request and answers with a body of this size, in bytes.
-    AnswerBytes(usize),
-    /// Runs the request and answers with status 500.
-    Fail,
-    /// Runs the request and closes the connection without an answer.
-    LoseAnswer,
-    /// Runs the request and answers with the identifier of another request.
-    AnswerWithWrongId,
-    /// Rejects the request with a header stating that it was not executed.
-    Reject,
-    /// Runs the request and answers with an earlier rejection.
-    RepeatRejection {
-        /// Whether the rejection names the earlier request.
-        has_id: bool,
-    },
-    /// Runs the request and closes the connection after this many events of the stream.
-    BreakAfter(u64),
-    /// Runs the request and pauses in the middle of the stream.
-    PauseAfter {
-        /// Number of events before the pause.
-        events: u64,
-        /// Length of the pause, in milliseconds.
-        pause_ms: u64,
-    },
-    /// Runs the request, stalls after this many events of the stream, and sends a byte of the next one now and
-    /// then.
-    TrickleAfter(u64),
-    /// Runs the request and answers with neither a length nor chunks; the connection ends the answer.
-    AnswerUntilClose,
-    /// As [`Behaviour::AnswerUntilClose`], but ends inside the event after this many.
-    EndInsideEvent(usize),
-    /// As [`Behaviour::AnswerUntilClose`], but ends after the head.
-    EndAfterHead,
-    /// Runs the request and answers with the length of the whole body, but closes the connection after
-    /// this many events; before the body of a plain answer.
-    CutShort(usize),
-    /// Runs the request and never answers.
-    Hang,
-    /// Runs the request, restarts with empty state and closes the connection.
-    Crash,
-}
-
-/// What happens in the middle of a stream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum StreamFault {
-    /// Nothing.
-    None,
-    /// The connection closes after the event with this number.
-    BreakAfter(u64),
-    /// The event after the one with this number arrives byte by byte, and never whole.
-    TrickleAfter(u64),
-    /// No event follows the one with number `last` for some time.
-    PauseAfter { last: u64, pause_ms: u64 },
-}
-
-/// A request that a server received.
-#[derive(Clone, Debug)]
-pub struct ReceivedRequest {
-    /// Identifier of the caller's attempt, from `x-attempt-id`.
-    pub id: String,
-    /// Whether the server ran the request.
-    pub has_run: bool,
-    /// Whether the request crashed the server.
-    pub has_crashed_server: bool,
-    /// All headers, in the order received.
-    pub headers: Vec<(String, String)>,
-    /// Complete request body.
-    pub body: Bytes,
-    /// When the request was recorded.
-    pub arrived: Instant,
-}
-
-impl ReceivedRequest {
-    /// Returns the value of the first header with this lower-case name.
-    pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(key, _)| key == name);
-        found.map(|(_, value)| &**value)
-    }
-}
-
-/// What a request did to the server that received it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum RequestEffect {
-    /// Nothing: it was not run.
-    NotRun,
-    /// It ran.
-    Run,
-    /// It crashed the server.
-    Crash,
-}
-
-/// Rejection of another request.
-fn earlier_rejection(has_id: bool) -> Reply {
-    let mut response = reply::json(StatusCode::SERVICE_UNAVAILABLE, &json!({}))?;
-    let headers = response.headers_mut();
-    headers.insert("x-not-executed", HeaderValue::from_static("1"));
-    if has_id {
-        headers.insert("x-attempt-id", HeaderValue::from_static("an-earlier-one"));
-    }
-    Ok(response)
-}
-
-impl RequestEffect {
-    fn run(crashes: bool) -> Self {
-        if crashes { Self::Crash } else { Self::Run }
-    }
-}
-
-/// An order that a server received.
-#[derive(Clone, Debug)]
-pub struct ReceivedOrder {
-    /// JSON body of the order; null if it was not valid JSON.
-    pub fields: Value,
-    /// HTTP status of the response.
-    pub status: u16,
-}
-
-impl ReceivedOrder {
-    /// Returns the fencing number and its holder.
-    pub fn holder(&self) -> (u64, String) {
-        let number = self.fields["fencingToken"].as_u64();
-        let holder = self.fields["holder"].as_str();
-        let number = number.expect("an order has a fencing number");
-        (number, holder.expect("an order has a holder").to_owned())
-    }
-}
-
 /// A backend server. Clones share its state.
 #[derive(Clone, Debug)]
 pub struct FleetServer {
@@ -625,6 +493,17 @@
     }
 }
 
+/// Rejection of another request.
+fn earlier_rejection(has_id: bool) -> Reply {
+    let mut response = reply::json(StatusCode::SERVICE_UNAVAILABLE, &json!({}))?;
+    let headers = response.headers_mut();
+    headers.insert("x-not-executed", HeaderValue::from_static("1"));
+    if has_id {
+        headers.insert("x-attempt-id", HeaderValue::from_static("an-earlier-one"));
+    }
+    Ok(response)
+}
+
 /// Listens on a free port.
 fn listen() -> std::io::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
