Do not hand the record over again soon, and split the placer's inbox from it

Callers saw: nothing; by reading: a placer that is behind on a small machine and becomes the placer again, because no larger one can, would have removed its record every few seconds. Change: one process hands over at most once in 30 s.

--- a/core/src/placer_machine.rs
+++ b/core/src/placer_machine.rs
@@ -12,6 +12,8 @@
 const LATE_MS: u64 = 200;
 /// Time for which the placer has to be late at each observation until it counts as behind, in milliseconds.
 const BEHIND_AFTER_MS: u64 = 2_000;
+/// Shortest time between two times that a placer hands over because it is behind, in milliseconds.
+const HAND_OVER_PAUSE_MS: u64 = 30_000;
 /// Largest number of thousandths of a core that is believed.
 const MAX_MILLICORES: u64 = 1_024_000;
 
@@ -54,6 +56,14 @@
         self.millicores * MUCH_LARGER < other.millicores
     }
 
+    /// Returns whether a placer on this machine that is behind removes its record, so that an instance on
+    /// a larger machine follows it. `since_last_ms` is the time since it last did, in milliseconds: if it has
+    /// become the placer again soon, nobody else can.
+    pub fn hands_over_to(self, largest_other: Self, since_last_ms: Option<u64>) -> bool {
+        let is_repeated = since_last_ms.is_some_and(|since_ms| since_ms < HAND_OVER_PAUSE_MS);
+        self.is_much_smaller_than(largest_other) && !is_repeated
+    }
+
     /// Returns the time by which an instance on this machine takes over later than others, if the largest
     /// machine of other instances is `largest_other`, in milliseconds.
     pub fn takeover_delay_ms(self, largest_other: Self) -> u64 {
--- a/core/tests/placer_machine.rs
+++ b/core/tests/placer_machine.rs
@@ -57,6 +57,19 @@
     placer_that_is_late_all_the_time: (&[300, 250, 400], true);
 }
 
+fn check_hand_over(own: u64, largest_other: u64, since_last_ms: Option<u64>, expected: bool) {
+    let own = Processor::stated(Some(own));
+    let largest_other = Processor::stated(Some(largest_other));
+    assert_eq!(own.hands_over_to(largest_other, since_last_ms), expected);
+}
+
+mimosabay_core::cases! { check_hand_over;
+    small_machine_hands_over: (120, 500, None, true);
+    machine_among_equals_stays: (120, 120, None, false);
+    machine_that_is_the_placer_again_soon_stays: (120, 500, Some(5_000), false);
+    machine_that_is_the_placer_again_later_hands_over: (120, 500, Some(60_000), true);
+}
+
 /// A guard must not send the record around among small machines.
 #[test]
 fn record_moves_only_to_larger_machines() {
--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod order_permission;
 mod placement;
 mod placer;
+mod placer_inbox;
 mod placer_load;
 mod plain_attempt;
 mod plain_choice;
--- a/daemon/src/gateway/order_permission.rs
+++ b/daemon/src/gateway/order_permission.rs
@@ -29,6 +29,8 @@
     last_failure: tokio::sync::Mutex<Option<Instant>>,
     /// Number of the placer of this process that last tried to remove its record; 0 if none did.
     resigned_number: AtomicU64,
+    /// When it tried that, by the clock of [`clock::boot_ms`].
+    resigned_ms: AtomicU64,
     under_way: AtomicU64,
 }
 
@@ -49,6 +51,7 @@
             lease: Mutex::new(OrderLease::new(duration_ms(lease_ms))),
             last_failure: tokio::sync::Mutex::new(None),
             resigned_number: AtomicU64::new(0),
+            resigned_ms: AtomicU64::new(0),
             under_way: AtomicU64::new(0),
         }
     }
@@ -69,10 +72,21 @@
         self.resigned_number.load(Ordering::Relaxed) == fencing_number
     }
 
+    /// Time since a placer of this process last tried to remove its record, in milliseconds; `None` if none
+    /// did.
+    pub(crate) fn since_resigned_ms(&self) -> Option<u64> {
+        if self.resigned_number.load(Ordering::Relaxed) == 0 {
+            return None;
+        }
+        let resigned_ms = self.resigned_ms.load(Ordering::Relaxed);
+        Some(clock::boot_ms().saturating_sub(resigned_ms))
+    }
+
     /// Ends the orders of a placer, and returns once those that it has sent are answered or have failed.
     pub(crate) async fn resign(&self, fencing_number: u64) {
         self.resigned_number
             .store(fencing_number, Ordering::Relaxed);
+        self.resigned_ms.store(clock::boot_ms(), Ordering::Relaxed);
         self.lease().release();
         let settled_by = Instant::now() + Duration::from_millis(MAX_SETTLE_MS);
         while self.under_way.load(Ordering::Relaxed) > 0 && Instant::now() < settled_by {
--- a/daemon/src/gateway/placer.rs
+++ b/daemon/src/gateway/placer.rs
@@ -5,11 +5,9 @@
 
 use mimosabay_core::cell::{
     Action, AdapterKey, Cell, Order, OrderAnswer, PermitRequest, PermitResponse, PlacementRequest,
-    PlacementResponse, Report, Ticket, Update,
+    PlacementResponse, Ticket, Update,
 };
-use mimosabay_core::name::Name;
 use mimosabay_core::placer_machine::Processor;
-use mimosabay_core::quarantine::Quarantine;
 use mimosabay_core::quarantine_log::QuarantineLog;
 use mimosabay_core::site::Site;
 use mimosabay_core::stream_log::StreamLog;
@@ -21,12 +19,12 @@
 
 use super::backends::Snapshot;
 use super::metrics::PlacerGauges;
+use super::placer_inbox::{Inbox, Input, Reported, SentInput, WeakInbox};
 use super::placer_load::PlacerLoad;
 use super::quarantine_store::QuarantineStore;
 use super::server_connection;
 use super::state::State;
 use super::{election, order_permission};
-use crate::clock::Clock;
 
 /// Longest time between two ticks of the cell, in milliseconds.
 const MAX_TICK_MS: u64 = 250;
@@ -39,83 +37,10 @@
     pub(crate) fencing_number: u64,
 }
 
-/// Sends inputs to the placer. A placer that has stopped does not take them.
-#[derive(Clone)]
-struct Inbox {
-    sender: mpsc::UnboundedSender<SentInput>,
-    clock: Clock,
-}
-
-/// As [`Inbox`], without keeping the placer running.
-#[derive(Clone)]
-struct WeakInbox {
-    sender: mpsc::WeakUnboundedSender<SentInput>,
-    clock: Clock,
-}
-
-/// An input with the time at which it was sent.
-struct SentInput {
-    input: Input,
-    sent_ms: u64,
-}
-
-/// The placer has stopped.
-struct Stopped;
-
-impl Inbox {
-    fn send(&self, input: Input) -> Result<(), Stopped> {
-        let sent_ms = self.clock.now_ms();
-        let sent = self.sender.send(SentInput { input, sent_ms });
-        sent.map_err(|_| Stopped)
-    }
-
-    fn downgrade(&self) -> WeakInbox {
-        WeakInbox {
-            sender: self.sender.downgrade(),
-            clock: self.clock,
-        }
-    }
-}
-
-impl WeakInbox {
-    fn upgrade(&self) -> Option<Inbox> {
-        Some(Inbox {
-            sender: self.sender.upgrade()?,
-            clock: self.clock,
-        })
-    }
-}
-
-enum Input {
-    RequestPlacement(Box<PlacementRequest>, oneshot::Sender<PlacementResponse>),
-    RequestPermit(PermitRequest, oneshot::Sender<PermitResponse>),
-    RequestTrial(Box<Work>, oneshot::Sender<bool>),
-    Update(Box<Update>),
-    OrderAnswered(Name, OrderAnswer),
-    Reported(Name, Reported),
-    HoldOrders { until_ms: u64 },
-    MergeQuarantine(Quarantine),
-}
-
-/// What came of the request for a server's report.
-#[derive(Debug)]
-enum Reported {
-    /// The report.
-    Report(Report),
-    /// The server does not answer.
-    Unresponsive,
-    /// Only this instance does not reach the server.
-    Unreached,
-}
-
 impl Placer {
     /// Starts the placer. It sends orders to servers from `orders_from_ms` on.
     pub(crate) fn start(state: Arc<State>, fencing_number: u64, orders_from_ms: u64) -> Self {
-        let (sender, inputs) = mpsc::unbounded_channel();
-        let inbox = Inbox {
-            sender,
-            clock: state.clock,
-        };
+        let (inbox, inputs) = Inbox::new(state.clock);
         let placer = Self {
             inbox,
             fencing_number,
@@ -274,9 +199,10 @@
         }
         let status = self.cell.status();
         let is_behind = self.load.log(&self.state, &status, waiting_inputs);
+        let since_last_ms = self.state.order_permission.since_resigned_ms();
         let own = self.state.settings().processor;
         let largest_other = self.state.members.largest_processor();
-        if is_behind && own.is_much_smaller_than(largest_other) {
+        if is_behind && own.hands_over_to(largest_other, since_last_ms) {
             self.hand_over(own, largest_other);
         }
     }
