Do not write the record again while this process removes it

Callers saw: nothing; by reading: a placer that hands over because it is behind gives up its right to order first, and the election of the same process took that for a removal that had failed, so it could write the record again before the removal reached the store. Change: a new record is written only after an attempt to remove the old one has ended in vain; one attempt at a time. Evidence: by reading; placer_that_falls_behind_hands_over_to_the_large_machine passed before and passes now.

--- a/daemon/src/gateway/election.rs
+++ b/daemon/src/gateway/election.rs
@@ -163,6 +163,7 @@
 /// process continues to place requests until the removal has succeeded, but sends no more orders once the
 /// store can be asked for the removal.
 pub(crate) async fn resign(state: &State) {
+    let _resigning = state.order_permission.begin_resigning();
     while let Err(cause) = try_resign(state).await {
         warn!(event = "placer_not_resigned", %cause);
         sleep(Duration::from_millis(FAILURE_PAUSE_MS)).await;
@@ -239,7 +240,7 @@
             if view.is_record_stale {
                 Step::ReadRecord
             } else if view.is_record_stored()
-                && !state.order_permission.has_resigned(fencing_number)
+                && !state.order_permission.needs_new_record(fencing_number)
             {
                 Step::Wait
             } else {
--- a/daemon/src/gateway/order_permission.rs
+++ b/daemon/src/gateway/order_permission.rs
@@ -31,9 +31,22 @@
     resigned_number: AtomicU64,
     /// When it tried that, by the clock of [`clock::boot_ms`].
     resigned_ms: AtomicU64,
+    /// Number of attempts to remove the record that are under way.
+    resigning: AtomicU64,
     under_way: AtomicU64,
 }
 
+/// An attempt to remove the record. Dropping it ends the attempt.
+pub(crate) struct Resigning<'a> {
+    resigning: &'a AtomicU64,
+}
+
+impl Drop for Resigning<'_> {
+    fn drop(&mut self) {
+        self.resigning.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// An order that may be sent now. Dropping it means that it is answered.
 pub(crate) struct PermittedOrder<'a> {
     under_way: &'a AtomicU64,
@@ -52,6 +65,7 @@
             last_failure: tokio::sync::Mutex::new(None),
             resigned_number: AtomicU64::new(0),
             resigned_ms: AtomicU64::new(0),
+            resigning: AtomicU64::new(0),
             under_way: AtomicU64::new(0),
         }
     }
@@ -66,6 +80,25 @@
         self.lease().advance(clock::boot_ms());
     }
 
+    /// Begins an attempt to remove the record.
+    pub(crate) fn begin_resigning(&self) -> Resigning<'_> {
+        self.resigning.fetch_add(1, Ordering::Relaxed);
+        Resigning {
+            resigning: &self.resigning,
+        }
+    }
+
+    /// Whether the placer with a fencing number has tried in vain to remove its record, so that it may order
+    /// only with a new one.
+    pub(crate) fn needs_new_record(&self, fencing_number: u64) -> bool {
+        self.has_resigned(fencing_number) && !self.is_resigning()
+    }
+
+    /// Whether an attempt to remove the record is under way.
+    pub(crate) fn is_resigning(&self) -> bool {
+        self.resigning.load(Ordering::Relaxed) > 0
+    }
+
     /// Whether the placer with a fencing number has tried to remove its record. It orders no more, because
     /// the removal may take effect late.
     pub(crate) fn has_resigned(&self, fencing_number: u64) -> bool {
--- a/daemon/src/gateway/placer.rs
+++ b/daemon/src/gateway/placer.rs
@@ -209,7 +209,7 @@
 
     fn hand_over(&self, own: Processor, largest_other: Processor) {
         let number = self.authority.fencing_number;
-        if self.state.order_permission.has_resigned(number) {
+        if self.state.order_permission.is_resigning() {
             return;
         }
         warn!(
