Do not keep a removed server in use because the placer, not this instance, had lost the store

Change: the relay starts the grace only at an instance that did not reach the store itself. Evidence: store::server_removed_as_the_placer_regains_the_store_is_not_used_by_others fails without the change and passes with it; entries_that_expired_during_an_outage_have_time_to_return still passes.

--- a/daemon/src/gateway/link.rs
+++ b/daemon/src/gateway/link.rs
@@ -351,8 +351,9 @@
         let reached_before = self
             .placer_reaches_store
             .swap(reaches_store, Ordering::Relaxed);
-        if reaches_store && !reached_before {
-            // Entries that expired during the outage may be registered again.
+        if reaches_store && !reached_before && !state.reaches_store() {
+            // Entries that expired during the outage may be registered again. One that only the placer had was
+            // none: the store has served this instance, and what it removed has left.
             state.backends.start_return_grace(now_ms);
         }
         let until_ms = if reaches_store {
--- a/daemon/tests/gateway/store.rs
+++ b/daemon/tests/gateway/store.rs
@@ -183,6 +183,58 @@
     });
 }
 
+/// Guards against sending requests to a removed server for two more seconds because the placer, not this instance,
+/// had lost the store.
+#[test]
+fn server_removed_as_the_placer_regains_the_store_is_not_used_by_others() {
+    block_on(async {
+        let options = FleetOptions {
+            has_relays: true,
+            ..FleetOptions::default()
+        };
+        let site = FleetSite::start(options).await;
+        let placer = site.wait_placer().await;
+        let other = 1 - placer;
+        site.store_relays[placer].cut();
+        wait_for("a placer that lost the store", async || {
+            let is_lost = site.instances[placer].has_logged("store_lost");
+            is_lost.then_some(())
+        })
+        .await;
+        wait_for("an instance that watches the servers itself", async || {
+            let watches = site.store.watch_count("servers");
+            sleep(WATCH_TIME).await;
+            (site.store.watch_count("servers") > watches + 1).then_some(())
+        })
+        .await;
+        site.store_relays[placer].heal();
+        wait_for("a placer that has regained the store", async || {
+            let log = site.instances[placer].log();
+            let mut regained = log.iter().filter(|it| it["event"] == "store_regained");
+            regained.any(|it| it["kind"] == "servers").then_some(())
+        })
+        .await;
+        sleep(RELAY_TIME).await;
+        for server in &site.plain_servers {
+            site.store.remove("servers", &server.current_id());
+        }
+        wait_for("a server that is known to be removed", async || {
+            let is_removed = site.instances[other].has_logged("server_removed");
+            is_removed.then_some(())
+        })
+        .await;
+        sleep(RELAY_TIME).await;
+        let answer = site.caller(other).get("/look/x", "late").await.unwrap();
+        assert_eq!(answer.status, 503, "the servers are removed");
+        assert_eq!(site.arrival_count("late"), 0);
+    });
+}
+
+/// Time in which an instance that watches the servers itself calls the store several times.
+const WATCH_TIME: Duration = Duration::from_millis(1_500);
+/// Time in which the placer relays that it reaches the store again.
+const RELAY_TIME: Duration = Duration::from_millis(600);
+
 #[test]
 fn quarantine_is_not_stored_while_no_server_crashes() {
     block_on(async {
