--- /dev/null
+++ b/review/common/review_site.py
@@ -0,0 +1,690 @@
+"""A small site on the loopback interface: store, backend servers, instances and callers.
+
+Only the standard library is used. The stand-ins follow the pages of the platform and do nothing else
+than these allow. The instances are the project's own program, started as deploy/system.toml says.
+"""
+
+import json
+import os
+import random
+import shutil
+import signal
+import socket
+import subprocess
+import tempfile
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlsplit
+
+HOST = "site.example"
+KEY = "key-of-the-clinics"
+TENANT = "clinics"
+MODEL = "base"
+ENGINES = "engines"
+DESK = "desk"
+REPOSITORY = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+PROGRAM = os.path.join(REPOSITORY, "target", "release", "mimosabayd")
+
+
+class Record:
+    """Writes what was sent, answered and run, with the time since the start."""
+
+    def __init__(self, path):
+        self.started = time.monotonic()
+        self.file = open(path, "w", encoding="utf-8")
+        self.lock = threading.Lock()
+
+    def write(self, text):
+        with self.lock:
+            self.file.write(f"{time.monotonic() - self.started:9.3f} {text}\n")
+            self.file.flush()
+
+
+# --- store ------------------------------------------------------------------------------------------
+
+
+class Store:
+    """The platform's store: objects by kind and name, conditional writes, lists and watches."""
+
+    def __init__(self):
+        self.condition = threading.Condition()
+        self.revision = 1
+        self.objects = {}
+        self.events = []
+        store = self
+
+        class Handler(StoreHandler):
+            pass
+
+        Handler.store = store
+        self.server = StoreServer(("127.0.0.1", 0), Handler)
+        self.address = "127.0.0.1:%d" % self.server.server_address[1]
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def write(self, kind, name, spec):
+        with self.condition:
+            known = self.objects.get((kind, name))
+            if known and known["spec"] == spec:
+                return known
+            self.revision += 1
+            found = {
+                "metadata": {"name": name, "revision": self.revision, "finalizers": [], "deleting": False},
+                "spec": spec,
+                "status": {},
+            }
+            self.objects[(kind, name)] = found
+            self.events.append((self.revision, kind, {"object": found, "deleted": False}))
+            self.condition.notify_all()
+            return found
+
+    def remove(self, kind, name):
+        with self.condition:
+            found = self.objects.pop((kind, name), None)
+            if found:
+                self.revision += 1
+                self.events.append((self.revision, kind, {"object": found, "deleted": True}))
+                self.condition.notify_all()
+
+
+class StoreServer(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 256
+
+    def handle_error(self, *_):
+        """A caller that leaves before its answer is no error."""
+
+
+class StoreHandler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+    store = None
+
+    def log_message(self, *_):
+        pass
+
+    def answer(self, status, body):
+        data = json.dumps(body).encode()
+        self.send_response(status)
+        self.send_header("Content-Type", "application/json")
+        self.send_header("Content-Length", str(len(data)))
+        self.send_header("Store-Era", "1")
+        self.end_headers()
+        self.wfile.write(data)
+
+    def target(self):
+        parts = urlsplit(self.path)
+        names = parts.path.split("/")[3:]
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        return names[0], (names[1] if len(names) > 1 else None), query
+
+    def body(self):
+        length = int(self.headers.get("Content-Length") or 0)
+        return json.loads(self.rfile.read(length) or b"{}")
+
+    def do_GET(self):
+        kind, name, query = self.target()
+        store = self.store
+        if "watch" in query:
+            return self.watch(kind, int(query["watch"]), int(query.get("waitMs", 0)))
+        with store.condition:
+            if name:
+                found = store.objects.get((kind, name))
+                return self.answer(200, found) if found else self.answer(404, {"error": "none"})
+            items = [found for (of_kind, _), found in sorted(store.objects.items()) if of_kind == kind]
+            body = {"items": items, "hasMore": False, "currentRev": store.revision}
+        self.answer(200, body)
+
+    def watch(self, kind, after, wait_ms):
+        store = self.store
+        until = time.monotonic() + wait_ms / 1000
+        with store.condition:
+            while True:
+                events = [event for revision, of_kind, event in store.events if of_kind == kind and revision > after]
+                left = until - time.monotonic()
+                if events or left <= 0:
+                    break
+                store.condition.wait(left)
+            body = {"events": events, "currentRev": store.revision}
+        self.answer(200, body)
+
+    def do_POST(self):
+        kind, _, _ = self.target()
+        body = self.body()
+        name = body["metadata"]["name"]
+        with self.store.condition:
+            known = self.store.objects.get((kind, name))
+            if known:
+                return self.answer(409, known)
+            found = self.store.write(kind, name, body.get("spec"))
+        self.answer(201, found)
+
+    def do_PUT(self):
+        kind, name, _ = self.target()
+        body = self.body()
+        expected = body.get("metadata", {}).get("revision")
+        with self.store.condition:
+            known = self.store.objects.get((kind, name))
+            if not known:
+                return self.answer(404, {"error": "none"})
+            if expected is not None and expected != known["metadata"]["revision"]:
+                return self.answer(409, known)
+            found = self.store.write(kind, name, body.get("spec"))
+        self.answer(200, found)
+
+    def do_DELETE(self):
+        kind, name, query = self.target()
+        with self.store.condition:
+            known = self.store.objects.get((kind, name))
+            if not known:
+                return self.answer(404, {"error": "none"})
+            if "revision" in query and int(query["revision"]) != known["metadata"]["revision"]:
+                return self.answer(409, known)
+            self.store.remove(kind, name)
+        self.answer(200, known)
+
+
+# --- HTTP on plain sockets ---------------------------------------------------------------------------
+
+
+class Closed(Exception):
+    """The peer has closed the connection."""
+
+
+class Wire:
+    """Reads HTTP messages from a socket."""
+
+    def __init__(self, sock):
+        self.sock = sock
+        self.buffer = b""
+
+    def more(self):
+        try:
+            data = self.sock.recv(65536)
+        except OSError as cause:
+            raise Closed from cause
+        if not data:
+            raise Closed
+        self.buffer += data
+
+    def head(self):
+        while b"\r\n\r\n" not in self.buffer:
+            self.more()
+        text, self.buffer = self.buffer.split(b"\r\n\r\n", 1)
+        lines = text.decode("latin-1").split("\r\n")
+        pairs = (line.split(":", 1) for line in lines[1:])
+        return lines[0], {name.strip().lower(): value.strip() for name, value in pairs}
+
+    def exactly(self, length):
+        while len(self.buffer) < length:
+            self.more()
+        data, self.buffer = self.buffer[:length], self.buffer[length:]
+        return data
+
+    def line(self):
+        while b"\r\n" not in self.buffer:
+            self.more()
+        data, self.buffer = self.buffer.split(b"\r\n", 1)
+        return data
+
+    def body(self, headers):
+        if "chunked" in headers.get("transfer-encoding", ""):
+            data = b""
+            while size := int(self.line().split(b";")[0], 16):
+                data += self.exactly(size)
+                self.exactly(2)
+            self.line()
+            return data
+        return self.exactly(int(headers.get("content-length") or 0))
+
+
+def send(sock, data):
+    try:
+        sock.sendall(data)
+    except OSError as cause:
+        raise Closed from cause
+
+
+# --- backend servers ---------------------------------------------------------------------------------
+
+
+class Server:
+    """A backend server that registers itself: an engine or a plain service."""
+
+    def __init__(self, store, record, name, service, zone, slots=6, work_ms=30, version="v1"):
+        self.store, self.record, self.name, self.service = store, record, name, service
+        self.version = version
+        # Number of events of a stream, and the time between two.
+        self.events, self.event_ms = 13, 20
+        self.zone, self.slots, self.work_ms = zone, slots, work_ms
+        self.lock = threading.Lock()
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.fence = 0
+        self.adapters = {}
+        self.runs = {}
+        # Called with (socket, id, headers) for a request that was begun; returns whether it answered.
+        self.trouble = None
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
+        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+        self.register()
+
+    def models(self):
+        if self.service != ENGINES:
+            return []
+        adapters = [f"{name}@{version}" for name, version in sorted(self.adapters.items())]
+        return [{"name": MODEL, "version": 1, "adapters": adapters}]
+
+    def register(self, state="ready"):
+        entry = {
+            "service": self.service, "address": self.address, "zone": self.zone, "version": self.version,
+            "slots": self.slots, "state": state, "coldRemainingMs": 0, "sequence": self.sequence,
+            "born": self.born, "stage": "unified", "models": self.models(),
+        }
+        self.store.write("servers", self.name, entry)
+
+    def accept(self):
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
+
+    def serve(self, sock):
+        wire = Wire(sock)
+        try:
+            while True:
+                first, headers = wire.head()
+                method, path, _ = first.split(" ", 2)
+                body = wire.body(headers)
+                self.handle(sock, method, path, headers, body)
+        except (Closed, ValueError):
+            pass
+        finally:
+            sock.close()
+
+    def reply(self, sock, status, headers, body):
+        lines = [f"HTTP/1.1 {status} X"] + [f"{name}: {value}" for name, value in headers.items()]
+        lines.append(f"Content-Length: {len(body)}")
+        send(sock, ("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+
+    def handle(self, sock, method, path, headers, body):
+        expected = headers.get("x-expect-instance", self.name)
+        if expected != self.name:
+            return self.reply(sock, 421, {"X-Not-Executed": "1"}, b"{}")
+        if path == "/api/report":
+            report = {"stage": "unified", "models": self.models(), "busy": False, "sequence": self.sequence,
+                      "born": self.born, "coming": [], "waiting": 0, "running": 0, "kvUsed": 0,
+                      "kvTotal": 250000, "handles": 0}
+            return self.reply(sock, 200, {"Content-Type": "application/json"}, json.dumps(report).encode())
+        if path == "/api/order":
+            return self.reply(sock, self.order(json.loads(body)), {"Content-Type": "application/json"}, b"{}")
+        request = headers.get("x-attempt-id", "")
+        adapter = headers.get("x-model", "").partition("/")[2]
+        if adapter and adapter not in self.adapters:
+            return self.reply(sock, 421, {"X-Not-Executed": "1", "X-Attempt-Id": request}, b"{}")
+        with self.lock:
+            self.runs[request] = self.runs.get(request, 0) + 1
+        self.record.write(f"run      {request} at {self.name}")
+        if self.trouble and self.trouble(sock, request, headers):
+            raise Closed
+        if self.service == ENGINES:
+            return self.stream(sock, request, int(headers.get("last-event-id") or 0))
+        time.sleep(self.work_ms / 1000)
+        answer = {"X-Attempt-Id": request, "X-Server-Seal": f"seal-{self.name}", "Keep-Alive": "timeout=30"}
+        self.reply(sock, 200, answer, b'{"done":true}')
+
+    def order(self, fields):
+        with self.lock:
+            if fields["fencingToken"] < self.fence:
+                return 412
+            self.fence = fields["fencingToken"]
+            if "precondition" in fields and fields["precondition"] != self.sequence:
+                return 409
+            adapter = fields.get("adapter")
+            if not adapter:
+                return 200
+            self.sequence += 1
+            if fields["op"] == "unload":
+                self.adapters.pop(adapter, None)
+                return 200
+            self.adapters[adapter] = fields.get("version") or 1
+            return 202
+
+    def stream(self, sock, request, after):
+        head = ("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+                f"X-Attempt-Id: {request}\r\nX-Server-Seal: seal-{self.name}\r\n\r\n")
+        time.sleep(0.05)
+        send(sock, head.encode())
+        for number in range(after + 1, self.events + 1):
+            event = f"id: {number}\ndata: piece {number} of {self.version}\n\n".encode()
+            send(sock, b"%x\r\n%s\r\n" % (len(event), event))
+            time.sleep(self.event_ms / 1000)
+        send(sock, b"0\r\n\r\n")
+
+
+# --- instances ---------------------------------------------------------------------------------------
+
+SETTINGS = """nodeName = "{name}"
+role = "instance"
+machineClass = "edge"
+serves = ["edge"]
+ip = "127.0.0.1"
+zone = "{zone}"
+region = "cymru"
+internalPorts = [{peer},{peer}]
+seeds = []
+bootstrap = {bootstrap}
+faultCounted = false
+discovery = "platform"
+entry = "anycast"
+heartbeatMs = 1200
+[listen]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+[limits]
+cpuShare = 0.25
+cores = 1
+memoryMb = {memory_mb}
+maxFds = 4100
+linkMbps = 1000.0
+diskMb = 0
+[bounds]
+contactMs = 3000
+drainMs = 2000
+graceS = 8
+configApplyMs = 2000
+retryRatio = 0.2
+retryWindowS = 10
+retryBurst = 54
+fencingRequired = true
+leaseMs = 3000
+thawMs = 300
+version_ms = 5000
+[platform]
+address = "{store}"
+form = "objects"
+writesPerS = 400
+readsPerS = 2000
+historyS = 20
+valueBytes = 1048576
+ttlMinMs = 1000
+"""
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Instance:
+    """A machine with one process. The platform ends a process that exceeds the memory of its machine and
+    starts each process that has ended again after a short delay."""
+
+    RESTART_DELAY_S = 0.5
+
+    def __init__(self, record, folder, name, zone, store_address, memory_mb=260):
+        self.record, self.name, self.memory_mb = record, name, memory_mb
+        self.front, self.ready, self.peer, self.metrics = (free_port() for _ in range(4))
+        self.settings = os.path.join(folder, f"{name}.toml")
+        self.values = {
+            "name": name, "zone": zone, "front": self.front, "ready": self.ready, "peer": self.peer,
+            "store": store_address, "memory_mb": memory_mb,
+        }
+        self.log = open(os.path.join(folder, f"{name}.log"), "ab")
+        self.is_stopped = False
+        self.peak_mb = 0.0
+        self.over_memory = 0
+        self.start(bootstrap="true")
+        threading.Thread(target=self.watch, daemon=True).start()
+
+    def start(self, bootstrap):
+        with open(self.settings, "w", encoding="utf-8") as file:
+            file.write(SETTINGS.format(bootstrap=bootstrap, **self.values))
+        environment = {"PATH": os.environ.get("PATH", ""), "HOME": os.environ.get("HOME", "/"),
+                       "MIMOSABAY_BOOT": self.settings}
+        command = [PROGRAM, "--metrics-port", str(self.metrics)]
+        self.process = subprocess.Popen(command, env=environment, cwd=REPOSITORY, stdin=subprocess.DEVNULL,
+                                        stdout=self.log, stderr=self.log)
+
+    def memory(self):
+        try:
+            with open(f"/proc/{self.process.pid}/statm", encoding="ascii") as file:
+                return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+        except (OSError, IndexError):
+            return 0.0
+
+    def watch(self):
+        while not self.is_stopped:
+            used_mb = self.memory()
+            self.peak_mb = max(self.peak_mb, used_mb)
+            if used_mb > self.memory_mb:
+                self.over_memory += 1
+                self.record.write(f"platform {self.name} uses {used_mb:.0f} MB of {self.memory_mb}: killed")
+                self.process.kill()
+            if self.process.poll() is not None and not self.is_stopped:
+                self.record.write(f"platform process of {self.name} has ended: {self.process.returncode}")
+                time.sleep(self.RESTART_DELAY_S)
+                if not self.is_stopped:
+                    self.start(bootstrap="false")
+            time.sleep(0.01)
+
+    def kill(self):
+        """Ends the process at once; the platform starts another one."""
+        self.process.kill()
+
+    def is_ready(self):
+        try:
+            with socket.create_connection(("127.0.0.1", self.ready), 1) as sock:
+                sock.settimeout(1)
+                sock.sendall(b"GET /api/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                return b" 200 " in sock.recv(200)
+        except OSError:
+            return False
+
+    def stop(self):
+        self.is_stopped = True
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+        self.process.wait()
+        self.log.close()
+
+
+def configuration(version=1, routes=()):
+    def route(name, prefix, kind, service, timeout_ms, target_ms, **more):
+        entry = {"name": name, "host": HOST, "pathPrefix": prefix, "routeKind": kind, "service": service,
+                 "timeoutMs": timeout_ms, "targetLatencyMs": target_ms, "priority": 1, "maxAttempts": 1,
+                 "public": False, "resumable": False}
+        return {**entry, **more}
+
+    return {
+        "version": version,
+        "routes": [
+            route("summary", "/summary/", "streaming", ENGINES, 5000, 1000, gapAimMs=400, sticky=True),
+            route("brief", "/brief/", "streaming", ENGINES, 12000, 1000, gapAimMs=400, sticky=True, resumable=True,
+                  maxAttempts=2),
+            route("transfer", "/transfer/", "non_idempotent", DESK, 1200, 150),
+            route("lookup", "/lookup/", "idempotent", DESK, 1200, 150, maxAttempts=2),
+            *routes,
+        ],
+        "services": [
+            {"name": ENGINES, "healthPath": "/healthz", "maxConns": 360, "engine": {
+                "slots": 64, "kvCapacity": 252945, "adapterSlots": 9, "loadsPerS": 4.2, "weightsMb": 66500,
+                "models": [{"name": MODEL, "weightsMb": 65100, "loadS": 2.5, "adapters": 3000, "adapterMb": 12}],
+            }},
+            {"name": DESK, "healthPath": "/healthz", "maxConns": 100},
+        ],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 5000,
+                   "idleTimeoutMs": 15000},
+        "tenants": [{"name": TENANT, "apiKeys": [KEY], "unit": "token_based", "plainTokens": 200,
+                     "ratePerS": 1000000, "burst": 1000000}],
+    }
+
+
+class Site:
+    """Store, servers and instances. Leaving the context ends all processes."""
+
+    ZONES = ["aber-a", "aber-b", "aber-c", "aber-d"]
+
+    def __init__(self, folder, instances=3, engines=3, desks=3, work_ms=30):
+        self.record = Record(os.path.join(folder, "record.txt"))
+        self.temporary = tempfile.mkdtemp(prefix="mimosabay-review-")
+        self.store = Store()
+        self.store.write("config", "main", configuration())
+        zones = self.ZONES
+        self.engines = [Server(self.store, self.record, f"engine-{n}", ENGINES, zones[n % 4], 64)
+                        for n in range(engines)]
+        self.desks = [Server(self.store, self.record, f"desk-{n}", DESK, zones[n % 4], 6, work_ms)
+                      for n in range(desks)]
+        self.instances = [Instance(self.record, self.temporary, f"edge-{n}", zones[n % 4], self.store.address)
+                          for n in range(instances)]
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        for instance in self.instances:
+            instance.stop()
+        if not os.environ.get("KEEP"):
+            shutil.rmtree(self.temporary, ignore_errors=True)
+
+    def add_engine(self, name, version):
+        """Starts an engine that registers itself."""
+        zone = self.ZONES[len(self.engines) % 4]
+        engine = Server(self.store, self.record, name, ENGINES, zone, 64, version=version)
+        self.engines.append(engine)
+        return engine
+
+    def wait_ready(self, limit_s=20):
+        until = time.monotonic() + limit_s
+        while time.monotonic() < until:
+            is_placed = ("placers", "cell-0") in self.store.objects
+            if is_placed and all(instance.is_ready() for instance in self.instances):
+                return True
+            time.sleep(0.1)
+        return False
+
+
+# --- callers -----------------------------------------------------------------------------------------
+
+
+class Caller:
+    """A caller that keeps its connection to one instance for many requests."""
+
+    def __init__(self, record, instance):
+        self.record, self.instance = record, instance
+        self.sock = self.wire = None
+        self.used = 0
+
+    def close(self):
+        if self.sock:
+            self.sock.close()
+        self.sock = self.wire = None
+        self.used = 0
+
+    def request(self, method, path, headers=(), body=b"", limit_s=5.0):
+        """Sends a request and reads its answer. Returns (id, how): how is the status, 'closed' if the
+        connection ended without a complete answer, 'refused' if none could be opened, or 'left'. The third
+        value tells whether the connection had been used before."""
+        request = "%016x" % random.getrandbits(64)
+        try:
+            if not self.sock:
+                self.sock = socket.create_connection(("127.0.0.1", self.instance.front), 1)
+                self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                self.wire = Wire(self.sock)
+                self.used = 0
+        except OSError:
+            self.sock = None
+            return request, "refused", False
+        is_kept = self.used > 0
+        self.used += 1
+        self.sock.settimeout(limit_s)
+        lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"X-Attempt-Id: {request}",
+                 f"X-Deadline-Ms: {int(limit_s * 1000)}", f"Authorization: Bearer {KEY}",
+                 f"Content-Length: {len(body)}", *headers]
+        self.record.write(f"sent     {request} {method} {path} to {self.instance.name}")
+        started = time.monotonic()
+        try:
+            send(self.sock, ("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+            status_line, answer = self.wire.head()
+            self.wire.body(answer)
+            how = status_line.split(" ")[1]
+            if answer.get("connection", "").lower() == "close":
+                self.close()
+        except Closed:
+            how = "left" if time.monotonic() - started >= limit_s else "closed"
+            self.close()
+        self.record.write(f"answered {request} {how}{' (kept connection)' if is_kept else ''}")
+        return request, how, is_kept
+
+
+class StreamCaller:
+    """A caller of one stream. It takes the stream up once, at another instance, after a broken connection."""
+
+    DEADLINE_S = 12.0
+
+    def __init__(self, record, instances, number, retry_after_s):
+        self.record, self.instances, self.number, self.retry_after_s = record, instances, number, retry_after_s
+        self.pieces = []
+        self.tries = []
+
+    def run(self):
+        until = time.monotonic() + self.DEADLINE_S
+        headers = summary_headers(f"a{self.number % 3 + 1}")
+        first, how = self.attempt(self.instances[self.number % len(self.instances)], headers, until)
+        if how == "closed" and self.pieces:
+            time.sleep(self.retry_after_s)
+            again = [f"Resumes: {first}", f"Last-Event-Id: {self.pieces[-1][0]}"]
+            other = self.instances[(self.number + 1) % len(self.instances)]
+            self.attempt(other, headers + again, until)
+
+    def attempt(self, instance, headers, until):
+        request = "%016x" % random.getrandbits(64)
+        left_s = max(until - time.monotonic(), 0.1)
+        lines = ["POST /brief/x HTTP/1.1", f"Host: {HOST}", f"X-Attempt-Id: {request}",
+                 f"X-Deadline-Ms: {int(left_s * 1000)}", f"Authorization: Bearer {KEY}", "Content-Length: 4",
+                 *headers]
+        self.record.write(f"sent     {request} brief {self.number} to {instance.name} {headers[3:]}")
+        before = len(self.pieces)
+        try:
+            sock = socket.create_connection(("127.0.0.1", instance.front), 1)
+        except OSError:
+            how = "refused"
+        else:
+            sock.settimeout(left_s)
+            how = self.read(sock, lines)
+            sock.close()
+        got = [f"{number} of {version}" for number, version in self.pieces[before:]]
+        self.record.write(f"answered {request} brief {self.number} {how}: {', '.join(got)}")
+        self.tries.append(how)
+        return request, how
+
+    def read(self, sock, lines):
+        wire = Wire(sock)
+        try:
+            send(sock, ("\r\n".join(lines) + "\r\n\r\n").encode() + b"text")
+            status = (head := wire.head())[0].split(" ")[1]
+            if status != "200":
+                wire.body(head[1])
+                return status
+            text = b""
+            while size := int(wire.line().split(b";")[0], 16):
+                text += wire.exactly(size)
+                wire.exactly(2)
+                while b"\n\n" in text:
+                    event, text = text.split(b"\n\n", 1)
+                    words = event.decode().split()
+                    self.pieces.append((int(words[1]), words[-1]))
+            return status
+        except Closed:
+            return "closed"
+
+
+def summary_headers(adapter="a1", prompt=9190, answer=52):
+    part = "%x:2520,%x:3780,%x:2890" % (1, 2, random.getrandbits(40))
+    return [f"X-Model: {MODEL}/{adapter}", f"X-Token-Count: {prompt},{answer}", f"X-Prompt-Prefix: {part}"]
