review: a leaving server that other instances are not told of

Cause: the placer compares the store's entry with its own table, in which an answer of the server has already set it to draining, and does not relay it.

--- a/review/common/review_site.py
+++ b/review/common/review_site.py
@@ -21,6 +21,7 @@
 KEY = "key-of-the-clinics"
 TENANT = "clinics"
 MODEL = "base"
+HEARTBEAT_S = 1.2
 ENGINES = "engines"
 DESK = "desk"
 REPOSITORY = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -254,6 +255,9 @@
     def __init__(self, store, record, name, service, zone, slots=6, work_ms=30, version="v1"):
         self.store, self.record, self.name, self.service = store, record, name, service
         self.version = version
+        self.is_leaving = self.has_exited = False
+        self.arrivals = []
+        self.sockets = set()
         # Number of events of a stream, and the time between two.
         self.events, self.event_ms = 13, 20
         self.zone, self.slots, self.work_ms = zone, slots, work_ms
@@ -269,6 +273,37 @@
         self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
         threading.Thread(target=self.accept, daemon=True).start()
         self.register()
+        threading.Thread(target=self.heartbeat, daemon=True).start()
+
+    def heartbeat(self):
+        """Writes the entry again as long as the server is registered and does not leave."""
+        time.sleep(random.random() * HEARTBEAT_S)
+        while True:
+            time.sleep(HEARTBEAT_S)
+            with self.lock:
+                is_registered = ("servers", self.name) in self.store.objects
+                if is_registered and not self.is_leaving:
+                    self.register()
+
+    def leave(self, says_so):
+        """Reports that it drains. Answers say so too if `says_so`."""
+        with self.lock:
+            self.is_leaving = True
+            self.says_leaving = says_so
+            self.register("draining")
+
+    def exit(self):
+        """Ends, whatever it is running."""
+        self.has_exited = True
+        self.store.remove("servers", self.name)
+        # Wakes the thread that accepts.
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        for sock in list(self.sockets):
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
 
     def models(self):
         if self.service != ENGINES:
@@ -295,8 +330,9 @@
 
     def serve(self, sock):
         wire = Wire(sock)
+        self.sockets.add(sock)
         try:
-            while True:
+            while not self.has_exited:
                 first, headers = wire.head()
                 method, path, _ = first.split(" ", 2)
                 body = wire.body(headers)
@@ -304,10 +340,13 @@
         except (Closed, ValueError):
             pass
         finally:
+            self.sockets.discard(sock)
             sock.close()
 
     def reply(self, sock, status, headers, body):
         lines = [f"HTTP/1.1 {status} X"] + [f"{name}: {value}" for name, value in headers.items()]
+        if self.is_leaving and self.says_leaving:
+            lines.append("Server-Leaving: 1")
         lines.append(f"Content-Length: {len(body)}")
         send(sock, ("\r\n".join(lines) + "\r\n\r\n").encode() + body)
 
@@ -328,6 +367,7 @@
             return self.reply(sock, 421, {"X-Not-Executed": "1", "X-Attempt-Id": request}, b"{}")
         with self.lock:
             self.runs[request] = self.runs.get(request, 0) + 1
+            self.arrivals.append((time.monotonic(), request))
         self.record.write(f"run      {request} at {self.name}")
         if self.trouble and self.trouble(sock, request, headers):
             raise Closed
