--- a/review/4/case.py
+++ b/review/4/case.py
@@ -48,7 +48,7 @@
             new.events, new.event_ms = EVENTS, EVENT_MS
             time.sleep(RELEASE_GAP_S / 2)
             site.record.write(f"release  the entry of {engine.name} is removed")
-            site.store.remove("servers", engine.name)
+            engine.remove_entry()
             time.sleep(RELEASE_GAP_S / 2)
         time.sleep(DRAIN_S / 2)
         if has_trouble:
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,5 +1,5 @@
-"""A plain server leaves as planned and says so in its answers. Counts the requests that reach it later than
-the drain time after the store has accepted its report.
+"""Plain servers leave as planned, one after the other, and say so in their answers. Counts the requests that
+reach one later than the drain time after the store has accepted its report.
 
 Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 """
@@ -13,7 +13,7 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "common"))
 
-from review_site import Caller, Site, summary_headers  # noqa: E402
+from review_site import DESK, Caller, Server, Site, summary_headers  # noqa: E402
 
 DRAIN_S = 2.0
 # The server goes on for the drain time "and a little longer".
@@ -22,11 +22,37 @@
 WORK_MS = 200
 BUSY_CALLERS = 9
 WARM_UP_S = 4
+DEPARTURES = 3
+PAUSE_S = 1.5
+
+
+def departure(site, quiet, server, says_so):
+    """A server leaves. Returns the requests that were sent too late and reached it, with their answers."""
+    results = []
+    server.leave(says_so)
+    left = time.monotonic()
+    site.record.write(f"leaving  {server.name} has reported that it drains; it says so in answers: {says_so}")
+    time.sleep(QUIET_UNTIL_S)
+
+    def late_transfer():
+        sent = time.monotonic()
+        request, how, _ = Caller(site.record, quiet).request("POST", "/transfer/x", body=b"tag")
+        results.append((request, how, sent))
+
+    threads = [threading.Thread(target=late_transfer) for _ in range(4)]
+    for thread in threads:
+        thread.start()
+    time.sleep(EXIT_S - QUIET_UNTIL_S)
+    site.record.write(f"leaving  {server.name} exits")
+    server.exit()
+    for thread in threads:
+        thread.join()
+    return [(request, how) for request, how, sent in results if request in server.runs and sent > left + DRAIN_S]
 
 
 def main():
     says_so = os.environ.get("TROUBLE", "1") != "0"
-    late, results = [], []
+    late, all_before = [], []
     with Site(FOLDER, instances=3, engines=18, desks=3, work_ms=WORK_MS) as site:
         if not site.wait_ready():
             return 2
@@ -36,16 +62,16 @@
         # A machine with little traffic, and the plain server of its zone.
         quiet = next(it for it in site.instances if it is not placer)
         server = next(it for it in site.desks if it.zone == quiet.values["zone"])
-        end = time.monotonic() + WARM_UP_S + EXIT_S + 1
+        is_over = threading.Event()
 
         def transfers():
             caller = Caller(site.record, placer)
-            while time.monotonic() < end:
+            while not is_over.is_set():
                 caller.request("POST", "/transfer/x", body=b"tag")
             caller.close()
 
         def summaries(instance):
-            while time.monotonic() < end:
+            while not is_over.is_set():
                 caller = Caller(site.record, instance)
                 adapter = f"a{random.randint(1, 3000)}"
                 caller.request("POST", "/summary/x", summary_headers(adapter, 800), b"text")
@@ -57,33 +83,21 @@
         for thread in threads:
             thread.start()
         time.sleep(WARM_UP_S)
-        before = Caller(site.record, quiet).request("POST", "/transfer/x", body=b"tag")
-        server.leave(says_so)
-        left = time.monotonic()
-        site.record.write(f"leaving  {server.name} has reported that it drains; it says so in answers: {says_so}")
-        time.sleep(QUIET_UNTIL_S)
-
-        def late_transfer():
-            sent = time.monotonic()
-            request, how, _ = Caller(site.record, quiet).request("POST", "/transfer/x", body=b"tag")
-            results.append((request, how, sent))
-
-        late_threads = [threading.Thread(target=late_transfer) for _ in range(4)]
-        for thread in late_threads:
-            thread.start()
-        time.sleep(EXIT_S - QUIET_UNTIL_S)
-        site.record.write(f"leaving  {server.name} exits")
-        server.exit()
-        for thread in threads + late_threads:
+        for number in range(DEPARTURES):
+            answered_before = Caller(site.record, quiet).request("POST", "/transfer/x", body=b"tag")[1]
+            all_before.append(answered_before)
+            late += departure(site, quiet, server, says_so)
+            # The next one has come in its place before another one leaves.
+            server = Server(site.store, site.record, f"desk-new-{number}", DESK, server.zone, work_ms=WORK_MS)
+            time.sleep(PAUSE_S)
+        is_over.set()
+        for thread in threads:
             thread.join()
-        late = [(request, how) for request, how, sent in results
-                if request in server.runs and sent > left + DRAIN_S]
-        arrived = [round(at - left, 2) for at, request in server.arrivals if request in dict(late)]
-        verdict = (f"before: {before[1]}; {len(late)} of {len(results)} requests sent {QUIET_UNTIL_S} s after the report "
-                   f"reached the leaving server, at {arrived} s; answered: {late}")
+        verdict = (f"{DEPARTURES} departures, before each: {all_before}; requests sent {QUIET_UNTIL_S} s after the report that "
+                   f"reached the leaving server, and their answers: {late}")
         site.record.write(f"verdict  {verdict}")
         print(verdict)
-        if before[1] != "200":
+        if any(status != "200" for status in all_before):
             return 2
         return 1 if late else 0
 
--- a/review/common/review_site.py
+++ b/review/common/review_site.py
@@ -22,6 +22,8 @@
 TENANT = "clinics"
 MODEL = "base"
 HEARTBEAT_S = 1.2
+SILENT_S = 30
+RECONNECT_S = 0.8
 ENGINES = "engines"
 DESK = "desk"
 REPOSITORY = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -49,10 +51,13 @@
     """The platform's store: objects by kind and name, conditional writes, lists and watches."""
 
     def __init__(self):
-        self.condition = threading.Condition()
+        self.condition = threading.Condition(threading.RLock())
         self.revision = 1
         self.objects = {}
         self.events = []
+        # While it is away, it answers nothing: calls that arrive then are not done, and never answered.
+        self.is_away = False
+        self.away_count = 0
         store = self
 
         class Handler(StoreHandler):
@@ -79,6 +84,20 @@
             self.condition.notify_all()
             return found
 
+    def go_away(self):
+        """Answers nothing until it comes back."""
+        with self.condition:
+            self.is_away = True
+            self.away_count += 1
+            self.condition.notify_all()
+
+    def come_back(self, lapsed=()):
+        """Answers again. The entries of the servers named have lapsed meanwhile."""
+        with self.condition:
+            self.is_away = False
+            for name in lapsed:
+                self.remove("servers", name)
+
     def remove(self, kind, name):
         with self.condition:
             found = self.objects.pop((kind, name), None)
@@ -123,6 +142,19 @@
         length = int(self.headers.get("Content-Length") or 0)
         return json.loads(self.rfile.read(length) or b"{}")
 
+    def parse_request(self):
+        if not super().parse_request():
+            return False
+        if self.store.is_away:
+            self.stay_silent()
+            return False
+        return True
+
+    def stay_silent(self):
+        """Keeps the connection without an answer for longer than any call waits."""
+        self.close_connection = True
+        time.sleep(SILENT_S)
+
     def do_GET(self):
         kind, name, query = self.target()
         store = self.store
@@ -140,13 +172,17 @@
         store = self.store
         until = time.monotonic() + wait_ms / 1000
         with store.condition:
-            while True:
+            away_count = store.away_count
+            while store.away_count == away_count:
                 events = [event for revision, of_kind, event in store.events if of_kind == kind and revision > after]
                 left = until - time.monotonic()
                 if events or left <= 0:
                     break
                 store.condition.wait(left)
-            body = {"events": events, "currentRev": store.revision}
+            is_lost = store.away_count != away_count
+            body = None if is_lost else {"events": events, "currentRev": store.revision}
+        if is_lost:
+            return self.stay_silent()
         self.answer(200, body)
 
     def do_POST(self):
@@ -255,7 +291,7 @@
     def __init__(self, store, record, name, service, zone, slots=6, work_ms=30, version="v1"):
         self.store, self.record, self.name, self.service = store, record, name, service
         self.version = version
-        self.is_leaving = self.has_exited = False
+        self.is_leaving = self.has_exited = self.is_released = False
         self.arrivals = []
         self.sockets = set()
         # Number of events of a stream, and the time between two.
@@ -278,11 +314,18 @@
     def heartbeat(self):
         """Writes the entry again as long as the server is registered and does not leave."""
         time.sleep(random.random() * HEARTBEAT_S)
+        was_away = False
         while True:
             time.sleep(HEARTBEAT_S)
+            if self.store.is_away:
+                was_away = True
+                continue
+            if was_away:
+                # Its connection to the store is opened again; it is back within two seconds.
+                time.sleep(RECONNECT_S)
+                was_away = False
             with self.lock:
-                is_registered = ("servers", self.name) in self.store.objects
-                if is_registered and not self.is_leaving:
+                if not (self.is_leaving or self.is_released):
                     self.register()
 
     def leave(self, says_so):
@@ -292,6 +335,12 @@
             self.says_leaving = says_so
             self.register("draining")
 
+    def remove_entry(self):
+        """Leaves without reporting that it drains: its entry is removed, and it goes on serving."""
+        with self.lock:
+            self.is_released = True
+            self.store.remove("servers", self.name)
+
     def exit(self):
         """Ends, whatever it is running."""
         self.has_exited = True
