--- a/review/4/case.py
+++ b/review/4/case.py
@@ -10,7 +10,7 @@
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "common"))
+sys.path.insert(0, os.path.dirname(FOLDER))
 
 from review_site import Site, StreamCaller  # noqa: E402
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -11,7 +11,7 @@
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "common"))
+sys.path.insert(0, os.path.dirname(FOLDER))
 
 from review_site import DESK, Caller, Server, Site, summary_headers  # noqa: E402
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,7 +1,6 @@
 #!/bin/sh
-# Checks that the stand-ins of the scripts can be loaded, and builds the project's program.
+# Builds the project's program and checks that the stand-ins of the scripts can be loaded.
 set -e
 cd "$(dirname "$0")/.."
 cargo build --release -p mimosabay-daemon
-python3 -m py_compile review/common/review_site.py
-rm -rf review/common/__pycache__
+PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=review python3 -c 'import review_site'
--- a/review/common/review_site.py
+++ b/review/review_site.py
@@ -26,7 +26,7 @@
 RECONNECT_S = 0.8
 ENGINES = "engines"
 DESK = "desk"
-REPOSITORY = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+REPOSITORY = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 PROGRAM = os.path.join(REPOSITORY, "target", "release", "mimosabayd")
 
 
