review: sounder stand-ins, departures inside the stated share, and ends of the scripts

Cause: a script that failed by itself exited with 1; a process could start while its site ended; servers had no slots and adapters no load time; case 5 took one server of three. Change: exit code 2 for every failure of a script, a lock around the start and the end of a process, slots, queue, load time and deadlines at the servers, one server of eight in case 5.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -12,7 +12,7 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
 
-from review_site import DESK, HOST, Caller, Site, configuration  # noqa: E402
+from review_site import DESK, HOST, Caller, Site, configuration, run  # noqa: E402
 
 INSTANCES = 7
 AWAY_S = 4.5
@@ -86,4 +86,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    run(main)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -11,14 +11,14 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
 
-from review_site import Caller, Closed, Site, send, summary_headers  # noqa: E402
+from review_site import Caller, Closed, Site, send, summary_headers, run  # noqa: E402
 
 # The link of a machine carries 1,000 Mbit/s, that is 125 MB/s; the server sends at less than that.
 ENDLESS_MB_PER_S = 100
 # Callers abandon a stream without an event after four times the target latency.
 SUMMARY_LIMIT_S = 4.0
-CALLERS_PER_INSTANCE = 8
-WORK_MS = 100
+CALLERS_PER_INSTANCE = 6
+WORK_MS = 30
 RUN_S = 20
 TROUBLE_AT_S = 5
 # "more than three times"
@@ -105,4 +105,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    run(main)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -12,7 +12,7 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
 
-from review_site import Site, StreamCaller  # noqa: E402
+from review_site import Site, StreamCaller, run  # noqa: E402
 
 STREAMS = 8
 START_GAP_S = 0.3
@@ -21,7 +21,8 @@
 NEW_ENGINES = 7
 ADAPTER = "a1"
 DRAIN_S = 2.0
-RETRY_AFTER_S, RETRY_GAP_S = 2.0, 0.3
+# A caller gives a stream up after 4 s without an event: four times the objective.
+RETRY_AFTER_S, RETRY_GAP_S = 2.0, 0.2
 # "More than two streams"
 ALLOWED = 2
 
@@ -63,4 +64,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    run(main)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -13,14 +13,16 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
 
-from review_site import DESK, Caller, Server, Site, summary_headers  # noqa: E402
+from review_site import DESK, Caller, Server, Site, summary_headers, run  # noqa: E402
 
 DRAIN_S = 2.0
 # The server goes on for the drain time "and a little longer".
 EXIT_S = 3.0
-QUIET_UNTIL_S = 2.8
-WORK_MS = 200
-BUSY_CALLERS = 9
+# Shortly before the exit, so that a request that still runs then is lost.
+QUIET_UNTIL_S = 2.98
+WORK_MS = 30
+DESKS = 8
+BUSY_CALLERS = 12
 WARM_UP_S = 4
 DEPARTURES = 3
 PAUSE_S = 1.5
@@ -51,9 +53,11 @@
 
 
 def main():
-    says_so = os.environ.get("TROUBLE", "1") != "0"
+    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    # Not part of the case: shows the cause. With SAYS=0 the servers leave in the same way and do not say so.
+    says_so = os.environ.get("SAYS", "1") != "0"
     late, all_before = [], []
-    with Site(FOLDER, instances=3, engines=18, desks=3, work_ms=WORK_MS) as site:
+    with Site(FOLDER, instances=3, engines=18, desks=DESKS, work_ms=WORK_MS) as site:
         if not site.wait_ready():
             return 2
         time.sleep(1)
@@ -86,6 +90,9 @@
         for number in range(DEPARTURES):
             answered_before = Caller(site.record, quiet).request("POST", "/transfer/x", body=b"tag")[1]
             all_before.append(answered_before)
+            if not has_trouble:
+                time.sleep(EXIT_S)
+                continue
             late += departure(site, quiet, server, says_so)
             # The next one has come in its place before another one leaves.
             server = Server(site.store, site.record, f"desk-new-{number}", DESK, server.zone, work_ms=WORK_MS)
@@ -93,7 +100,7 @@
         is_over.set()
         for thread in threads:
             thread.join()
-        verdict = (f"{DEPARTURES} departures, before each: {all_before}; requests sent {QUIET_UNTIL_S} s after the report that "
+        verdict = (f"{DEPARTURES if has_trouble else 0} departures, before each: {all_before}; requests sent {QUIET_UNTIL_S} s after the report that "
                    f"reached the leaving server, and their answers: {late}")
         site.record.write(f"verdict  {verdict}")
         print(verdict)
@@ -103,4 +110,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    run(main)
--- a/review/review_site.py
+++ b/review/review_site.py
@@ -11,9 +11,11 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
+import traceback
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
 
@@ -23,6 +25,10 @@
 MODEL = "base"
 HEARTBEAT_S = 1.2
 SILENT_S = 30
+ADAPTER_LOAD_S = 0.25
+ADAPTER_SLOTS = 9
+# Requests that may wait at a server beside those in its slots.
+QUEUE = 24
 RECONNECT_S = 0.8
 ENGINES = "engines"
 DESK = "desk"
@@ -303,6 +309,12 @@
         self.sequence = 0
         self.fence = 0
         self.adapters = dict(adapters or {})
+        # Adapters whose weights are being loaded: version and end of the load.
+        self.coming = {}
+        # Adapters that are unloaded once no request uses them, and the requests on each.
+        self.unloading, self.uses = set(), {}
+        self.places = threading.Semaphore(slots)
+        self.waiting = 0
         self.runs = {}
         # Called with (socket, id, headers) for a request that was begun; returns whether it answered.
         self.trouble = None
@@ -355,9 +367,22 @@
             except OSError:
                 pass
 
+    def finish_loads(self):
+        """Makes adapters available whose load has ended. The lock is held."""
+        now = time.monotonic()
+        for name, (version, ends) in list(self.coming.items()):
+            if ends <= now:
+                del self.coming[name]
+                self.adapters[name] = version
+
+    def work_s(self):
+        """Time of one request: half to one and a half times the mean."""
+        return self.work_ms * random.uniform(0.5, 1.5) / 1000
+
     def models(self):
         if self.service != ENGINES:
             return []
+        self.finish_loads()
         adapters = [f"{name}@{version}" for name, version in sorted(self.adapters.items())]
         return [{"name": MODEL, "version": 1, "adapters": adapters}]
 
@@ -405,16 +430,49 @@
         if expected != self.name:
             return self.reply(sock, 421, {"X-Not-Executed": "1"}, b"{}")
         if path == "/api/report":
-            report = {"stage": "unified", "models": self.models(), "busy": False, "sequence": self.sequence,
-                      "born": self.born, "coming": [], "waiting": 0, "running": 0, "kvUsed": 0,
-                      "kvTotal": 250000, "handles": 0}
+            with self.lock:
+                models = self.models()
+                coming = [f"{MODEL}/{name}@{version}" for name, (version, _) in sorted(self.coming.items())]
+                report = {"stage": "unified", "models": models, "busy": False, "sequence": self.sequence,
+                          "born": self.born, "coming": coming, "waiting": 0, "running": sum(self.uses.values()),
+                          "kvUsed": 0, "kvTotal": 252945, "handles": 0}
             return self.reply(sock, 200, {"Content-Type": "application/json"}, json.dumps(report).encode())
         if path == "/api/order":
             return self.reply(sock, self.order(json.loads(body)), {"Content-Type": "application/json"}, b"{}")
         request = headers.get("x-attempt-id", "")
         adapter = headers.get("x-model", "").partition("/")[2]
-        if adapter and adapter not in self.adapters:
-            return self.reply(sock, 421, {"X-Not-Executed": "1", "X-Attempt-Id": request}, b"{}")
+        until = time.monotonic() + int(headers.get("x-deadline-ms") or 15000) / 1000
+        with self.lock:
+            self.finish_loads()
+            if adapter and (adapter not in self.adapters or adapter in self.unloading):
+                return self.reject(sock, 421, request)
+            if self.waiting >= QUEUE:
+                return self.reject(sock, 503, request)
+            self.waiting += 1
+            self.uses[adapter] = self.uses.get(adapter, 0) + 1
+        try:
+            has_place = self.places.acquire(timeout=max(until - time.monotonic(), 0))
+            with self.lock:
+                self.waiting -= 1
+            if not has_place:
+                return self.reject(sock, 503, request)
+            try:
+                self.run(sock, request, headers, until)
+            finally:
+                self.places.release()
+        finally:
+            with self.lock:
+                self.uses[adapter] -= 1
+                if not self.uses[adapter]:
+                    del self.uses[adapter]
+                    if adapter in self.unloading:
+                        self.unloading.discard(adapter)
+                        self.adapters.pop(adapter, None)
+
+    def reject(self, sock, status, request):
+        self.reply(sock, status, {"X-Not-Executed": "1", "X-Attempt-Id": request}, b"{}")
+
+    def run(self, sock, request, headers, until):
         with self.lock:
             self.runs[request] = self.runs.get(request, 0) + 1
             self.arrivals.append((time.monotonic(), request))
@@ -422,9 +480,11 @@
         if self.trouble and self.trouble(sock, request, headers):
             raise Closed
         if self.service == ENGINES:
-            return self.stream(sock, request, int(headers.get("last-event-id") or 0))
-        time.sleep(self.work_ms / 1000)
-        answer = {"X-Attempt-Id": request, "X-Server-Seal": f"seal-{self.name}", "Keep-Alive": "timeout=30"}
+            return self.stream(sock, request, int(headers.get("last-event-id") or 0), until)
+        time.sleep(self.work_s())
+        load = f"{max(self.slots - self.places._value, 0)},{self.waiting},{self.slots}"
+        answer = {"X-Attempt-Id": request, "X-Server-Seal": f"seal-{self.name}", "Keep-Alive": "timeout=30",
+                  "X-Server-Load": load}
         self.reply(sock, 200, answer, b'{"done":true}')
 
     def order(self, fields):
@@ -434,22 +494,31 @@
             self.fence = fields["fencingToken"]
             if "precondition" in fields and fields["precondition"] != self.sequence:
                 return 409
+            self.finish_loads()
             adapter = fields.get("adapter")
             if not adapter:
                 return 200
             self.sequence += 1
             if fields["op"] == "unload":
+                if adapter in self.uses:
+                    self.unloading.add(adapter)
+                    return 202
                 self.adapters.pop(adapter, None)
                 return 200
-            self.adapters[adapter] = fields.get("version") or 1
+            self.coming[adapter] = (fields.get("version") or 1, time.monotonic() + ADAPTER_LOAD_S)
+            if len(self.adapters) + len(self.coming) > ADAPTER_SLOTS:
+                self.record.write(f"too many adapters at {self.name}")
             return 202
 
-    def stream(self, sock, request, after):
+    def stream(self, sock, request, after, until):
         head = ("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
                 f"X-Attempt-Id: {request}\r\nX-Server-Seal: seal-{self.name}\r\n\r\n")
         time.sleep(0.05)
         send(sock, head.encode())
         for number in range(after + 1, self.events + 1):
+            if time.monotonic() > until:
+                # It stops work at the deadline that it was given.
+                raise Closed
             event = f"id: {number}\ndata: piece {number} of {self.version}\n\n".encode()
             send(sock, b"%x\r\n%s\r\n" % (len(event), event))
             time.sleep(self.event_ms / 1000)
@@ -527,12 +596,19 @@
         }
         self.log = open(os.path.join(folder, f"{name}.log"), "ab")
         self.is_stopped = False
+        # Held while a process is started or the instance is stopped.
+        self.lock = threading.Lock()
         self.peak_mb = 0.0
         self.over_memory = 0
         self.start(bootstrap="true")
         threading.Thread(target=self.watch, daemon=True).start()
 
     def start(self, bootstrap):
+        with self.lock:
+            if not self.is_stopped:
+                self.start_process(bootstrap)
+
+    def start_process(self, bootstrap):
         with open(self.settings, "w", encoding="utf-8") as file:
             file.write(SETTINGS.format(bootstrap=bootstrap, **self.values))
         environment = {"PATH": os.environ.get("PATH", ""), "HOME": os.environ.get("HOME", "/"),
@@ -544,7 +620,7 @@
     def memory(self):
         try:
             with open(f"/proc/{self.process.pid}/statm", encoding="ascii") as file:
-                return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+                return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 2**20
         except (OSError, IndexError):
             return 0.0
 
@@ -559,8 +635,7 @@
             if self.process.poll() is not None and not self.is_stopped:
                 self.record.write(f"platform process of {self.name} has ended: {self.process.returncode}")
                 time.sleep(self.RESTART_DELAY_S)
-                if not self.is_stopped:
-                    self.start(bootstrap="false")
+                self.start(bootstrap="false")
             time.sleep(0.01)
 
     def kill(self):
@@ -577,12 +652,12 @@
             return False
 
     def stop(self):
-        self.is_stopped = True
-        if self.process.poll() is None:
-            self.process.send_signal(signal.SIGCONT)
-            self.process.kill()
-        self.process.wait()
-        self.log.close()
+        with self.lock:
+            self.is_stopped = True
+            if self.process.poll() is None:
+                self.process.kill()
+            self.process.wait()
+            self.log.close()
 
 
 def configuration(version=1, routes=()):
@@ -634,8 +709,14 @@
             self.add_engine(f"engine-new-{n}", "v2")
         self.desks = [Server(self.store, self.record, f"desk-{n}", DESK, zones[n % 4], 6, work_ms)
                       for n in range(desks)]
-        self.instances = [Instance(self.record, self.temporary, f"edge-{n}", zones[n % 4], self.store.address)
-                          for n in range(instances)]
+        self.instances = []
+        try:
+            for n in range(instances):
+                instance = Instance(self.record, self.temporary, f"edge-{n}", zones[n % 4], self.store.address)
+                self.instances.append(instance)
+        except BaseException:
+            self.__exit__()
+            raise
 
     def __enter__(self):
         return self
@@ -782,3 +863,28 @@
 def summary_headers(adapter="a1", prompt=9190, answer=52):
     part = "%x:2520,%x:3780,%x:2890" % (1, 2, random.getrandbits(40))
     return [f"X-Model: {MODEL}/{adapter}", f"X-Token-Count: {prompt},{answer}", f"X-Prompt-Prefix: {part}"]
+
+
+def run(main):
+    """Runs a case and exits with its result: 2 if it could not run. All processes have ended by then."""
+    failures = []
+
+    def on_thread_failure(failure):
+        if not failure.thread.daemon:
+            failures.append(failure.exc_value)
+            traceback.print_exception(failure.exc_value)
+
+    def on_signal(*_):
+        raise KeyboardInterrupt
+
+    threading.excepthook = on_thread_failure
+    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
+        signal.signal(number, on_signal)
+    try:
+        code = main()
+    except BaseException:
+        traceback.print_exc()
+        code = 2
+    sys.stdout.flush()
+    # Threads of callers may still wait for answers that do not come.
+    os._exit(2 if failures else code)
