Compare changes of servers' entries with entries, so that live servers are not forgotten (CONFIG)

Cause: the placer leaves out changes of entries that do not concern other instances, and compared them with its table of servers in use. The table keeps a server for two seconds after its entry lapsed, so that the entry that is written again was equal to it and was not relayed, while the removal was. The other instances do not watch the servers while the placer relays.

Ruled out: the watch (the placer reads all events), the grace period (it ends as stated), the servers' writes.

Change: core::registrations holds the entries as the store has them; each change is compared with the entry before it, in order. What an instance observes stays in the table of servers in use.

Why it works: what others were told is exactly the sequence of entries, and nothing else is in the comparison any more.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod quarantine;
 pub mod quarantine_log;
 pub mod queue;
+pub mod registrations;
 pub mod rendezvous;
 pub mod replica;
 pub mod request;
--- a/daemon/src/gateway/backends.rs
+++ b/daemon/src/gateway/backends.rs
@@ -1,10 +1,12 @@
-//! Table of the registered backend servers.
+//! Backend servers that this instance uses: those that are registered, as far as what it has observed
+//! of them allows.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex};
 
 use mimosabay_core::backend::{Backend, ServerState};
 use mimosabay_core::name::Name;
+use mimosabay_core::registrations::{RegistrationChange, Registrations};
 use mimosabay_core::software_versions::SoftwareVersions;
 use tokio::sync::watch;
 use tracing::info;
@@ -30,6 +32,9 @@
 
 #[derive(Default)]
 struct Table {
+    /// What the store says, whatever this instance has observed.
+    registrations: Registrations,
+    /// The servers in use: the registrations with what was observed applied to them.
     servers: BTreeMap<Name, Arc<Backend>>,
     /// Servers whose entry is missing, and when they count as removed, in milliseconds.
     missing: HashMap<Name, u64>,
@@ -140,7 +145,9 @@
 
     /// Replaces the table by a complete list.
     pub(crate) fn reset(&self, list: impl IntoIterator<Item = Backend>, now_ms: u64) {
+        let list: Vec<Backend> = list.into_iter().collect();
         let mut table = self.table.lock().expect("backends lock");
+        table.registrations.reset(list.iter().cloned());
         let mut unseen: Vec<Name> = table.servers.keys().cloned().collect();
         table.held_back.clear();
         for backend in list {
@@ -153,20 +160,17 @@
         self.publish(&mut table, now_ms);
     }
 
-    /// Applies single changes.
+    /// Applies single changes in their order; returns for each whether it concerns other instances.
     pub(crate) fn apply_changes(
         &self,
-        changes: impl IntoIterator<Item = BackendChange>,
+        changes: impl IntoIterator<Item = RegistrationChange>,
         now_ms: u64,
-    ) {
+    ) -> Vec<bool> {
         let mut table = self.table.lock().expect("backends lock");
-        for change in changes {
-            match change {
-                BackendChange::Put(backend) => table.put(backend, now_ms),
-                BackendChange::Removed(id) => table.remove(&id, now_ms),
-            }
-        }
+        let changes = changes.into_iter();
+        let are_relevant = changes.map(|change| table.apply(change, now_ms)).collect();
         self.publish(&mut table, now_ms);
+        are_relevant
     }
 
     /// Removes servers whose entry was not registered again in time.
@@ -183,15 +187,35 @@
     }
 }
 
-/// One change of the table.
-pub(crate) enum BackendChange {
-    /// An entry is new or has changed.
-    Put(Backend),
-    /// An entry was removed.
-    Removed(Name),
-}
-
 impl Table {
+    /// Applies a change of the entries; returns whether it concerns other instances.
+    fn apply(&mut self, change: RegistrationChange, now_ms: u64) -> bool {
+        self.log_start(&change);
+        let is_relevant = self.registrations.apply(&change);
+        match change {
+            RegistrationChange::Put(backend) => self.put(backend, now_ms),
+            RegistrationChange::Removed(id) => self.remove(&id, now_ms),
+        }
+        is_relevant
+    }
+
+    /// Logs an entry that is new, or that shows another start of its server.
+    fn log_start(&self, change: &RegistrationChange) {
+        let RegistrationChange::Put(backend) = change else {
+            return;
+        };
+        let known = self.registrations.get(&backend.id);
+        if known.is_none_or(|it| it.started_unix_ms < backend.started_unix_ms) {
+            info!(
+                event = "server_registered",
+                server = %backend.id,
+                service = %backend.service,
+                software_version = backend.software_version.as_deref(),
+                boot = backend.started_unix_ms
+            );
+        }
+    }
+
     fn observe_software_versions(&mut self, now_ms: u64) {
         let servers = self.servers.values().map(|backend| &**backend);
         for service in self.software_versions.observe(servers, now_ms) {
--- a/daemon/src/gateway/replicate.rs
+++ b/daemon/src/gateway/replicate.rs
@@ -1,14 +1,13 @@
 //! Applies the store's objects to this instance, and logs the changes that are relayed to other
 //! instances.
 
-use mimosabay_core::backend::Backend;
 use mimosabay_core::name::Name;
+use mimosabay_core::registrations::RegistrationChange;
 use mimosabay_core::replica::{ReplicaChanges, ReplicaEvent, ReplicaKind, ReplicaUpdate};
 use mimosabay_platform::store::{Changes, Event, Listing, StoredObject};
 use mimosabay_platform::{configuration, discovery, wire_names};
 use tracing::{info, warn};
 
-use super::backends::BackendChange;
 use super::state::State;
 
 /// Applies a complete listing.
@@ -43,12 +42,12 @@
         }
         return;
     }
-    let events = changes.events.iter();
+    let are_relevant = apply_events(state, kind, &changes.events);
+    let events = changes.events.iter().zip(are_relevant);
     let events: Vec<ReplicaEvent> = events
-        .filter(|event| is_relevant(state, kind, event))
-        .filter_map(replica_event)
+        .filter(|(_, is_relevant)| *is_relevant)
+        .filter_map(|(event, _)| replica_event(event))
         .collect();
-    apply_events(state, kind, &changes.events);
     state
         .replicas
         .with_log(kind, |log| log.record(changes.revision, events));
@@ -79,45 +78,24 @@
         return;
     }
     let events: Vec<Event> = update.events.iter().filter_map(stored_event).collect();
-    apply_events(state, update.kind, &events);
+    // All of them are kept for instances that follow this one.
+    let _ = apply_events(state, update.kind, &events);
     state.replicas.with_log(update.kind, |log| {
         log.record(update.revision, update.events);
     });
     state.replicas.mark_read(update.kind);
 }
 
-fn apply_events(state: &State, kind: ReplicaKind, events: &[Event]) {
+/// Applies changes; returns for each whether it concerns other instances.
+fn apply_events(state: &State, kind: ReplicaKind, events: &[Event]) -> Vec<bool> {
     if kind == ReplicaKind::Servers {
-        let changes = events.iter().map(|it| backend_change(state, it));
-        state.backends.apply_changes(changes, state.now_ms());
-        return;
+        let changes = events.iter().map(registration_change);
+        return state.backends.apply_changes(changes, state.now_ms());
     }
     for event in events.iter().filter(|event| !event.deleted) {
         apply_object(state, kind, &event.object);
     }
-}
-
-/// Whether a change is relayed. Which adapters a server holds concerns only the placer, which
-/// requests it from the servers itself.
-fn is_relevant(state: &State, kind: ReplicaKind, event: &Event) -> bool {
-    if kind != ReplicaKind::Servers || event.deleted {
-        return true;
-    }
-    let known = state.backend(&event.object.metadata.name);
-    let Some(backend) = discovery::decode_backend(&event.object) else {
-        return known.is_some();
-    };
-    known.is_none_or(|known| !is_same_registration(&known, &backend))
-}
-
-fn is_same_registration(one: &Backend, other: &Backend) -> bool {
-    one.state == other.state
-        && one.is_leaving == other.is_leaving
-        && one.started_unix_ms == other.started_unix_ms
-        && one.address == other.address
-        && one.service == other.service
-        && one.is_cold == other.is_cold
-        && one.software_version == other.software_version
+    vec![true; events.len()]
 }
 
 fn replica_event(event: &Event) -> Option<ReplicaEvent> {
@@ -137,31 +115,21 @@
     })
 }
 
-fn backend_change(state: &State, event: &Event) -> BackendChange {
+fn registration_change(event: &Event) -> RegistrationChange {
     let name: Name = event.object.metadata.name.clone();
     if event.deleted {
         info!(event = "server_removed", server = %name);
-        return BackendChange::Removed(name);
+        return RegistrationChange::Removed(name);
     }
     let Some(backend) = discovery::decode_backend(&event.object) else {
         // An entry that cannot be read names no server.
         warn!(event = "server_unreadable", server = %name);
-        return BackendChange::Removed(name);
+        return RegistrationChange::Removed(name);
     };
-    let known = state.backend(&backend.id);
-    if known.is_none_or(|it| it.started_unix_ms < backend.started_unix_ms) {
-        info!(
-            event = "server_registered",
-            server = %name,
-            service = %backend.service,
-            software_version = backend.software_version.as_deref(),
-            boot = backend.started_unix_ms
-        );
-    }
     if !backend.is_ready() {
         info!(event = "server_leaving", server = %name, leaves_soon = backend.is_leaving);
     }
-    BackendChange::Put(backend)
+    RegistrationChange::Put(backend)
 }
 
 fn apply_object(state: &State, kind: ReplicaKind, object: &StoredObject) {
