Test that a draining server is not used by instances that it has not answered (DRAIN)

The placer marks a server as draining in its table when an answer says that it leaves; the store's own change to draining was then equal to the table and not relayed.

Evidence: on the placer logs server_leaving twice, first with the answer as its source, and no other instance logs it.

It works because what an answer says does not change the entries that changes are compared with.

--- a/daemon/tests/server_entries.rs
+++ b/daemon/tests/server_entries.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use mimosabay_standin::fleet::{CONTACT_MS, FleetOptions, FleetServer, FleetSite};
-use mimosabay_standin::harness::block_on;
+use mimosabay_standin::harness::{block_on, wait_for};
 use tokio::time::{Instant, sleep};
 
 /// Number of instances.
@@ -17,6 +17,8 @@
 const LOAD_MS: u64 = 2_500;
 /// Interval between two requests of the load, in milliseconds.
 const INTERVAL_MS: u64 = 20;
+/// Time after which a leaving server gets no request any more, in milliseconds.
+const LEFT_AFTER_MS: u64 = 2_000;
 
 /// How the store is away.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,6 +56,29 @@
     }
 }
 
+/// Guards against requests to a draining server by instances that are not told of its entry, because the
+/// placer has learned from an answer of the server that it leaves.
+mod draining_server_is_used_by_instances_that_it_has_not_answered {
+    use mimosabay_core::cases;
+
+    use super::{Departure, draining_server_gets_no_request};
+
+    cases! {
+        draining_server_gets_no_request;
+        drains: (Departure::Drains);
+        drains_and_is_removed: (Departure::DrainsAndIsRemoved);
+        is_removed: (Departure::IsRemoved);
+    }
+}
+
+/// What becomes of the entry of a server that has said in an answer that it leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Departure {
+    Drains,
+    DrainsAndIsRemoved,
+    IsRemoved,
+}
+
 async fn start_site() -> FleetSite {
     let site = FleetSite::start(FleetOptions {
         instances: INSTANCES,
@@ -142,3 +167,38 @@
     let arrived = requests.iter().filter(|it| it.id.starts_with(prefix));
     arrived.count()
 }
+
+fn draining_server_gets_no_request(departure: Departure) {
+    block_on(async {
+        let site = start_site().await;
+        let placer = site.wait_placer().await;
+        let server = &site.plain_servers[0];
+        server.state_leaving();
+        wait_for("an answer that says so, at the placer", async || {
+            drop(site.caller(placer).get("/look/x", "probe").await);
+            site.instances[placer]
+                .has_logged("server_leaving")
+                .then_some(())
+        })
+        .await;
+        match departure {
+            Departure::Drains => server.register("draining"),
+            Departure::DrainsAndIsRemoved => {
+                server.register("draining");
+                sleep(Duration::from_millis(LEFT_AFTER_MS / 2)).await;
+                site.store.remove("servers", &server.id);
+            }
+            Departure::IsRemoved => site.store.remove("servers", &server.id),
+        }
+        sleep(Duration::from_millis(LEFT_AFTER_MS)).await;
+        for index in 0..INSTANCES {
+            let prefix = format!("late@{index}-");
+            look_up(&site, index, &prefix).await;
+            assert_eq!(
+                arrivals(server, &prefix),
+                0,
+                "requests from instance {index}"
+            );
+        }
+    });
+}
