Limit what answers in progress hold, so that one without end does not end its instance (LOST)

Cause: EventSplitter kept the bytes of an incomplete event without a limit. On related paths whole answers had a limit each (8 MiB) and none together, and answers to orders, reports and the store's lists had none.

Ruled out: heads, trailers and chunk extensions without end (17 to 19 MiB), a limit for each answer alone.

Change: an event is at most 1 MiB; all answers in progress hold at most an eighth of the memory that the settings state, and the largest incomplete one gives way to smaller ones (core::answer_memory); 64 KiB are read ahead from a server's connection; answers on the control path are limited.

Why it works: nothing that a server sends is kept beyond a limit that all answers share, and sound answers are smaller than those without end.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -14,6 +14,7 @@
 //! ```
 
 pub mod admission;
+pub mod answer_memory;
 pub mod attempt;
 pub mod backend;
 pub mod backoff;
--- a/daemon/src/gateway/connection.rs
+++ b/daemon/src/gateway/connection.rs
@@ -15,6 +15,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+/// Size up to which what is read from a server waits to be used, in bytes.
+const BUFFER_BYTES: usize = 64 * 1024;
 /// Time limit for opening a connection, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 350;
 /// Time without traffic after which the kernel probes a connection, and between its probes.
@@ -50,7 +52,9 @@
     pub(crate) async fn over(
         bytes: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
     ) -> std::io::Result<Self> {
-        let (sender, connection) = http1::handshake(TokioIo::new(bytes))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(BUFFER_BYTES)
+            .handshake(TokioIo::new(bytes))
             .await
             .map_err(std::io::Error::other)?;
         let driver = tokio::spawn(async move {
--- a/daemon/src/gateway/events.rs
+++ b/daemon/src/gateway/events.rs
@@ -2,10 +2,15 @@
 
 use bytes::{Bytes, BytesMut};
 
+use super::answer_buffer::{AnswerBuffer, TooLarge};
+
+/// Largest event, in bytes.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
 /// Buffers bytes until events are complete.
-#[derive(Default)]
 pub(crate) struct EventSplitter {
     pending: BytesMut,
+    buffer: AnswerBuffer,
 }
 
 /// Complete events and the identifier of the last one.
@@ -15,25 +20,43 @@
 }
 
 impl EventSplitter {
+    /// Creates a splitter that counts what it holds in `buffer`.
+    pub(crate) fn new(buffer: AnswerBuffer) -> Self {
+        Self {
+            pending: BytesMut::new(),
+            buffer,
+        }
+    }
+
     /// Appends bytes and returns the events that are complete now.
-    pub(crate) fn push(&mut self, bytes: &[u8]) -> Option<CompleteEvents> {
+    ///
+    /// # Errors
+    ///
+    /// The event that is not complete yet is too large.
+    pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<Option<CompleteEvents>, TooLarge> {
         let scan_from = self.pending.len().saturating_sub(3);
         self.pending.extend_from_slice(bytes);
-        let end = last_event_end(&self.pending, scan_from)?;
-        let bytes = self.pending.split_to(end).freeze();
-        let last_id = last_id(&bytes);
-        Some(CompleteEvents { bytes, last_id })
+        let end = last_event_end(&self.pending, scan_from);
+        let complete = end.map(|end| self.pending.split_to(end).freeze());
+        if self.pending.len() > MAX_EVENT_BYTES {
+            return Err(TooLarge);
+        }
+        self.buffer.resize(self.pending.len())?;
+        Ok(complete.map(|bytes| CompleteEvents {
+            last_id: last_id(&bytes),
+            bytes,
+        }))
+    }
+
+    /// Returns once the event that is not complete yet has to give way to smaller answers.
+    pub(crate) async fn gives_way(&self) {
+        self.buffer.gives_way().await;
     }
 
     /// Takes the bytes of an event that is not complete yet.
     pub(crate) fn take_rest(&mut self) -> Bytes {
         self.pending.split().freeze()
     }
-
-    /// Drops the bytes of an event that is not complete yet.
-    pub(crate) fn clear(&mut self) {
-        self.pending.clear();
-    }
 }
 
 /// End of the last event that ends at or after `from`.
--- a/daemon/src/gateway/exchange.rs
+++ b/daemon/src/gateway/exchange.rs
@@ -7,7 +7,7 @@
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::response::Parts;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use mimosabay_core::attempt::ExecutionStatus;
 use mimosabay_core::backend::{Backend, LoadSample};
@@ -15,15 +15,14 @@
 use mimosabay_platform::ingress;
 use prometheus_client::encoding::EncodeLabelValue;
 use tokio::time::timeout;
+use tracing::warn;
 
+use super::answer_buffer::{self, Unread};
 use super::connection::Connection;
 use super::server_connection::{self, Unreached};
 use super::server_links;
 use super::state::State;
 
-/// Largest response that is buffered before it is forwarded, in bytes.
-const MAX_BUFFERED_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
-
 /// A request as sent to a server.
 pub(crate) struct Outgoing {
     pub(crate) method: Method,
@@ -269,14 +268,11 @@
         guard,
     } = head;
     let limit = Duration::from_millis(limit_ms);
-    let body = timeout(
-        limit,
-        Limited::new(body, MAX_BUFFERED_RESPONSE_BYTES).collect(),
-    )
-    .await
-    .map_err(|_| Failure::TimedOut)?
-    .map_err(|_| Failure::Broken)?
-    .to_bytes();
+    let whole = answer_buffer::read_whole(body, state.answer_buffers.add());
+    let body = timeout(limit, whole)
+        .await
+        .map_err(|_| Failure::TimedOut)?
+        .map_err(|cause| unread_failure(cause, &guard))?;
     guard.return_to_pool(state);
     Ok(CompleteResponse {
         status,
@@ -284,3 +280,8 @@
         body,
     })
 }
+
+fn unread_failure(cause: Unread, guard: &ConnectionGuard) -> Failure {
+    warn!(event = "answer_unread", server = %guard.backend.id, ?cause);
+    Failure::Broken
+}
--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 
 mod activity;
 mod answer;
+mod answer_buffer;
 mod backends;
 mod body;
 mod caller_connection;
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -14,6 +14,7 @@
 use tracing::info;
 
 use super::answer::{Answer, OwnAnswer};
+use super::answer_buffer::TooLarge;
 use super::body::{AnswerBody, Chunk};
 use super::engine_attempt::EngineAttempt;
 use super::engine_request::{self, EngineRequest};
@@ -61,6 +62,8 @@
     End,
     /// The connection broke.
     Broken,
+    /// An event is larger than may be kept.
+    TooLarge,
 }
 
 /// An answer of which the caller has received nothing.
@@ -93,6 +96,8 @@
     EndedBeforeEvent,
     /// The server was silent, and another one has taken the request.
     Stalled,
+    /// An event has no end within the size that may be kept.
+    EventTooLarge,
 }
 
 impl StreamEnd {
@@ -130,11 +135,11 @@
         sender,
     };
     let relay = Relay {
+        splitter: EventSplitter::new(state.answer_buffers.add()),
         state,
         request,
         chunks,
         unsent: Some(unsent),
-        splitter: EventSplitter::default(),
         successor: None,
         last_id: None,
         events: 0,
@@ -227,6 +232,9 @@
                 Awaited::Current(Received::Broken) => {
                     return StreamEnd::Broken(BreakCause::ConnectionLost);
                 }
+                Awaited::Current(Received::TooLarge) => {
+                    return StreamEnd::Broken(BreakCause::EventTooLarge);
+                }
                 Awaited::Current(Received::End) => {
                     if !self.splitter.take_rest().is_empty() {
                         return StreamEnd::Broken(BreakCause::EndedInsideEvent);
@@ -278,7 +286,7 @@
 
     /// Resumes the stream at another server after the last forwarded event.
     async fn resume(&mut self) -> Result<(ResponseHead, Run), CutReason> {
-        self.splitter.clear();
+        self.splitter = EventSplitter::new(self.state.answer_buffers.add());
         let left = Duration::from_millis(self.request.job.remaining_ms(&self.state));
         let successor = self.successor.take();
         let next =
@@ -340,7 +348,11 @@
 /// bytes of it now and then.
 async fn next_events(body: &mut Incoming, splitter: &mut EventSplitter, run: &mut Run) -> Received {
     loop {
-        let frame = match body.frame().await {
+        let frame = tokio::select! {
+            frame = body.frame() => frame,
+            () = splitter.gives_way() => return Received::TooLarge,
+        };
+        let frame = match frame {
             Some(Ok(frame)) => frame,
             Some(Err(_)) => return Received::Broken,
             None => return Received::End,
@@ -349,8 +361,10 @@
             continue;
         };
         run.record_data();
-        if let Some(events) = splitter.push(&data) {
-            return Received::Events(events);
+        match splitter.push(&data) {
+            Ok(Some(events)) => return Received::Events(events),
+            Ok(None) => {}
+            Err(TooLarge) => return Received::TooLarge,
         }
     }
 }
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -18,6 +18,7 @@
 use tokio::sync::watch;
 use tracing_appender::non_blocking::ErrorCounter;
 
+use super::answer_buffer::AnswerBuffers;
 use super::backends::Backends;
 use super::link::Link;
 use super::members::MemberList;
@@ -70,6 +71,8 @@
     /// process.
     pub(crate) quarantine: Mutex<QuarantineLog>,
     pub(crate) pool: Pool,
+    /// Memory of answers in progress.
+    pub(crate) answer_buffers: Arc<AnswerBuffers>,
     pub(crate) link: Link,
     pub(crate) members: MemberList,
     /// Permission of the placer in this process to send orders.
@@ -111,6 +114,7 @@
         dropped_lines: ErrorCounter,
     ) -> Arc<Self> {
         let store = Store::new(&settings.store_address);
+        let answer_buffers = Arc::new(AnswerBuffers::new(settings.memory_bytes));
         Arc::new(Self {
             link: Link::new(&settings, incarnation),
             members: MemberList::default(),
@@ -134,6 +138,7 @@
             stream_log: Mutex::default(),
             quarantine: Mutex::default(),
             pool: Pool::new(clock),
+            answer_buffers,
             phase: watch::Sender::new(Phase::Serving),
             metrics: Metrics::new(dropped_lines),
             has_listed_backends: AtomicBool::new(false),
--- a/http/src/call.rs
+++ b/http/src/call.rs
@@ -11,6 +11,9 @@
 /// Timeout of a call that does not set its own.
 const DEFAULT_TIMEOUT_MS: u64 = 5_000;
 
+/// Largest body of a response to a call that sets no limit of its own, in bytes.
+const DEFAULT_MAX_BODY_BYTES: usize = 32 * 1024 * 1024;
+
 /// An HTTP call that is ready to be sent.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -19,6 +22,7 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) timeout_ms: u64,
+    pub(crate) max_body_bytes: usize,
 }
 
 /// A response with its complete body.
@@ -52,6 +56,7 @@
             headers: HeaderMap::new(),
             body: Bytes::new(),
             timeout_ms: DEFAULT_TIMEOUT_MS,
+            max_body_bytes: DEFAULT_MAX_BODY_BYTES,
         }
     }
 
@@ -107,6 +112,13 @@
         self.timeout_ms = timeout_ms;
         self
     }
+
+    /// Sets the largest body of the response, in bytes. It does not apply to a streaming response.
+    #[must_use]
+    pub fn max_body_bytes(mut self, max_body_bytes: usize) -> Self {
+        self.max_body_bytes = max_body_bytes;
+        self
+    }
 }
 
 impl Response {
--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response as HyperResponse};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client as PooledClient;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -19,6 +19,9 @@
 /// Time after which an idle pooled connection is closed.
 const IDLE_TIMEOUT_MS: u64 = 20_000;
 
+/// Size up to which what is read from a connection waits to be used, in bytes. A head has to fit.
+const BUFFER_BYTES: usize = 64 * 1024;
+
 /// Idle time before the first TCP keep-alive probe, and interval between probes. The probes detect
 /// a connection whose state a network device has lost before the connection is used again.
 const KEEPALIVE_INTERVAL_MS: u64 = 1_000;
@@ -47,6 +50,7 @@
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(Duration::from_millis(IDLE_TIMEOUT_MS))
             .retry_canceled_requests(false)
+            .http1_max_buf_size(BUFFER_BYTES)
             .build(connector);
         Self { pool }
     }
@@ -84,9 +88,11 @@
     }
 
     async fn call_without_timeout(&self, call: Call) -> Result<Response, Error> {
+        let max_body_bytes = call.max_body_bytes;
         let response = self.send(call).await?;
         let (parts, body) = response.into_parts();
-        let body = body.collect().await.map_err(Error::interrupted)?.to_bytes();
+        let body = Limited::new(body, max_body_bytes).collect().await;
+        let body = body.map_err(Error::interrupted)?.to_bytes();
         Ok(Response {
             status: parts.status,
             headers: parts.headers,
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -29,6 +29,7 @@
 pub use poison::{CONTACT_MS, Condition, Disturber, quarantine_log, start_crashing_site};
 pub use received::{ReceivedOrder, ReceivedRequest};
 pub use server::{FleetServer, ServerKind};
+pub use settings::MEMORY_MIB;
 pub use site::{
     DESK, ENGINES, FleetInstance, FleetOptions, FleetSite, HOST, KEY, MODEL, ORGANISATION,
 };
--- a/standin/src/fleet/caller.rs
+++ b/standin/src/fleet/caller.rs
@@ -8,6 +8,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use mimosabay_http::{Call, Client, Error};
+use tokio::time::{Instant, timeout_at};
 
 use super::site::{HOST, MODEL};
 
@@ -281,6 +282,13 @@
         bytes.freeze()
     }
 
+    /// Reads and drops what arrives until the stream ends or `end` is reached.
+    pub async fn discard_until(&mut self, end: Instant) {
+        let read_all = async { while let Some(Ok(_)) = self.body.frame().await {} };
+        // The end of the stream and the end of the time are alike here.
+        let _ = timeout_at(end, read_all).await;
+    }
+
     /// Reads the rest of the stream; returns `None` if the connection breaks.
     pub async fn read_to_end(self) -> Option<Bytes> {
         Some(self.body.collect().await.ok()?.to_bytes())
--- a/standin/src/fleet/settings.rs
+++ b/standin/src/fleet/settings.rs
@@ -2,6 +2,9 @@
 
 use std::net::SocketAddr;
 
+/// Memory of an instance, in units of 1,048,576 bytes.
+pub const MEMORY_MIB: u64 = 160;
+
 /// Settings that differ between instances or between sites.
 pub(super) struct InstanceSettings {
     pub(super) name: String,
@@ -41,6 +44,7 @@
 [limits]
 cpuShare = {core_share}
 cores = 1
+memoryMb = {MEMORY_MIB}
 [platform]
 address = "{store}"
 form = "objects"
--- a/standin/src/harness/process.rs
+++ b/standin/src/harness/process.rs
@@ -50,6 +50,21 @@
         self.child.id()
     }
 
+    /// Returns the largest memory that the process has used so far, in units of 1,048,576 bytes.
+    ///
+    /// # Panics
+    ///
+    /// If the process has ended.
+    pub fn peak_memory_mib(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.pid());
+        let status = std::fs::read_to_string(path).expect("the process runs");
+        let mut lines = status.lines();
+        let peak = lines.find_map(|line| line.strip_prefix("VmHWM:"));
+        let peak = peak.expect("the process has memory");
+        let kib = peak.trim().trim_end_matches(" kB").parse::<u64>();
+        kib.expect("a number") / 1_024
+    }
+
     /// Returns what the process has written to its output file so far.
     pub fn output(&self) -> String {
         std::fs::read_to_string(&self.output).unwrap_or_default()
