--- a/daemon/src/gateway/connection.rs
+++ b/daemon/src/gateway/connection.rs
@@ -14,6 +14,9 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
+use tracing::warn;
+
+use super::head_limit::{HeadLimit, HeadLimited};
 
 /// Size up to which what is read from a server waits to be used, in bytes.
 const BUFFER_BYTES: usize = 64 * 1024;
@@ -31,6 +34,7 @@
 /// A connection. Dropping it closes the socket, which makes the server stop its work.
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    head_limit: HeadLimit,
     driver: JoinHandle<()>,
 }
 
@@ -52,6 +56,8 @@
     pub(crate) async fn over(
         bytes: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
     ) -> std::io::Result<Self> {
+        let head_limit = HeadLimit::default();
+        let bytes = HeadLimited::new(bytes, head_limit.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
             .handshake(TokioIo::new(bytes))
@@ -61,7 +67,11 @@
             // The request on the connection receives the error itself.
             let _ = connection.await;
         });
-        Ok(Self { sender, driver })
+        Ok(Self {
+            sender,
+            head_limit,
+            driver,
+        })
     }
 
     /// Whether another request can be sent now.
@@ -73,7 +83,8 @@
     ///
     /// # Errors
     ///
-    /// The request itself if nothing of it was written, else `None`.
+    /// The request itself if nothing of it was written, else `None`: the connection broke, or the head has
+    /// no end.
     pub(crate) async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
@@ -81,7 +92,16 @@
         if self.sender.ready().await.is_err() {
             return Err(Some(request));
         }
-        let sent = self.sender.try_send_request(request).await;
+        self.head_limit.await_head();
+        let sent = tokio::select! {
+            biased;
+            sent = self.sender.try_send_request(request) => sent,
+            () = self.head_limit.exhausted() => {
+                warn!(event = "answer_head_too_large");
+                return Err(None);
+            }
+        };
+        self.head_limit.lift();
         sent.map_err(|mut failed| failed.take_message())
     }
 }
--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod events;
 mod exchange;
 mod freeze;
+mod head_limit;
 mod link;
 mod members;
 mod metrics;
--- a/daemon/tests/endless_answers.rs
+++ b/daemon/tests/endless_answers.rs
@@ -35,6 +35,8 @@
     Headers,
     /// One header.
     Header,
+    /// Heads with an interim status.
+    InterimHeads,
     /// The extension of a chunk.
     ChunkExtension,
     /// The trailers after the last chunk.
@@ -75,7 +77,7 @@
     use super::Callers::{Read, StopReading};
     use super::Endless::{
         BodyUntilClose, BodyWithLength, ChunkExtension, ChunkedBody, Comments, Events, Header,
-        Headers, Trailers,
+        Headers, InterimHeads, Trailers,
     };
     use super::Spoiled::{Engines, PlainServers};
     use super::memory_is_bounded;
@@ -90,12 +92,14 @@
         events_not_read: (Engines, Events, 60, StopReading);
         comments_not_read: (Engines, Comments, 60, StopReading);
         headers_of_engines: (Engines, Headers, 24, Read);
+        interim_heads_of_engines: (Engines, InterimHeads, 8, Read);
         body_one: (PlainServers, ChunkedBody, 1, Read);
         body_many: (PlainServers, ChunkedBody, 80, Read);
         body_with_length: (PlainServers, BodyWithLength, 24, Read);
         body_until_close: (PlainServers, BodyUntilClose, 24, Read);
         headers: (PlainServers, Headers, 24, Read);
         header: (PlainServers, Header, 24, Read);
+        interim_heads: (PlainServers, InterimHeads, 8, Read);
         chunk_extension: (PlainServers, ChunkExtension, 24, Read);
         trailers: (PlainServers, Trailers, 24, Read);
     }
@@ -117,6 +121,7 @@
         );
         let chunked = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
         match self {
+            Self::InterimHeads => String::new(),
             Self::Headers => head,
             Self::Header => format!("{head}X-Long: "),
             Self::ChunkExtension => format!("{chunked}5;"),
@@ -134,6 +139,7 @@
         let filled = |line: &str| line.repeat(BLOCK_BYTES / line.len()).into_bytes();
         match self {
             Self::Headers | Self::Trailers => filled("X-More: and more\r\n"),
+            Self::InterimHeads => filled("HTTP/1.1 102 Processing\r\n\r\n"),
             Self::Events => filled("id: 1\ndata: a piece\n\n"),
             Self::Comments => filled(": a comment\n\n"),
             Self::ChunkedBody => {
