Notice a caller that leaves before the first event of a stream (GONE)

Cause: until the first event the relay holds the receiver of its own chunks, inside the answer that is not sent yet, so that the channel is never closed.

Ruled out: the caller's connection, whose end is noticed (the test for leaving before the head passes).

Change: until then the relay watches whoever waits for the answer.

--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -220,7 +220,9 @@
             let next = successor::await_or_replace(&self.state, &mut self.request, &current, next);
             let next = tokio::select! {
                 next = next => next,
-                () = self.chunks.closed() => return StreamEnd::CallerLeft,
+                () = caller_left(&self.chunks, self.unsent.as_mut()) => {
+                    return StreamEnd::CallerLeft;
+                }
                 () = &mut deadline => return StreamEnd::TimedOut,
             };
             match next {
@@ -293,7 +295,7 @@
             resume_at_another_server(&self.state, &mut self.request, successor, self.last_id);
         tokio::select! {
             next = timeout(left, next) => next.unwrap_or(Err(CutReason::TimedOut)),
-            () = self.chunks.closed() => Err(CutReason::CallerLeft),
+            () = caller_left(&self.chunks, self.unsent.as_mut()) => Err(CutReason::CallerLeft),
         }
     }
 
@@ -344,6 +346,15 @@
     }
 }
 
+/// Returns once the caller has left. Until the answer is sent, it holds the receiver of the chunks itself, and
+/// only whoever waits for the answer shows that the caller is there.
+async fn caller_left(chunks: &mpsc::Sender<Chunk>, unsent: Option<&mut UnsentAnswer>) {
+    match unsent {
+        Some(unsent) => unsent.sender.closed().await,
+        None => chunks.closed().await,
+    }
+}
+
 /// Waits for complete events. The parts of an event are no progress: a server that has stalled may send some
 /// bytes of it now and then.
 async fn next_events(body: &mut Incoming, splitter: &mut EventSplitter, run: &mut Run) -> Received {
--- a/daemon/tests/gateway/streams.rs
+++ b/daemon/tests/gateway/streams.rs
@@ -1,7 +1,7 @@
 //! Streams that break, and callers that leave.
 
 use mimosabay_standin::fleet::{Behaviour, FleetOptions, FleetServer, FleetSite, event_ids};
-use mimosabay_standin::harness::{block_on, wait_for};
+use mimosabay_standin::harness::{block_on, wait_for, wait_up_to};
 
 #[test]
 fn broken_stream_is_resumed_at_another_server() {
@@ -151,3 +151,37 @@
         .await;
     });
 }
+
+/// Time after which a server has no work for a caller that has left, in milliseconds.
+const LEFT_MS: u64 = 1_000;
+
+/// Guards against servers that go on for a caller that left before the first event: the instance notices
+/// it only when it sends something.
+#[test]
+fn caller_that_leaves_before_the_first_event_ends_the_run() {
+    block_on(async {
+        let site = FleetSite::start(FleetOptions::default()).await;
+        for engine in &site.engines {
+            engine.plan(Behaviour::TrickleAfter(0));
+        }
+        let caller = site.caller(0).deadline_ms(10_000);
+        let call = tokio::spawn(async move { caller.generate("/once/x", "one", "").await });
+        wait_for("a running request", async || {
+            let mut engines = site.engines.iter();
+            engines
+                .any(|engine| engine.running_count() > 0)
+                .then_some(())
+        })
+        .await;
+        // The head of the server's answer has arrived by then.
+        tokio::time::sleep(std::time::Duration::from_millis(LEFT_MS)).await;
+        call.abort();
+        let ended = wait_up_to(LEFT_MS, async || {
+            let mut engines = site.engines.iter();
+            engines
+                .all(|engine| engine.running_count() == 0)
+                .then_some(())
+        });
+        assert!(ended.await.is_some(), "the server still works");
+    });
+}
