Take no software version for the only one before earlier ones are known (ORDER)

Cause: a stream that nobody knows goes on if its service has one version, and a process that has just started took the versions that are registered for all there were in the last minute.

Ruled out: notes of streams (all are lost with the processes), servers, the removal without the kill.

Change: no version is the only one until the servers have been observed for a minute, or the store says that there were no others. The placer keeps the versions of the services in the store; each process reads them when it starts.

Why it works: what a new process does not know is not taken for known, and what must outlast all processes is in the store, so that streams of a service with one version still go on.

--- a/core/src/cell/streams.rs
+++ b/core/src/cell/streams.rs
@@ -94,8 +94,13 @@
 
 impl Cell {
     /// Takes over what the placer's own process knows of versions.
-    pub fn adopt_versions(&mut self, software: SoftwareVersions) {
+    pub fn adopt_versions(&mut self, software: SoftwareVersions, now_ms: u64) {
+        if self.streams.software == software {
+            return;
+        }
         self.streams.software = software;
+        self.streams.update_reported_services(now_ms);
+        self.serve_waiting_streams(now_ms);
     }
 
     /// Records what instances know of streams.
--- a/core/tests/cell/streams.rs
+++ b/core/tests/cell/streams.rs
@@ -3,6 +3,7 @@
 use mimosabay_core::backend::Backend;
 use mimosabay_core::cell::{Cell, PlacementRequest, RefusalReason, RunOutcome};
 use mimosabay_core::name::Name;
+use mimosabay_core::software_versions::SoftwareVersions;
 use mimosabay_core::stream_placement::StreamPlacement;
 use mimosabay_core::stream_versions::StreamVersion;
 
@@ -144,10 +145,33 @@
 #[test]
 fn unknown_stream_goes_on_while_there_is_one_version() {
     let mut cell = confirmed(ADAPTER_LIMIT, &[engine("a-old", "v1")]);
+    let mut versions = SoftwareVersions::of_first_start();
+    versions.observe([&engine("a-old", "v1")].into_iter(), 0);
+    cell.adopt_versions(versions, 0);
     let server = place(&mut cell, request(1, taken_up("s")), 0);
     assert_eq!(server.as_deref(), Some("a-old"));
 }
 
+/// Guards against a placer that has just started and takes the only registered version for the one at
+/// which streams of before have begun.
+#[test]
+fn unknown_stream_is_refused_while_earlier_versions_are_unknown() {
+    let mut cell = confirmed(ADAPTER_LIMIT, &[engine("b-new", "v2")]);
+    let again = request(1, taken_up("s"));
+    assert_eq!(place_without_reports(&mut cell, again, 0), None);
+}
+
+#[test]
+fn waiting_stream_goes_on_once_earlier_versions_are_known() {
+    let mut cell = confirmed(ADAPTER_LIMIT, &[engine("a-old", "v1")]);
+    assert_eq!(place(&mut cell, request(1, taken_up("s")), 0), None);
+    let mut versions = SoftwareVersions::of_first_start();
+    versions.observe([&engine("a-old", "v1")].into_iter(), 0);
+    cell.adopt_versions(versions, 100);
+    let grants = granted(&cell.take_actions());
+    assert_eq!(grants, [(1, "a-old".into())]);
+}
+
 #[test]
 fn stream_whose_version_is_gone_is_refused_at_once() {
     let mut cell = two_versions();
--- a/daemon/src/gateway/backends.rs
+++ b/daemon/src/gateway/backends.rs
@@ -7,7 +7,7 @@
 use mimosabay_core::backend::{Backend, ServerState};
 use mimosabay_core::name::Name;
 use mimosabay_core::registrations::{RegistrationChange, Registrations};
-use mimosabay_core::software_versions::SoftwareVersions;
+use mimosabay_core::software_versions::{SoftwareVersions, VersionHistory};
 use tokio::sync::watch;
 use tracing::info;
 
@@ -71,9 +71,19 @@
 }
 
 impl Backends {
-    pub(crate) fn new() -> Self {
+    /// Creates an empty table. At the first start of a site no stream began before.
+    pub(crate) fn new(is_first_start: bool) -> Self {
+        let software_versions = if is_first_start {
+            SoftwareVersions::of_first_start()
+        } else {
+            SoftwareVersions::default()
+        };
+        let table = Table {
+            software_versions,
+            ..Table::default()
+        };
         Self {
-            table: Mutex::default(),
+            table: Mutex::new(table),
             snapshot: watch::Sender::new(Arc::default()),
         }
     }
@@ -92,6 +102,19 @@
         table.software_versions.clone()
     }
 
+    /// Returns the software versions of the servers, for processes that start later.
+    pub(crate) fn version_history(&self, now_ms: u64) -> VersionHistory {
+        let table = self.table.lock().expect("backends lock");
+        table.software_versions.history(now_ms)
+    }
+
+    /// Takes over the software versions that earlier processes have observed.
+    pub(crate) fn adopt_version_history(&self, history: &VersionHistory, now_ms: u64) {
+        let mut table = self.table.lock().expect("backends lock");
+        table.software_versions.adopt(history, now_ms);
+        self.publish(&mut table, now_ms);
+    }
+
     /// Returns whether streams of some service can have begun at several software versions.
     pub(crate) fn have_several_versions(&self, now_ms: u64) -> bool {
         let table = self.table.lock().expect("backends lock");
--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -55,6 +55,7 @@
 mod successor;
 mod suspects;
 mod updates;
+mod version_store;
 mod watch;
 
 pub use reload::read_settings;
--- a/daemon/src/gateway/placer.rs
+++ b/daemon/src/gateway/placer.rs
@@ -53,7 +53,7 @@
         cell.set_epoch(state.clock.start_unix_ms());
         cell.merge_quarantine(&state.suspects.known());
         cell.apply_limits(&state.server_limits.all(), state.now_ms());
-        cell.adopt_versions(state.backends.software_versions());
+        cell.adopt_versions(state.backends.software_versions(), state.now_ms());
         cell.record_streams(&state.streams.all(), state.now_ms());
         let driver = Driver {
             cell,
@@ -332,8 +332,11 @@
     }
 
     fn apply_backends(&mut self, snapshot: &Snapshot) {
+        let now_ms = self.state.now_ms();
+        let software = self.state.backends.software_versions();
         let backends = snapshot.values().map(|backend| &**backend);
-        self.cell.set_backends(backends, self.state.now_ms());
+        self.cell.set_backends(backends, now_ms);
+        self.cell.adopt_versions(software, now_ms);
     }
 
     fn apply_releases(&mut self, newest: &HashMap<AdapterKey, u64>) {
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -20,6 +20,7 @@
 use super::watch::{self, WatchKind};
 use super::{
     callers, election, freeze, link, reload, server_connection, server_links, stop, updates,
+    version_store,
 };
 use crate::clock::Clock;
 
@@ -77,6 +78,7 @@
     }
     tokio::spawn(serve_peers(state.clone(), peers));
     tokio::spawn(election::run(state.clone()));
+    tokio::spawn(version_store::run(state.clone()));
     tokio::spawn(updates::run(state.clone()));
     tokio::spawn(freeze::run(state.clone()));
     tokio::spawn(server_links::run(state.clone()));
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -114,6 +114,7 @@
         dropped_lines: ErrorCounter,
     ) -> Arc<Self> {
         let store = Store::new(&settings.store_address);
+        let backends = Backends::new(settings.is_first_start);
         let answer_buffers = Arc::new(AnswerBuffers::new(settings.memory_bytes));
         Arc::new(Self {
             link: Link::new(&settings, incarnation),
@@ -124,7 +125,7 @@
             incarnation,
             store,
             site: watch::Sender::new(None),
-            backends: Backends::new(),
+            backends,
             releases: watch::Sender::new(Arc::default()),
             plain: Mutex::default(),
             retries: Mutex::default(),
--- a/daemon/tests/versions.rs
+++ b/daemon/tests/versions.rs
@@ -103,6 +103,32 @@
     use mimosabay_standin::fleet::Behaviour;
 }
 
+/// What becomes of the last servers of the version that began the streams before all instances end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LastServers {
+    /// They stay, and there is no other version.
+    Stay,
+    /// Their entries are removed.
+    Removed,
+    /// They report that they drain, and their entries are removed later.
+    Drained,
+}
+
+/// Guards against streams that go on at another version after all instances have ended, because the new
+/// processes take the registered versions for all there were; and against refusing all of them instead.
+mod stream_goes_on_at_another_version_after_all_instances_ended {
+    use mimosabay_core::cases;
+
+    use super::{LastServers, streams_go_on_after_all_instances_ended};
+
+    cases! {
+        streams_go_on_after_all_instances_ended;
+        only_version: (LastServers::Stay);
+        last_server_removed: (LastServers::Removed);
+        last_server_drained: (LastServers::Drained);
+    }
+}
+
 /// A stream of which the caller has received some events.
 struct BrokenStream {
     began_as: String,
@@ -310,6 +336,41 @@
     });
 }
 
+fn streams_go_on_after_all_instances_ended(last_servers: LastServers) {
+    block_on(async {
+        let mut site = start_site().await;
+        let (entry, placer) = choose_entry(&site, Loss::All).await;
+        let streams = open_streams(&site, entry).await;
+        if last_servers != LastServers::Stay {
+            release_second_version(&mut site).await;
+            let first = &site.engines[..FIRST_ENGINES];
+            if last_servers == LastServers::Drained {
+                first.iter().for_each(|engine| engine.register("draining"));
+                sleep(Duration::from_millis(UPDATES_MS)).await;
+            }
+            for engine in first {
+                site.store.remove("servers", &engine.id);
+            }
+            // The placer has read the removals.
+            sleep(Duration::from_millis(UPDATES_MS)).await;
+        }
+        let streams = break_streams(streams);
+        lose(&mut site, Loss::All, entry, placer).await;
+        site.wait_placer().await;
+        let instances: Vec<usize> = (0..site.instances.len()).collect();
+        let (replies, begun) = tokio::join!(
+            take_up(&site, &streams, &instances, "again"),
+            count_new(&site, &instances)
+        );
+        let gone_on = check_taken_up(&streams, &replies);
+        assert!(begun > 0, "no new streams began");
+        match last_servers {
+            LastServers::Stay => assert!(gone_on * 2 >= begun, "{gone_on} went on, {begun} began"),
+            LastServers::Removed | LastServers::Drained => assert_eq!(gone_on, 0, "went on"),
+        }
+    });
+}
+
 fn streams_go_on_when_taken_up_twice(loss: Loss) {
     block_on(async {
         let mut site = start_site().await;
