Receive signals before anything else, so that SIGHUP at the start does not end the process (FAULT)

One cause that was reproduced: the platform sends SIGHUP when the settings change, and a process that had just started had no handler for it yet.

Cause: the handler was installed last, in a task of the reload.

That this is what the users saw is not shown.

Change: gateway::Signals is installed before the settings are read, and passed to whoever waits for a signal. What remains is the time from exec to main, in which the system's default holds.

--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -48,6 +48,7 @@
 mod server_limits;
 mod server_links;
 mod server_pauses;
+mod signals;
 mod state;
 mod stop;
 mod store_era;
@@ -60,3 +61,4 @@
 
 pub use reload::read_settings;
 pub use run::{Options, run};
+pub use signals::Signals;
--- a/daemon/src/gateway/reload.rs
+++ b/daemon/src/gateway/reload.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use mimosabay_platform::ProcessSettings;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::Signal;
 use tokio::time::timeout;
 use tracing::{info, warn};
 
@@ -16,12 +16,7 @@
 
 /// Applies changes of the settings file until the process ends. Addresses stay as they were at the
 /// start.
-///
-/// # Errors
-///
-/// Signals cannot be received.
-pub(crate) async fn run(state: Arc<State>, path: Arc<Path>) -> std::io::Result<()> {
-    let mut hangup = signal(SignalKind::hangup())?;
+pub(crate) async fn run(state: Arc<State>, path: Arc<Path>, mut hangup: Signal) {
     loop {
         let signal = timeout(Duration::from_millis(CHECK_PERIOD_MS), hangup.recv()).await;
         reload(&state, &path, signal.is_ok());
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -16,6 +16,7 @@
 use tracing::{debug, info};
 use tracing_appender::non_blocking::ErrorCounter;
 
+use super::signals::Signals;
 use super::state::State;
 use super::watch::{self, WatchKind};
 use super::{
@@ -44,8 +45,12 @@
 ///
 /// # Errors
 ///
-/// An address cannot be listened on, or signals cannot be received.
-pub async fn run(settings: ProcessSettings, options: Options) -> std::io::Result<()> {
+/// An address cannot be listened on.
+pub async fn run(
+    settings: ProcessSettings,
+    options: Options,
+    signals: Signals,
+) -> std::io::Result<()> {
     let clock = Clock::start();
     let incarnation: u64 = rand::random();
     info!(
@@ -55,6 +60,7 @@
         incarnation,
         is_first_start = settings.is_first_start
     );
+    let (stop_signals, hangup) = signals.split();
     let callers = listen(settings.caller_address)?;
     let ready = listen(settings.ready_address)?;
     let peers = listen(settings.peer_address())?;
@@ -84,8 +90,10 @@
     tokio::spawn(server_links::run(state.clone()));
     tokio::spawn(server_links::check_placer(state.clone()));
     tokio::spawn(run_periodic_cleanup(state.clone()));
-    tokio::spawn(reload::run(state.clone(), options.settings_path.into()));
-    stop::wait_for_stop(state).await
+    let settings_path = options.settings_path.into();
+    tokio::spawn(reload::run(state.clone(), settings_path, hangup));
+    stop::run(state, stop_signals).await;
+    Ok(())
 }
 
 fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
--- a/daemon/src/gateway/stop.rs
+++ b/daemon/src/gateway/stop.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::sleep;
 use tracing::{info, warn};
 
 use super::election;
+use super::signals::StopSignals;
 use super::state::{Phase, State};
 
 /// Time after the signal from which kept connections are closed and streams are refused, in
@@ -25,13 +25,8 @@
 
 /// Returns once the process was asked to stop and has answered the requests that it accepted, or
 /// its grace period is over.
-pub(crate) async fn wait_for_stop(state: Arc<State>) -> std::io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+pub(crate) async fn run(state: Arc<State>, mut signals: StopSignals) {
+    signals.recv().await;
     info!(event = "stopping", open = state.metrics.open_requests());
     let stop_requested_ms = state.now_ms();
     state.phase.send_replace(Phase::Leaving);
@@ -51,11 +46,11 @@
         let is_idle = now_ms - busy_ms >= IDLE_BEFORE_STOP_MS;
         if state.phase() >= Phase::Closing && is_idle && resign.is_finished() {
             info!(event = "stopped", took_ms = now_ms - stop_requested_ms);
-            return Ok(());
+            return;
         }
         if now_ms >= end_ms {
             warn!(event = "stopped_with_open_requests", open);
-            return Ok(());
+            return;
         }
     }
 }
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -34,7 +34,15 @@
 
 /// Runs with the settings file that the platform writes.
 fn serve_on_platform(settings_path: PathBuf) -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("the runtime starts");
+    // A signal that arrives earlier ends the process.
+    let signals = runtime.block_on(async { gateway::Signals::install() });
+    let signals = signals.expect("signals can be received");
     let matches = platform_command().get_matches();
+    let is_check = matches.get_flag("check-settings");
     let settings = match gateway::read_settings(&settings_path) {
         Ok(settings) => settings,
         Err(message) => {
@@ -42,7 +50,7 @@
             return ExitCode::from(EXIT_SETTINGS);
         }
     };
-    if matches.get_flag("check-settings") {
+    if is_check {
         println!("{}: settings are valid", settings_path.display());
         return ExitCode::SUCCESS;
     }
@@ -52,11 +60,7 @@
         metrics_port: matches.get_one("metrics-port").copied(),
         dropped_lines,
     };
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("the runtime starts");
-    match runtime.block_on(gateway::run(settings, options)) {
+    match runtime.block_on(gateway::run(settings, options, signals)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(cause) => {
             tracing::error!(event = "not_started", %cause);
--- /dev/null
+++ b/daemon/tests/process_start.rs
@@ -0,0 +1,65 @@
+//! Starts of a process while signals arrive.
+
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::time::Duration;
+
+use mimosabay_standin::fleet::{FleetOptions, FleetSite};
+use mimosabay_standin::harness::{block_on, wait_for};
+use tokio::time::sleep;
+
+/// Time between two signals, in milliseconds.
+const SIGNAL_PERIOD_MS: u64 = 20;
+
+async fn start_site() -> FleetSite {
+    FleetSite::start(FleetOptions::default()).await
+}
+
+fn assert_runs(site: &mut FleetSite) {
+    let instance = &mut site.instances[0];
+    let status = instance.process.exit_status();
+    assert_eq!(status, None, "{}", instance.process.output());
+}
+
+async fn wait_served(site: &FleetSite) {
+    site.wait_ready(0).await;
+    wait_for("an answered lookup", async || {
+        let answer = site.caller(0).get("/look/x", "probe").await.ok()?;
+        (answer.status == 200).then_some(())
+    })
+    .await;
+}
+
+/// Replaces a file by a pipe of the same name; returns a path to which the content can be moved.
+fn replace_by_pipe(file: &Path) -> PathBuf {
+    let aside = file.with_extension("aside");
+    std::fs::rename(file, &aside).expect("the test directory is writable");
+    let status = Command::new("mkfifo").arg(file).status();
+    assert!(status.expect("mkfifo runs").success());
+    aside
+}
+
+/// Guards against a process that ends by a signal for new settings that arrives while it reads its
+/// settings for the first time.
+#[test]
+fn process_that_is_told_of_new_settings_at_its_start_goes_on() {
+    block_on(async {
+        let mut site = start_site().await;
+        site.instances[0].process.kill();
+        let file = site.instances[0].settings_file().to_owned();
+        let aside = replace_by_pipe(&file);
+        let settings = std::fs::read(&aside).expect("settings");
+        site.instances[0].start();
+        // Opening the pipe returns once the process reads its settings.
+        let pipe = tokio::fs::File::options().write(true).open(&file).await;
+        let pipe = pipe.expect("the process reads its settings");
+        std::fs::rename(&aside, &file).expect("the test directory is writable");
+        site.instances[0].process.hang_up();
+        sleep(Duration::from_millis(SIGNAL_PERIOD_MS)).await;
+        let mut pipe = pipe.into_std().await;
+        std::io::Write::write_all(&mut pipe, &settings).expect("the process reads its settings");
+        drop(pipe);
+        wait_served(&site).await;
+        assert_runs(&mut site);
+    });
+}
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -31,7 +31,7 @@
 pub use server::{FleetServer, ServerKind};
 pub use settings::MEMORY_MIB;
 pub use site::{
-    DESK, ENGINES, FleetInstance, FleetOptions, FleetSite, HOST, KEY, MODEL, ORGANISATION,
+    DESK, ENGINES, FleetInstance, FleetOptions, FleetSite, HOST, KEY, Listener, MODEL, ORGANISATION,
 };
 pub use store::{FleetStore, LostWrites, StoreCopy, WaitingWatches};
 pub use version::software_versions;
--- a/standin/src/fleet/site.rs
+++ b/standin/src/fleet/site.rs
@@ -118,6 +118,7 @@
     pub process: Process,
     caller_address: SocketAddr,
     ready_address: SocketAddr,
+    peer_address: SocketAddr,
     metrics_address: SocketAddr,
     settings_file: PathBuf,
     log_file: PathBuf,
@@ -125,6 +126,19 @@
     earlier_output: String,
 }
 
+/// An address on which an instance listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listener {
+    /// For callers.
+    Callers,
+    /// For readiness checks.
+    Ready,
+    /// For other instances.
+    Peers,
+    /// For readers of the metrics.
+    Metrics,
+}
+
 impl FleetSite {
     /// Starts a site and waits until all instances are ready, one of them is the placer, and they
     /// are connected to it.
@@ -342,11 +356,12 @@
 
     fn start_instance(&self, index: usize, store_address: SocketAddr) -> FleetInstance {
         let name = format!("instance-{index}");
+        let peer_address = free_socket_address();
         let settings = InstanceSettings {
             name: name.clone(),
             caller_address: free_socket_address(),
             ready_address: free_socket_address(),
-            peer_port: free_socket_address().port(),
+            peer_port: peer_address.port(),
             store_address,
             grace_s: self.options.grace_s,
             lease_ms: 1_500,
@@ -363,6 +378,7 @@
             name,
             caller_address: settings.caller_address,
             ready_address: settings.ready_address,
+            peer_address,
             metrics_address,
             settings_file,
             log_file,
@@ -394,7 +410,23 @@
         format!("{}{}", self.earlier_output, self.process.output())
     }
 
-    fn start(&mut self) {
+    /// Returns the path of the settings file.
+    pub fn settings_file(&self) -> &Path {
+        &self.settings_file
+    }
+
+    /// Returns the address of one of its listeners.
+    pub fn address(&self, listener: Listener) -> SocketAddr {
+        match listener {
+            Listener::Callers => self.caller_address,
+            Listener::Ready => self.ready_address,
+            Listener::Peers => self.peer_address,
+            Listener::Metrics => self.metrics_address,
+        }
+    }
+
+    /// Starts the process again after it has ended.
+    pub fn start(&mut self) {
         self.earlier_output.push_str(&self.process.output());
         let metrics_address = self.metrics_address;
         self.process = start_process(
