Wait for addresses that are in use at the start (FAULT)

One cause that was reproduced: an address that is in use at the start ended the process, exit 1, and each restart again while the address was held; the one of the metrics was enough.

Cause: each of the four listeners was opened once. The ports lie in the range from which systems take local ports of connections, and an earlier process may still hold them.

That this is what the users saw is not shown.

Change: gateway::listener tries again each 50 ms and logs it; a stop that is asked for meanwhile is obeyed. Metrics are served as soon as their address is free, without which nothing waits.

--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -1,6 +1,7 @@
 //! Connections of callers, of the platform's readiness probes and of readers of the metrics.
 
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,6 +18,7 @@
 use super::answer::Answer;
 use super::body::AnswerBody;
 use super::caller_connection;
+use super::listener::listen;
 use super::state::State;
 
 /// Pause after a connection could not be accepted, in milliseconds.
@@ -44,8 +46,9 @@
     }
 }
 
-/// Serves metrics until the process ends.
-pub(crate) async fn serve_metrics(state: Arc<State>, listener: TcpListener) {
+/// Serves metrics until the process ends, as soon as the address is free.
+pub(crate) async fn serve_metrics(state: Arc<State>, address: SocketAddr) {
+    let listener = listen(address).await;
     loop {
         let socket = accept(&listener).await;
         let state = state.clone();
--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod freeze;
 mod head_limit;
 mod link;
+mod listener;
 mod members;
 mod metrics;
 mod order_permission;
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -11,11 +11,12 @@
 use mimosabay_core::stream_log::StreamLogPosition;
 use mimosabay_peer::{Inbound, Message, Reply, Responder};
 use mimosabay_platform::ProcessSettings;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::TcpListener;
 use tokio::time::sleep;
 use tracing::{debug, info};
 use tracing_appender::non_blocking::ErrorCounter;
 
+use super::listener::listen;
 use super::signals::Signals;
 use super::state::State;
 use super::watch::{self, WatchKind};
@@ -25,8 +26,6 @@
 };
 use crate::clock::Clock;
 
-/// Number of connections that may wait to be accepted.
-const BACKLOG: u32 = 1_024;
 /// Time between two clean-ups, in milliseconds.
 const CLEANUP_PERIOD_MS: u64 = 500;
 
@@ -42,15 +41,7 @@
 }
 
 /// Runs an instance until it was asked to stop.
-///
-/// # Errors
-///
-/// An address cannot be listened on.
-pub async fn run(
-    settings: ProcessSettings,
-    options: Options,
-    signals: Signals,
-) -> std::io::Result<()> {
+pub async fn run(settings: ProcessSettings, options: Options, signals: Signals) {
     let clock = Clock::start();
     let incarnation: u64 = rand::random();
     info!(
@@ -60,14 +51,16 @@
         incarnation,
         is_first_start = settings.is_first_start
     );
-    let (stop_signals, hangup) = signals.split();
-    let callers = listen(settings.caller_address)?;
-    let ready = listen(settings.ready_address)?;
-    let peers = listen(settings.peer_address())?;
-    let metrics = options
-        .metrics_port
-        .map(|port| SocketAddr::new(settings.ip, port));
-    let metrics = metrics.map(listen).transpose()?;
+    let (mut stop_signals, hangup) = signals.split();
+    let listeners = tokio::select! {
+        listeners = Listeners::open(&settings) => listeners,
+        () = stop_signals.recv() => {
+            info!(event = "stopped", reason = "not listening");
+            return;
+        }
+    };
+    let metrics_port = options.metrics_port;
+    let metrics = metrics_port.map(|port| SocketAddr::new(settings.ip, port));
     let state = State::new(settings, clock, incarnation, options.dropped_lines.clone());
     for kind in [
         WatchKind::Replicated(ReplicaKind::Configuration),
@@ -77,12 +70,12 @@
     ] {
         tokio::spawn(watch::run(state.clone(), kind));
     }
-    tokio::spawn(callers::serve(state.clone(), callers));
-    tokio::spawn(callers::serve_ready(state.clone(), ready));
-    if let Some(metrics) = metrics {
-        tokio::spawn(callers::serve_metrics(state.clone(), metrics));
+    tokio::spawn(callers::serve(state.clone(), listeners.callers));
+    tokio::spawn(callers::serve_ready(state.clone(), listeners.ready));
+    if let Some(address) = metrics {
+        tokio::spawn(callers::serve_metrics(state.clone(), address));
     }
-    tokio::spawn(serve_peers(state.clone(), peers));
+    tokio::spawn(serve_peers(state.clone(), listeners.peers));
     tokio::spawn(election::run(state.clone()));
     tokio::spawn(version_store::run(state.clone()));
     tokio::spawn(updates::run(state.clone()));
@@ -93,14 +86,23 @@
     let settings_path = options.settings_path.into();
     tokio::spawn(reload::run(state.clone(), settings_path, hangup));
     stop::run(state, stop_signals).await;
-    Ok(())
 }
 
-fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
+/// The addresses without which an instance cannot serve.
+struct Listeners {
+    callers: TcpListener,
+    ready: TcpListener,
+    peers: TcpListener,
+}
+
+impl Listeners {
+    async fn open(settings: &ProcessSettings) -> Self {
+        Self {
+            callers: listen(settings.caller_address).await,
+            peers: listen(settings.peer_address()).await,
+            ready: listen(settings.ready_address).await,
+        }
+    }
 }
 
 async fn run_periodic_cleanup(state: Arc<State>) {
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -60,13 +60,8 @@
         metrics_port: matches.get_one("metrics-port").copied(),
         dropped_lines,
     };
-    match runtime.block_on(gateway::run(settings, options, signals)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(cause) => {
-            tracing::error!(event = "not_started", %cause);
-            ExitCode::FAILURE
-        }
-    }
+    runtime.block_on(gateway::run(settings, options, signals));
+    ExitCode::SUCCESS
 }
 
 /// Arguments for the case that the platform names the settings file in the environment.
--- a/daemon/tests/process_start.rs
+++ b/daemon/tests/process_start.rs
@@ -1,16 +1,35 @@
-//! Starts of a process while signals arrive.
+//! Starts of a process while addresses are in use or signals arrive.
 
+use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::time::Duration;
 
-use mimosabay_standin::fleet::{FleetOptions, FleetSite};
+use mimosabay_standin::fleet::{FleetOptions, FleetSite, Listener};
 use mimosabay_standin::harness::{block_on, wait_for};
 use tokio::time::sleep;
 
+/// Time for which the cause of trouble lasts, in milliseconds.
+const TROUBLE_MS: u64 = 1_000;
 /// Time between two signals, in milliseconds.
 const SIGNAL_PERIOD_MS: u64 = 20;
 
+/// Guards against a process that ends because an address is in use when it starts.
+mod process_ends_because_an_address_is_in_use {
+    use mimosabay_core::cases;
+    use mimosabay_standin::fleet::Listener;
+
+    use super::instance_serves_once_the_address_is_free;
+
+    cases! {
+        instance_serves_once_the_address_is_free;
+        callers: (Listener::Callers);
+        ready: (Listener::Ready);
+        peers: (Listener::Peers);
+        metrics: (Listener::Metrics);
+    }
+}
+
 async fn start_site() -> FleetSite {
     FleetSite::start(FleetOptions::default()).await
 }
@@ -30,6 +49,48 @@
     .await;
 }
 
+fn instance_serves_once_the_address_is_free(listener: Listener) {
+    block_on(async {
+        let mut site = start_site().await;
+        site.instances[0].process.kill();
+        let address = site.instances[0].address(listener);
+        let other = TcpListener::bind(address).expect("a free address");
+        site.restart(0);
+        sleep(Duration::from_millis(TROUBLE_MS)).await;
+        assert_runs(&mut site);
+        if listener == Listener::Metrics {
+            // They are not needed to serve.
+            wait_served(&site).await;
+        }
+        drop(other);
+        wait_served(&site).await;
+        assert_runs(&mut site);
+        wait_for("metrics", async || {
+            (!site.metrics(0).await.is_empty()).then_some(())
+        })
+        .await;
+    });
+}
+
+/// Guards against a process that cannot be stopped while it waits for an address.
+#[test]
+fn process_that_waits_for_an_address_stops_when_asked() {
+    block_on(async {
+        let mut site = start_site().await;
+        site.instances[0].process.kill();
+        let address = site.instances[0].address(Listener::Callers);
+        let _other = TcpListener::bind(address).expect("a free address");
+        site.restart(0);
+        wait_for("a process that waits", async || {
+            site.instances[0].has_logged("listen_failed").then_some(())
+        })
+        .await;
+        site.instances[0].process.terminate();
+        let status = site.instances[0].process.wait_for_exit().await;
+        assert!(status.success(), "{status}");
+    });
+}
+
 /// Replaces a file by a pipe of the same name; returns a path to which the content can be moved.
 fn replace_by_pipe(file: &Path) -> PathBuf {
     let aside = file.with_extension("aside");
