Read settings again that are being written at the start (FAULT)

One more cause that was reproduced: a process that starts while the platform writes its settings file finds it incomplete and ended, exit 2.

That this is what the users saw is not shown.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -2,14 +2,20 @@
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::{Arg, ArgAction, Command, value_parser};
 use mimosabay_daemon::{gateway, log, run};
 use mimosabay_operator::Settings;
-use mimosabay_platform::wire_names;
+use mimosabay_platform::{ProcessSettings, wire_names};
+use tokio::time::sleep;
 
 /// Exit code for settings that cannot be read or are invalid.
 const EXIT_SETTINGS: u8 = 2;
+/// Time for which settings of the platform may be invalid at the start, in milliseconds.
+const SETTINGS_WAIT_MS: u64 = 3_000;
+/// Time between two reads of invalid settings, in milliseconds.
+const SETTINGS_RETRY_MS: u64 = 50;
 
 fn main() -> ExitCode {
     if let Some(path) = std::env::var_os(wire_names::SETTINGS_PATH_VARIABLE) {
@@ -43,7 +49,8 @@
     let signals = signals.expect("signals can be received");
     let matches = platform_command().get_matches();
     let is_check = matches.get_flag("check-settings");
-    let settings = match gateway::read_settings(&settings_path) {
+    let wait_ms = if is_check { 0 } else { SETTINGS_WAIT_MS };
+    let settings = match runtime.block_on(read_platform_settings(&settings_path, wait_ms)) {
         Ok(settings) => settings,
         Err(message) => {
             eprintln!("{message}");
@@ -64,6 +71,20 @@
     ExitCode::SUCCESS
 }
 
+/// Reads the settings file. The platform may be writing it; an invalid one is read again for up to
+/// `wait_ms` milliseconds.
+async fn read_platform_settings(path: &Path, wait_ms: u64) -> Result<ProcessSettings, String> {
+    let mut waited_ms = 0;
+    loop {
+        match gateway::read_settings(path) {
+            Err(_) if waited_ms < wait_ms => {}
+            result => return result,
+        }
+        sleep(Duration::from_millis(SETTINGS_RETRY_MS)).await;
+        waited_ms += SETTINGS_RETRY_MS;
+    }
+}
+
 /// Arguments for the case that the platform names the settings file in the environment.
 fn platform_command() -> Command {
     base_command().arg(
--- a/daemon/tests/process_start.rs
+++ b/daemon/tests/process_start.rs
@@ -1,4 +1,4 @@
-//! Starts of a process while addresses are in use or signals arrive.
+//! Starts of a process while addresses are in use, signals arrive or settings are being written.
 
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
@@ -124,3 +124,21 @@
         assert_runs(&mut site);
     });
 }
+
+/// Guards against a process that ends because it finds its settings incomplete, as the platform is writing
+/// them.
+#[test]
+fn process_waits_for_settings_that_are_being_written() {
+    block_on(async {
+        let mut site = start_site().await;
+        site.instances[0].process.kill();
+        let file = site.instances[0].settings_file().to_owned();
+        let settings = std::fs::read(&file).expect("settings");
+        std::fs::write(&file, &settings[..settings.len() / 2]).expect("writable");
+        site.instances[0].start();
+        sleep(Duration::from_millis(TROUBLE_MS)).await;
+        assert_runs(&mut site);
+        std::fs::write(&file, &settings).expect("writable");
+        wait_served(&site).await;
+    });
+}
