--- a/daemon/src/gateway/activity.rs
+++ b/daemon/src/gateway/activity.rs
@@ -1,12 +1,14 @@
 //! What happens on one connection of a caller, as its socket and its requests report it.
 
 use std::io::{self, IoSlice};
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use mimosabay_core::site::CallerLimits;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -20,8 +22,13 @@
     Unused,
     /// The head of a request has been read in part.
     Head,
-    /// A request is in progress, or its answer is not written yet.
+    /// A request is being read, or was refused; its answer is not written yet.
     Busy,
+    /// A request has been read and is in progress. Its caller may abandon it by closing the connection.
+    Received,
+    /// As [`Stage::Received`], but a server may run the request, and it cannot be sent again: it is
+    /// answered even if the caller has closed its side of the connection.
+    Committed,
     /// The answers to all requests have been written.
     Idle,
 }
@@ -31,7 +38,7 @@
     pub(crate) fn expects_request(self) -> bool {
         match self {
             Self::Unused | Self::Head => true,
-            Self::Busy | Self::Idle => false,
+            Self::Busy | Self::Received | Self::Committed | Self::Idle => false,
         }
     }
 }
@@ -45,7 +52,7 @@
     stage: Stage,
     /// Start of the stage.
     since: Instant,
-    /// The last request if its answer is complete and perhaps not written. The stage is `Busy`.
+    /// The last request if its answer is complete and perhaps not written.
     unwritten: Option<OpenRequest>,
 }
 
@@ -79,7 +86,7 @@
         let allowed_ms = match progress.stage {
             Stage::Unused | Stage::Idle => limits.idle_timeout_ms,
             Stage::Head => limits.header_timeout_ms,
-            Stage::Busy => return None,
+            Stage::Busy | Stage::Received | Stage::Committed => return None,
         };
         Some(progress.since + Duration::from_millis(allowed_ms))
     }
@@ -96,12 +103,22 @@
         }
     }
 
+    /// Records that a request was read completely.
+    pub(crate) fn record_received(&self) {
+        self.progress().enter(Stage::Received);
+    }
+
+    /// Records that a server may run the request, which cannot be sent again.
+    pub(crate) fn commit(&self) {
+        self.progress().enter(Stage::Committed);
+    }
+
     /// Records that bytes were read.
     fn record_read(&self) {
         let mut progress = self.progress();
         match progress.stage {
             Stage::Unused | Stage::Idle => progress.enter(Stage::Head),
-            Stage::Head | Stage::Busy => {}
+            Stage::Head | Stage::Busy | Stage::Received | Stage::Committed => {}
         }
     }
 
@@ -134,59 +151,84 @@
 
 /// The socket of a connection; records what is read and when everything is written.
 pub(crate) struct CallerSocket {
-    socket: TcpStream,
+    socket: Arc<TcpStream>,
     activity: Arc<Activity>,
 }
 
 impl CallerSocket {
-    pub(crate) fn new(socket: TcpStream, activity: Arc<Activity>) -> Self {
+    pub(crate) fn new(socket: Arc<TcpStream>, activity: Arc<Activity>) -> Self {
         Self { socket, activity }
     }
 }
 
 impl AsyncRead for CallerSocket {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let filled_before = buffer.filled().len();
-        ready!(Pin::new(&mut self.socket).poll_read(context, buffer))?;
-        if buffer.filled().len() > filled_before {
-            self.activity.record_read();
+        loop {
+            ready!(self.socket.poll_read_ready(context))?;
+            match self.socket.try_read(buffer.initialize_unfilled()) {
+                Ok(read_bytes) => {
+                    buffer.advance(read_bytes);
+                    if read_bytes > 0 {
+                        self.activity.record_read();
+                    }
+                    return Poll::Ready(Ok(()));
+                }
+                Err(cause) if cause.kind() == io::ErrorKind::WouldBlock => {}
+                Err(cause) => return Poll::Ready(Err(cause)),
+            }
+        }
+    }
+}
+
+impl CallerSocket {
+    /// Writes as soon as the socket accepts bytes.
+    fn poll_try_write(
+        &self,
+        context: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.socket.poll_write_ready(context))?;
+            match write(&self.socket) {
+                Err(cause) if cause.kind() == io::ErrorKind::WouldBlock => {}
+                result => return Poll::Ready(result),
+            }
         }
-        Poll::Ready(Ok(()))
     }
 }
 
 impl AsyncWrite for CallerSocket {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write(context, bytes)
+        self.poll_try_write(context, |socket| socket.try_write(bytes))
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write_vectored(context, slices)
+        self.poll_try_write(context, |socket| socket.try_write_vectored(slices))
     }
 
     fn is_write_vectored(&self) -> bool {
         self.socket.is_write_vectored()
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        ready!(Pin::new(&mut self.socket).poll_flush(context))?;
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // A socket has no buffer of its own in this process.
         self.activity.record_flush();
         Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_shutdown(context)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.socket).shutdown(Shutdown::Write))
     }
 }
--- a/daemon/src/gateway/caller_connection.rs
+++ b/daemon/src/gateway/caller_connection.rs
@@ -30,21 +30,24 @@
     if set_liveness_timeouts(&socket).is_err() {
         return;
     }
+    let socket = Arc::new(socket);
     let activity = Arc::new(Activity::new());
     let mut site = state.site.subscribe();
     let header_bytes = limits_in_force(&mut site).header_bytes;
     let service = service_fn(|request: Request<Incoming>| {
         let state = state.clone();
+        let activity = activity.clone();
         let in_progress = activity.start_request(OpenRequest::new(&state));
         async move {
-            let answer = request::handle(state, request).await;
+            let answer = request::handle(state, request, activity).await;
             Ok::<_, Infallible>(answer.map(|body| CallerBody::new(body, in_progress)))
         }
     });
-    let socket = CallerSocket::new(socket, activity.clone());
+    let bytes = CallerSocket::new(socket.clone(), activity.clone());
     let connection = http1::Builder::new()
+        .half_close(true)
         .max_buf_size(header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(socket), service);
+        .serve_connection(TokioIo::new(bytes), service);
     let mut connection = pin!(connection);
     let mut phase = state.phase.subscribe();
     let mut closing = pin!(async {
@@ -56,8 +59,6 @@
         let current = activity.stage();
         if is_closing && !current.expects_request() {
             connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
-            return;
         }
         tokio::select! {
             // Requests that have arrived are read before anything else is decided.
@@ -65,6 +66,7 @@
             is_open = drive_until_change(connection.as_mut(), &activity, current) => if !is_open {
                 return;
             },
+            () = closed_by_caller(&socket), if current == Stage::Received => return,
             () = wait_until_expired(&activity, &mut site) => return,
             () = &mut closing, if !is_closing => is_closing = true,
         }
@@ -86,6 +88,16 @@
     .await
 }
 
+/// Returns once the caller has closed its side of a connection on which it waits for an answer. One that
+/// has sent more already is not seen to close.
+async fn closed_by_caller(socket: &TcpStream) {
+    let mut next = [0];
+    match socket.peek(&mut next).await {
+        Ok(0) | Err(_) => {}
+        Ok(_) => pending().await,
+    }
+}
+
 /// Waits until a connection has been idle, or the head of a request has been incomplete, for as long
 /// as the configuration in force allows.
 async fn wait_until_expired(activity: &Activity, site: &mut watch::Receiver<Option<Arc<Site>>>) {
--- a/daemon/src/gateway/request.rs
+++ b/daemon/src/gateway/request.rs
@@ -10,12 +10,13 @@
 use hyper::body::Incoming;
 use mimosabay_core::name::Name;
 use mimosabay_core::prompt::Prompt;
-use mimosabay_core::site::{Denied, Organisation, Route, Service, Site};
+use mimosabay_core::site::{Denied, Organisation, RetrySafety, Route, Service, Site};
 use mimosabay_core::work::Work;
 use mimosabay_platform::ingress::{self, ForwardOptions};
 use tokio::time::timeout;
 use tracing::info;
 
+use super::activity::Activity;
 use super::answer::{Answer, OwnAnswer, close_connection_after};
 use super::engine_request;
 use super::exchange::Outgoing;
@@ -48,6 +49,8 @@
     pub(crate) arrived_ms: u64,
     /// Time by which it must be answered, in milliseconds.
     pub(crate) deadline_ms: u64,
+    /// What happens on the connection of its caller.
+    activity: Arc<Activity>,
 }
 
 impl Job {
@@ -71,8 +74,11 @@
         u8::try_from(rank).unwrap_or(u8::MAX)
     }
 
-    /// The request as sent to a server.
+    /// The request as sent to a server now. A server may run it from then on.
     pub(crate) fn outgoing(&self, state: &State, options: AttemptOptions) -> Outgoing {
+        if self.route.retry_safety == RetrySafety::Once {
+            self.activity.commit();
+        }
         Outgoing {
             method: self.method.clone(),
             uri: self.uri.clone(),
@@ -126,10 +132,14 @@
 }
 
 /// Answers a request.
-pub(crate) async fn handle(state: Arc<State>, request: Request<Incoming>) -> Answer {
+pub(crate) async fn handle(
+    state: Arc<State>,
+    request: Request<Incoming>,
+    activity: Arc<Activity>,
+) -> Answer {
     let is_chunked = request.headers().contains_key("transfer-encoding");
     let id: Option<Name> = ingress::request_id(request.headers()).map(Name::from);
-    let mut answer = match admit(&state, request, id.as_ref()).await {
+    let mut answer = match admit(&state, request, id.as_ref(), activity).await {
         Ok(job) if job.service.engine.is_some() => engine_request::run(&state, job).await,
         Ok(job) => plain_request::run(&state, job).await,
         Err(own_answer) => {
@@ -154,6 +164,7 @@
     state: &Arc<State>,
     request: Request<Incoming>,
     id: Option<&Name>,
+    activity: Arc<Activity>,
 ) -> Result<Job, OwnAnswer> {
     let arrived_ms = state.now_ms();
     let (parts, body) = request.into_parts();
@@ -190,6 +201,7 @@
         return Err(OwnAnswer::TooLarge);
     }
     let body = read_body(body, site.limits.body_bytes, allowed_ms).await?;
+    activity.record_received();
     state.count_request(&service.name);
     Ok(Job {
         id: id.clone(),
@@ -203,6 +215,7 @@
         body,
         arrived_ms,
         deadline_ms,
+        activity,
     })
 }
 
--- a/daemon/tests/endless_answers.rs
+++ b/daemon/tests/endless_answers.rs
@@ -269,7 +269,7 @@
             Spoiled::PlainServers => &site.plain_servers,
         };
         site.configure(2, |it| {
-            it["routes"][1]["timeoutMs"] = json!(EVENTLESS_LOAD_MS)
+            it["routes"][1]["timeoutMs"] = json!(EVENTLESS_LOAD_MS);
         });
         let begun = spoil(servers, endless).await;
         let is_eventless_stream = spoiled == Spoiled::Engines && endless.is_eventless_body();
--- a/daemon/tests/gateway/caller_connections.rs
+++ b/daemon/tests/gateway/caller_connections.rs
@@ -185,3 +185,87 @@
         assert!(received_bytes > LARGE_ANSWER_BYTES, "{received_bytes}");
     });
 }
+
+/// Time that a server takes for a booking, in milliseconds.
+const BOOKING_MS: u64 = 400;
+/// Number of bookings whose callers close their side at once.
+const BOOKINGS: usize = 20;
+
+fn booking(id: &str) -> String {
+    format!(
+        "POST /book/x HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer {KEY}\r\nX-Attempt-Id: {id}\r\nContent-Length: 4\r\n\r\nbook"
+    )
+}
+
+async fn send_request(site: &FleetSite, request: &str) -> TcpStream {
+    let address = site.caller(0).address();
+    let mut socket = TcpStream::connect(address).await.expect("a connection");
+    let sent = socket.write_all(request.as_bytes()).await;
+    sent.expect("the instance reads");
+    socket
+}
+
+async fn wait_running(site: &FleetSite) {
+    wait_for("a running request", async || {
+        let mut servers = site.plain_servers.iter();
+        let is_running = servers.any(|server| server.running_count() > 0);
+        is_running.then_some(())
+    })
+    .await;
+}
+
+/// Guards against a booking that runs and whose caller has no answer, because it has closed its side of
+/// the connection after it sent the request.
+#[test]
+fn booking_is_answered_after_its_caller_has_closed_its_side() {
+    block_on(async {
+        let site = FleetSite::start(FleetOptions::default()).await;
+        for server in &site.plain_servers {
+            server.plan(Behaviour::AnswerAfter(BOOKING_MS));
+        }
+        let mut socket = send_request(&site, &booking("one")).await;
+        wait_running(&site).await;
+        socket.shutdown().await.expect("an open connection");
+        let answer = read_answer(&mut socket).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+        assert_eq!(site.run_count("one"), 1);
+        wait_for_close(socket).await;
+    });
+}
+
+#[test]
+fn booking_whose_caller_closes_its_side_at_once_is_answered_or_not_run() {
+    block_on(async {
+        let site = FleetSite::start(FleetOptions::default()).await;
+        for number in 0..BOOKINGS {
+            let id = format!("booking-{number}");
+            let mut socket = send_request(&site, &booking(&id)).await;
+            socket.shutdown().await.expect("an open connection");
+            let answer = read_answer(&mut socket).await;
+            let is_answered = answer.starts_with("HTTP/1.1 200");
+            assert_eq!(site.run_count(&id), usize::from(is_answered), "{answer:?}");
+        }
+    });
+}
+
+/// Guards against servers that go on for a caller that has left: a lookup can be sent again.
+#[test]
+fn lookup_ends_when_its_caller_closes_its_side() {
+    block_on(async {
+        let site = FleetSite::start(FleetOptions::default()).await;
+        for server in &site.plain_servers {
+            server.plan(Behaviour::Hang);
+        }
+        let mut socket = send_request(&site, &lookup("one")).await;
+        wait_running(&site).await;
+        socket.shutdown().await.expect("an open connection");
+        wait_for("a server without work", async || {
+            let mut servers = site.plain_servers.iter();
+            servers
+                .all(|server| server.running_count() == 0)
+                .then_some(())
+        })
+        .await;
+        wait_for_close(socket).await;
+    });
+}
