--- a/daemon/tests/broken_heads.rs
+++ b/daemon/tests/broken_heads.rs
@@ -1,14 +1,12 @@
 //! Servers that stop in the middle of the head of an answer and close the connection.
 
-use mimosabay_standin::fleet::{FleetOptions, FleetReply, FleetSite};
+use mimosabay_standin::fleet::{FleetOptions, FleetReply, FleetSite, replace_by_raw_server};
 use mimosabay_standin::harness::{block_on, wait_for};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 /// Deadline of the requests, in milliseconds.
 const DEADLINE_MS: u64 = 2_000;
-/// Size of the buffer for requests, in bytes.
-const BUFFER_BYTES: usize = 16 * 1024;
 
 /// Where the head stops.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -74,18 +72,10 @@
     }
 }
 
-/// Answers each request of a connection, once its head has arrived, with the head of an answer that stops.
-async fn stop_in_head(mut socket: TcpStream, stop: Stop) {
-    let mut request = vec![0; BUFFER_BYTES];
-    let Ok(length) = socket.read(&mut request).await else {
-        return;
-    };
-    let request = String::from_utf8_lossy(&request[..length]).to_lowercase();
-    let id = request.split_once("x-attempt-id: ");
-    let id = id.and_then(|(_, rest)| rest.split_once('\r'));
-    let id = id.map_or("", |(id, _)| id);
+/// Answers a request with the head of an answer that stops.
+async fn stop_in_head(mut socket: TcpStream, id: String, stop: Stop) {
     // The instance may have closed the connection.
-    let _ = socket.write_all(stop.bytes(id).as_bytes()).await;
+    let _ = socket.write_all(stop.bytes(&id).as_bytes()).await;
     let _ = socket.shutdown().await;
 }
 
@@ -102,17 +92,9 @@
 fn broken_head_is_no_success(kind: Kind, stop: Stop) {
     block_on(async {
         let site = FleetSite::start(FleetOptions::default()).await;
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        tokio::spawn(async move {
-            while let Ok((socket, _)) = listener.accept().await {
-                tokio::spawn(stop_in_head(socket, stop));
-            }
-        });
-        for server in site.engines.iter().chain(&site.plain_servers) {
-            server.register_at(address);
-            server.crash();
-        }
+        let answer = move |socket, id| stop_in_head(socket, id, stop);
+        replace_by_raw_server(&site.engines, answer).await;
+        replace_by_raw_server(&site.plain_servers, answer).await;
         let mut number = 0;
         wait_for("an answer that no server has completed", async || {
             number += 1;
--- a/daemon/tests/endless_answers.rs
+++ b/daemon/tests/endless_answers.rs
@@ -5,11 +5,13 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use mimosabay_standin::fleet::{FleetOptions, FleetServer, FleetSite, MEMORY_MIB};
+use mimosabay_standin::fleet::{
+    FleetOptions, FleetServer, FleetSite, MEMORY_MIB, replace_by_raw_server,
+};
 use mimosabay_standin::harness::block_on;
 use serde_json::json;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep};
 
 /// Number of instances.
@@ -21,8 +23,6 @@
 const EVENTLESS_LOAD_MS: u64 = 16_000;
 /// Pause of a sound caller between two requests, in milliseconds.
 const SOUND_PAUSE_MS: u64 = 30;
-/// Size of the buffer for requests, in bytes.
-const BUFFER_BYTES: usize = 16 * 1024;
 /// Size of the blocks of which endless answers consist, in bytes.
 const BLOCK_BYTES: usize = 100_000;
 /// Size after which an endless answer ends nevertheless, in bytes. It is beyond the memory of an instance.
@@ -155,21 +155,16 @@
     }
 }
 
-/// Answers the first request of a connection without end.
-async fn answer_without_end(mut socket: TcpStream, endless: Endless, begun: Arc<AtomicUsize>) {
-    let mut request = vec![0; BUFFER_BYTES];
-    let Ok(length) = socket.read(&mut request).await else {
-        return;
-    };
-    let request = String::from_utf8_lossy(&request[..length]).to_lowercase();
-    let id = request.split_once("x-attempt-id: ");
-    let id = id.and_then(|(_, rest)| rest.split_once('\r'));
-    let Some((id, _)) = id else {
-        return;
-    };
+/// Answers a request without end.
+async fn answer_without_end(
+    mut socket: TcpStream,
+    id: String,
+    endless: Endless,
+    begun: Arc<AtomicUsize>,
+) {
     begun.fetch_add(1, Ordering::Relaxed);
     let block = endless.block();
-    let mut sent = socket.write_all(endless.beginning(id).as_bytes()).await;
+    let mut sent = socket.write_all(endless.beginning(&id).as_bytes()).await;
     let mut sent_bytes = 0;
     while sent.is_ok() && sent_bytes < MAX_SENT_BYTES {
         sent = socket.write_all(&block).await;
@@ -180,18 +175,9 @@
 /// Replaces servers by faulty ones; returns the number of answers that these have begun.
 async fn spoil(servers: &[FleetServer], endless: Endless) -> Arc<AtomicUsize> {
     let begun = Arc::new(AtomicUsize::new(0));
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    let address = listener.local_addr().expect("an address");
     let counter = begun.clone();
-    tokio::spawn(async move {
-        while let Ok((socket, _)) = listener.accept().await {
-            tokio::spawn(answer_without_end(socket, endless, counter.clone()));
-        }
-    });
-    for server in servers {
-        server.register_at(address);
-        server.crash();
-    }
+    let answer = move |socket, id| answer_without_end(socket, id, endless, counter.clone());
+    replace_by_raw_server(servers, answer).await;
     begun
 }
 
--- a/daemon/tests/versions.rs
+++ b/daemon/tests/versions.rs
@@ -345,7 +345,9 @@
             release_second_version(&mut site).await;
             let first = &site.engines[..FIRST_ENGINES];
             if last_servers == LastServers::Drained {
-                first.iter().for_each(|engine| engine.register("draining"));
+                for engine in first {
+                    engine.register("draining");
+                }
                 sleep(Duration::from_millis(UPDATES_MS)).await;
             }
             for engine in first {
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -6,6 +6,7 @@
 // A poisoned lock or a failure to set up the test site aborts the test.
 #![allow(clippy::missing_panics_doc)]
 
+mod answers;
 mod behaviour;
 mod caller;
 mod configuration;
@@ -14,6 +15,7 @@
 mod instance_links;
 mod limit;
 mod poison;
+mod raw_server;
 mod received;
 mod server;
 mod settings;
@@ -27,6 +29,7 @@
 pub use crash::{AnswerStart, ConnectionEnd, CrashEnd, CrashPlan, CrashTrigger, RestartId};
 pub use instance_links::{InstanceLinks, LinkLoss};
 pub use poison::{CONTACT_MS, Condition, Disturber, quarantine_log, start_crashing_site};
+pub use raw_server::replace_by_raw_server;
 pub use received::{ReceivedOrder, ReceivedRequest};
 pub use server::{FleetServer, ServerKind};
 pub use settings::MEMORY_MIB;
--- a/standin/src/fleet/framing.rs
+++ b/standin/src/fleet/framing.rs
@@ -11,10 +11,8 @@
 use serde_json::json;
 use tokio::time::sleep;
 
-use super::server::{
-    EVENT_INTERVAL_MS, EVENTS_PER_STREAM, FleetServer, RunningRequest, ServerKind, SyncStream,
-    event,
-};
+use super::answers::{EVENTS_PER_STREAM, event};
+use super::server::{EVENT_INTERVAL_MS, FleetServer, RunningRequest, ServerKind, SyncStream};
 use crate::reply::{self, Closed, Reply};
 
 /// How the end of an answer's body is marked.
