Take a status that the protocol does not have for no answer (MIXED)

Ruled out: a check where answers are forwarded, as engines, plain servers and relayed connections have one place in common where responses are checked.

Change: a final status is 200 to 599; any other one fails the attempt as an answer that does not come from the server, 502 for a request that may have run.

--- a/daemon/src/gateway/exchange.rs
+++ b/daemon/src/gateway/exchange.rs
@@ -175,6 +175,10 @@
     response: Response<Incoming>,
 ) -> Result<ResponseHead, Failure> {
     let (parts, body) = response.into_parts();
+    if !is_final(parts.status) {
+        warn!(event = "status_unknown", server = %backend.id, status = parts.status.as_u16());
+        return Err(Failure::Foreign);
+    }
     observe_statements(state, backend, &parts);
     let response_id = ingress::request_id(&parts.headers);
     if !exchange.is_answered_by(response_id) {
@@ -212,6 +216,11 @@
     })
 }
 
+/// Whether a status is that of a final answer. Any other number is no answer in the protocol.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Records whether a server leaves, or wants no requests for some time, if its response says so. A
 /// server with another identifier may have its address.
 fn observe_statements(state: &State, backend: &Backend, parts: &Parts) {
