Leave evacuated zones, pace cold servers, and keep requests in their home regions (EVAC, FAILBACK, HOME)

Cause: nothing read the operators' evacuations, the rate that a cold server takes, or the regions in which requests may run.

Each instance watches the entries if its settings name the contract of places; servers of an evacuated zone are not ready; what waits there is placed again and planned orders are dropped. Cold servers are held to their rate by the buckets of the stated limits.

--- a/core/src/backend.rs
+++ b/core/src/backend.rs
@@ -24,13 +24,16 @@
     pub state: ServerState,
     /// Number of orders that it has accepted since its start.
     pub sequence: u64,
-    /// Whether it is still slow after its start.
-    pub is_cold: bool,
+    /// Time for which it stays cold from the time its entry was written, in milliseconds; 0 if it is not
+    /// cold.
+    pub cold_ms: u64,
     /// Time of its start in Unix milliseconds. A server with the same `id` and another start time has
     /// lost its earlier state.
     pub started_unix_ms: u64,
     /// Whether it will be removed soon, even if requests are running.
     pub is_leaving: bool,
+    /// Whether operators have evacuated its availability zone. The server's entry does not say so.
+    pub is_evacuated: bool,
     /// Loaded base models with their adapters.
     pub models: Vec<HeldModel>,
 }
@@ -67,7 +70,12 @@
 impl Backend {
     /// Returns whether new requests may be sent to the server.
     pub fn is_ready(&self) -> bool {
-        self.state == ServerState::Ready && !self.is_leaving
+        self.state == ServerState::Ready && !self.is_leaving && !self.is_evacuated
+    }
+
+    /// Returns whether it was cold when its entry was written.
+    pub fn is_cold(&self) -> bool {
+        self.cold_ms > 0
     }
 
     /// Returns whether the base model and, if given, the adapter are loaded.
--- a/core/src/cell/engine.rs
+++ b/core/src/cell/engine.rs
@@ -247,9 +247,23 @@
         if self.report_state != ReportState::Requested || self.in_flight.is_some() {
             self.report_state = ReportState::RequestAt(report_at_ms);
         }
+        self.drop_planned(None)
+    }
+
+    /// Drops the orders that have not been sent.
+    pub(crate) fn cancel_planned(&mut self) {
+        let in_flight = self.in_flight.as_ref();
+        let sent = in_flight.and_then(|order| Some((order.model.clone(), order.adapter.clone()?)));
+        self.drop_planned(sent.as_ref());
+    }
+
+    /// Drops planned orders and forgets their effects, but for those on the adapter `sent`. Returns the
+    /// adapters whose planned loads are dropped.
+    fn drop_planned(&mut self, sent: Option<&AdapterKey>) -> Vec<AdapterKey> {
         self.planned.clear();
         let mut lost = Vec::new();
         self.adapters.retain(|name, adapter| match adapter.phase {
+            _ if Some(name) == sent => true,
             AdapterPhase::Planned => {
                 lost.push(name.clone());
                 false
--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -31,7 +31,8 @@
 use crate::name::Name;
 use crate::prompt::Prompt;
 use crate::quarantine::{self, Quarantine};
-use crate::server_rates::ServerRates;
+use crate::server_rates::{ServerRates, ServerStart};
+use crate::server_starts::{ServerStarts, StartPolicy};
 use crate::site::{self, Site};
 use crate::work::Work;
 
@@ -63,6 +64,10 @@
     suspects: Suspects,
     /// Limits that servers state.
     server_rates: ServerRates,
+    /// Servers that have started or recovered.
+    server_starts: ServerStarts,
+    /// How the servers of each service begin.
+    start_policies: HashMap<Name, StartPolicy>,
     /// Requests that wait until a server with a limit may be sent another one.
     limited: LimitedRequests,
     /// Requests that wait until some engine can take them.
@@ -141,6 +146,8 @@
             rates: Rates::for_placer(),
             suspects: Suspects::default(),
             server_rates: ServerRates::for_placer(),
+            server_starts: ServerStarts::default(),
+            start_policies: HashMap::new(),
             limited: LimitedRequests::default(),
             unserved: Unserved::default(),
             streams: Streams::default(),
@@ -158,6 +165,7 @@
         let organisations = site.organisations();
         self.rates
             .configure(organisations.map(|organisation| &**organisation), now_ms);
+        self.start_policies = site.start_policies();
         for service in site.services() {
             let Some(spec) = &service.engine else {
                 continue;
@@ -182,6 +190,8 @@
 
     /// Replaces the list of backend servers; those of plain services are ignored.
     pub fn set_backends<'a>(&mut self, list: impl Iterator<Item = &'a Backend>, now_ms: u64) {
+        let list: Vec<&Backend> = list.collect();
+        self.observe_starts(&list, now_ms);
         let mut listed = HashSet::new();
         for backend in list {
             if !self.services.contains_key(&backend.service) {
@@ -206,6 +216,9 @@
             Some(engine) if engine.backend.started_unix_ms == backend.started_unix_ms => {
                 let was_ready = engine.backend.is_ready();
                 engine.backend = backend.clone();
+                if backend.is_evacuated {
+                    engine.cancel_planned();
+                }
                 if was_ready && !backend.is_ready() {
                     self.reassign_waiting(&backend.id, now_ms);
                 }
@@ -216,6 +229,35 @@
         }
     }
 
+    /// Begins the slow start of servers that have started or recovered.
+    fn observe_starts(&mut self, list: &[&Backend], now_ms: u64) {
+        let policies = &self.start_policies;
+        let policy_of = |service: &Name| policies.get(service).copied();
+        let starts = self
+            .server_starts
+            .observe(list.iter().copied(), policy_of, now_ms);
+        for start in starts {
+            self.server_rates.start_slowly(&start, now_ms);
+        }
+    }
+
+    /// Takes over slow starts that the placer's own process has observed.
+    pub fn adopt_slow_starts<'a>(
+        &mut self,
+        starts: impl Iterator<Item = ServerStart<'a>>,
+        now_ms: u64,
+    ) {
+        for start in starts {
+            self.server_rates.start_slowly(&start, now_ms);
+        }
+    }
+
+    /// Ends slow starts. Returns the servers that count as fully started, with their last rate in
+    /// requests a second.
+    pub fn end_slow_starts(&mut self, now_ms: u64) -> Vec<(Name, f64)> {
+        self.server_rates.end_slow_starts(now_ms)
+    }
+
     /// Replaces the state of a server that has restarted and holds nothing of before.
     fn replace_restarted_engine(&mut self, backend: Backend, now_ms: u64) {
         let id = backend.id.clone();
--- a/core/src/plain.rs
+++ b/core/src/plain.rs
@@ -113,7 +113,7 @@
         if &*backend.zone != zone {
             cost_ms += OTHER_ZONE_PENALTY_MS;
         }
-        if backend.is_cold {
+        if backend.is_cold() {
             cost_ms += COLD_PENALTY_MS;
         }
         if server.avoided_until_ms > now_ms || excluded.contains(&backend.id) {
--- a/core/src/site.rs
+++ b/core/src/site.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::name::Name;
+use crate::server_starts::StartPolicy;
 
 /// One version of the configuration. A request uses the version at its start until it ends.
 #[derive(Clone, Debug, PartialEq)]
@@ -12,6 +13,8 @@
     pub version: u64,
     /// Limits on callers' requests and connections.
     pub limits: Arc<CallerLimits>,
+    /// Decisions that the deployment's settings switch on.
+    pub features: Features,
     services: HashMap<Name, Arc<Service>>,
     /// Routes by host and path prefix. Invariant: each prefix begins and ends with a slash.
     routes: HashMap<Name, HashMap<Name, Arc<Route>>>,
@@ -19,6 +22,17 @@
     keys: Option<HashMap<Name, Arc<Organisation>>>,
 }
 
+/// Decisions that the settings of a deployment switch on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Features {
+    /// Servers that have started or recovered begin slowly, also if they are not cold.
+    pub paces_starts: bool,
+    /// Requests that find no room wait for it, and the most urgent one is served next.
+    pub queues_requests: bool,
+    /// Availability zones can be evacuated.
+    pub evacuates_zones: bool,
+}
+
 /// Route for requests to a host and a path prefix.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
@@ -42,6 +56,11 @@
     pub max_attempts: u32,
     /// Whether callers without a key may use it.
     pub is_public: bool,
+    /// Longest pause between two events of a stream with which it is still on time, in milliseconds;
+    /// `None` if no limit is stated.
+    pub max_pause_ms: Option<u64>,
+    /// Regions whose servers may run its requests; any if it is empty.
+    pub home_regions: Vec<Name>,
 }
 
 /// Whether a request may run again.
@@ -66,6 +85,17 @@
     pub max_connections: u32,
     /// Properties of its engines; `None` for a plain service.
     pub engine: Option<Engine>,
+    /// What its servers take while they are cold; `None` if they take as much as at other times.
+    pub cold_start: Option<ColdStart>,
+}
+
+/// What a server takes while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdStart {
+    /// Time for which it is cold after its start, in milliseconds.
+    pub duration_ms: u64,
+    /// Requests a second from all instances together. Invariant: above 0.
+    pub requests_per_s: f64,
 }
 
 /// Properties of the engines of a service.
@@ -79,6 +109,8 @@
     pub adapter_slots: usize,
     /// Maximum rate of base model loads over all servers, per second.
     pub model_loads_per_s: f64,
+    /// Tokens in one event of a stream. Invariant: at least 1.
+    pub tokens_per_event: u32,
     /// Base models that the engines can load.
     pub models: Vec<EngineModel>,
 }
@@ -107,6 +139,8 @@
     pub counts_tokens: bool,
     /// Cost of a request without token counts.
     pub default_cost: u64,
+    /// Regions whose servers may run its requests; any if it is empty.
+    pub home_regions: Vec<Name>,
 }
 
 /// Limits on callers' requests and connections.
@@ -151,6 +185,7 @@
         Self {
             version,
             limits,
+            features: Features::default(),
             services: services
                 .map(|service| (service.name.clone(), Arc::new(service)))
                 .collect(),
@@ -208,6 +243,25 @@
         self.services.values()
     }
 
+    /// Returns how the servers of each service begin that are not sent as many requests after a start as
+    /// at other times.
+    pub fn start_policies(&self) -> HashMap<Name, StartPolicy> {
+        let services = self.services.values();
+        let policies = services.filter_map(|service| {
+            let policy = StartPolicy::of(service, self.features.paces_starts)?;
+            Some((service.name.clone(), policy))
+        });
+        policies.collect()
+    }
+
+    /// Returns whether some requests may only run in certain regions.
+    pub fn has_homes(&self) -> bool {
+        let mut routes = self.routes.values().flat_map(HashMap::values);
+        let mut organisations = self.organisations();
+        routes.any(|route| !route.home_regions.is_empty())
+            || organisations.any(|organisation| !organisation.home_regions.is_empty())
+    }
+
     /// Returns the organisation of each key. An organisation with several keys is returned several
     /// times.
     pub fn organisations(&self) -> impl Iterator<Item = &Arc<Organisation>> {
@@ -215,6 +269,14 @@
     }
 }
 
+/// Returns whether a server in `region` may run the requests of an organisation on a route. If both
+/// have homes, both bind. A server whose region is not known is in no home.
+pub fn is_home(route: &Route, organisation: Option<&Organisation>, region: Option<&Name>) -> bool {
+    let is_among =
+        |homes: &[Name]| homes.is_empty() || region.is_some_and(|region| homes.contains(region));
+    is_among(&route.home_regions) && organisation.is_none_or(|it| is_among(&it.home_regions))
+}
+
 impl Route {
     /// Chooses a service by weight. `point` lies between 0 and 1; evenly distributed points distribute
     /// requests in proportion to the weights.
--- a/core/tests/cell/fleet.rs
+++ b/core/tests/cell/fleet.rs
@@ -375,7 +375,8 @@
         slots: 32,
         state: ServerState::Ready,
         sequence: 0,
-        is_cold: false,
+        cold_ms: 0,
+        is_evacuated: false,
         started_unix_ms: 1,
         is_leaving: false,
         models: vec![HeldModel {
@@ -394,11 +395,13 @@
             kv_tokens: 233_778,
             adapter_slots: ADAPTER_SLOTS,
             model_loads_per_s: 44.0,
+            tokens_per_event: 6,
             models: vec![EngineModel {
                 name: MODEL.into(),
                 load_ms: 2_900,
             }],
         }),
+        cold_start: None,
     };
     Site::new(
         1,
--- a/core/tests/cell/main.rs
+++ b/core/tests/cell/main.rs
@@ -2,6 +2,7 @@
 
 mod adapters;
 mod assignment;
+mod evacuated;
 mod fleet;
 mod fleet_load;
 mod invariants;
--- a/core/tests/cell/support.rs
+++ b/core/tests/cell/support.rs
@@ -26,11 +26,13 @@
             kv_tokens: 200_000,
             adapter_slots,
             model_loads_per_s: 4.0,
+            tokens_per_event: 6,
             models: vec![EngineModel {
                 name: MODEL.into(),
                 load_ms: 1_000,
             }],
         }),
+        cold_start: None,
     }
 }
 
@@ -42,6 +44,7 @@
         burst,
         counts_tokens: true,
         default_cost: 100,
+        home_regions: Vec::new(),
     };
     let organisations = vec![(organisation, vec!["key".into()])];
     let services = vec![service(adapter_slots)];
@@ -59,7 +62,8 @@
         slots: 64,
         state: ServerState::Ready,
         sequence: 0,
-        is_cold: false,
+        cold_ms: 0,
+        is_evacuated: false,
         started_unix_ms: 1,
         is_leaving: false,
         models: vec![HeldModel {
--- a/core/tests/registrations.rs
+++ b/core/tests/registrations.rs
@@ -13,7 +13,8 @@
         slots: 8,
         state: ServerState::Ready,
         sequence: 0,
-        is_cold: false,
+        cold_ms: 0,
+        is_evacuated: false,
         started_unix_ms: 1,
         is_leaving: false,
         models: Vec::new(),
@@ -72,7 +73,7 @@
         zone: (Backend { zone: "zone-2".into(), ..server() });
         software_version: (Backend { software_version: Some("v2".into()), ..server() });
         slots: (Backend { slots: 9, ..server() });
-        cold: (Backend { is_cold: true, ..server() });
+        cold: (Backend { cold_ms: 1, ..server() });
     }
 }
 
--- a/core/tests/site.rs
+++ b/core/tests/site.rs
@@ -17,6 +17,8 @@
         services: vec![("first".into(), 90.0), ("second".into(), 10.0)],
         max_attempts: 1,
         is_public,
+        max_pause_ms: None,
+        home_regions: Vec::new(),
     }
 }
 
@@ -28,6 +30,7 @@
         burst: 0.0,
         counts_tokens: false,
         default_cost: 1,
+        home_regions: Vec::new(),
     };
     let routes = vec![
         route("all", "/", false),
--- a/daemon/src/gateway/backends.rs
+++ b/daemon/src/gateway/backends.rs
@@ -1,10 +1,11 @@
 //! Backend servers that this instance uses: those that are registered, as far as what it has observed
 //! of them allows.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Arc, Mutex};
 
 use mimosabay_core::backend::{Backend, ServerState};
+use mimosabay_core::evacuations::Evacuations;
 use mimosabay_core::name::Name;
 use mimosabay_core::registrations::{RegistrationChange, Registrations};
 use mimosabay_core::software_versions::{SoftwareVersions, VersionHistory};
@@ -49,6 +50,7 @@
     /// Entries of servers that were removed in an earlier era of the store. They are used once
     /// [`HOLD_BACK_MS`] have passed since the era began.
     held_back: BTreeMap<Name, Backend>,
+    evacuations: Evacuations,
     software_versions: SoftwareVersions,
 }
 
@@ -136,6 +138,7 @@
         let mut table = self.table.lock().expect("backends lock");
         table.grace_until_ms = now_ms + RETURN_GRACE_MS;
         table.era_began_ms = Some(now_ms);
+        table.evacuations.begin_store_era(now_ms);
         table.note_all_leaving(now_ms);
     }
 
@@ -199,14 +202,32 @@
     /// Removes servers whose entry was not registered again in time.
     pub(crate) fn remove_expired(&self, now_ms: u64) {
         let mut table = self.table.lock().expect("backends lock");
-        if table.remove_expired(now_ms) | table.release_held_back(now_ms) {
+        let is_changed = table.remove_expired(now_ms) | table.release_held_back(now_ms);
+        if table.evacuations.release_held(now_ms) | is_changed {
             self.publish(&mut table, now_ms);
         }
     }
 
+    /// Applies changes of the evacuated zones. Returns them all if they have changed.
+    pub(crate) fn update_evacuations(
+        &self,
+        update: impl FnOnce(&mut Evacuations),
+        now_ms: u64,
+    ) -> Option<BTreeSet<Name>> {
+        let mut table = self.table.lock().expect("backends lock");
+        let before = table.evacuations.zones();
+        update(&mut table.evacuations);
+        let zones = table.evacuations.zones();
+        if zones == before {
+            return None;
+        }
+        self.publish(&mut table, now_ms);
+        Some(zones)
+    }
+
     fn publish(&self, table: &mut Table, now_ms: u64) {
         table.observe_software_versions(now_ms);
-        self.snapshot.send_replace(Arc::new(table.servers.clone()));
+        self.snapshot.send_replace(Arc::new(table.in_use()));
     }
 }
 
@@ -239,6 +260,17 @@
         }
     }
 
+    /// Returns the servers, with those marked whose availability zone is evacuated.
+    fn in_use(&self) -> BTreeMap<Name, Arc<Backend>> {
+        let mut servers = self.servers.clone();
+        for backend in servers.values_mut() {
+            if self.evacuations.contains(&backend.zone) {
+                Arc::make_mut(backend).is_evacuated = true;
+            }
+        }
+        servers
+    }
+
     fn observe_software_versions(&mut self, now_ms: u64) {
         let servers = self.servers.values().map(|backend| &**backend);
         for service in self.software_versions.observe(servers, now_ms) {
--- a/daemon/src/gateway/metrics.rs
+++ b/daemon/src/gateway/metrics.rs
@@ -89,6 +89,8 @@
     placer_engines: Gauge,
     placer_engines_confirmed: Gauge,
     store_eras: Counter,
+    evacuated_zones: Gauge,
+    starting_servers: Gauge,
     answer_s: Histogram,
     first_event_s: Histogram,
     forecast_ratio: Histogram,
@@ -112,6 +114,8 @@
             placer_engines: Gauge::default(),
             placer_engines_confirmed: Gauge::default(),
             store_eras: Counter::default(),
+            evacuated_zones: Gauge::default(),
+            starting_servers: Gauge::default(),
             answer_s: latency_histogram(),
             first_event_s: latency_histogram(),
             forecast_ratio: Histogram::new(FORECAST_RATIOS),
@@ -167,6 +171,16 @@
             "Times that the store came back from an older copy",
             self.store_eras.clone(),
         );
+        registry.register(
+            "evacuated_zones",
+            "Availability zones that operators have evacuated",
+            self.evacuated_zones.clone(),
+        );
+        registry.register(
+            "starting_servers",
+            "Servers that have started or recovered a short time ago",
+            self.starting_servers.clone(),
+        );
         registry.register(
             "answer_seconds",
             "Time to the whole answer of a plain service",
@@ -217,6 +231,14 @@
         self.store_eras.inc();
     }
 
+    pub(crate) fn set_evacuated_zones(&self, zones: usize) {
+        set(&self.evacuated_zones, zones);
+    }
+
+    pub(crate) fn set_starting_servers(&self, servers: usize) {
+        set(&self.starting_servers, servers);
+    }
+
     pub(crate) fn count_order(&self) {
         self.orders.inc();
     }
--- a/daemon/src/gateway/placement.rs
+++ b/daemon/src/gateway/placement.rs
@@ -232,6 +232,12 @@
         .values()
         .filter(|backend| backend.service == *service && state.server_pauses.is_paused(backend));
     servers.extend(paused.map(|backend| backend.id.clone()));
+    if request.job.has_homes() {
+        let elsewhere = snapshot.values().filter(|backend| {
+            backend.service == *service && !request.job.may_run_at(state, backend)
+        });
+        servers.extend(elsewhere.map(|backend| backend.id.clone()));
+    }
     servers
 }
 
@@ -279,6 +285,7 @@
             && required.is_none_or(|it| backend.software_version.as_ref() == Some(it))
             && !request.has_tried(&backend.id)
             && !state.server_pauses.is_paused(backend)
+            && request.job.may_run_at(state, backend)
             && state.server_limits.may_send(backend)
             && (holds || last_server.as_ref() == Some(&backend.id))
     });
--- a/daemon/src/gateway/placer.rs
+++ b/daemon/src/gateway/placer.rs
@@ -53,6 +53,8 @@
         cell.set_epoch(state.clock.start_unix_ms());
         cell.merge_quarantine(&state.suspects.known());
         cell.apply_limits(&state.server_limits.all(), state.now_ms());
+        let limits = state.server_limits.starting();
+        cell.adopt_slow_starts(limits.starting(), state.now_ms());
         cell.adopt_versions(state.backends.software_versions(), state.now_ms());
         cell.record_streams(&state.streams.all(), state.now_ms());
         let driver = Driver {
@@ -175,6 +177,7 @@
                     let now_ms = self.state.now_ms();
                     self.load.record_timer(due_ms, now_ms);
                     self.cell.tick(now_ms);
+                    self.end_slow_starts(now_ms);
                 }
             }
         }
@@ -185,6 +188,12 @@
         );
     }
 
+    fn end_slow_starts(&mut self, now_ms: u64) {
+        for (server, requests_per_s) in self.cell.end_slow_starts(now_ms) {
+            info!(event = "slow_start_ended", %server, requests_per_s, at = "placer");
+        }
+    }
+
     fn next_due_ms(&self) -> u64 {
         let now_ms = self.state.now_ms();
         let latest_ms = now_ms + MAX_TICK_MS;
--- a/daemon/src/gateway/plain_choice.rs
+++ b/daemon/src/gateway/plain_choice.rs
@@ -184,6 +184,7 @@
         let servers = servers.filter(|backend| {
             backend.service == self.job.service.name
                 && Some(&backend.id) != self.silent
+                && self.job.may_run_at(self.state, backend)
                 && !self.state.server_pauses.is_paused(backend)
         });
         let zone = &self.state.settings().zone;
--- a/daemon/src/gateway/request.rs
+++ b/daemon/src/gateway/request.rs
@@ -8,9 +8,10 @@
 use http::{HeaderMap, Method, Request, Uri};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use mimosabay_core::backend::Backend;
 use mimosabay_core::name::Name;
 use mimosabay_core::prompt::Prompt;
-use mimosabay_core::site::{Denied, Organisation, RetrySafety, Route, Service, Site};
+use mimosabay_core::site::{self, Denied, Organisation, RetrySafety, Route, Service, Site};
 use mimosabay_core::work::Work;
 use mimosabay_platform::ingress::{self, ForwardOptions};
 use tokio::time::timeout;
@@ -59,6 +60,20 @@
         self.deadline_ms.saturating_sub(state.now_ms())
     }
 
+    /// Whether a server is in a region in which the request may run.
+    pub(crate) fn may_run_at(&self, state: &State, backend: &Backend) -> bool {
+        let settings = state.settings();
+        let region = settings.regions.get(&backend.zone);
+        site::is_home(&self.route, self.organisation.as_deref(), region)
+    }
+
+    /// Whether the request may only run in certain regions.
+    pub(crate) fn has_homes(&self) -> bool {
+        let organisation = self.organisation.as_deref();
+        !self.route.home_regions.is_empty()
+            || organisation.is_some_and(|it| !it.home_regions.is_empty())
+    }
+
     /// Identity of its work, by which requests that crash servers are found; `prompt` is that of a
     /// request to an engine.
     pub(crate) fn work(&self, prompt: Option<&Prompt>) -> Work {
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -21,8 +21,8 @@
 use super::state::State;
 use super::watch::{self, WatchKind};
 use super::{
-    callers, election, freeze, link, reload, server_connection, server_links, stop, updates,
-    version_store,
+    callers, election, freeze, link, reload, server_connection, server_links, server_starts, stop,
+    updates, version_store,
 };
 use crate::clock::Clock;
 
@@ -70,6 +70,10 @@
     ] {
         tokio::spawn(watch::run(state.clone(), kind));
     }
+    if state.settings().features.evacuates_zones {
+        tokio::spawn(watch::run(state.clone(), WatchKind::Evacuations));
+    }
+    tokio::spawn(server_starts::run(state.clone()));
     tokio::spawn(callers::serve(state.clone(), listeners.callers));
     tokio::spawn(callers::serve_ready(state.clone(), listeners.ready));
     if let Some(address) = metrics {
--- a/daemon/src/gateway/server_connection.rs
+++ b/daemon/src/gateway/server_connection.rs
@@ -139,8 +139,21 @@
     })
 }
 
+/// Whether bytes of a request may not pass through every other instance: some requests may only be sent
+/// to certain regions, and the regions of other instances are not known.
+fn must_stay_in_region(state: &State) -> bool {
+    let settings = state.settings();
+    let mut regions = settings.regions.values();
+    let first = regions.next();
+    let has_several = regions.any(|region| Some(region) != first);
+    has_several && state.site().is_some_and(|site| site.has_homes())
+}
+
 /// Returns the instances to ask, the best one first.
 fn candidates(state: &State) -> Vec<Name> {
+    if must_stay_in_region(state) {
+        return Vec::new();
+    }
     let mut addresses = state.members.addresses();
     addresses.retain(|address| address != state.link.own_address());
     let preferred = state.relays.preferred();
--- a/daemon/src/gateway/server_limits.rs
+++ b/daemon/src/gateway/server_limits.rs
@@ -1,12 +1,14 @@
 //! Limits that backend servers have stated, as this instance knows them.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::{Mutex, MutexGuard};
 
 use http::HeaderMap;
 use mimosabay_core::backend::Backend;
 use mimosabay_core::name::Name;
-use mimosabay_core::server_rates::ServerRates;
+use mimosabay_core::server_rates::{ServerRates, ServerStart};
+use mimosabay_core::server_starts::{ServerStarts, StartPolicy};
+use mimosabay_core::slow_start::AnswerSign;
 use mimosabay_core::stated_limit::StatedLimit;
 use mimosabay_platform::ingress;
 use tracing::{info, warn};
@@ -24,6 +26,9 @@
     rates: ServerRates,
     /// Servers whose statements the placer does not know yet.
     unsent: BTreeSet<Name>,
+    starts: ServerStarts,
+    /// How the servers of each service begin.
+    start_policies: HashMap<Name, StartPolicy>,
 }
 
 impl ServerLimits {
@@ -33,6 +38,8 @@
             known: Mutex::new(Known {
                 rates: ServerRates::for_entry(),
                 unsent: BTreeSet::new(),
+                starts: ServerStarts::default(),
+                start_policies: HashMap::new(),
             }),
         }
     }
@@ -101,7 +108,64 @@
         self.known().unsent.extend(servers);
     }
 
-    /// Whether a server states a limit.
+    /// Sets how the servers of each service begin.
+    pub(crate) fn set_start_policies(&self, policies: HashMap<Name, StartPolicy>) {
+        self.known().start_policies = policies;
+    }
+
+    /// Begins the slow start of servers that have started or recovered, and ends earlier ones.
+    pub(crate) fn observe_starts<'a>(&self, servers: impl Iterator<Item = &'a Backend>) {
+        let now_ms = self.clock.now_ms();
+        let mut known = self.known();
+        let Known {
+            rates,
+            starts,
+            start_policies,
+            ..
+        } = &mut *known;
+        let policy_of = |service: &Name| start_policies.get(service).copied();
+        let begun = starts.observe(servers, policy_of, now_ms);
+        let begun: Vec<ServerStart<'_>> = begun
+            .into_iter()
+            .filter(|start| rates.start_slowly(start, now_ms))
+            .collect();
+        let ended = rates.end_slow_starts(now_ms);
+        drop(known);
+        for start in begun {
+            log_start(&start, now_ms);
+        }
+        for (server, requests_per_s) in ended {
+            info!(event = "slow_start_ended", %server, requests_per_s);
+        }
+    }
+
+    /// Adapts the pace of a server that has just started to one of its answers.
+    pub(crate) fn record_answer(&self, backend: &Backend, sign: AnswerSign) {
+        let now_ms = self.clock.now_ms();
+        let mut known = self.known();
+        let rates = &mut known.rates;
+        rates.record_answer(&backend.id, backend.started_unix_ms, sign, now_ms);
+    }
+
+    /// Number of servers that have started a short time ago.
+    pub(crate) fn starting_count(&self) -> usize {
+        self.known().rates.starting_count()
+    }
+
+    /// Whether a server has started a short time ago.
+    pub(crate) fn is_starting(&self, backend: &Backend) -> bool {
+        let known = self.known();
+        known
+            .rates
+            .is_starting(&backend.id, backend.started_unix_ms)
+    }
+
+    /// Returns the servers that have started a short time ago.
+    pub(crate) fn starting(&self) -> ServerRates {
+        self.known().rates.clone()
+    }
+
+    /// Whether a server states a limit, or has started a short time ago.
     pub(crate) fn is_limited(&self, backend: &Backend) -> bool {
         let known = self.known();
         known.rates.is_limited(&backend.id, backend.started_unix_ms)
@@ -137,6 +201,16 @@
     }
 }
 
+fn log_start(start: &ServerStart<'_>, now_ms: u64) {
+    info!(
+        event = "slow_start",
+        server = %start.server,
+        boot = start.boot,
+        requests_per_s = start.first_per_s,
+        cold_ms = start.cold_until_ms.saturating_sub(now_ms)
+    );
+}
+
 fn log_change(stated: &StatedLimit, source: &'static str) {
     info!(
         event = "limit_stated",
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -181,7 +181,9 @@
     }
 
     /// Puts a version of the configuration in force.
-    pub(crate) fn set_site(&self, site: Site) {
+    pub(crate) fn set_site(&self, mut site: Site) {
+        site.features = self.settings().features;
+        self.server_limits.set_start_policies(site.start_policies());
         self.configure_own_rates(&site);
         self.metrics.set_configuration_version(site.version);
         self.site.send_replace(Some(Arc::new(site)));
--- a/daemon/src/gateway/watch.rs
+++ b/daemon/src/gateway/watch.rs
@@ -10,6 +10,7 @@
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
 
+use super::evacuations;
 use super::metrics::Dependency;
 use super::replicate;
 use super::state::State;
@@ -42,6 +43,8 @@
     Replicated(ReplicaKind),
     /// The placer record. Each instance watches it itself.
     Placer,
+    /// Evacuated availability zones. Each instance watches them itself.
+    Evacuations,
 }
 
 impl WatchKind {
@@ -51,6 +54,7 @@
             Self::Replicated(ReplicaKind::Servers) => wire_names::kind::SERVERS,
             Self::Replicated(ReplicaKind::Releases) => wire_names::kind::VERSIONS,
             Self::Placer => wire_names::kind::PLACERS,
+            Self::Evacuations => wire_names::kind::EVACUATIONS,
         }
     }
 
@@ -70,7 +74,7 @@
         match self {
             Self::Replicated(ReplicaKind::Servers) if is_placer => PLACER_SERVERS_PAUSE_MS,
             Self::Replicated(ReplicaKind::Servers) => SERVERS_PAUSE_MS,
-            Self::Replicated(_) | Self::Placer => OTHER_PAUSE_MS,
+            Self::Replicated(_) | Self::Placer | Self::Evacuations => OTHER_PAUSE_MS,
         }
     }
 }
@@ -217,6 +221,7 @@
                 }
                 None => self.state.link.on_record_absent(self.era),
             },
+            WatchKind::Evacuations => evacuations::apply_list(&self.state, listing),
         }
     }
 
@@ -225,6 +230,7 @@
         let is_empty = changes.events.is_empty();
         match self.kind {
             WatchKind::Replicated(kind) => replicate::apply_changes(&self.state, kind, &changes),
+            WatchKind::Evacuations => evacuations::apply_changes(&self.state, &changes),
             WatchKind::Placer => {
                 for event in changes.events {
                     if event.deleted {
--- a/standin/src/fleet/configuration.rs
+++ b/standin/src/fleet/configuration.rs
@@ -4,6 +4,9 @@
 
 use super::site::{DESK, ENGINES, FleetOptions, HOST, KEY, MODEL, ORGANISATION};
 
+/// Time for which an engine is cold after its start, in seconds.
+const COLD_START_S: f64 = 3.0;
+
 /// Returns a version of the configuration in the platform's format.
 pub(super) fn configuration_json(version: u64, options: &FleetOptions) -> Value {
     let route = |name: &str, prefix: &str, kind: &str, service: &str, resumable: bool| {
@@ -34,6 +37,8 @@
                 "name": ENGINES,
                 "healthPath": "/healthz",
                 "maxConns": 100,
+                "coldStartS": COLD_START_S,
+                "coldPerS": options.cold_per_s,
                 "engine": {
                     "slots": 8,
                     "kvCapacity": 100_000,
--- a/standin/src/fleet/server.rs
+++ b/standin/src/fleet/server.rs
@@ -29,6 +29,8 @@
 pub(super) const EVENT_INTERVAL_MS: u64 = 15;
 /// Simulated load time of an adapter, in milliseconds. Each order is answered after a tenth of it.
 const ADAPTER_LOAD_MS: u64 = 60;
+/// Availability zone of a server that was not moved.
+const FIRST_ZONE: &str = "zone-1";
 /// Receive buffer of a connection, in bytes. A server that does not read soon blocks the sender.
 const RECEIVE_BUFFER_BYTES: u32 = 4_096;
 /// Number of connections that may wait to be accepted.
@@ -95,6 +97,10 @@
     advertised_address: Option<SocketAddr>,
     /// Version of its software.
     pub(super) software_version: Name,
+    /// Availability zone.
+    zone: Name,
+    /// Time for which it says that it is cold, in milliseconds.
+    cold_ms: u64,
     /// Time between the events of a stream, in milliseconds.
     pub(super) event_interval_ms: u64,
     /// Number of accepted load orders that exceeded the adapter slots.
@@ -124,6 +130,7 @@
             state: Arc::new(Mutex::new(State {
                 start_count: 1,
                 software_version: version.into(),
+                zone: FIRST_ZONE.into(),
                 event_interval_ms: EVENT_INTERVAL_MS,
                 ..State::default()
             })),
@@ -187,6 +194,18 @@
         violations
     }
 
+    /// Moves the server to an availability zone.
+    pub fn move_to_zone(&self, zone: &str) {
+        self.with_state(|state| state.zone = zone.into());
+        self.register("ready");
+    }
+
+    /// Says in the server's entry for how long it is cold, in milliseconds.
+    pub fn state_cold(&self, cold_ms: u64) {
+        self.with_state(|state| state.cold_ms = cold_ms);
+        self.register("ready");
+    }
+
     /// Simulates a crash and restart under the same name: clears the state and registers again.
     pub(crate) fn restart(&self) {
         self.with_state(State::clear);
@@ -257,15 +276,16 @@
 
     fn registration(&self, state: &str) -> Value {
         let (sequence, start_count) = self.with_state(|state| (state.sequence, state.start_count));
+        let (zone, cold_ms) = self.with_state(|state| (state.zone.clone(), state.cold_ms));
         let address = self.registered_address();
         json!({
             "service": self.service,
             "address": address.to_string(),
-            "zone": "zone-1",
+            "zone": zone,
             "version": self.software_version(),
             "slots": 8,
             "state": state,
-            "coldRemainingMs": 0,
+            "coldRemainingMs": cold_ms,
             "stage": "unified",
             "models": self.models_json(),
             "sequence": sequence,
--- a/standin/src/fleet/settings.rs
+++ b/standin/src/fleet/settings.rs
@@ -15,6 +15,7 @@
     pub(super) grace_s: u64,
     pub(super) lease_ms: u64,
     pub(super) core_share: f64,
+    pub(super) contracts: &'static [&'static str],
 }
 
 impl InstanceSettings {
@@ -32,6 +33,7 @@
 seeds = []
 bootstrap = true
 heartbeatMs = 1200
+contracts = {contracts:?}
 aFieldThatNobodyKnows = [1, 2]
 [listen]
 front = "{front}"
@@ -58,6 +60,7 @@
             grace_s = self.grace_s,
             lease_ms = self.lease_ms,
             core_share = self.core_share,
+            contracts = self.contracts,
         )
     }
 }
--- a/standin/src/fleet/site.rs
+++ b/standin/src/fleet/site.rs
@@ -64,6 +64,10 @@
     pub has_instance_links: bool,
     /// Index of the only instance on a large machine.
     pub large_instance: Option<usize>,
+    /// Parts of the platform's protocol that the settings name.
+    pub contracts: &'static [&'static str],
+    /// Requests a second that a cold engine takes; 0 if that is not limited.
+    pub cold_per_s: f64,
     /// Program of an earlier build with which the instances start. A restart replaces it by this build.
     pub old_build: Option<&'static Path>,
 }
@@ -82,6 +86,8 @@
             has_relays: false,
             has_instance_links: false,
             large_instance: None,
+            contracts: &["base"],
+            cold_per_s: 0.0,
             old_build: None,
         }
     }
@@ -366,6 +372,7 @@
             grace_s: self.options.grace_s,
             lease_ms: 1_500,
             core_share: self.core_share(index),
+            contracts: self.options.contracts,
         };
         let settings_file = self.directory.join(format!("{name}.toml"));
         std::fs::write(&settings_file, settings.to_toml()).expect("the test directory is writable");
--- a/standin/src/fleet/store.rs
+++ b/standin/src/fleet/store.rs
@@ -21,7 +21,7 @@
 /// Stands for the content of an entry of another writer.
 const ODD_ENTRY: &str = "odd entry";
 /// Kinds of objects that the operator and the servers write.
-const FOREIGN_KINDS: [&str; 3] = ["config", "servers", "versions"];
+const FOREIGN_KINDS: [&str; 4] = ["config", "evacuations", "servers", "versions"];
 
 /// An object store. Clones share its state.
 #[derive(Clone, Debug)]
@@ -106,6 +106,15 @@
         self.with_tables(|tables| tables.remove(kind, name));
     }
 
+    /// Evacuates an availability zone, or takes it back.
+    pub fn evacuate(&self, zone: &str, is_evacuated: bool) {
+        if is_evacuated {
+            self.put("evacuations", zone, &json!({}));
+        } else {
+            self.remove("evacuations", zone);
+        }
+    }
+
     /// Returns the `spec` of an object.
     pub fn spec(&self, kind: &str, name: &str) -> Option<Value> {
         let tables = self.tables.lock().expect("store lock");
