Estimate how long an adapter load takes with few others in progress

Cause: the duration was a constant, 255 ms. Where it is longer (288 ms at one site) each load is late; 17% of the arrivals at engines there were requests whose adapter was not loaded yet, and each late load counted as a sign that loads slow each other, so that forecasts grew until requests were refused.

Change: late loads with few others in progress lengthen the estimate; only late ones among many count for the number of loads that run at full speed. The placer logs both.

--- a/core/src/cell/load_speed.rs
+++ b/core/src/cell/load_speed.rs
@@ -1,11 +1,23 @@
 //! Estimates the duration of adapter loads. Beyond a number of concurrent loads over all engines,
-//! each load takes proportionally longer. That number is estimated from whether loads had ended by
-//! their forecast time when the adapters were first used.
+//! each load takes proportionally longer. That number, and the duration of a load with few others in
+//! progress, are estimated from whether loads had ended by their forecast time when the adapters were
+//! first used.
 
 use crate::rounding::floor_ms;
 
-/// Duration of a load with few others in progress, in milliseconds.
-const LOAD_MS: f64 = 255.0;
+/// Bounds of the duration of a load with few others in progress, in milliseconds; the first one is the
+/// initial estimate.
+const LOAD_BOUNDS_MS: std::ops::RangeInclusive<f64> = 255.0..=5_000.0;
+/// Factor applied to the duration if loads with few others in progress are late.
+const LONGER_LOAD_FACTOR: f64 = 1.04;
+/// Factor applied to the duration after a timely load with few others in progress.
+const TIMELY_LOAD_FACTOR: f64 = 0.9999;
+/// Share of the full-speed number up to which there are few other loads in progress.
+const FEW_LOADS_SHARE: f64 = 0.6;
+/// Weight of a load in the moving average of late loads with few others in progress.
+const LATE_SHARE_WEIGHT: f64 = 0.15;
+/// Share of late loads with few others in progress from which the duration is too short.
+const MAX_LATE_SHARE: f64 = 0.35;
 /// Duration of a load if the server held the adapter before, in milliseconds.
 const RELOAD_MS: u64 = 30;
 /// Initial number of concurrent full-speed loads for each engine.
@@ -22,6 +34,10 @@
 /// Estimated load speed over all engines.
 #[derive(Clone, Debug)]
 pub(crate) struct LoadSpeed {
+    /// Duration of a load with few others in progress, in milliseconds.
+    load_ms: f64,
+    /// Moving average of the share of late loads among those with few others in progress.
+    late_share: f64,
     /// Number of concurrent loads beyond which each takes proportionally longer.
     max_full_speed_loads: f64,
     /// Whether the estimate has been updated by any load.
@@ -45,18 +61,35 @@
             return RELOAD_MS;
         }
         let at_once = (under_way + 1) as f64;
-        floor_ms(LOAD_MS * (at_once / self.max_full_speed_loads).max(1.0))
+        floor_ms(self.load_ms * (at_once / self.max_full_speed_loads).max(1.0))
+    }
+
+    /// Returns the number of concurrent loads beyond which each takes longer.
+    pub(crate) fn full_speed_loads(&self) -> u64 {
+        floor_ms(self.max_full_speed_loads)
     }
 
     /// Records that a load with `under_way` others in progress had ended by its forecast time.
     pub(crate) fn record_timely_load(&mut self, under_way: usize) {
+        if self.is_among_few(under_way) {
+            self.late_share -= self.late_share * LATE_SHARE_WEIGHT;
+            self.set_duration(self.load_ms * TIMELY_LOAD_FACTOR);
+        }
         if under_way as f64 >= self.max_full_speed_loads {
             self.set_estimate(self.max_full_speed_loads + TIMELY_LOAD_STEP);
         }
     }
 
-    /// Records that a load had not ended by its forecast time.
-    pub(crate) fn record_late_load(&mut self, now_ms: u64) {
+    /// Records that a load with `under_way` others in progress had not ended by its forecast time.
+    pub(crate) fn record_late_load(&mut self, under_way: usize, now_ms: u64) {
+        if self.is_among_few(under_way) {
+            self.late_share += (1.0 - self.late_share) * LATE_SHARE_WEIGHT;
+            if self.late_share > MAX_LATE_SHARE {
+                self.late_share = 0.0;
+                self.set_duration(self.load_ms * LONGER_LOAD_FACTOR);
+            }
+            return;
+        }
         let since_ms = self
             .last_late_ms
             .map_or(u64::MAX, |last_late_ms| now_ms - last_late_ms);
@@ -66,6 +99,15 @@
         }
     }
 
+    /// Whether so few loads are in progress that they do not slow each other.
+    fn is_among_few(&self, under_way: usize) -> bool {
+        (under_way as f64) < self.max_full_speed_loads * FEW_LOADS_SHARE
+    }
+
+    fn set_duration(&mut self, load_ms: f64) {
+        self.load_ms = load_ms.clamp(*LOAD_BOUNDS_MS.start(), *LOAD_BOUNDS_MS.end());
+    }
+
     fn set_estimate(&mut self, max_full_speed_loads: f64) {
         self.max_full_speed_loads = clamped(max_full_speed_loads);
         self.is_measured = true;
@@ -75,6 +117,8 @@
 impl Default for LoadSpeed {
     fn default() -> Self {
         Self {
+            load_ms: *LOAD_BOUNDS_MS.start(),
+            late_share: 0.0,
             max_full_speed_loads: *FULL_SPEED_LOADS_BOUNDS.start(),
             is_measured: false,
             last_late_ms: None,
--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -126,6 +126,12 @@
     pub waiting: usize,
     /// Requests that were sent to a server.
     pub running: usize,
+    /// Adapter loads planned or in progress that share the bandwidth of the weight store.
+    pub loads: usize,
+    /// Estimated duration of an adapter load with few others in progress, in milliseconds.
+    pub load_ms: u64,
+    /// Estimated number of concurrent adapter loads beyond which each takes longer.
+    pub full_speed_loads: u64,
 }
 
 #[derive(Debug)]
@@ -389,6 +395,9 @@
             adapters: 0,
             waiting: self.waiting.len(),
             running: self.running.len(),
+            loads: self.loads_under_way(),
+            load_ms: self.load_speed.load_ms(false, 0),
+            full_speed_loads: self.load_speed.full_speed_loads(),
         };
         for engine in self.engines.values() {
             status.adapters += engine.adapters.len();
--- a/core/src/cell/run_outcome.rs
+++ b/core/src/cell/run_outcome.rs
@@ -133,7 +133,8 @@
                 engine.recently_held.remove(&key);
             }
         } else {
-            self.load_speed.record_late_load(now_ms);
+            self.load_speed
+                .record_late_load(load.concurrent_loads, now_ms);
         }
         true
     }
--- a/core/tests/cell/adapters.rs
+++ b/core/tests/cell/adapters.rs
@@ -1,6 +1,6 @@
 //! Loading and unloading of adapters.
 
-use mimosabay_core::cell::{Cell, OrderKind, RunOutcome};
+use mimosabay_core::cell::{Cell, EndedRun, OrderKind, RunOutcome};
 
 use crate::support::{
     ADAPTER_LIMIT, LOADED_MS, MODEL, backend, confirmed, ended, execute_orders, granted, orders,
@@ -172,3 +172,48 @@
     assert_eq!(orders.len(), 1);
     assert_eq!(&*orders[0].model, "rare");
 }
+
+/// Guards against a load time that is taken for the same at each site: requests would arrive before their
+/// adapters, and loads would seem to slow each other.
+#[test]
+fn duration_of_loads_is_learned() {
+    const TRUE_LOAD_MS: u64 = 420;
+    let engines: Vec<_> = (0..40)
+        .map(|it| backend(&format!("engine-{it}"), &[]))
+        .collect();
+    let mut cell = confirmed(ADAPTER_LIMIT, &engines);
+    let mut early = Vec::new();
+    for number in 0..200_u64 {
+        let started_ms = 1_000 + number * 1_000;
+        cell.request_placement(placement_request(number, &format!("b{number}")), started_ms);
+        let actions = cell.take_actions();
+        let server = orders(&actions)[0].server.clone();
+        execute_orders(&mut cell, actions, started_ms);
+        let mut tries = 0;
+        for now_ms in started_ms..started_ms + 900 {
+            cell.tick(now_ms);
+            let granted = granted(&cell.take_actions());
+            if granted.is_empty() {
+                continue;
+            }
+            tries += 1;
+            if now_ms >= started_ms + TRUE_LOAD_MS {
+                break;
+            }
+            cell.end_run(&ended(number, RunOutcome::NotHeld), now_ms);
+            let again = placement_request(number, &format!("b{number}"));
+            cell.request_placement(again, now_ms);
+        }
+        early.push(tries > 1);
+        let answered = EndedRun {
+            first_event_ms: Some(120),
+            ..ended(number, RunOutcome::Answered)
+        };
+        cell.end_run(&answered, started_ms + 950);
+        cell.take_actions();
+        assert!(engines.iter().any(|engine| engine.id == server));
+    }
+    let early_at_the_end = early[150..].iter().filter(|is_early| **is_early).count();
+    assert!(early[0], "the first forecast was long enough");
+    assert!(early_at_the_end <= 10, "{early_at_the_end} of 50");
+}
--- a/daemon/src/gateway/placer_load.rs
+++ b/daemon/src/gateway/placer_load.rs
@@ -73,7 +73,10 @@
             reports_missing = cell.reports_requested,
             adapters = cell.adapters,
             waiting = cell.waiting,
-            running = cell.running
+            running = cell.running,
+            loads = cell.loads,
+            load_ms = cell.load_ms,
+            full_speed_loads = cell.full_speed_loads
         );
         state.metrics.set_placer(&PlacerGauges {
             delay_ms,
