Hand the placer over to a larger machine while nothing runs

Cause: at the start of a site no instance knows the machines of the others, so that any becomes the placer.

Ruled out: a longer wait before the first claim, which would delay each start.

Change: a placer for which no request waits or runs hands over as well.

--- a/core/src/placer_machine.rs
+++ b/core/src/placer_machine.rs
@@ -56,9 +56,9 @@
         self.millicores * MUCH_LARGER < other.millicores
     }
 
-    /// Returns whether a placer on this machine that is behind removes its record, so that an instance on
-    /// a larger machine follows it. `since_last_ms` is the time since it last did, in milliseconds: if it has
-    /// become the placer again soon, nobody else can.
+    /// Returns whether a placer on this machine that is behind or idle removes its record, so that an
+    /// instance on a larger machine follows it. `since_last_ms` is the time since it last did, in
+    /// milliseconds: if it has become the placer again soon, nobody else can.
     pub fn hands_over_to(self, largest_other: Self, since_last_ms: Option<u64>) -> bool {
         let is_repeated = since_last_ms.is_some_and(|since_ms| since_ms < HAND_OVER_PAUSE_MS);
         self.is_much_smaller_than(largest_other) && !is_repeated
--- a/daemon/src/gateway/placer.rs
+++ b/daemon/src/gateway/placer.rs
@@ -201,7 +201,8 @@
         due_ms.clamp(now_ms, latest_ms)
     }
 
-    /// Logs the load once a second, and hands over to a larger machine if this one is behind.
+    /// Logs the load once a second, and hands over to a larger machine if this one is behind, or if
+    /// nothing runs that a change of the placer could delay.
     fn observe_load(&mut self, waiting_inputs: usize) {
         if !self.load.is_due(self.state.now_ms()) {
             return;
@@ -211,12 +212,14 @@
         let since_last_ms = self.state.order_permission.since_resigned_ms();
         let own = self.state.settings().processor;
         let largest_other = self.state.members.largest_processor();
-        if is_behind && own.hands_over_to(largest_other, since_last_ms) {
-            self.hand_over(own, largest_other);
+        let is_idle = status.waiting == 0 && status.running == 0;
+        if (is_behind || is_idle) && own.hands_over_to(largest_other, since_last_ms) {
+            let reason = if is_behind { "behind" } else { "idle" };
+            self.hand_over(reason, own, largest_other);
         }
     }
 
-    fn hand_over(&self, own: Processor, largest_other: Processor) {
+    fn hand_over(&self, reason: &'static str, own: Processor, largest_other: Processor) {
         let number = self.authority.fencing_number;
         if self.state.order_permission.is_resigning() {
             return;
@@ -224,7 +227,7 @@
         warn!(
             event = "placer_hands_over",
             number,
-            reason = "behind",
+            reason,
             millicores = own.millicores(),
             largest_other_millicores = largest_other.millicores()
         );
