Order adapter loads by urgency, and count speeds of engines and pauses of streams in the choice

Cause: loads were sent in the order of arrival, however many slowed each other; one prefill speed counted for all engines of a service; nothing forecast the pauses that a prefill makes in the streams that run beside it; small requests took what was left of a rate before large ones.

Switched on by the contract of pressure, and by servers that say how long work takes there. The duration of a load is told apart from the number at full speed by loads with few others in progress.

--- a/core/src/backend.rs
+++ b/core/src/backend.rs
@@ -65,6 +65,8 @@
     pub waiting: u32,
     /// Maximum number of requests that run at once.
     pub slots: u32,
+    /// Time that work takes there now, in percent of the usual time; `None` if the server does not say.
+    pub work_percent: Option<u32>,
 }
 
 impl Backend {
--- a/core/src/cell/assignment.rs
+++ b/core/src/cell/assignment.rs
@@ -4,6 +4,7 @@
 
 use super::choice::{self, Choice, ChoiceContext};
 use super::engine::Engine;
+use super::load_queue::LoadRank;
 use super::message::{PlacementRequest, PlacementResponse, Refusal, RefusalReason, Ticket};
 use super::placed_request::PlacedRequest;
 use super::prefill_queue::PendingPrefill;
@@ -43,9 +44,9 @@
             engine.prefills.advance(now_ms as f64);
         }
         let waited_ms = now_ms - requested_ms;
-        let choice = self.choose(&request, now_ms);
+        let choice = self.choose(&request, waited_ms, now_ms);
         if let Some(choice) = &choice
-            && !is_too_late(choice, &request, waited_ms)
+            && !choice.is_late
         {
             self.assign(request, requested_ms, choice, now_ms);
             return None;
@@ -84,20 +85,25 @@
         wait_ms.unwrap_or(0).max(NO_SERVER_RETRY_MS)
     }
 
-    fn choose(&self, request: &PlacementRequest, now_ms: u64) -> Option<Choice> {
+    fn choose(&self, request: &PlacementRequest, waited_ms: u64, now_ms: u64) -> Option<Choice> {
         let service = self.services.get(&request.service)?;
         let context = ChoiceContext {
             now_ms,
             may_send_orders: now_ms >= self.orders_from_ms,
-            loads_under_way: self.loads_under_way(),
+            loads_under_way: self.loads_ahead(request.urgency),
             adapter_slots: service.spec.adapter_slots,
             kv_tokens: service.spec.kv_tokens,
             slots: service.spec.slots as usize,
             load_speed: &self.load_speed,
             speed: &service.speed,
+            is_uneven: service.is_uneven,
+            pause_limit: service.pause_limit.filter(|_| service.is_uneven),
             newest: self.newest_of(&request.prompt),
             zone: &request.zone,
             urgency: request.urgency,
+            prefers_timely: self.load_queue.is_ranked,
+            max_wait_ms: max_wait_ms(request, waited_ms),
+            max_first_event_ms: max_first_event_ms(request, waited_ms),
         };
         let engines = self.engines.values().filter(|engine| {
             streams::is_eligible(engine, request) && self.may_send_to(&engine.backend, now_ms)
@@ -119,7 +125,8 @@
     ) {
         let newest = self.newest_of(&request.prompt);
         if choice.needs_load {
-            self.plan_load(&choice.server, &request.prompt, newest, now_ms);
+            let rank = LoadRank::of(&request, requested_ms);
+            self.plan_load(&choice.server, &request.prompt, newest, rank, now_ms);
         }
         let Some(engine) = self.engines.get_mut(&choice.server) else {
             return;
@@ -200,14 +207,10 @@
     }
 }
 
-/// Returns whether to refuse the request now because it would wait too long or its first event
-/// would be too late. Its own prefill time does not count as waiting, so that long prompts are not
-/// refused before short ones.
-fn is_too_late(choice: &Choice, request: &PlacementRequest, waited_ms: u64) -> bool {
+/// Returns the longest time until the first event of a request.
+fn max_first_event_ms(request: &PlacementRequest, waited_ms: u64) -> f64 {
     let left_ms = request.left_ms.saturating_sub(waited_ms) as f64;
-    let first_event_ms = choice.wait_ms + choice.prefill_ms;
-    choice.wait_ms > max_wait_ms(request, waited_ms)
-        || first_event_ms > left_ms * MAX_FIRST_EVENT_SHARE
+    left_ms * MAX_FIRST_EVENT_SHARE
 }
 
 /// Returns the longest time that a request may wait for its prefill to start.
--- a/core/src/cell/engine.rs
+++ b/core/src/cell/engine.rs
@@ -4,6 +4,8 @@
 use std::hash::BuildHasherDefault;
 
 use super::adapter_map::{AdapterMap, NameHasher};
+use super::engine_pace::EnginePace;
+use super::load_queue::LoadRank;
 use super::message::Ticket;
 use super::order::{OrderKind, Report};
 use super::prefill_queue::PrefillQueue;
@@ -17,6 +19,9 @@
 /// Age of a report's content when it arrives, in milliseconds, with a margin.
 pub(crate) const REPORT_LAG_MS: u64 = 350;
 
+/// Number of ranks of requests; a larger rank counts as the last one.
+const URGENCIES: usize = 10;
+
 /// Base model and name of an adapter.
 pub type AdapterKey = (Name, Name);
 
@@ -45,10 +50,14 @@
     pub(crate) in_flight: Option<PlannedOrder>,
     /// Prompts that wait for their prefill.
     pub(crate) prefills: PrefillQueue,
+    /// Its speed against others.
+    pub(crate) pace: EnginePace,
     /// Requests that run or wait there.
     pub(crate) running: usize,
     /// Attempts of those requests.
     pub(crate) tickets: BTreeSet<Ticket>,
+    /// Number of the requests in `running` by urgency.
+    pub(crate) running_by_urgency: [usize; URGENCIES],
     /// Tokens of the requests in `running`.
     pub(crate) running_tokens: u64,
     /// Prompt parts that it has cached.
@@ -107,6 +116,11 @@
     pub(crate) late_count: u32,
 }
 
+/// Returns the index of a rank among the counts by urgency.
+pub(crate) fn rank_index(urgency: u8) -> usize {
+    usize::from(urgency).min(URGENCIES - 1)
+}
+
 /// Returns whether a version is at least the newest one. Any version is if `newest` is `None`.
 pub(crate) fn is_current(version: u64, newest: Option<u64>) -> bool {
     newest.is_none_or(|newest| version >= newest)
@@ -119,6 +133,8 @@
     pub(crate) pending: usize,
     /// Loads that share the bandwidth of the weight store.
     pub(crate) under_way: usize,
+    /// Loads in progress that share the bandwidth of the weight store.
+    pub(crate) from_store: usize,
     /// When the next load in progress is due to end, in milliseconds.
     pub(crate) next_due_ms: Option<u64>,
 }
@@ -150,6 +166,8 @@
     pub(crate) adapter: Option<Name>,
     /// Version to load; `None` for the newest.
     pub(crate) version: Option<u64>,
+    /// For whom an adapter is loaded; `None` for other orders.
+    pub(crate) rank: Option<LoadRank>,
 }
 
 impl Engine {
@@ -166,8 +184,10 @@
             planned: VecDeque::new(),
             in_flight: None,
             prefills: PrefillQueue::default(),
+            pace: EnginePace::default(),
             running: 0,
             tickets: BTreeSet::new(),
+            running_by_urgency: [0; URGENCIES],
             running_tokens: 0,
             cache: PromptCache::default(),
             avoided_until_ms: 0,
@@ -184,6 +204,11 @@
         engine
     }
 
+    /// Returns the number of running requests that are more urgent than a rank.
+    pub(crate) fn running_more_urgent(&self, urgency: u8) -> usize {
+        self.running_by_urgency[..rank_index(urgency)].iter().sum()
+    }
+
     /// Returns whether requests for a base model may be sent to the engine.
     pub(crate) fn serves(&self, model: &str, now_ms: u64) -> bool {
         self.backend.is_ready()
@@ -213,6 +238,7 @@
                 AdapterPhase::Loading { load } => {
                     loads.pending += 1;
                     loads.under_way += usize::from(!load.is_reload);
+                    loads.from_store += usize::from(!load.is_reload);
                     let due_ms = loads.next_due_ms.unwrap_or(load.due_ms);
                     loads.next_due_ms = Some(due_ms.min(load.due_ms));
                 }
--- a/core/src/cell/load_speed.rs
+++ b/core/src/cell/load_speed.rs
@@ -12,8 +12,11 @@
 const LONGER_LOAD_FACTOR: f64 = 1.04;
 /// Factor applied to the duration after a timely load with few others in progress.
 const TIMELY_LOAD_FACTOR: f64 = 0.9999;
-/// Share of the full-speed number up to which there are few other loads in progress.
+/// Share of the initial full-speed number up to which there are few other loads in progress.
 const FEW_LOADS_SHARE: f64 = 0.6;
+/// Share of late loads with few others in progress from which nothing is learned from the late ones among
+/// many.
+const UNSURE_LATE_SHARE: f64 = 0.1;
 /// Weight of a load in the moving average of late loads with few others in progress.
 const LATE_SHARE_WEIGHT: f64 = 0.15;
 /// Share of late loads with few others in progress from which the duration is too short.
@@ -40,6 +43,8 @@
     late_share: f64,
     /// Number of concurrent loads beyond which each takes proportionally longer.
     max_full_speed_loads: f64,
+    /// Initial estimate of that number.
+    initial_full_speed_loads: f64,
     /// Whether the estimate has been updated by any load.
     is_measured: bool,
     /// Time of the last counted late load, in milliseconds.
@@ -49,9 +54,10 @@
 impl LoadSpeed {
     /// Sets the initial estimate for the number of engines, unless a load has updated it already.
     pub(crate) fn set_engine_count(&mut self, engines: usize) {
+        let initial = clamped(engines as f64 * INITIAL_FULL_SPEED_LOADS_PER_ENGINE);
+        self.initial_full_speed_loads = initial;
         if !self.is_measured {
-            self.max_full_speed_loads =
-                clamped(engines as f64 * INITIAL_FULL_SPEED_LOADS_PER_ENGINE);
+            self.max_full_speed_loads = initial;
         }
     }
 
@@ -80,9 +86,13 @@
         }
     }
 
-    /// Records that a load with `under_way` others in progress had not ended by its forecast time.
-    pub(crate) fn record_late_load(&mut self, under_way: usize, now_ms: u64) {
+    /// Records that a load with `under_way` others in progress had not ended after `forecast_ms`.
+    pub(crate) fn record_late_load(&mut self, forecast_ms: u64, under_way: usize, now_ms: u64) {
         if self.is_among_few(under_way) {
+            // The estimate may have grown since the load began.
+            if forecast_ms < floor_ms(self.load_ms) {
+                return;
+            }
             self.late_share += (1.0 - self.late_share) * LATE_SHARE_WEIGHT;
             if self.late_share > MAX_LATE_SHARE {
                 self.late_share = 0.0;
@@ -90,6 +100,9 @@
             }
             return;
         }
+        if self.late_share > UNSURE_LATE_SHARE {
+            return;
+        }
         let since_ms = self
             .last_late_ms
             .map_or(u64::MAX, |last_late_ms| now_ms - last_late_ms);
@@ -101,7 +114,7 @@
 
     /// Whether so few loads are in progress that they do not slow each other.
     fn is_among_few(&self, under_way: usize) -> bool {
-        (under_way as f64) < self.max_full_speed_loads * FEW_LOADS_SHARE
+        (under_way as f64) < self.initial_full_speed_loads * FEW_LOADS_SHARE
     }
 
     fn set_duration(&mut self, load_ms: f64) {
@@ -120,6 +133,7 @@
             load_ms: *LOAD_BOUNDS_MS.start(),
             late_share: 0.0,
             max_full_speed_loads: *FULL_SPEED_LOADS_BOUNDS.start(),
+            initial_full_speed_loads: *FULL_SPEED_LOADS_BOUNDS.start(),
             is_measured: false,
             last_late_ms: None,
         }
--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -9,7 +9,9 @@
 mod assignment;
 mod choice;
 mod engine;
+mod engine_pace;
 mod limited;
+mod load_queue;
 mod load_speed;
 mod message;
 mod order;
@@ -45,7 +47,9 @@
 pub use rates::Rates;
 
 use engine::{Engine, ReportState};
+use engine_pace::PauseLimit;
 use limited::LimitedRequests;
+use load_queue::LoadQueue;
 use load_speed::LoadSpeed;
 use placed_request::PlacedRequest;
 use prefill_speed::PrefillSpeed;
@@ -75,6 +79,7 @@
     /// Software versions at which streams began.
     streams: Streams,
     load_speed: LoadSpeed,
+    load_queue: LoadQueue,
     /// Requests that wait for their adapter.
     waiting: BTreeMap<Ticket, PlacedRequest>,
     /// Requests that have been sent to a server.
@@ -138,6 +143,10 @@
 struct EngineService {
     spec: site::Engine,
     speed: PrefillSpeed,
+    /// Whether its servers say how long work takes there, as they share their machines.
+    is_uneven: bool,
+    /// Pauses that the callers of its routes accept; `None` if no route states any.
+    pause_limit: Option<PauseLimit>,
     /// Start times of base model loads, oldest first, in milliseconds.
     model_loads_ms: VecDeque<u64>,
 }
@@ -158,6 +167,7 @@
             unserved: Unserved::default(),
             streams: Streams::default(),
             load_speed: LoadSpeed::default(),
+            load_queue: LoadQueue::default(),
             waiting: BTreeMap::new(),
             running: HashMap::new(),
             entries_last_seen_ms: HashMap::new(),
@@ -172,6 +182,10 @@
         self.rates
             .configure(organisations.map(|organisation| &**organisation), now_ms);
         self.start_policies = site.start_policies();
+        if site.features.queues_requests {
+            self.rank_loads();
+            self.rates.admit_all_sizes();
+        }
         for service in site.services() {
             let Some(spec) = &service.engine else {
                 continue;
@@ -182,10 +196,27 @@
                 .or_insert_with(|| EngineService {
                     spec: spec.clone(),
                     speed: PrefillSpeed::default(),
+                    is_uneven: false,
+                    pause_limit: None,
                     model_loads_ms: VecDeque::new(),
                 });
             entry.spec = spec.clone();
+            entry.pause_limit = site
+                .shortest_max_pause_ms(&service.name)
+                .map(|max_pause_ms| PauseLimit {
+                    max_pause_ms: max_pause_ms as f64,
+                    steps_per_event: f64::from(spec.tokens_per_event),
+                });
+        }
+    }
+
+    /// Records that the servers of a service say how long work takes there. Their speeds and the pauses
+    /// of their streams then count in the choice.
+    pub fn mark_uneven(&mut self, service: &Name) {
+        if let Some(service) = self.services.get_mut(service) {
+            service.is_uneven = true;
         }
+        self.rank_loads();
     }
 
     /// Records that a version of an adapter has been released.
@@ -366,6 +397,7 @@
         self.expire_streams(now_ms);
         self.remove_unresponsive_entries(now_ms);
         self.serve_waiting_streams(now_ms);
+        self.check_waiting_loads(now_ms);
         self.advance(now_ms);
     }
 
--- a/core/src/cell/orders.rs
+++ b/core/src/cell/orders.rs
@@ -6,6 +6,7 @@
     AdapterKey, AdapterLoad, AdapterPhase, AdapterState, Engine, ModelPhase, PlannedOrder,
     REPORT_LAG_MS, ReportState, is_current,
 };
+use super::load_queue::LoadRank;
 use super::load_speed::LoadSpeed;
 use super::{Action, Cell, EngineService, Order, OrderAnswer, OrderKind, Report};
 use crate::name::Name;
@@ -23,7 +24,7 @@
     /// Handles a server's answer to an order.
     pub fn handle_order_answer(&mut self, server: &Name, answer: OrderAnswer, now_ms: u64) {
         self.finish_due_loads(now_ms);
-        let loads_under_way = self.loads_under_way();
+        let loads_under_way = self.concurrent_loads();
         let Some(engine) = self.engines.get_mut(server) else {
             return;
         };
@@ -118,6 +119,7 @@
         server: &Name,
         prompt: &Prompt,
         version: Option<u64>,
+        rank: LoadRank,
         now_ms: u64,
     ) {
         let Some(key) = prompt.adapter_key() else {
@@ -140,7 +142,7 @@
         {
             engine.plan_unload(&eviction_candidate);
         }
-        engine.plan_load(key, version, now_ms);
+        engine.plan_load(key, version, rank, now_ms);
         // Requests may still run on an adapter that the server reported as removed.
         self.recount_adapter_uses(server);
     }
@@ -161,10 +163,16 @@
                 self.actions
                     .push(Action::RequestReport(engine.backend.clone()));
             }
-            if may_send_orders && let Some(order) = engine.next_order() {
+            if may_send_orders
+                && !self.load_queue.is_ranked
+                && let Some(order) = engine.next_order()
+            {
                 self.actions.push(Action::Order(order));
             }
         }
+        if may_send_orders && self.load_queue.is_ranked {
+            self.send_ranked_orders(now_ms);
+        }
     }
 
     /// Marks due loads as ended and grants the requests that waited for them.
@@ -209,6 +217,7 @@
                     model,
                     adapter: None,
                     version: None,
+                    rank: None,
                 });
             }
         }
@@ -308,7 +317,7 @@
     }
 
     /// Returns the next order if one may be sent now.
-    fn next_order(&mut self) -> Option<Order> {
+    pub(super) fn next_order(&mut self) -> Option<Order> {
         if self.report_state != ReportState::Confirmed || self.in_flight.is_some() {
             return None;
         }
@@ -335,15 +344,17 @@
             model: key.0.clone(),
             adapter: Some(key.1.clone()),
             version: None,
+            rank: None,
         });
     }
 
-    fn plan_load(&mut self, key: AdapterKey, version: Option<u64>, now_ms: u64) {
+    fn plan_load(&mut self, key: AdapterKey, version: Option<u64>, rank: LoadRank, now_ms: u64) {
         self.planned.push_back(PlannedOrder {
             kind: OrderKind::Load,
             model: key.0.clone(),
             adapter: Some(key.1.clone()),
             version,
+            rank: Some(rank),
         });
         let held = AdapterState::new(version.unwrap_or(0), AdapterPhase::Planned, now_ms);
         self.adapters.insert(key, held);
--- a/core/src/cell/placed_request.rs
+++ b/core/src/cell/placed_request.rs
@@ -1,6 +1,6 @@
 //! A request assigned to an engine, and the engine's request counts.
 
-use super::engine::{AdapterPhase, AdapterState, Engine, ReportState};
+use super::engine::{AdapterPhase, AdapterState, Engine, ReportState, rank_index};
 use super::message::{AdoptedRun, PlacementRequest};
 use crate::name::Name;
 use crate::prompt::Prompt;
@@ -53,6 +53,7 @@
     /// Adds a request to the counts.
     pub(super) fn add_request(&mut self, placed: &PlacedRequest, now_ms: u64) {
         self.running += 1;
+        self.running_by_urgency[rank_index(placed.request.urgency)] += 1;
         self.tickets.insert(placed.request.ticket);
         self.running_tokens += placed.request.prompt.charged_tokens();
         if let Some(adapter) = self.adapter_of(&placed.request.prompt) {
@@ -64,6 +65,8 @@
     /// Removes a request from the counts and from the prefill queue.
     pub(super) fn remove_request(&mut self, placed: &PlacedRequest, now_ms: u64) {
         self.running = self.running.saturating_sub(1);
+        let of_rank = &mut self.running_by_urgency[rank_index(placed.request.urgency)];
+        *of_rank = of_rank.saturating_sub(1);
         self.tickets.remove(&placed.request.ticket);
         let tokens = placed.request.prompt.charged_tokens();
         self.running_tokens = self.running_tokens.saturating_sub(tokens);
--- a/core/src/cell/prefill_queue.rs
+++ b/core/src/cell/prefill_queue.rs
@@ -69,6 +69,16 @@
         self.waiting.is_empty()
     }
 
+    /// Returns the time that the engine needs for all prompts, in milliseconds.
+    pub(crate) fn total_ms(&self) -> f64 {
+        self.waiting.iter().map(|prefill| prefill.left_ms).sum()
+    }
+
+    /// Returns the number of prompts.
+    pub(crate) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
     /// Returns when the engine would start to prefill a prompt whose adapter is loaded at
     /// `ready_ms`. Must be called after [`PrefillQueue::advance`].
     pub(crate) fn start_ms(&self, ready_ms: f64, urgency: u8, now_ms: f64) -> f64 {
--- a/core/src/cell/prefill_speed.rs
+++ b/core/src/cell/prefill_speed.rs
@@ -24,13 +24,20 @@
         tokens / self.tokens_per_ms
     }
 
+    /// Returns the time of the prefill of a sample, in milliseconds; `None` if the sample shows little of
+    /// the speed.
+    pub(crate) fn sample_ms(tokens: f64, first_event_ms: f64) -> Option<f64> {
+        let is_long = tokens >= MIN_SAMPLE_TOKENS && first_event_ms > OVERHEAD_MS;
+        is_long.then_some(first_event_ms - OVERHEAD_MS)
+    }
+
     /// Adds a sample: the first event came `first_event_ms` after a prompt with `tokens` to prefill
     /// was sent to an engine that had no other prefill.
     pub(crate) fn add_sample(&mut self, tokens: f64, first_event_ms: f64) {
-        if tokens < MIN_SAMPLE_TOKENS || first_event_ms <= OVERHEAD_MS {
+        let Some(prefill_ms) = Self::sample_ms(tokens, first_event_ms) else {
             return;
-        }
-        let sample = tokens / (first_event_ms - OVERHEAD_MS);
+        };
+        let sample = tokens / prefill_ms;
         if CREDIBLE_TOKENS_PER_MS.contains(&sample) {
             self.tokens_per_ms += (sample - self.tokens_per_ms) * SAMPLE_WEIGHT;
         }
--- a/core/src/cell/rates.rs
+++ b/core/src/cell/rates.rs
@@ -17,6 +17,8 @@
 const ASSUMED_INSTANCES: usize = 10;
 /// Share of the burst that suffices to admit any request.
 const SUFFICIENT_BURST_SHARE: f64 = 0.25;
+/// The same where requests of all sizes are admitted alike.
+const LEAST_BURST_SHARE: f64 = 0.001;
 /// Minimum retry delay sent to a refused caller, in milliseconds.
 const MIN_RETRY_AFTER_MS: u64 = 100;
 /// Maximum retry delay sent to a refused caller, in milliseconds.
@@ -28,6 +30,8 @@
     buckets: HashMap<Name, Bucket>,
     /// Share of each rate and burst that is granted here.
     share: f64,
+    /// Share of the burst that suffices to admit any request.
+    sufficient_share: f64,
 }
 
 impl Rates {
@@ -53,9 +57,16 @@
         Self {
             buckets: HashMap::new(),
             share,
+            sufficient_share: SUFFICIENT_BURST_SHARE,
         }
     }
 
+    /// Admits requests as long as anything is left of a rate, so that large ones are not refused before
+    /// small ones. What they take beyond the level is paid back by later requests.
+    pub fn admit_all_sizes(&mut self) {
+        self.sufficient_share = LEAST_BURST_SHARE;
+    }
+
     /// Applies the rates of a configuration.
     pub fn configure<'a>(
         &mut self,
@@ -92,7 +103,7 @@
         let cost = charge.cost as f64;
         // A request larger than the whole burst must be admitted eventually. The tokens that it
         // takes beyond the level are paid back by later requests.
-        let needed = cost.min(bucket.burst() * SUFFICIENT_BURST_SHARE);
+        let needed = cost.min(bucket.burst() * self.sufficient_share);
         if bucket.level(now_ms) >= needed {
             bucket.take_with_debt(cost, now_ms);
             return Ok(());
--- a/core/src/cell/run_outcome.rs
+++ b/core/src/cell/run_outcome.rs
@@ -4,6 +4,7 @@
 use super::engine::AdapterPhase;
 use super::message::{EndedRun, RunOutcome, Ticket};
 use super::placed_request::PlacedRequest;
+use super::prefill_speed::PrefillSpeed;
 use crate::name::Name;
 
 /// Time for which a server gets no requests after a connection to it broke, in milliseconds.
@@ -105,6 +106,13 @@
             && let Some(service) = self.services.get_mut(&placed.request.service)
         {
             let tokens = placed.uncached_tokens as f64;
+            let prefill_ms = PrefillSpeed::sample_ms(tokens, first_event_ms as f64);
+            if let Some(prefill_ms) = prefill_ms
+                && let Some(engine) = self.engines.get_mut(&placed.server)
+            {
+                let expected_ms = service.speed.prefill_ms(tokens);
+                engine.pace.add_sample(prefill_ms, expected_ms);
+            }
             service.speed.add_sample(tokens, first_event_ms as f64);
         }
     }
@@ -134,7 +142,7 @@
             }
         } else {
             self.load_speed
-                .record_late_load(load.concurrent_loads, now_ms);
+                .record_late_load(load.forecast_ms, load.concurrent_loads, now_ms);
         }
         true
     }
--- a/core/src/site.rs
+++ b/core/src/site.rs
@@ -254,6 +254,16 @@
         policies.collect()
     }
 
+    /// Returns the shortest of the longest pauses that the routes of a service allow, in milliseconds;
+    /// `None` if no route states any.
+    pub fn shortest_max_pause_ms(&self, service: &str) -> Option<u64> {
+        let routes = self.routes.values().flat_map(HashMap::values);
+        let routes =
+            routes.filter(|route| route.services.iter().any(|(name, _)| &**name == service));
+        let limits = routes.filter_map(|route| route.max_pause_ms);
+        limits.filter(|max_pause_ms| *max_pause_ms > 0).min()
+    }
+
     /// Returns whether some requests may only run in certain regions.
     pub fn has_homes(&self) -> bool {
         let mut routes = self.routes.values().flat_map(HashMap::values);
--- a/core/tests/plain.rs
+++ b/core/tests/plain.rs
@@ -76,6 +76,7 @@
         running: 6,
         waiting: 20,
         slots: 6,
+        work_percent: None,
     };
     servers.record_outcome(&id, PlainOutcome::Answered, Some(load), 1_000);
     assert_eq!(start(&mut servers, &two(), &[]).as_deref(), Some("two"));
--- a/daemon/src/gateway/exchange.rs
+++ b/daemon/src/gateway/exchange.rs
@@ -187,6 +187,8 @@
     let is_not_run = ingress::reports_not_run(parts.status.as_u16(), &parts.headers);
     let may_lift_limit = !is_not_run && ingress::has_server_seal(&parts.headers);
     if parts.status != StatusCode::MISDIRECTED_REQUEST {
+        let services = &state.uneven_services;
+        services.observe(&backend.service, &parts.headers);
         let limits = &state.server_limits;
         if limits.observe(backend, &parts.headers, may_lift_limit) {
             state.link.update_wake.notify_one();
--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -58,6 +58,7 @@
 mod streams;
 mod successor;
 mod suspects;
+mod uneven_services;
 mod updates;
 mod version_store;
 mod watch;
--- a/daemon/src/gateway/placer.rs
+++ b/daemon/src/gateway/placer.rs
@@ -143,7 +143,9 @@
         let mut sites = self.state.site.subscribe();
         let mut backends = self.state.backends.subscribe();
         let mut releases = self.state.releases.subscribe();
+        let mut uneven = self.state.uneven_services.subscribe();
         self.apply_site(sites.borrow_and_update().clone());
+        self.apply_uneven();
         self.apply_releases(&releases.borrow_and_update().clone());
         self.apply_backends(&backends.borrow_and_update().clone());
         loop {
@@ -169,6 +171,7 @@
                     let snapshot = backends.borrow_and_update().clone();
                     self.apply_backends(&snapshot);
                 }
+                Ok(()) = uneven.changed() => self.apply_uneven(),
                 Ok(()) = releases.changed() => {
                     let newest = releases.borrow_and_update().clone();
                     self.apply_releases(&newest);
@@ -343,6 +346,12 @@
         }
     }
 
+    fn apply_uneven(&mut self) {
+        for service in self.state.uneven_services.all() {
+            self.cell.mark_uneven(&service);
+        }
+    }
+
     fn apply_backends(&mut self, snapshot: &Snapshot) {
         let now_ms = self.state.now_ms();
         let software = self.state.backends.software_versions();
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -33,6 +33,7 @@
 use super::store_era::StoreEra;
 use super::streams::Streams;
 use super::suspects::Suspects;
+use super::uneven_services::UnevenServices;
 use crate::clock::Clock;
 
 /// Largest age of the store's last response at which what it holds counts as known, in milliseconds.
@@ -60,6 +61,7 @@
     pub(crate) suspects: Suspects,
     pub(crate) server_limits: ServerLimits,
     pub(crate) server_pauses: ServerPauses,
+    pub(crate) uneven_services: UnevenServices,
     /// This instance's own links to the servers.
     pub(crate) server_links: Links,
     /// Instances through which servers are reached.
@@ -133,6 +135,7 @@
             suspects: Suspects::new(clock),
             server_limits: ServerLimits::new(clock),
             server_pauses: ServerPauses::new(clock),
+            uneven_services: UnevenServices::default(),
             server_links: Links::new(clock),
             relays: Relays::default(),
             streams: Streams::new(clock),
