Find the pace of a server that has started or recovered from its answers

Cause: a plain server that has just started looks idle to each instance, and an engine to the placer.

All instances together begin with a low rate, which grows with timely answers and is cut by late ones and rejections. Instances report the answers of such plain servers to the placer with a message of their own (protocol 3).

--- a/core/src/cell/load_queue.rs
+++ b/core/src/cell/load_queue.rs
@@ -99,7 +99,8 @@
     pub(super) fn send_ranked_orders(&mut self, now_ms: u64) {
         let engines = self.engines.values();
         let loading: usize = engines.map(Engine::loads_in_progress).sum();
-        let most = self.load_speed.full_speed_loads() as usize + EXTRA_LOADS;
+        let full_speed = usize::try_from(self.load_speed.full_speed_loads());
+        let most = full_speed.unwrap_or(usize::MAX).saturating_add(EXTRA_LOADS);
         let mut free = most.saturating_sub(loading);
         for server in self.ranked_engines(now_ms) {
             let Some(engine) = self.engines.get_mut(&server) else {
--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -36,6 +36,7 @@
 use crate::server_rates::{ServerRates, ServerStart};
 use crate::server_starts::{ServerStarts, StartPolicy};
 use crate::site::{self, Site};
+use crate::slow_start::ServerAnswer;
 use crate::work::Work;
 
 pub use engine::AdapterKey;
@@ -289,6 +290,14 @@
         }
     }
 
+    /// Adapts the paces of servers that have just started to their answers.
+    pub fn record_server_answers(&mut self, answers: &[ServerAnswer], now_ms: u64) {
+        for it in answers {
+            self.server_rates
+                .record_answer(&it.server, it.boot, it.sign, now_ms);
+        }
+    }
+
     /// Ends slow starts. Returns the servers that count as fully started, with their last rate in
     /// requests a second.
     pub fn end_slow_starts(&mut self, now_ms: u64) -> Vec<(Name, f64)> {
--- a/core/src/cell/run_outcome.rs
+++ b/core/src/cell/run_outcome.rs
@@ -6,6 +6,7 @@
 use super::placed_request::PlacedRequest;
 use super::prefill_speed::PrefillSpeed;
 use crate::name::Name;
+use crate::slow_start::AnswerSign;
 
 /// Time for which a server gets no requests after a connection to it broke, in milliseconds.
 const AVOID_AFTER_BREAK_MS: u64 = 300;
@@ -32,6 +33,7 @@
             self.refund(&placed.request, now_ms);
         }
         self.record_timings(&placed, ended);
+        self.record_pace(&placed, ended, now_ms);
         match ended.outcome {
             RunOutcome::NotHeld | RunOutcome::Rejected if self.is_load_late(&placed, now_ms) => {}
             RunOutcome::Answered => {
@@ -91,6 +93,25 @@
         }
     }
 
+    /// Adapts the pace of an engine that has just started to the end of a run.
+    fn record_pace(&mut self, placed: &PlacedRequest, ended: &EndedRun, now_ms: u64) {
+        let sign = match (ended.outcome, ended.first_event_ms) {
+            (RunOutcome::Answered, Some(first_event_ms))
+                if first_event_ms <= placed.request.target_ms =>
+            {
+                AnswerSign::Timely
+            }
+            (RunOutcome::Answered | RunOutcome::Failed | RunOutcome::Broken, _) => AnswerSign::Late,
+            (RunOutcome::Rejected, _) => AnswerSign::Rejected,
+            (RunOutcome::NotHeld | RunOutcome::Unreachable | RunOutcome::Cancelled, _) => return,
+        };
+        if let Some(engine) = self.engines.get(&placed.server) {
+            let boot = engine.backend.started_unix_ms;
+            self.server_rates
+                .record_answer(&placed.server, boot, sign, now_ms);
+        }
+    }
+
     fn record_timings(&mut self, placed: &PlacedRequest, ended: &EndedRun) {
         let Some(first_event_ms) = ended.first_event_ms else {
             return;
--- a/core/src/server_starts.rs
+++ b/core/src/server_starts.rs
@@ -14,7 +14,7 @@
 /// together than they were assigned.
 const COLD_SHARE: f64 = 0.8;
 /// Requests a second that an engine is sent at first, for each of its slots.
-const ENGINE_PER_SLOT_S: f64 = 0.125;
+const ENGINE_PER_SLOT_S: f64 = 0.25;
 /// Requests a second that a plain server is sent at first, for each of its slots.
 const PLAIN_PER_SLOT_S: f64 = 1.0;
 
--- a/core/src/slow_start.rs
+++ b/core/src/slow_start.rs
@@ -6,6 +6,7 @@
 //! the rate stays at what it takes then.
 
 use crate::bucket::Bucket;
+use crate::name::Name;
 
 /// Time at the current rate whose timely answers multiply the rate by e, in seconds.
 const GROWTH_S: f64 = 0.5;
@@ -38,6 +39,18 @@
     }
 }
 
+crate::record! {
+    /// How a server that has just started answered a request.
+    pub struct ServerAnswer {
+        /// Identifier of the server.
+        pub server: Name,
+        /// Time of its start in Unix milliseconds.
+        pub boot: u64,
+        /// How it answered.
+        pub sign: AnswerSign,
+    }
+}
+
 /// Pace of one start of a server.
 #[derive(Clone, Debug)]
 pub struct SlowStart {
--- a/daemon/src/gateway/placer.rs
+++ b/daemon/src/gateway/placer.rs
@@ -10,6 +10,7 @@
 use mimosabay_core::placer_machine::Processor;
 use mimosabay_core::quarantine_log::QuarantineLog;
 use mimosabay_core::site::Site;
+use mimosabay_core::slow_start::ServerAnswer;
 use mimosabay_core::stream_log::StreamLog;
 use mimosabay_core::work::Work;
 use mimosabay_platform::server::{OrderAuthority, ServerControl};
@@ -112,6 +113,12 @@
         let _ = self.inbox.send(Input::Update(Box::new(update)));
     }
 
+    /// Passes to the placer how servers that have just started answered.
+    pub(crate) fn record_server_answers(&self, answers: Vec<ServerAnswer>) {
+        // A placer that has stopped does not need them.
+        let _ = self.inbox.send(Input::RecordServerAnswers(answers));
+    }
+
     /// Suspends orders until `until_ms`.
     pub(crate) fn hold_orders(&self, until_ms: u64) {
         let _ = self.inbox.send(Input::HoldOrders { until_ms });
@@ -269,6 +276,9 @@
             Input::Reported(server, Reported::Unreached) => {
                 self.cell.delay_report(&server, now_ms);
             }
+            Input::RecordServerAnswers(answers) => {
+                self.cell.record_server_answers(&answers, now_ms);
+            }
             Input::HoldOrders { until_ms } => self.cell.hold_orders(until_ms),
             Input::MergeQuarantine(quarantine) => self.cell.merge_quarantine(&quarantine),
         }
--- a/daemon/src/gateway/placer_inbox.rs
+++ b/daemon/src/gateway/placer_inbox.rs
@@ -5,6 +5,7 @@
 };
 use mimosabay_core::name::Name;
 use mimosabay_core::quarantine::Quarantine;
+use mimosabay_core::slow_start::ServerAnswer;
 use mimosabay_core::work::Work;
 use tokio::sync::{mpsc, oneshot};
 
@@ -78,6 +79,7 @@
     Update(Box<Update>),
     OrderAnswered(Name, OrderAnswer),
     Reported(Name, Reported),
+    RecordServerAnswers(Vec<ServerAnswer>),
     HoldOrders { until_ms: u64 },
     MergeQuarantine(Quarantine),
 }
--- a/daemon/src/gateway/plain_attempt.rs
+++ b/daemon/src/gateway/plain_attempt.rs
@@ -7,6 +7,7 @@
 use mimosabay_core::backend::{Backend, LoadSample};
 use mimosabay_core::name::Name;
 use mimosabay_core::plain::PlainOutcome;
+use mimosabay_core::slow_start::AnswerSign;
 use mimosabay_core::work::Work;
 
 use super::crash_probe::{self, RunEnd};
@@ -29,6 +30,7 @@
             work: job.work(None),
             backend: backend.clone(),
             sent_ms: state.now_ms(),
+            target_ms: job.route.target_latency_ms,
             result: None,
         };
         let options = AttemptOptions {
@@ -52,7 +54,10 @@
 
     /// Records how the attempt ended; returns the server.
     pub(super) fn end(mut self, result: &Result<CompleteResponse, Failure>) -> Name {
-        self.run.result = Some(RunResult::new(result, self.run.sent_ms));
+        let sent_ms = self.run.sent_ms;
+        let took_ms = self.run.state.now_ms() - sent_ms;
+        let target_ms = self.run.target_ms;
+        self.run.result = Some(RunResult::new(result, sent_ms, took_ms, target_ms));
         self.backend.id.clone()
     }
 }
@@ -74,6 +79,8 @@
     work: Work,
     backend: Arc<Backend>,
     sent_ms: u64,
+    /// Target latency of the answer, in milliseconds.
+    target_ms: u64,
     /// How it ended; `None` if it was abandoned.
     result: Option<RunResult>,
 }
@@ -84,10 +91,17 @@
     /// How it ended if the server may have begun to run it.
     end: Option<RunEnd>,
     load: Option<LoadSample>,
+    /// What it shows of a server that has just started.
+    sign: Option<AnswerSign>,
 }
 
 impl RunResult {
-    fn new(result: &Result<CompleteResponse, Failure>, sent_ms: u64) -> Self {
+    fn new(
+        result: &Result<CompleteResponse, Failure>,
+        sent_ms: u64,
+        took_ms: u64,
+        target_ms: u64,
+    ) -> Self {
         let (outcome, end) = match result {
             Ok(response) if response.status.is_server_error() => (PlainOutcome::Failed, None),
             Ok(_) => (PlainOutcome::Answered, Some(RunEnd::Answered { sent_ms })),
@@ -98,7 +112,18 @@
             Err(Failure::Foreign) => (PlainOutcome::Failed, None),
         };
         let load = result.as_ref().ok().and_then(CompleteResponse::load);
-        Self { outcome, end, load }
+        let sign = match outcome {
+            PlainOutcome::Answered if took_ms <= target_ms => Some(AnswerSign::Timely),
+            PlainOutcome::Answered | PlainOutcome::Failed => Some(AnswerSign::Late),
+            PlainOutcome::Rejected => Some(AnswerSign::Rejected),
+            PlainOutcome::Unreachable | PlainOutcome::Cancelled => None,
+        };
+        Self {
+            outcome,
+            end,
+            load,
+            sign,
+        }
     }
 }
 
@@ -111,8 +136,12 @@
                 silent_ms: now_ms - self.sent_ms,
             }),
             load: None,
+            sign: None,
         };
         let result = self.result.take().unwrap_or_else(abandoned);
+        if let Some(sign) = result.sign {
+            self.state.server_limits.record_answer(&self.backend, sign);
+        }
         if let Some(end) = result.end {
             crash_probe::record_run_end(&self.state, &self.work, &self.backend, end);
         }
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -198,6 +198,13 @@
                 reply
             }
         },
+        Message::RecordServerAnswers(answers) => match state.link.local_placer() {
+            None => Reply::NotPlacer,
+            Some(placer) => {
+                placer.record_server_answers(answers);
+                Reply::Done
+            }
+        },
         Message::GetStreamVersion { stream } => Reply::StreamVersion(state.streams.get(&stream)),
         Message::GetPlacerLastSeen => Reply::PlacerLastSeen {
             age_ms: state.link.placer_contact_age_ms(&state),
--- a/daemon/src/gateway/server_limits.rs
+++ b/daemon/src/gateway/server_limits.rs
@@ -8,13 +8,16 @@
 use mimosabay_core::name::Name;
 use mimosabay_core::server_rates::{ServerRates, ServerStart};
 use mimosabay_core::server_starts::{ServerStarts, StartPolicy};
-use mimosabay_core::slow_start::AnswerSign;
+use mimosabay_core::slow_start::{AnswerSign, ServerAnswer};
 use mimosabay_core::stated_limit::StatedLimit;
 use mimosabay_platform::ingress;
 use tracing::{info, warn};
 
 use crate::clock::Clock;
 
+/// Largest number of answers that are kept for the placer. A slow start does not need more at once.
+const MAX_UNSENT_ANSWERS: usize = 200;
+
 /// The statements that this instance has seen or was sent, and its own share of the limits, which
 /// it uses while no placer answers.
 pub(crate) struct ServerLimits {
@@ -29,6 +32,8 @@
     starts: ServerStarts,
     /// How the servers of each service begin.
     start_policies: HashMap<Name, StartPolicy>,
+    /// Answers of servers that have just started which the placer does not know yet.
+    unsent_answers: Vec<ServerAnswer>,
 }
 
 impl ServerLimits {
@@ -40,6 +45,7 @@
                 unsent: BTreeSet::new(),
                 starts: ServerStarts::default(),
                 start_policies: HashMap::new(),
+                unsent_answers: Vec::new(),
             }),
         }
     }
@@ -139,12 +145,28 @@
         }
     }
 
-    /// Adapts the pace of a server that has just started to one of its answers.
+    /// Adapts the pace of a server that has just started to one of its answers, and keeps the answer for
+    /// the placer. Does nothing for other servers.
     pub(crate) fn record_answer(&self, backend: &Backend, sign: AnswerSign) {
         let now_ms = self.clock.now_ms();
+        let (server, boot) = (&backend.id, backend.started_unix_ms);
         let mut known = self.known();
-        let rates = &mut known.rates;
-        rates.record_answer(&backend.id, backend.started_unix_ms, sign, now_ms);
+        if !known.rates.is_starting(server, boot) {
+            return;
+        }
+        known.rates.record_answer(server, boot, sign, now_ms);
+        if known.unsent_answers.len() < MAX_UNSENT_ANSWERS {
+            known.unsent_answers.push(ServerAnswer {
+                server: server.clone(),
+                boot,
+                sign,
+            });
+        }
+    }
+
+    /// Takes the answers of servers that have just started which the placer does not know yet.
+    pub(crate) fn take_unsent_answers(&self) -> Vec<ServerAnswer> {
+        std::mem::take(&mut self.known().unsent_answers)
     }
 
     /// Number of servers that have started a short time ago.
@@ -152,14 +174,6 @@
         self.known().rates.starting_count()
     }
 
-    /// Whether a server has started a short time ago.
-    pub(crate) fn is_starting(&self, backend: &Backend) -> bool {
-        let known = self.known();
-        known
-            .rates
-            .is_starting(&backend.id, backend.started_unix_ms)
-    }
-
     /// Returns the servers that have started a short time ago.
     pub(crate) fn starting(&self) -> ServerRates {
         self.known().rates.clone()
--- a/daemon/src/gateway/updates.rs
+++ b/daemon/src/gateway/updates.rs
@@ -7,7 +7,7 @@
 use mimosabay_core::quarantine_log::QuarantineChanges;
 use mimosabay_core::replica::ReplicaChanges;
 use mimosabay_core::stream_log::StreamChanges;
-use mimosabay_peer::{Category, Message, Reply, SenderFacts};
+use mimosabay_peer::{Category, Message, Peer, Reply, SenderFacts};
 use tokio::time::{Instant, sleep, timeout};
 use tracing::{info, warn};
 
@@ -71,6 +71,10 @@
                 state.streams.apply(&streams);
             }
             placer.send_update(update);
+            let answers = state.server_limits.take_unsent_answers();
+            if !answers.is_empty() {
+                placer.record_server_answers(answers);
+            }
         }
         Target::Remote(peer) => {
             let placer_number = link.placer_number();
@@ -104,6 +108,9 @@
                     }
                     record_contact(state, placer_number);
                     state.members.set_largest_received(placer.largest_processor);
+                    if placer.takes_server_answers() {
+                        send_server_answers(state, &peer).await;
+                    }
                     let is_same_era = store_era::observe_peer(state, &placer);
                     link.record_relay(state, reaches_store && is_same_era);
                     if is_same_era {
@@ -125,6 +132,26 @@
     }
 }
 
+/// Reports to the placer how servers that have just started answered. Answers that do not reach it are
+/// dropped: later ones show the same.
+async fn send_server_answers(state: &State, peer: &Peer) {
+    let answers = state.server_limits.take_unsent_answers();
+    if answers.is_empty() {
+        return;
+    }
+    let message = Message::RecordServerAnswers(answers);
+    let sent = peer
+        .exchange(
+            &envelope(state, message),
+            state.sender_facts(),
+            UPDATE_TIMEOUT_MS,
+        )
+        .await;
+    if let Err(cause) = sent {
+        info!(event = "server_answers_lost", %cause);
+    }
+}
+
 /// Keeps what did not reach the placer for the next update.
 fn requeue(state: &State, update: Update) {
     state.server_limits.requeue(&update.limits);
--- a/daemon/src/inbound.rs
+++ b/daemon/src/inbound.rs
@@ -66,6 +66,7 @@
         | Message::Update(_)
         | Message::OpenConnection { .. }
         | Message::GetStreamVersion { .. }
+        | Message::RecordServerAnswers(_)
         | Message::GetPlacerLastSeen => Reply::NotPlacer,
         Message::Run { .. } => unreachable!("runs are handled separately"),
     }
--- a/daemon/tests/no_answers.rs
+++ b/daemon/tests/no_answers.rs
@@ -104,7 +104,7 @@
     block_on(async {
         let site = FleetSite::start(FleetOptions::default()).await;
         site.configure(2, |site| {
-            site["limits"]["maxBodyBytes"] = MAX_BODY_BYTES.into()
+            site["limits"]["maxBodyBytes"] = MAX_BODY_BYTES.into();
         });
         let answer = move |socket, id| answer(socket, id, sent);
         replace_by_raw_server(&site.engines, answer).await;
--- a/peer/src/headers.rs
+++ b/peer/src/headers.rs
@@ -6,9 +6,11 @@
 use mimosabay_core::placer_machine::Processor;
 
 /// Number of this build's protocol. It grows when a variant is added to a message or a reply.
-const PROTOCOL: u64 = 2;
+const PROTOCOL: u64 = 3;
 /// Protocol of builds that state none.
 const FIRST_PROTOCOL: u64 = 1;
+/// First protocol with reports of the answers of servers that have just started.
+const SERVER_ANSWERS_PROTOCOL: u64 = 3;
 /// Header with the number of the sender's protocol.
 const PROTOCOL_HEADER: &str = "protocol";
 /// Header with the era of the platform's store, as far as the sender knows it.
@@ -49,6 +51,11 @@
         self.protocol > FIRST_PROTOCOL
     }
 
+    /// Whether the sender's build takes reports of the answers of servers that have just started.
+    pub fn takes_server_answers(&self) -> bool {
+        self.protocol >= SERVER_ANSWERS_PROTOCOL
+    }
+
     pub(crate) fn write(self, headers: &mut HeaderMap) {
         headers.insert(PROTOCOL_HEADER, HeaderValue::from(self.protocol));
         if let Some(era) = self.store_era {
--- a/peer/src/message.rs
+++ b/peer/src/message.rs
@@ -13,6 +13,7 @@
 use mimosabay_core::quarantine_log::QuarantineChanges;
 use mimosabay_core::replica::{ReplicaChanges, ReplicaKind};
 use mimosabay_core::request::{Request, RunEvent};
+use mimosabay_core::slow_start::ServerAnswer;
 use mimosabay_core::stated_limit::StatedLimit;
 use mimosabay_core::stream_log::StreamChanges;
 use mimosabay_core::stream_versions::StreamVersion;
@@ -84,6 +85,9 @@
             /// The budget message; `None` if the sender asks only for the receiver's roster version.
             message: Option<BudgetMessage>,
         },
+        /// Reports to the placer how servers that have just started answered. Answered by
+        /// [`Reply::Done`]. Only peers that know it are sent it.
+        RecordServerAnswers(Vec<ServerAnswer>),
     }
 
     /// Why an instance opens no connection to a server for another one.
