--- a/core/src/cell/assignment.rs
+++ b/core/src/cell/assignment.rs
@@ -90,7 +90,7 @@
         let context = ChoiceContext {
             now_ms,
             may_send_orders: now_ms >= self.orders_from_ms,
-            loads_under_way: self.loads_ahead(request.urgency),
+            loads_under_way: self.loads_ahead(request, now_ms),
             adapter_slots: service.spec.adapter_slots,
             kv_tokens: service.spec.kv_tokens,
             slots: service.spec.slots as usize,
@@ -126,6 +126,7 @@
         let newest = self.newest_of(&request.prompt);
         if choice.needs_load {
             let rank = LoadRank::of(&request, requested_ms);
+            self.record_planned_load(&rank, now_ms);
             self.plan_load(&choice.server, &request.prompt, newest, rank, now_ms);
         }
         let Some(engine) = self.engines.get_mut(&choice.server) else {
--- a/core/src/cell/load_queue.rs
+++ b/core/src/cell/load_queue.rs
@@ -42,7 +42,7 @@
     }
 }
 
-/// Loads ordered for each organisation lately.
+/// Loads planned for each organisation lately.
 #[derive(Debug, Default)]
 pub(crate) struct LoadQueue {
     /// Whether loads wait for each other.
@@ -84,14 +84,29 @@
         engines.map(Engine::loads_in_progress).sum()
     }
 
-    /// Returns the loads that a new one for a request of this urgency shares the weight store with, or
-    /// waits for.
-    pub(super) fn loads_ahead(&self, urgency: u8) -> usize {
+    /// Returns the loads that a new one for a request shares the weight store with, or waits for.
+    pub(super) fn loads_ahead(&self, request: &PlacementRequest, now_ms: u64) -> usize {
         if !self.load_queue.is_ranked {
             return self.loads_under_way();
         }
+        let rank = LoadRank::of(request, now_ms);
+        let queue = &self.load_queue;
+        let use_of = |rank: &LoadRank| queue.use_of(rank.organisation.as_ref(), now_ms);
+        let own_use = use_of(&rank);
+        let is_ahead = |other: &LoadRank| {
+            other.urgency < rank.urgency
+                || (other.urgency == rank.urgency && use_of(other) <= own_use)
+        };
         let engines = self.engines.values();
-        engines.map(|engine| engine.loads_ahead(urgency)).sum()
+        engines.map(|engine| engine.loads_ahead(is_ahead)).sum()
+    }
+
+    /// Counts a planned load for an organisation.
+    pub(super) fn record_planned_load(&mut self, rank: &LoadRank, now_ms: u64) {
+        if self.load_queue.is_ranked {
+            self.load_queue
+                .record_use(rank.organisation.as_ref(), now_ms);
+        }
     }
 
     /// Sends the orders that are due: all that need no load from the weight store, and the most urgent
@@ -102,22 +117,22 @@
         let full_speed = usize::try_from(self.load_speed.full_speed_loads());
         let most = full_speed.unwrap_or(usize::MAX).saturating_add(EXTRA_LOADS);
         let mut free = most.saturating_sub(loading);
-        for server in self.ranked_engines(now_ms) {
+        let ranked = self.ranked_engines(now_ms);
+        let queue = &self.load_queue;
+        for server in ranked {
             let Some(engine) = self.engines.get_mut(&server) else {
                 continue;
             };
+            engine.advance_most_urgent(|rank| queue.use_of(rank.organisation.as_ref(), now_ms));
             let is_load = engine.is_next_a_load();
             if is_load && free == 0 {
                 continue;
             }
-            let rank = engine.next_rank().cloned();
             let Some(order) = engine.next_order() else {
                 continue;
             };
             if is_load {
                 free -= 1;
-                let organisation = rank.and_then(|rank| rank.organisation);
-                self.load_queue.record_use(organisation.as_ref(), now_ms);
             }
             self.actions.push(Action::Order(order));
         }
@@ -173,10 +188,10 @@
         self.loads.from_store + usize::from(is_ordered)
     }
 
-    fn loads_ahead(&self, urgency: u8) -> usize {
+    fn loads_ahead(&self, is_ahead: impl Fn(&LoadRank) -> bool) -> usize {
         let planned = self.planned.iter().filter(|order| {
             let rank = order.rank.as_ref();
-            self.is_store_load(order) && rank.is_none_or(|rank| rank.urgency <= urgency)
+            rank.is_none_or(&is_ahead) && self.is_store_load(order)
         });
         self.loads_in_progress() + planned.count()
     }
@@ -200,9 +215,28 @@
         next.is_some_and(|order| self.is_store_load(order))
     }
 
-    /// For whom the next load is ordered.
-    fn next_rank(&self) -> Option<&LoadRank> {
-        self.planned.iter().find_map(|order| order.rank.as_ref())
+    /// Moves the most urgent load to the front of the planned orders, with the unload that makes room for
+    /// it. As each load keeps its unload before it, the adapters fit whatever the order is.
+    fn advance_most_urgent(&mut self, use_of: impl Fn(&LoadRank) -> f64) {
+        let ranked = self
+            .planned
+            .iter()
+            .enumerate()
+            .filter_map(|(index, order)| {
+                let rank = order.rank.as_ref()?;
+                Some((rank.urgency, use_of(rank), rank.requested_ms, index))
+            });
+        let first = ranked.reduce(|one, other| if other < one { other } else { one });
+        let Some((_, _, _, index)) = first else {
+            return;
+        };
+        let load = self.planned.remove(index);
+        let is_unload = |order: &PlannedOrder| order.kind == OrderKind::Unload;
+        let makes_room = index > 0 && is_unload(&self.planned[index - 1]);
+        let unload = makes_room.then(|| self.planned.remove(index - 1)).flatten();
+        for order in load.into_iter().chain(unload) {
+            self.planned.push_front(order);
+        }
     }
 
     /// Returns the rank of the most urgent planned load, as a key by which engines are sorted.
--- a/core/tests/cell/rates.rs
+++ b/core/tests/cell/rates.rs
@@ -78,3 +78,33 @@
         [(1, RefusalReason::OverRate)]
     );
 }
+
+/// Guards against large requests that are refused while small ones take what is left each time.
+#[test]
+fn large_requests_are_admitted_like_small_ones() {
+    let mut site = site(ADAPTER_LIMIT, 1_000.0, 2_000.0);
+    site.features.queues_requests = true;
+    let one = backend("one", &[]);
+    let mut cell = Cell::new(0);
+    cell.configure(&site, 0);
+    cell.set_backends([&one].into_iter(), 0);
+    cell.handle_report(&one.id, Some(&report(&one)), 0);
+    cell.take_actions();
+    let mut granted_count = [0; 2];
+    let mut asked_count = [0; 2];
+    let mut random = 1_u64;
+    for number in 0..4_000_u64 {
+        random = random
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        let is_large = (random >> 33).is_multiple_of(10);
+        let cost = if is_large { 500 } else { 50 };
+        cell.request_placement(charged(number, cost), 10_000 + number * 10);
+        asked_count[usize::from(is_large)] += 1;
+        granted_count[usize::from(is_large)] += granted(&cell.take_actions()).len();
+    }
+    let tokens = granted_count[0] * 50 + granted_count[1] * 500;
+    assert!(tokens <= 2_000 + 40_000 + 500, "{tokens}");
+    let share = |index: usize| granted_count[index] as f64 / f64::from(asked_count[index]);
+    assert!(share(1) > share(0) / 2.0, "{} and {}", share(1), share(0));
+}
--- a/peer/tests/layout.rs
+++ b/peer/tests/layout.rs
@@ -8,6 +8,7 @@
 use mimosabay_core::replica::{
     KnownRevision, ReplicaChanges, ReplicaEvent, ReplicaKind, ReplicaUpdate,
 };
+use mimosabay_core::slow_start::{AnswerSign, ServerAnswer};
 use mimosabay_core::stream_log::StreamLogPosition;
 use mimosabay_peer::{Envelope, Members, Message, NotConnected, Reply};
 use serde::Serialize;
@@ -99,6 +100,15 @@
     check(&envelope(Message::Leave), "036f6e650702");
     check(&envelope(Message::GetPlacerLastSeen), "036f6e650707");
     check(&envelope(open), "036f6e650708017303");
+    let answers = vec![ServerAnswer {
+        server: "s".into(),
+        boot: 3,
+        sign: AnswerSign::Rejected,
+    }];
+    check(
+        &envelope(Message::RecordServerAnswers(answers)),
+        "036f6e65070c0101730302",
+    );
     check(
         &envelope(Message::Update(Box::new(update()))),
         "036f6e650706070107fb2c0103010c2800000200000000000101fbf401010a31302e302e302e313a3109",
