--- a/standin/src/soak.rs
+++ b/standin/src/soak.rs
@@ -31,7 +31,7 @@
 
 use crashing_part::CrashingPartCheck;
 use excuse::Excuses;
-use injector::FaultInjector;
+use injector::{EVACUATED_ZONE, FaultInjector, in_evacuated_zone};
 use limit::LimitCheck;
 use load::Load;
 
@@ -40,6 +40,8 @@
 /// Time to wait at the end until requests that are still running have ended, in milliseconds.
 const SETTLE_MS: u64 = 6_000;
 
+/// Requests a second that a cold engine takes.
+const COLD_PER_S: f64 = 10.0;
 /// Time between the events of a stream, in milliseconds. Most faults begin while streams run.
 const EVENT_INTERVAL_MS: u64 = 120;
 /// Number of events of a complete stream.
@@ -94,6 +96,15 @@
     }
 }
 
+impl SoakOptions {
+    /// Whether there are two availability zones, of which one is evacuated. Instances of earlier builds do
+    /// not know evacuations.
+    fn evacuates_zones(&self) -> bool {
+        let is_chosen = self.seed.is_multiple_of(3) && self.old_build.is_none();
+        is_chosen && self.mode == SoakMode::Mixed
+    }
+}
+
 impl Default for SoakOptions {
     fn default() -> Self {
         Self {
@@ -138,6 +149,16 @@
         has_instance_links: options.mode.is_release(),
         grace_s: injector::GRACE_S,
         has_relays: true,
+        contracts: if options.evacuates_zones() {
+            &["base", "places", "pressure"]
+        } else {
+            &["base"]
+        },
+        cold_per_s: if options.evacuates_zones() {
+            COLD_PER_S
+        } else {
+            0.0
+        },
         old_build: options.old_build,
         ..FleetOptions::default()
     })
@@ -148,6 +169,12 @@
             engine.ignore_fencing();
         }
     }
+    if options.evacuates_zones() {
+        let servers = [&site.engines, &site.plain_servers];
+        for server in servers.into_iter().flat_map(|it| in_evacuated_zone(it)) {
+            server.move_to_zone(EVACUATED_ZONE);
+        }
+    }
     let started = Instant::now();
     let load = Load::start(&site, &options, started);
     let injector = FaultInjector::new(&mut site, started);
--- a/standin/src/soak/crashing_part.rs
+++ b/standin/src/soak/crashing_part.rs
@@ -195,7 +195,8 @@
             | Fault::PromptPartCrashesServers
             | Fault::ServerLinksLost
             | Fault::StoreReturnsOlder
-            | Fault::Configuration => false,
+            | Fault::Configuration
+            | Fault::ZoneEvacuated => false,
         };
         let mut disturbances = self.injections.iter().filter(disturbs);
         disturbances.all(|it| at_ms < it.at_ms || at_ms > it.end_ms() + CONTACT_MS)
--- a/standin/src/soak/injector.rs
+++ b/standin/src/soak/injector.rs
@@ -21,6 +21,12 @@
 pub(super) const STOP_MS: u64 = GRACE_S * 1_000 + 500;
 /// Number of requests that a misbehaving server handles wrongly.
 const MISBEHAVING_REQUESTS: usize = 4;
+/// Zone that is evacuated.
+pub(super) const EVACUATED_ZONE: &str = "zone-2";
+/// Time beyond that of a leaving server after which nothing is sent to an evacuated zone, in milliseconds.
+const EVACUATION_EXTRA_MS: u64 = 3_000;
+/// Time for which an engine says that it is cold, in milliseconds.
+const COLD_MS: u64 = 2_000;
 /// Number of writes whose answers the store loses.
 const LOST_ANSWERS: u32 = 3;
 /// Ways in which instances lose their links to the servers.
@@ -152,6 +158,7 @@
                 site.instance_links[instance].lose(loss);
             }
             Fault::Configuration => self.publish_configuration(),
+            Fault::ZoneEvacuated => site.store.evacuate(EVACUATED_ZONE, true),
         }
     }
 
@@ -170,6 +177,7 @@
             Fault::ServerStatesLimit => self.server(injection).state_limit(None),
             Fault::PromptPartCrashesServers => self.crashing.abort_all(),
             Fault::ServerLinksLost => self.site.instance_links[instance].heal(),
+            Fault::ZoneEvacuated => self.take_zone_back(),
             _ => {}
         }
     }
@@ -195,6 +203,13 @@
         }
     }
 
+    fn take_zone_back(&self) {
+        for engine in in_evacuated_zone(&self.site.engines) {
+            engine.state_cold(COLD_MS);
+        }
+        self.site.store.evacuate(EVACUATED_ZONE, false);
+    }
+
     fn state_limit(&self, injection: &Strike) {
         let limit_per_s = LIMITS_PER_S[injection.target % LIMITS_PER_S.len()];
         self.server(injection).state_limit(Some(limit_per_s));
@@ -304,10 +319,34 @@
             until: at(drain.end_ms()),
             is_observable: injections.iter().all(|other| !may_hide_drain(other, drain)),
         };
-        drains.map(drain).collect()
+        let mut periods: Vec<DrainPeriod> = drains.map(drain).collect();
+        for evacuation in injections
+            .iter()
+            .filter(|injection| injection.fault == Fault::ZoneEvacuated)
+        {
+            let site = &*self.site;
+            let servers =
+                in_evacuated_zone(&site.engines).chain(in_evacuated_zone(&site.plain_servers));
+            periods.extend(servers.map(|server| {
+                DrainPeriod {
+                    server: server.id.to_string(),
+                    since: at(evacuation.at_ms + EVACUATION_EXTRA_MS),
+                    until: at(evacuation.end_ms()),
+                    is_observable: injections
+                        .iter()
+                        .all(|other| !may_hide_drain(other, evacuation)),
+                }
+            }));
+        }
+        periods
     }
 }
 
+/// Returns the servers in the zone that is evacuated.
+pub(super) fn in_evacuated_zone(servers: &[FleetServer]) -> impl Iterator<Item = &FleetServer> {
+    servers.iter().skip(1).step_by(2)
+}
+
 /// Time after a fault during which instances may not have received all changes, in milliseconds.
 const RECONTACT_MS: u64 = 3_000;
 
--- a/standin/src/soak/plan.rs
+++ b/standin/src/soak/plan.rs
@@ -33,6 +33,12 @@
 const STORE_RETURNS_SEED: u64 = 0x6f6c_6465_7200_0000;
 /// Distinguishes the random numbers of the losses of links from those of the other faults.
 const LINKS_LOST_SEED: u64 = 0x6c69_6e6b_7300_0000;
+/// Range of the time between two evacuations, in milliseconds. An evacuation ends before the next one.
+const EVACUATION_GAP_MS: std::ops::Range<u64> = 9_500..11_000;
+/// Range of the duration of an evacuation, in milliseconds.
+const EVACUATION_MS: std::ops::Range<u64> = 6_500..9_000;
+/// Distinguishes the random numbers of the evacuations from those of the other faults.
+const EVACUATION_SEED: u64 = 0x6576_6163_0000_0000;
 /// Distinguishes the random numbers of the pauses from those of the other faults.
 const SERVER_PAUSE_SEED: u64 = 0x7061_7573_6500_0000;
 
@@ -92,6 +98,9 @@
     ServerLinksLost,
     /// A new version of the configuration is published.
     Configuration,
+    /// Operators evacuate the availability zone of each second server, and take it back at the end. Its
+    /// engines say that they are cold then.
+    ZoneEvacuated,
 }
 
 /// Planned work, which must not make a request fail.
@@ -159,7 +168,7 @@
 /// Returns the faults of a soak, in the order in which they begin.
 ///
 /// They come in series, which overlap: pauses of sound servers, limits that servers state, losses of links,
-/// returns of the store from older copies, and all others. Pauses and limits excuse no failure, so that they are also part of the planned work.
+/// returns of the store from older copies, evacuations of a zone, and all others. Pauses and limits excuse no failure, so that they are also part of the planned work.
 pub fn plan_faults(options: &SoakOptions) -> Vec<Strike> {
     let mut injections = plan_series(options);
     injections.extend(plan_server_pauses(options));
@@ -168,6 +177,9 @@
         injections.extend(plan_lost_links(options));
         injections.extend(plan_store_returns(options));
     }
+    if options.evacuates_zones() {
+        injections.extend(plan_evacuations(options));
+    }
     if options.mode == SoakMode::CrashingPart {
         injections.push(plan_crashing_part(options));
     }
@@ -253,6 +265,16 @@
     )
 }
 
+fn plan_evacuations(options: &SoakOptions) -> Vec<Strike> {
+    plan_server_series(
+        options,
+        Fault::ZoneEvacuated,
+        EVACUATION_SEED,
+        EVACUATION_GAP_MS,
+        |random| random.random_range(EVACUATION_MS),
+    )
+}
+
 /// Returns a series of one fault. `gap_ms` is the time between two beginnings in milliseconds, and
 /// `length_ms` chooses a duration.
 fn plan_server_series(
