--- a/core/tests/cell/invariants.rs
+++ b/core/tests/cell/invariants.rs
@@ -6,7 +6,8 @@
 use arbtest::arbitrary::{Result, Unstructured};
 use arbtest::arbtest;
 use mimosabay_core::cell::{
-    Action, Cell, Order, OrderAnswer, OrderKind, PlacementResponse, Report, RunOutcome,
+    Action, Cell, Order, OrderAnswer, OrderKind, PlacementRequest, PlacementResponse, Report,
+    RunOutcome,
 };
 use mimosabay_core::name::Name;
 
@@ -72,10 +73,14 @@
 }
 
 impl Simulation {
-    fn new() -> Self {
+    fn new(is_ranked: bool) -> Self {
         let backends: Vec<_> = SERVERS.iter().map(|id| backend(id, &[])).collect();
+        let mut cell = confirmed(ADAPTER_LIMIT, &backends);
+        if is_ranked {
+            cell.rank_loads();
+        }
         Self {
-            cell: confirmed(ADAPTER_LIMIT, &backends),
+            cell,
             servers: SERVERS
                 .iter()
                 .map(|id| ((*id).into(), SimulatedServer::default()))
@@ -103,8 +108,12 @@
         let number = self.next_number;
         self.next_number += 1;
         self.adapter_of.insert(number, adapter.as_str().into());
-        self.cell
-            .request_placement(placement_request(number, &adapter), self.now_ms);
+        let urgency = u8::try_from(number % 7).expect("a small number");
+        let request = PlacementRequest {
+            urgency,
+            ..placement_request(number, &adapter)
+        };
+        self.cell.request_placement(request, self.now_ms);
     }
 
     fn end_oldest_request(&mut self) {
@@ -184,10 +193,9 @@
     }
 }
 
-#[test]
-fn adapter_limit_and_adapters_in_use_are_respected() {
+fn check_adapter_limit(is_ranked: bool) {
     arbtest(|choices| {
-        let mut simulation = Simulation::new();
+        let mut simulation = Simulation::new(is_ranked);
         for _ in 0..STEPS {
             simulation.step(choices)?;
         }
@@ -196,3 +204,13 @@
     .size_min(2_000)
     .budget_ms(3_000);
 }
+
+#[test]
+fn adapter_limit_and_adapters_in_use_are_respected() {
+    check_adapter_limit(false);
+}
+
+#[test]
+fn adapter_limit_and_adapters_in_use_are_respected_with_ranked_loads() {
+    check_adapter_limit(true);
+}
