--- a/daemon/tests/gateway/servers.rs
+++ b/daemon/tests/gateway/servers.rs
@@ -148,7 +148,7 @@
 fn leaving_server_is_seen_beside(spec: &str) {
     block_on(async {
         let mut site = FleetSite::start(FleetOptions::default()).await;
-        site.store.set_odd_entry("servers", spec);
+        site.store.set_odd_entry("servers", "odd-entry", spec);
         site.restart(1);
         site.wait_ready(1).await;
         site.plain_servers[0].register("draining");
--- /dev/null
+++ b/daemon/tests/odd_names.rs
@@ -0,0 +1,168 @@
+//! Entries of other writers whose names a URL or a header cannot hold as they are.
+
+use std::time::Duration;
+
+use mimosabay_standin::fleet::{FleetOptions, FleetServer, FleetSite};
+use mimosabay_standin::harness::{block_on, wait_for, wait_up_to};
+use serde_json::json;
+use tokio::time::sleep;
+
+/// Number of instances.
+const INSTANCES: usize = 3;
+/// Time after a restart of all processes from which requests have to be served, in milliseconds.
+const RECOVER_MS: u64 = 12_000;
+/// Time for which the reads of the store are counted, in milliseconds.
+const COUNTED_MS: u64 = 1_000;
+/// Reads a second that the store takes from this number of instances; it takes 2,000 from seven.
+const READS_PER_S: u64 = 2_000 * INSTANCES as u64 / 7;
+/// Number of lookups that are sent at the same time: more than one for each instance and server.
+const CONCURRENT: usize = 18;
+
+/// Guards against an entry of the store that stops the service: its name stood unencoded in the URL of the
+/// next page, so that the same page came again without end, entries were left out, or nothing was sent.
+mod odd_entry_stops_the_service {
+    use mimosabay_core::cases;
+
+    use super::service_goes_on_beside;
+
+    cases! {
+        service_goes_on_beside;
+        plain_name: ("servers", "d");
+        ampersand: ("servers", "d&x");
+        plus: ("servers", "d+x");
+        fragment: ("servers", "d#x");
+        question_mark: ("servers", "d?x");
+        slash: ("servers", "d/x");
+        blank: ("servers", "d x");
+        control_character: ("servers", "d\u{7}x");
+        percent: ("servers", "d%x");
+        percent_and_digits: ("servers", "d%7A");
+        no_ascii: ("servers", "d\u{e9}x");
+        configuration: ("config", "a&b");
+        releases: ("versions", "a#b");
+        releases_blank: ("versions", "a b");
+        evacuations: ("evacuations", "a&b");
+        evacuations_blank: ("evacuations", "a b");
+        quarantine: ("quarantine", "a%b");
+        software_versions: ("softwareversions", "a b");
+    }
+}
+
+async fn start_site() -> FleetSite {
+    FleetSite::start(FleetOptions {
+        instances: INSTANCES,
+        engines: 3,
+        plain_servers: 4,
+        contracts: &["base", "places"],
+        ..FleetOptions::default()
+    })
+    .await
+}
+
+/// Ends all processes, and starts them again.
+fn restart_all(site: &mut FleetSite) {
+    for instance in &mut site.instances {
+        instance.process.kill();
+    }
+    for index in 0..INSTANCES {
+        site.restart(index);
+    }
+}
+
+fn service_goes_on_beside(kind: &str, name: &str) {
+    block_on(async {
+        let mut site = start_site().await;
+        // The odd entry is then the last one of its page.
+        site.store.set_page_size(1);
+        site.store.set_odd_entry(kind, name, "{}");
+        let release = json!({ "model": "base", "adapter": "a9", "version": 2 });
+        site.store.put("versions", "base.a9", &release);
+        site.store.evacuate("zone-without-servers", true);
+        restart_all(&mut site);
+        assert_served(&site).await;
+        for event in ["adapter_released", "zones_evacuated"] {
+            wait_logged(&site, event).await;
+        }
+        assert_few_reads(&site).await;
+        assert_metrics_are_readable(&site).await;
+    });
+}
+
+/// Checks that soon all instances serve, with all servers.
+async fn assert_served(site: &FleetSite) {
+    let reports: Vec<usize> = site.engines.iter().map(FleetServer::report_count).collect();
+    let served = wait_up_to(RECOVER_MS, async || all_serve(site).await).await;
+    assert!(served.is_some(), "not served within {RECOVER_MS} ms");
+    wait_for("lookups at all plain servers", async || {
+        look_up(site).await;
+        let mut servers = site.plain_servers.iter();
+        servers
+            .all(|server| arrivals(server, "look-") > 0)
+            .then_some(())
+    })
+    .await;
+    wait_for("reports of all engines", async || {
+        let mut engines = site.engines.iter().zip(&reports);
+        let are_known = engines.all(|(engine, before)| engine.report_count() > *before);
+        are_known.then_some(())
+    })
+    .await;
+}
+
+/// Waits until all instances have logged an event.
+async fn wait_logged(site: &FleetSite, event: &str) {
+    wait_for(event, async || {
+        let mut instances = site.instances.iter();
+        instances.all(|it| it.has_logged(event)).then_some(())
+    })
+    .await;
+}
+
+async fn all_serve(site: &FleetSite) -> Option<()> {
+    for index in 0..INSTANCES {
+        let caller = site.caller(index);
+        let look = caller.get("/look/x", "first").await.ok()?;
+        let draft = caller.generate("/draft/x", "first", "a1").await.ok()?;
+        if (look.status, draft.status) != (200, 200) {
+            return None;
+        }
+    }
+    Some(())
+}
+
+/// Sends lookups to all instances at the same time.
+async fn look_up(site: &FleetSite) {
+    let sent = (0..CONCURRENT).map(|number| {
+        let caller = site.caller(number % INSTANCES);
+        async move { caller.get("/look/x", &format!("look-{number}")).await }
+    });
+    for answer in futures::future::join_all(sent).await {
+        assert_eq!(answer.unwrap().status, 200);
+    }
+}
+
+fn arrivals(server: &FleetServer, prefix: &str) -> usize {
+    let requests = server.requests();
+    let arrived = requests.iter().filter(|it| it.id.starts_with(prefix));
+    arrived.count()
+}
+
+async fn assert_few_reads(site: &FleetSite) {
+    let before = site.store.read_count();
+    sleep(Duration::from_millis(COUNTED_MS)).await;
+    let reads = site.store.read_count() - before;
+    assert!(reads < READS_PER_S * COUNTED_MS / 1_000, "{reads} reads");
+}
+
+/// Checks that each line of the metrics is a comment, or a name and a number.
+async fn assert_metrics_are_readable(site: &FleetSite) {
+    for index in 0..INSTANCES {
+        let text = site.metrics(index).await;
+        assert!(!text.is_empty(), "no metrics");
+        for line in text.lines().filter(|line| !line.starts_with('#')) {
+            let value = line.rsplit(' ').next();
+            let is_number = value.is_some_and(|value| value.parse::<f64>().is_ok());
+            assert!(is_number, "{line}");
+        }
+    }
+}
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -17,7 +17,9 @@
 mod call;
 mod client;
 mod error;
+mod url;
 
 pub use call::{Call, Response, StreamingResponse};
 pub use client::Client;
 pub use error::{Category, Error};
+pub use url::Url;
--- a/standin/src/fleet/store.rs
+++ b/standin/src/fleet/store.rs
@@ -15,8 +15,9 @@
 
 use crate::reply::{self, Body, Closed, Reply};
 use crate::server::{self, Call, ConnectionFaults, Service};
+use crate::target::ODD_BYTE;
 
-/// Number of objects on one page of a list.
+/// Number of objects on one page of a list, unless it is set.
 const PAGE_SIZE: usize = 20;
 /// Stands for the content of an entry of another writer.
 const ODD_ENTRY: &str = "odd entry";
@@ -67,8 +68,10 @@
     objects: BTreeMap<(Name, Name), Value>,
     /// Changes as revision, kind of object and event, oldest first.
     events: Vec<(u64, Name, Value)>,
-    /// Content of an entry of another writer, as text that need not be valid.
+    /// Content of the entries of another writer, as text that need not be valid.
     odd_entry: Option<String>,
+    /// Number of objects on one page of a list.
+    page_size: usize,
     /// Whether every request is answered with 503.
     is_down: bool,
     /// Number of further writes that are applied but not answered.
@@ -85,6 +88,7 @@
         let tables = Tables {
             era: 1,
             revision: 1,
+            page_size: PAGE_SIZE,
             ..Tables::default()
         };
         let store = Self {
@@ -182,13 +186,18 @@
         self.with_tables(|tables| tables.stated_era = Some(text.into()));
     }
 
-    /// Adds an entry of another writer to a kind. Its content is sent as it is; the replacement character
-    /// is sent as a byte that is no UTF-8.
-    pub fn set_odd_entry(&self, kind: &str, spec: &str) {
-        self.put(kind, "odd-entry", &json!(ODD_ENTRY));
+    /// Adds an entry of another writer to a kind. Its content is sent as it is; a replacement character in
+    /// its name or content is sent as a byte that is no UTF-8. All such entries have the same content.
+    pub fn set_odd_entry(&self, kind: &str, name: &str, spec: &str) {
+        self.put(kind, name, &json!(ODD_ENTRY));
         self.with_tables(|tables| tables.odd_entry = Some(spec.into()));
     }
 
+    /// Sets the number of objects on one page of a list.
+    pub fn set_page_size(&self, page_size: usize) {
+        self.with_tables(|tables| tables.page_size = page_size);
+    }
+
     /// Returns the revision of the last change.
     pub fn revision(&self) -> u64 {
         self.tables.lock().expect("store lock").revision
@@ -341,7 +350,7 @@
             .filter(|((of, name), _)| &**of == kind && after.is_none_or(|after| &**name > after));
         let items: Vec<&Value> = names
             .by_ref()
-            .take(PAGE_SIZE)
+            .take(tables.page_size)
             .map(|(_, object)| object)
             .collect();
         reply::ok(&json!({
@@ -359,7 +368,7 @@
 
     async fn handle(&self, call: Call) -> Reply {
         let mut response = self.answer(call).await?;
-        response = self.with_odd_entry(response).await?;
+        response = self.with_odd_entries(response).await?;
         if let Some(era) = self.stated_era() {
             response.headers_mut().insert("store-era", era);
         }
@@ -368,24 +377,18 @@
 }
 
 impl FleetStore {
-    /// Puts the content of the odd entry in its place.
-    async fn with_odd_entry(&self, response: http::Response<Body>) -> Reply {
+    /// Puts the content of the odd entries and bytes that are no UTF-8 in their places.
+    async fn with_odd_entries(&self, response: http::Response<Body>) -> Reply {
         let odd_entry = self.tables.lock().expect("store lock").odd_entry.clone();
-        let Some(spec) = odd_entry else {
-            return Ok(response);
-        };
         let (parts, body) = response.into_parts();
         let body = body.collect().await?.to_bytes();
-        let text = String::from_utf8_lossy(&body);
-        let text = text.replace(&format!("\"{ODD_ENTRY}\""), &spec);
-        let mut bytes = Vec::new();
-        for (index, part) in text.split('\u{fffd}').enumerate() {
-            if index > 0 {
-                bytes.push(0xff);
-            }
-            bytes.extend_from_slice(part.as_bytes());
+        let mut text = String::from_utf8_lossy(&body).into_owned();
+        if let Some(spec) = odd_entry {
+            text = text.replace(&format!("\"{ODD_ENTRY}\""), &spec);
         }
-        let body = Full::new(Bytes::from(bytes)).map_err(|never| match never {});
+        let parts_between: Vec<&[u8]> = text.split(ODD_BYTE).map(str::as_bytes).collect();
+        let body = Full::new(Bytes::from(parts_between.join(&0xff)));
+        let body = body.map_err(|never| match never {});
         Ok(http::Response::from_parts(parts, body.boxed()))
     }
 
@@ -403,6 +406,7 @@
         let (kind, name) = match segments.as_slice() {
             ["api", "objects", kind] => (*kind, None),
             ["api", "objects", kind, name] => (*kind, Some(*name)),
+            [] => return reply::error(StatusCode::BAD_REQUEST, "no URL"),
             _ => return reply::error(StatusCode::NOT_FOUND, "no such path"),
         };
         if self.tables.lock().expect("store lock").is_down {
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -36,3 +36,4 @@
 mod runs;
 mod server;
 mod store;
+mod target;
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -138,6 +138,7 @@
             }
             (&Method::GET, ["v1", "watch"]) => self.handle_watch(&call).await,
             (&Method::GET, ["v1", "instances"]) => self.handle_list_instances(),
+            (_, []) => reply::error(StatusCode::BAD_REQUEST, "no URL"),
             _ => reply::error(StatusCode::NOT_FOUND, "no such path"),
         }
     }
--- a/standin/src/server.rs
+++ b/standin/src/server.rs
@@ -17,6 +17,7 @@
 
 use crate::connection::{ConnectionPause, ConnectionSilencing};
 use crate::reply::{Closed, Reply};
+use crate::target::Target;
 
 /// Timeout for the first bytes of a connection, in milliseconds. Without them the connection cannot
 /// be classified and is closed.
@@ -30,6 +31,8 @@
 pub(crate) struct Call {
     pub(crate) method: Method,
     pub(crate) uri: Uri,
+    /// The decoded path and query; `None` if they are no URL.
+    pub(crate) target: Option<Target>,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
 }
@@ -72,18 +75,17 @@
 }
 
 impl Call {
-    /// Returns the segments of the path.
+    /// Returns the decoded segments of the path; none if the target is no URL.
     pub(crate) fn segments(&self) -> Vec<&str> {
-        self.uri.path().split('/').skip(1).collect()
+        self.target
+            .as_ref()
+            .map(Target::segments)
+            .unwrap_or_default()
     }
 
-    /// Returns a parameter of the query string, without decoding it.
+    /// Returns a decoded parameter of the query string.
     pub(crate) fn query(&self, name: &str) -> Option<&str> {
-        self.uri
-            .query()?
-            .split('&')
-            .filter_map(|pair| pair.split_once('='))
-            .find_map(|(key, value)| (key == name).then_some(value))
+        self.target.as_ref()?.parameter(name)
     }
 
     /// Returns a numeric parameter of the query string.
@@ -91,11 +93,11 @@
         self.query(name)?.parse().ok()
     }
 
-    /// Returns a header as text; empty if it is absent or not text.
+    /// Returns a header as text; empty if it is absent or not UTF-8.
     pub(crate) fn header(&self, name: &str) -> &str {
         self.headers
             .get(name)
-            .and_then(|value| value.to_str().ok())
+            .and_then(|value| str::from_utf8(value.as_bytes()).ok())
             .unwrap_or_default()
     }
 
@@ -178,6 +180,7 @@
     let body = body.collect().await.map_err(|_| Closed)?.to_bytes();
     Ok(Call {
         method: head.method,
+        target: Target::decode(&head.uri),
         uri: head.uri,
         headers: head.headers,
         body,
