--- a/daemon/src/gateway/election.rs
+++ b/daemon/src/gateway/election.rs
@@ -25,8 +25,8 @@
 use super::state::State;
 use super::store_era::{self, AnswerEra};
 
-/// Name of the store object that names the placer.
-const RECORD_NAME: &str = "cell-0";
+/// Name of the store object that names the placer. Other objects of its kind mean nothing.
+pub(super) const RECORD_NAME: &str = "cell-0";
 /// Time between two checks, in milliseconds.
 const CHECK_PERIOD_MS: u64 = 100;
 /// Unit of the delays by which candidates are staggered, in milliseconds.
--- a/daemon/src/gateway/watch.rs
+++ b/daemon/src/gateway/watch.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 
 use mimosabay_core::replica::ReplicaKind;
-use mimosabay_platform::store::{Changes, Listing};
+use mimosabay_platform::store::{Changes, Listing, StoredObject};
 use mimosabay_platform::{Category, Error, wire_names};
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
 
+use super::election::RECORD_NAME;
 use super::evacuations;
 use super::metrics::Dependency;
 use super::replicate;
@@ -214,7 +215,7 @@
     fn apply_list(&self, listing: &Listing) {
         match self.kind {
             WatchKind::Replicated(kind) => replicate::apply_list(&self.state, kind, listing),
-            WatchKind::Placer => match listing.objects.first() {
+            WatchKind::Placer => match listing.objects.iter().find(|it| is_placer_record(it)) {
                 Some(object) => {
                     let now_ms = self.state.now_ms();
                     self.state.link.apply_record(object, self.era, now_ms);
@@ -232,7 +233,8 @@
             WatchKind::Replicated(kind) => replicate::apply_changes(&self.state, kind, &changes),
             WatchKind::Evacuations => evacuations::apply_changes(&self.state, &changes),
             WatchKind::Placer => {
-                for event in changes.events {
+                let events = changes.events.into_iter();
+                for event in events.filter(|event| is_placer_record(&event.object)) {
                     if event.deleted {
                         self.state.link.on_record_absent(self.era);
                     } else {
@@ -290,3 +292,7 @@
         self.pause_ms = (self.pause_ms * 2).min(RETRY_PAUSE_RANGE_MS.1);
     }
 }
+
+fn is_placer_record(object: &StoredObject) -> bool {
+    *object.metadata.name == *RECORD_NAME
+}
--- a/daemon/tests/odd_names.rs
+++ b/daemon/tests/odd_names.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use mimosabay_standin::fleet::{FleetOptions, FleetServer, FleetSite};
+use mimosabay_standin::fleet::{FleetInstance, FleetOptions, FleetServer, FleetSite};
 use mimosabay_standin::harness::{block_on, wait_for, wait_up_to};
 use serde_json::json;
 use tokio::time::sleep;
@@ -11,7 +11,7 @@
 const INSTANCES: usize = 3;
 /// Time after a restart of all processes from which requests have to be served, in milliseconds.
 const RECOVER_MS: u64 = 12_000;
-/// Time for which the reads of the store are counted, in milliseconds.
+/// Time for which reads of the store and events are counted, in milliseconds.
 const COUNTED_MS: u64 = 1_000;
 /// Reads a second that the store takes from this number of instances; it takes 2,000 from seven.
 const READS_PER_S: u64 = 2_000 * INSTANCES as u64 / 7;
@@ -43,6 +43,8 @@
         releases_blank: ("versions", "a b");
         evacuations: ("evacuations", "a&b");
         evacuations_blank: ("evacuations", "a b");
+        placer: ("placers", "a");
+        placer_with_odd_name: ("placers", "a+b");
         quarantine: ("quarantine", "a%b");
         software_versions: ("softwareversions", "a b");
     }
@@ -88,6 +90,26 @@
     });
 }
 
+/// Guards against a placer that ends because an entry beside its record is removed.
+#[test]
+fn placer_goes_on_when_an_entry_beside_its_record_is_removed() {
+    block_on(async {
+        let site = start_site().await;
+        let started = count_logged(&site, "placer_started");
+        site.store.put("placers", "z", &json!({}));
+        sleep(Duration::from_millis(COUNTED_MS)).await;
+        site.store.remove("placers", "z");
+        sleep(Duration::from_millis(COUNTED_MS)).await;
+        assert_eq!(count_logged(&site, "placer_started"), started);
+        assert_eq!(all_serve(&site).await, Some(()));
+    });
+}
+
+fn count_logged(site: &FleetSite, event: &str) -> usize {
+    let lines = site.instances.iter().flat_map(FleetInstance::log);
+    lines.filter(|line| line["event"] == event).count()
+}
+
 /// Checks that soon all instances serve, with all servers.
 async fn assert_served(site: &FleetSite) {
     let reports: Vec<usize> = site.engines.iter().map(FleetServer::report_count).collect();
