--- a/daemon/tests/odd_names.rs
+++ b/daemon/tests/odd_names.rs
@@ -38,7 +38,9 @@
         percent: ("servers", "d%x");
         percent_and_digits: ("servers", "d%7A");
         no_ascii: ("servers", "d\u{e9}x");
+        no_utf_8: ("servers", "d\u{fffd}x");
         configuration: ("config", "a&b");
+        configuration_no_utf_8: ("config", "a\u{fffd}");
         releases: ("versions", "a#b");
         releases_blank: ("versions", "a b");
         evacuations: ("evacuations", "a&b");
