--- a/daemon/tests/odd_names.rs
+++ b/daemon/tests/odd_names.rs
@@ -63,14 +63,20 @@
     .await
 }
 
-/// Ends all processes, and starts them again.
-fn restart_all(site: &mut FleetSite) {
+/// Ends all processes, and starts them again. Returns how many reports the engines had given before.
+fn restart_all(site: &mut FleetSite) -> Vec<usize> {
+    let reports = report_counts(site);
     for instance in &mut site.instances {
         instance.process.kill();
     }
     for index in 0..INSTANCES {
         site.restart(index);
     }
+    reports
+}
+
+fn report_counts(site: &FleetSite) -> Vec<usize> {
+    site.engines.iter().map(FleetServer::report_count).collect()
 }
 
 fn service_goes_on_beside(kind: &str, name: &str) {
@@ -82,8 +88,8 @@
         let release = json!({ "model": "base", "adapter": "a9", "version": 2 });
         site.store.put("versions", "base.a9", &release);
         site.store.evacuate("zone-without-servers", true);
-        restart_all(&mut site);
-        assert_served(&site).await;
+        let reports = restart_all(&mut site);
+        assert_served(&site, &reports).await;
         for event in ["adapter_released", "zones_evacuated"] {
             wait_logged(&site, event).await;
         }
@@ -92,6 +98,38 @@
     });
 }
 
+/// Guards against a list whose pages bring nothing new, which is read without a pause.
+mod list_without_progress_is_read_without_a_pause {
+    use mimosabay_core::cases;
+
+    use super::kind_is_read_after_pauses;
+
+    cases! {
+        kind_is_read_after_pauses;
+        servers: ("servers");
+        configuration: ("config");
+        releases: ("versions");
+        evacuations: ("evacuations");
+        placer: ("placers");
+    }
+}
+
+fn kind_is_read_after_pauses(kind: &str) {
+    block_on(async {
+        let mut site = start_site().await;
+        site.store.set_page_size(1);
+        site.store.put(kind, "z1", &json!({}));
+        site.store.put(kind, "z2", &json!({}));
+        site.store.repeat_first_page(Some(kind));
+        let reports = restart_all(&mut site);
+        sleep(Duration::from_millis(COUNTED_MS)).await;
+        assert_few_reads(&site).await;
+        site.store.repeat_first_page(None);
+        assert_served(&site, &reports).await;
+        assert_few_reads(&site).await;
+    });
+}
+
 /// Guards against a placer that ends because an entry beside its record is removed.
 #[test]
 fn placer_goes_on_when_an_entry_beside_its_record_is_removed() {
@@ -112,9 +150,9 @@
     lines.filter(|line| line["event"] == event).count()
 }
 
-/// Checks that soon all instances serve, with all servers.
-async fn assert_served(site: &FleetSite) {
-    let reports: Vec<usize> = site.engines.iter().map(FleetServer::report_count).collect();
+/// Checks that soon all instances serve, with all servers. `reports` is how many reports the engines had
+/// given before.
+async fn assert_served(site: &FleetSite, reports: &[usize]) {
     let served = wait_up_to(RECOVER_MS, async || all_serve(site).await).await;
     assert!(served.is_some(), "not served within {RECOVER_MS} ms");
     wait_for("lookups at all plain servers", async || {
@@ -126,9 +164,9 @@
     })
     .await;
     wait_for("reports of all engines", async || {
-        let mut engines = site.engines.iter().zip(&reports);
-        let are_known = engines.all(|(engine, before)| engine.report_count() > *before);
-        are_known.then_some(())
+        let counts = report_counts(site);
+        let mut counts = counts.iter().zip(reports);
+        counts.all(|(count, before)| count > before).then_some(())
     })
     .await;
 }
--- a/standin/src/fleet/store.rs
+++ b/standin/src/fleet/store.rs
@@ -72,6 +72,8 @@
     odd_entry: Option<String>,
     /// Number of objects on one page of a list.
     page_size: usize,
+    /// Kind whose lists have the first page again and again.
+    repeated_kind: Option<Name>,
     /// Whether every request is answered with 503.
     is_down: bool,
     /// Number of further writes that are applied but not answered.
@@ -198,6 +200,11 @@
         self.with_tables(|tables| tables.page_size = page_size);
     }
 
+    /// Sets the kind whose lists have the first page again and again.
+    pub fn repeat_first_page(&self, kind: Option<&str>) {
+        self.with_tables(|tables| tables.repeated_kind = kind.map(Name::from));
+    }
+
     /// Returns the revision of the last change.
     pub fn revision(&self) -> u64 {
         self.tables.lock().expect("store lock").revision
@@ -345,6 +352,8 @@
 
     fn list(&self, kind: &str, after: Option<&str>) -> Reply {
         let tables = self.tables.lock().expect("store lock");
+        let is_repeated = tables.repeated_kind.as_deref() == Some(kind);
+        let after = after.filter(|_| !is_repeated);
         let objects = tables.objects.iter();
         let mut names = objects
             .filter(|((of, name), _)| &**of == kind && after.is_none_or(|after| &**name > after));
