Read the configuration and the placer record by name while their lists cannot be read (RECOVER)

What callers saw: while the list of configurations or of placer records could not be read to its end, no request was served after a restart of all processes, although config/main and the record could be read.

Cause: both kinds were only listed, and one object counts in each.

Ruled out: lists of adapter versions and evacuations, without which requests are served; the list of servers, which nothing replaces: requests are refused with 503 until it can be read.

Change: if a list violates the protocol, that object is read by its name, once for each failed list, before the pause. A store that is away is not asked once more.

--- a/daemon/src/gateway/replicate.rs
+++ b/daemon/src/gateway/replicate.rs
@@ -140,7 +140,8 @@
     }
 }
 
-fn apply_configuration(state: &State, object: &StoredObject) {
+/// Puts a configuration in force that is newer than the one in force.
+pub(super) fn apply_configuration(state: &State, object: &StoredObject) {
     if &*object.metadata.name != wire_names::CONFIGURATION_NAME {
         return;
     }
--- a/daemon/src/gateway/watch.rs
+++ b/daemon/src/gateway/watch.rs
@@ -10,7 +10,7 @@
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
 
-use super::election::RECORD_NAME;
+use super::election::{self, RECORD_NAME};
 use super::evacuations;
 use super::metrics::Dependency;
 use super::replicate;
@@ -162,7 +162,26 @@
                 self.revision = listing.revision;
                 self.apply_list(&listing);
             }
-            Err(cause) => self.on_failure(&cause).await,
+            Err(cause) => {
+                if cause.classify() == Category::Protocol {
+                    self.read_by_name().await;
+                }
+                self.on_failure(&cause).await;
+            }
+        }
+    }
+
+    /// Reads the only object that counts in some kinds, because the list cannot be read.
+    async fn read_by_name(&self) {
+        let read = match self.kind {
+            WatchKind::Replicated(ReplicaKind::Configuration) => {
+                read_configuration(&self.state).await
+            }
+            WatchKind::Placer => election::read_record(&self.state).await,
+            WatchKind::Replicated(_) | WatchKind::Evacuations => return,
+        };
+        if let Err(cause) = read {
+            warn!(event = "object_unread", kind = self.kind.name(), %cause);
         }
     }
 
@@ -293,6 +312,19 @@
     }
 }
 
+async fn read_configuration(state: &State) -> Result<(), Error> {
+    let sent_in = state.store_era.known();
+    let kind = wire_names::kind::CONFIGURATION;
+    let object = state
+        .store
+        .get(kind, wire_names::CONFIGURATION_NAME)
+        .await?;
+    if store_era::observe_answer(state, object.era, sent_in) != AnswerEra::Ended {
+        replicate::apply_configuration(state, &object);
+    }
+    Ok(())
+}
+
 fn is_placer_record(object: &StoredObject) -> bool {
     *object.metadata.name == *RECORD_NAME
 }
--- a/daemon/tests/odd_names.rs
+++ b/daemon/tests/odd_names.rs
@@ -102,19 +102,28 @@
 mod list_without_progress_is_read_without_a_pause {
     use mimosabay_core::cases;
 
-    use super::kind_is_read_after_pauses;
+    use super::{Meanwhile, kind_is_read_after_pauses};
 
     cases! {
         kind_is_read_after_pauses;
-        servers: ("servers");
-        configuration: ("config");
-        releases: ("versions");
-        evacuations: ("evacuations");
-        placer: ("placers");
+        servers: ("servers", Meanwhile::Refused);
+        configuration: ("config", Meanwhile::Served);
+        releases: ("versions", Meanwhile::Served);
+        evacuations: ("evacuations", Meanwhile::Served);
+        placer: ("placers", Meanwhile::Served);
     }
 }
 
-fn kind_is_read_after_pauses(kind: &str) {
+/// What becomes of requests while a kind cannot be listed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Meanwhile {
+    /// They are served, as no list is needed for that.
+    Served,
+    /// They are refused, as no server is known.
+    Refused,
+}
+
+fn kind_is_read_after_pauses(kind: &str, meanwhile: Meanwhile) {
     block_on(async {
         let mut site = start_site().await;
         site.store.set_page_size(1);
@@ -124,6 +133,10 @@
         let reports = restart_all(&mut site);
         sleep(Duration::from_millis(COUNTED_MS)).await;
         assert_few_reads(&site).await;
+        match meanwhile {
+            Meanwhile::Served => assert_served(&site, &reports).await,
+            Meanwhile::Refused => assert_refused(&site).await,
+        }
         site.store.repeat_first_page(None);
         assert_served(&site, &reports).await;
         assert_few_reads(&site).await;
@@ -171,6 +184,13 @@
     .await;
 }
 
+async fn assert_refused(site: &FleetSite) {
+    for index in 0..INSTANCES {
+        let answer = site.caller(index).get("/look/x", "refused").await;
+        assert_eq!(answer.unwrap().status, 503);
+    }
+}
+
 /// Waits until all instances have logged an event.
 async fn wait_logged(site: &FleetSite, event: &str) {
     wait_for(event, async || {
