Replace a placer record that cannot be read (RECOVER)

What callers saw: with a record of the placer that another writer had replaced by content that cannot be read, no request was served after a restart of all processes.

Cause: such a record was logged and otherwise ignored, so it never counted as read, no instance took part in the election, and a placer at work did not write its record again.

Change: the revision of such a record is kept as the condition for replacing it. The placer at work writes its record again; otherwise an instance becomes the placer as if the one before were silent, since one may be at work that it does not know, and sends orders after the lease. Fencing numbers are chosen as if there were no record.

Evidence: daemon/tests/odd_names.rs, record_that_cannot_be_read_is_replaced: "a readable record: not within 30000 ms" before, passes now. core/tests/placer_record.rs: the random histories, in which numbers must grow, contain such a replacement too.

--- a/core/src/placer_record.rs
+++ b/core/src/placer_record.rs
@@ -50,6 +50,11 @@
     Unread,
     /// There is no record.
     Absent,
+    /// A record of another writer, which cannot be read.
+    Unreadable {
+        /// Revision of the object, the condition for replacing it.
+        revision: u64,
+    },
     /// A record, which may be older than the one that counts.
     Present {
         /// Revision of the object, the condition for replacing it.
@@ -164,6 +169,12 @@
         Reading::Lost
     }
 
+    /// Records that the record at a revision cannot be read. What was known counts.
+    pub fn observe_unreadable(&mut self, revision: u64) {
+        self.stored = StoredRecord::Unreadable { revision };
+        self.is_record_stale = false;
+    }
+
     /// Records that there was no record in an era of the store. One that was there in an earlier era is
     /// lost, not removed: its placer goes on and writes it again.
     pub fn observe_absence(&mut self, store_era: Option<u64>) -> Reading {
@@ -248,6 +259,7 @@
         match self.stored {
             StoredRecord::Present { fencing_number, .. } => number == Some(fencing_number),
             StoredRecord::Unread | StoredRecord::Absent => number.is_none(),
+            StoredRecord::Unreadable { .. } => false,
         }
     }
 
@@ -262,18 +274,21 @@
         };
         match self.stored {
             StoredRecord::Present { offset, .. } => above_known.max(offset.in_era(store_era)),
-            StoredRecord::Absent | StoredRecord::Unread => above_known,
+            StoredRecord::Absent | StoredRecord::Unread | StoredRecord::Unreadable { .. } => {
+                above_known
+            }
         }
     }
 
     /// Whether a placer may be at work that this instance does not know, because the store has lost its
-    /// record.
+    /// record, or another writer has replaced it.
     pub fn may_have_lost_record(&self, store_era: u64) -> bool {
         match self.stored {
             StoredRecord::Present { offset, .. } => offset
                 .store_era
                 .is_some_and(|written_in| written_in < store_era),
             StoredRecord::Absent => self.largest_number == 0 && store_era > FIRST_ERA,
+            StoredRecord::Unreadable { .. } => true,
             StoredRecord::Unread => false,
         }
     }
--- a/core/tests/placer_record.rs
+++ b/core/tests/placer_record.rs
@@ -16,7 +16,8 @@
 struct Store {
     era: u64,
     revision: u64,
-    record: Option<(u64, PlacerRecord)>,
+    /// Revision and content of the record; no content if another writer has replaced it.
+    record: Option<(u64, Option<PlacerRecord>)>,
 }
 
 /// An instance that takes part in the election.
@@ -41,7 +42,13 @@
     fn read(&mut self, store: &Store) -> Reading {
         self.era = Some(store.era);
         match &store.record {
-            Some((revision, record)) => self.view.observe_record(record, *revision, self.era, 0),
+            Some((revision, Some(record))) => {
+                self.view.observe_record(record, *revision, self.era, 0)
+            }
+            Some((revision, None)) => {
+                self.view.observe_unreadable(*revision);
+                Reading::Lost
+            }
             None => self.view.observe_absence(self.era),
         }
     }
@@ -65,11 +72,12 @@
 
     fn step(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
         let index = u.choose_index(INSTANCES)?;
-        match u.int_in_range(0..=6)? {
+        match u.int_in_range(0..=7)? {
             0 | 1 => drop(self.instances[index].read(&self.store)),
             2 | 3 => self.claim(index),
             4 => self.restart(index, u)?,
             5 => self.copies.push(self.store.clone()),
+            6 => self.replace_by_unreadable(),
             _ => self.come_back(u)?,
         }
         self.store.revision += u.int_in_range(0..=MAX_OTHER_CHANGES)?;
@@ -80,7 +88,8 @@
     fn restart(&mut self, index: usize, u: &mut Unstructured<'_>) -> Result<()> {
         let resigns = u.arbitrary()?;
         let instance = std::mem::take(&mut self.instances[index]);
-        let stored = self.store.record.as_ref().map(|(_, record)| record);
+        let stored = self.store.record.as_ref();
+        let stored = stored.and_then(|(_, record)| record.as_ref());
         let known = instance.view.record.as_ref().map(|(_, record)| record);
         if resigns && stored.is_some() && stored == known {
             self.store.revision += 1;
@@ -89,6 +98,11 @@
         Ok(())
     }
 
+    fn replace_by_unreadable(&mut self) {
+        self.store.revision += 1;
+        self.store.record = Some((self.store.revision, None));
+    }
+
     fn come_back(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
         let era = self.store.era + 1;
         self.store = u.choose(&self.copies)?.clone();
@@ -107,7 +121,9 @@
         let holds = match instance.view.stored {
             StoredRecord::Unread => false,
             StoredRecord::Absent => present.is_none(),
-            StoredRecord::Present { revision, .. } => present == Some(revision),
+            StoredRecord::Present { revision, .. } | StoredRecord::Unreadable { revision } => {
+                present == Some(revision)
+            }
         };
         // The condition can only be relied on in the era in which the record was read.
         if !holds || era != self.store.era {
@@ -122,7 +138,7 @@
         };
         self.next_incarnation += 1;
         self.store.revision += 1;
-        self.store.record = Some((self.store.revision, record));
+        self.store.record = Some((self.store.revision, Some(record)));
         let reading = instance.read(&self.store);
         assert_eq!(reading, Reading::Newer, "its own record");
         self.used.push(instance.view.largest_number);
@@ -155,6 +171,19 @@
     assert_eq!(history.used, [2, 10, 18, 26]);
 }
 
+#[test]
+fn record_that_cannot_be_read_is_replaced_as_if_its_placer_were_silent() {
+    let mut history = History::new();
+    history.instances[0].read(&history.store);
+    history.claim(0);
+    history.replace_by_unreadable();
+    history.instances[1].read(&history.store);
+    let view = &history.instances[1].view;
+    assert!(view.is_read() && !view.is_record_stored() && view.may_have_lost_record(1));
+    history.claim(1);
+    assert_eq!(history.used, [2, 4]);
+}
+
 #[test]
 fn resignation_is_told_from_a_record_that_the_copy_lacks() {
     let mut history = History::new();
--- a/daemon/src/gateway/election.rs
+++ b/daemon/src/gateway/election.rs
@@ -123,7 +123,7 @@
     let sent_in = state.store_era.known();
     let store = &state.store;
     let written = match view.stored {
-        StoredRecord::Present { revision, .. } => {
+        StoredRecord::Present { revision, .. } | StoredRecord::Unreadable { revision } => {
             store.replace(kind, RECORD_NAME, revision, &record).await
         }
         StoredRecord::Absent | StoredRecord::Unread => {
--- a/daemon/src/gateway/link.rs
+++ b/daemon/src/gateway/link.rs
@@ -167,12 +167,15 @@
 
     /// Applies a placer record that was read in an era of the store, if it is newer than the known one.
     pub(crate) fn apply_record(&self, object: &StoredObject, store_era: Option<u64>, now_ms: u64) {
-        let Ok(record) = PlacerRecord::deserialize(&object.spec) else {
-            warn!(event = "placer_record_unreadable", name = %object.metadata.name);
-            return;
-        };
         let revision = object.metadata.revision;
+        let record = PlacerRecord::deserialize(&object.spec);
         let mut view = self.view.lock().expect("placer view lock");
+        let Ok(record) = record else {
+            warn!(event = "placer_record_unreadable", revision);
+            view.observe_unreadable(revision);
+            self.election_wake.notify_one();
+            return;
+        };
         let reading = view.observe_record(&record, revision, store_era, now_ms);
         let known = view.largest_number;
         drop(view);
--- a/daemon/tests/odd_names.rs
+++ b/daemon/tests/odd_names.rs
@@ -158,6 +158,31 @@
     });
 }
 
+/// Guards against a record of the placer that cannot be read, so that there is no placer.
+#[test]
+fn record_that_cannot_be_read_is_replaced() {
+    block_on(async {
+        let mut site = start_site().await;
+        let odd = json!({ "address": 7 });
+        site.store.put("placers", "cell-0", &odd);
+        wait_replaced(&site).await;
+        for instance in &mut site.instances {
+            instance.process.kill();
+        }
+        site.store.put("placers", "cell-0", &odd);
+        let reports = restart_all(&mut site);
+        assert_served(&site, &reports).await;
+        wait_replaced(&site).await;
+    });
+}
+
+async fn wait_replaced(site: &FleetSite) {
+    wait_for("a readable record", async || {
+        site.placer_index().map(|_| ())
+    })
+    .await;
+}
+
 fn count_logged(site: &FleetSite, event: &str) -> usize {
     let lines = site.instances.iter().flat_map(FleetInstance::log);
     lines.filter(|line| line["event"] == event).count()
