--- a/daemon/tests/odd_names.rs
+++ b/daemon/tests/odd_names.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
-use mimosabay_standin::fleet::{FleetInstance, FleetOptions, FleetServer, FleetSite};
+use mimosabay_standin::fleet::{
+    DESK, FleetInstance, FleetOptions, FleetServer, FleetSite, ServerKind,
+};
 use mimosabay_standin::harness::{block_on, wait_for, wait_up_to};
 use serde_json::json;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// Number of instances.
 const INSTANCES: usize = 3;
@@ -15,6 +17,8 @@
 const COUNTED_MS: u64 = 1_000;
 /// Reads a second that the store takes from this number of instances; it takes 2,000 from seven.
 const READS_PER_S: u64 = 2_000 * INSTANCES as u64 / 7;
+/// Longest time for which lookups are sent, in milliseconds.
+const LOAD_MS: u64 = 3_000;
 /// Number of lookups that are sent at the same time: more than one for each instance and server.
 const CONCURRENT: usize = 18;
 
@@ -143,6 +147,49 @@
     });
 }
 
+/// Guards against requests at a server that do not say which server they are meant for, because a header
+/// cannot hold its name as it is.
+mod request_does_not_name_its_server {
+    use mimosabay_core::cases;
+
+    use super::{Use, server_is_named};
+
+    cases! {
+        server_is_named;
+        reserved: ("desk &+#%/?\"", Use::Named);
+        no_ascii: ("desk-\u{e9}\u{4e2d}", Use::Named);
+        control_character: ("desk-\u{7}", Use::None);
+        blank_at_the_end: ("desk-1 ", Use::None);
+        line_break: ("desk-\r\nx", Use::None);
+        no_utf_8: ("desk-\u{fffd}", Use::None);
+    }
+}
+
+/// How a server is used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Use {
+    /// Each request names it.
+    Named,
+    /// It gets no request, as none can name it.
+    None,
+}
+
+fn server_is_named(id: &str, expected: Use) {
+    block_on(async {
+        let site = start_site().await;
+        let server = FleetServer::start(&site.store, id, DESK, ServerKind::Plain);
+        let end = Instant::now() + Duration::from_millis(LOAD_MS);
+        while Instant::now() < end && server.requests().is_empty() {
+            look_up(&site).await;
+        }
+        let requests = server.requests();
+        assert_eq!(!requests.is_empty(), expected == Use::Named);
+        for request in requests {
+            assert_eq!(request.header("x-expect-instance"), Some(id));
+        }
+    });
+}
+
 /// Guards against a placer that ends because an entry beside its record is removed.
 #[test]
 fn placer_goes_on_when_an_entry_beside_its_record_is_removed() {
