Refuse requests of an organisation whose name a header cannot hold

What callers saw: nothing; backend servers ran requests of such an organisation that did not name it.

Cause: a name that is no value of a header was left out of the request without a word.

Ruled out: letters outside ASCII, which the header holds as they are.

Change: such requests are refused at once with 503, as they cannot run, and the reason is logged. Other organisations of the configuration are served.

Evidence: daemon/tests/odd_names.rs, request_of_an_organisation_that_no_header_can_name_is_refused: "a refusal: not within 30000 ms" without the change, passes with it. Kept as a test of what was handled: organisation_whose_name_is_no_ascii_is_named.

--- a/daemon/src/gateway/request.rs
+++ b/daemon/src/gateway/request.rs
@@ -15,7 +15,7 @@
 use mimosabay_core::work::Work;
 use mimosabay_platform::ingress::{self, ForwardOptions};
 use tokio::time::timeout;
-use tracing::info;
+use tracing::{info, warn};
 
 use super::activity::Activity;
 use super::answer::{Answer, OwnAnswer, close_connection_after};
@@ -254,6 +254,15 @@
     let organisation = site
         .organisation(&route, ingress::bearer_key(&parts.headers))
         .map_err(denial_answer)?;
+    let unnamed = organisation
+        .as_ref()
+        .filter(|it| !ingress::fits_in_header(&it.name));
+    if let Some(organisation) = unnamed {
+        warn!(event = "organisation_not_nameable", organisation = %organisation.name);
+        return Err(OwnAnswer::NotRun {
+            retry_after_ms: None,
+        });
+    }
     Ok((route, organisation))
 }
 
--- a/daemon/tests/odd_names.rs
+++ b/daemon/tests/odd_names.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use mimosabay_standin::fleet::{
-    DESK, FleetInstance, FleetOptions, FleetServer, FleetSite, ServerKind,
+    DESK, FleetInstance, FleetOptions, FleetServer, FleetSite, ORGANISATION, ServerKind,
 };
 use mimosabay_standin::harness::{block_on, wait_for, wait_up_to};
 use serde_json::json;
@@ -190,6 +190,46 @@
     });
 }
 
+/// Guards against requests that are sent on without the name of their organisation.
+#[test]
+fn request_of_an_organisation_that_no_header_can_name_is_refused() {
+    block_on(async {
+        let site = start_site().await;
+        site.configure(2, |it| it["tenants"][0]["name"] = json!("clin\u{7}ics"));
+        wait_for("a refusal", async || {
+            let answer = site.caller(0).get("/look/x", "odd").await.ok()?;
+            (answer.status == 503).then_some(())
+        })
+        .await;
+        for request in site.plain_servers.iter().flat_map(FleetServer::requests) {
+            assert_eq!(request.header("x-tenant"), Some(ORGANISATION));
+        }
+    });
+}
+
+#[test]
+fn organisation_whose_name_is_no_ascii_is_named() {
+    block_on(async {
+        let site = start_site().await;
+        let name = "cl\u{ed}nicas & co";
+        site.configure(2, |it| it["tenants"][0]["name"] = json!(name));
+        wait_for("a request of the organisation", async || {
+            look_up(&site).await;
+            let servers = site.plain_servers.iter();
+            let mut requests = servers.flat_map(FleetServer::requests);
+            let is_named = requests.any(|it| it.header("x-tenant") == Some(name));
+            is_named.then_some(())
+        })
+        .await;
+        let requests = site.plain_servers.iter().flat_map(FleetServer::requests);
+        for request in requests {
+            let organisation = request.header("x-tenant");
+            let is_known = organisation == Some(name) || organisation == Some(ORGANISATION);
+            assert!(is_known, "{organisation:?}");
+        }
+    });
+}
+
 /// Guards against a placer that ends because an entry beside its record is removed.
 #[test]
 fn placer_goes_on_when_an_entry_beside_its_record_is_removed() {
