--- a/daemon/tests/odd_names.rs
+++ b/daemon/tests/odd_names.rs
@@ -246,17 +246,28 @@
 }
 
 /// Guards against a record of the placer that cannot be read, so that there is no placer.
-#[test]
-fn record_that_cannot_be_read_is_replaced() {
+mod record_that_cannot_be_read {
+    use mimosabay_core::cases;
+
+    use super::record_is_replaced;
+
+    cases! {
+        record_is_replaced;
+        address_is_a_number: ("{ \"address\": 7 }");
+        number_too_large: ("1e400");
+        no_utf_8: ("\"\u{fffd}\"");
+    }
+}
+
+fn record_is_replaced(odd: &str) {
     block_on(async {
         let mut site = start_site().await;
-        let odd = json!({ "address": 7 });
-        site.store.put("placers", "cell-0", &odd);
+        site.store.set_odd_entry("placers", "cell-0", odd);
         wait_replaced(&site).await;
         for instance in &mut site.instances {
             instance.process.kill();
         }
-        site.store.put("placers", "cell-0", &odd);
+        site.store.set_odd_entry("placers", "cell-0", odd);
         let reports = restart_all(&mut site);
         assert_served(&site, &reports).await;
         wait_replaced(&site).await;
