Encode the request's identifier in the URL of a cancellation

What callers saw: nothing; a run whose caller had left went on at its engine, while the instance took its place in the batch for free, or tried to cancel it again for ever.

Cause: the identifier, which callers choose from the printable ASCII characters, stood in the path of the cancellation as it was. The engine was asked to cancel another run or answered that there is no such path, which counts as the end of the run; with quotes or braces the call could not be sent.

Ruled out: &, + and =, which a path holds; headers with the identifier, which hold all these characters.

Change: the client of engines builds this URL with mimosabay_http::Url, like both clients of platforms.

Evidence: standin/tests/standins.rs, run_with_an_odd_identifier_goes_on: 6 of 7 cases fail without the change ("Running" instead of "Cancelled") and pass with it.

--- a/backend/src/engine.rs
+++ b/backend/src/engine.rs
@@ -2,7 +2,7 @@
 
 use http::StatusCode;
 use mimosabay_core::name::Name;
-use mimosabay_http::{Call, Client, Response};
+use mimosabay_http::{Call, Client, Response, Url};
 use serde_json::Value;
 
 use crate::FENCING_HEADER;
@@ -113,7 +113,8 @@
     ///
     /// A failed call.
     pub async fn cancel(&self, request_id: &str) -> Result<(), Error> {
-        let call = Call::post(format!("{}/v1/requests/{request_id}/cancel", self.base_url));
+        let url = Url::new(format!("{}/v1/requests", self.base_url));
+        let call = Call::post(url.segment(request_id).segment("cancel"));
         self.client.call(call.timeout_ms(REPORT_TIMEOUT_MS)).await?;
         Ok(())
     }
--- a/standin/tests/standins.rs
+++ b/standin/tests/standins.rs
@@ -172,6 +172,39 @@
     });
 }
 
+/// Guards against a run that goes on after its caller has left, because its identifier stood unencoded in
+/// the URL of the cancellation.
+mod run_with_an_odd_identifier_goes_on {
+    use mimosabay_core::cases;
+
+    use super::run_is_cancelled;
+
+    cases! {
+        run_is_cancelled;
+        reserved: ("a&b+c=d");
+        fragment: ("a#b");
+        question_mark: ("a?b");
+        slash: ("a/b");
+        percent: ("a%b");
+        percent_and_digits: ("a%41");
+        quotes: ("{\"a\"}");
+    }
+}
+
+fn run_is_cancelled(id: &str) {
+    block_on(async {
+        let (engine, control) = start_engine(true).await;
+        load(&engine, "a", 1).await.unwrap();
+        let mut order = order(10_000, 0);
+        order.request_id = id.into();
+        let mut run = engine.generate(&order).await.unwrap();
+        run.next().await.unwrap();
+        engine.cancel(id).await.unwrap();
+        let record: Record = control.read("record").await;
+        assert_eq!(record.runs[0].outcome, Outcome::Cancelled);
+    });
+}
+
 #[test]
 fn unloading_an_adapter_in_use_is_a_violation() {
     block_on(async {
