--- a/daemon/src/gateway/link.rs
+++ b/daemon/src/gateway/link.rs
@@ -165,7 +165,8 @@
         self.election_wake.notify_one();
     }
 
-    /// Applies a placer record that was read in an era of the store, if it is newer than the known one.
+    /// Applies a placer record that was read in an era of the store, if it is newer than the known one. The
+    /// election replaces one that cannot be read.
     pub(crate) fn apply_record(&self, object: &StoredObject, store_era: Option<u64>, now_ms: u64) {
         let revision = object.metadata.revision;
         let record = PlacerRecord::deserialize(&object.spec);
--- a/standin/src/target.rs
+++ b/standin/src/target.rs
@@ -2,9 +2,9 @@
 
 use http::Uri;
 
-/// Stands in names for a byte that is no UTF-8. Answers send the byte 0xFF in its place.
+/// Character of a name that stands for a byte that is no UTF-8. Answers send the byte 0xFF in its place.
 pub(crate) const ODD_BYTE: char = '\u{fffd}';
-/// Replaces [`ODD_BYTE`] where a caller has written that character itself, which is another name.
+/// Character in its place where a caller has written that character itself, which makes another name.
 const WRITTEN_ODD_BYTE: &str = "\u{fffc}";
 /// Characters beside letters and digits that a path and a query may hold as they are.
 const PLAIN_CHARACTERS: &[u8] = b"-._~:/?@!$&'()*+,;=";
