Answer under any name of a simulated server

Cause: a simulated server put its name into its seal as it was. Under a name with a control character or a line break it closed the connection instead, and the caller saw 502. So control_character and line_break of request_does_not_name_its_server failed before for that reason, and its message gives the 502 as what callers saw; that was the stand-in's.

No check changes.

The fault that mends was real.

--- a/standin/src/fleet/answers.rs
+++ b/standin/src/fleet/answers.rs
@@ -96,7 +96,9 @@
         let headers = response.headers_mut();
         let id = HeaderValue::from_str(id).map_err(|_| Closed)?;
         headers.insert("x-attempt-id", id);
-        let seal = HeaderValue::from_str(&format!("seal-{}", self.id)).map_err(|_| Closed)?;
+        // A header cannot hold every identifier as it is.
+        let seal = format!("seal-{}", urlencoding::encode(&self.id));
+        let seal = HeaderValue::from_str(&seal).map_err(|_| Closed)?;
         headers.insert("x-server-seal", seal);
         self.add_statements(headers);
         Ok(())
