review: a cut watch keeps removed servers in use for longer than drainMs (DRAIN)

Cause: one failed call of the store, also a watch that was cut off, begins a grace of 2,000 ms in which removed entries stay in use, and they are dropped up to 500 ms later.

--- a/review/site-2/main.rs
+++ b/review/site-2/main.rs
@@ -1,5 +1,6 @@
 //! The stand-ins and the steps of the scripts `review/N/run.sh`.
 
+mod drain;
 mod json;
 mod memory;
 mod wedge;
@@ -22,6 +23,7 @@
     let record = arguments.get(2).map_or("record.txt", String::as_str);
     let trouble = std::env::var("TROUBLE").map_or(true, |it| it != "0");
     let outcome = match case {
+        "drain" => drain::run(record, trouble),
         "memory" => memory::run(record, trouble),
         "wedge" => wedge::run(record, trouble),
         other => Outcome::NotRun(format!("no such case: {other}")),
--- a/review/site-2/site.rs
+++ b/review/site-2/site.rs
@@ -47,6 +47,9 @@
 
 type Key = (String, String);
 
+/// Stands for a connection that is closed without an answer.
+const CUT_OFF: u16 = 0;
+
 struct Object {
     spec: Json,
     revision: u64,
@@ -75,6 +78,8 @@
     pub refused: Mutex<BTreeSet<usize>>,
     /// Machines whose writes it turns away with 429.
     pub refused_writes: Mutex<BTreeSet<usize>>,
+    /// Time for which a watch may wait before it is cut off, in milliseconds; 0 for any time.
+    pub cut_watches_after_ms: AtomicU64,
     record: Arc<Record>,
 }
 
@@ -124,6 +129,7 @@
             changed: Condvar::new(),
             refused: Mutex::default(),
             refused_writes: Mutex::default(),
+            cut_watches_after_ms: AtomicU64::new(0),
             record,
         })
     }
@@ -191,6 +197,10 @@
             ("GET", false) => self.read(&kind, &name),
             _ => self.write(call, &kind, &name, machine),
         };
+        if status == CUT_OFF {
+            self.record.add(&format!("store: cuts off a watch of {kind} by machine {machine}"));
+            return stream.shutdown(Shutdown::Both).and(Err(std::io::ErrorKind::Other.into()));
+        }
         // Each machine reaches the servers over links of its own.
         let body = body.replace(":8668\"", &format!(":{}\"", 8_668 + machine));
         wire::answer(stream, status, "", &body)
@@ -215,7 +225,8 @@
     fn watch(&self, call: &Message, kind: &str, machine: usize) -> (u16, String) {
         let since: u64 = call.query("watch").and_then(|it| it.parse().ok()).unwrap_or(0);
         let wait: u64 = call.query("waitMs").and_then(|it| it.parse().ok()).unwrap_or(0);
-        let until = Instant::now() + Duration::from_millis(wait);
+        let begun = Instant::now();
+        let until = begun + Duration::from_millis(wait);
         let mut tables = self.tables.lock().unwrap();
         loop {
             let events = tables.events.iter();
@@ -237,6 +248,10 @@
             if self.refused.lock().unwrap().contains(&machine) {
                 return (503, "{}".into());
             }
+            let cut_ms = self.cut_watches_after_ms.load(Ordering::SeqCst);
+            if cut_ms > 0 && begun.elapsed().as_millis() as u64 >= cut_ms {
+                return (CUT_OFF, String::new());
+            }
         }
     }
 
