review: the stand-ins lie in the folder of the first case

Cause: review/ holds the cases and nothing else of this review but its build and its report. Change: review/site-2 is review/6/stand-ins; review/build-2.sh builds from there.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2024 -O -o target/review-2/site review/site-2/main.rs
+rustc --edition 2024 -O -o target/review-2/site review/6/stand-ins/main.rs
