--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,12 +6,16 @@
     echo "not built: the build of deploy/system.toml and review/build-2.sh come first"
     exit 2
 fi
-# In a process group of its own, so that nothing of it is left.
+# In a process group of its own and with a temporary folder of its own, so that nothing of it is left.
+TMPDIR=$(mktemp -d) || exit 2
+export TMPDIR
 timeout -k 5 110 target/review-2/site wedge review/7/record.txt &
 group=$!
 trap 'kill "$group" 2>/dev/null' TERM INT
 wait "$group"
 code=$?
 kill -KILL -- "-$group" 2>/dev/null
+sleep 0.1
+rm -rf "$TMPDIR"
 [ "$code" -le 2 ] || code=2
 exit "$code"
