Answer writes in the stand-in store as the platform's page says

The page: "A PUT that changes nothing does not increase the revision and produces no event"; "A call that receives no response may have been executed, or may be executed seconds later if its condition still holds"; calls beyond the rates "receive 429".

Change: a write that changes nothing changes no revision; `created` stays; writes can be held and executed late, with their conditions checked then; writes and reads beyond the rates get 429; answers to writes can be delayed; replacements can be ignored. The objects and their writes are a file of their own.

Left as they were, because nothing in the product uses them: finalizers, /status, `staleOk`.

Three tests registered a server again to have its entry changed, which is no change any more. They change the entry now (`change_entry`), so that they are as strict as before.

--- a/daemon/tests/gateway/store.rs
+++ b/daemon/tests/gateway/store.rs
@@ -173,7 +173,7 @@
         let watches_before = site.store.watch_count("servers");
         let started = Instant::now();
         for _ in 0..40 {
-            site.engines[0].register("ready");
+            site.engines[0].change_entry();
             sleep(Duration::from_millis(100)).await;
         }
         let watches = site.store.watch_count("servers") - watches_before;
--- a/daemon/tests/server_statements.rs
+++ b/daemon/tests/server_statements.rs
@@ -175,7 +175,7 @@
         .await;
         match condition {
             Condition::Calm | Condition::StoreDown => {}
-            Condition::RegisteredAgain => server.register("ready"),
+            Condition::RegisteredAgain => server.change_entry(),
             Condition::PlacerKilled => {
                 let placer = site.wait_placer().await;
                 site.instances[placer].process.kill();
--- a/daemon/tests/store_copies.rs
+++ b/daemon/tests/store_copies.rs
@@ -344,7 +344,7 @@
         let copy = site.store.copy();
         advance_revision(&site, LOST_REVISIONS);
         // All instances know a revision of the servers that the copy lacks.
-        site.plain_servers[2].register("ready");
+        site.plain_servers[2].change_entry();
         sleep(Duration::from_millis(LEFT_AFTER_MS)).await;
         if leaving.is_before_return() {
             leaving.begin(&site);
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -22,6 +22,7 @@
 mod site;
 mod statement;
 mod store;
+mod store_tables;
 mod version;
 
 pub use behaviour::Behaviour;
@@ -37,4 +38,5 @@
     DESK, ENGINES, FleetInstance, FleetOptions, FleetSite, HOST, KEY, Listener, MODEL, ORGANISATION,
 };
 pub use store::{FleetStore, LostWrites, StoreCopy, WaitingWatches};
+pub use store_tables::HeldWrite;
 pub use version::software_versions;
--- a/standin/src/fleet/server.rs
+++ b/standin/src/fleet/server.rs
@@ -29,6 +29,8 @@
 pub(super) const EVENT_INTERVAL_MS: u64 = 15;
 /// Simulated load time of an adapter, in milliseconds. Each order is answered after a tenth of it.
 const ADAPTER_LOAD_MS: u64 = 60;
+/// Number of slots that an entry names.
+const SLOTS: u64 = 8;
 /// Availability zone of a server that was not moved.
 const FIRST_ZONE: &str = "zone-1";
 /// Receive buffer of a connection, in bytes. A server that does not read soon blocks the sender.
@@ -101,6 +103,8 @@
     zone: Name,
     /// Time for which it says that it is cold, in milliseconds.
     cold_ms: u64,
+    /// Number of slots that the entry names beyond [`SLOTS`].
+    more_slots: u64,
     /// Time between the events of a stream, in milliseconds.
     pub(super) event_interval_ms: u64,
     /// Number of accepted load orders that exceeded the adapter slots.
@@ -161,6 +165,12 @@
         self.store.put("servers", &self.current_id(), &registration);
     }
 
+    /// Registers the server as ready with one more slot. An entry that stays the same is no change.
+    pub fn change_entry(&self) {
+        self.with_state(|state| state.more_slots += 1);
+        self.register("ready");
+    }
+
     /// Returns the address under which the server registers.
     pub(super) fn registered_address(&self) -> SocketAddr {
         let advertised = self.with_state(|state| state.advertised_address);
@@ -277,13 +287,14 @@
     fn registration(&self, state: &str) -> Value {
         let (sequence, start_count) = self.with_state(|state| (state.sequence, state.start_count));
         let (zone, cold_ms) = self.with_state(|state| (state.zone.clone(), state.cold_ms));
+        let more_slots = self.with_state(|state| state.more_slots);
         let address = self.registered_address();
         json!({
             "service": self.service,
             "address": address.to_string(),
             "zone": zone,
             "version": self.software_version(),
-            "slots": 8,
+            "slots": SLOTS + more_slots,
             "state": state,
             "coldRemainingMs": cold_ms,
             "stage": "unified",
--- a/standin/src/fleet/store.rs
+++ b/standin/src/fleet/store.rs
@@ -11,8 +11,9 @@
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
+use super::store_tables::{self, HeldWrite, Tables, Write};
 use crate::reply::{self, Body, Closed, Reply};
 use crate::server::{self, Call, ConnectionFaults, Service};
 use crate::target::ODD_BYTE;
@@ -21,8 +22,6 @@
 const PAGE_SIZE: usize = 20;
 /// Stands for the content of an entry of another writer.
 const ODD_ENTRY: &str = "odd entry";
-/// Kinds of objects that the operator and the servers write.
-const FOREIGN_KINDS: [&str; 4] = ["config", "evacuations", "servers", "versions"];
 
 /// An object store. Clones share its state.
 #[derive(Clone, Debug)]
@@ -35,9 +34,9 @@
 /// Content of a store at one time, from which it can come back.
 #[derive(Clone, Debug)]
 pub struct StoreCopy {
-    revision: u64,
-    objects: BTreeMap<(Name, Name), Value>,
-    events: Vec<(u64, Name, Value)>,
+    pub(super) revision: u64,
+    pub(super) objects: BTreeMap<(Name, Name), Value>,
+    pub(super) events: Vec<(u64, Name, Value)>,
 }
 
 /// What becomes of watches that wait while the store comes back from a copy.
@@ -52,47 +51,12 @@
 /// Objects that the operator and the servers had written after the copy was made; `None` for those
 /// that they had removed.
 #[derive(Clone, Debug, Default)]
-pub struct LostWrites(Vec<((Name, Name), Option<Value>)>);
-
-#[derive(Debug, Default)]
-struct Tables {
-    /// Number of the copy that the store runs on.
-    era: u64,
-    /// What the answers state instead of the era; an empty text for no header.
-    stated_era: Option<String>,
-    /// Number of times that waiting watches were cut.
-    cut_count: u64,
-    revision: u64,
-    /// Watches from a revision before this one are answered with 410.
-    compacted_revision: u64,
-    objects: BTreeMap<(Name, Name), Value>,
-    /// Changes as revision, kind of object and event, oldest first.
-    events: Vec<(u64, Name, Value)>,
-    /// Content of the entries of another writer, as text that need not be valid.
-    odd_entry: Option<String>,
-    /// Number of objects on one page of a list.
-    page_size: usize,
-    /// Kind whose lists have the first page again and again.
-    repeated_kind: Option<Name>,
-    /// Whether every request is answered with 503.
-    is_down: bool,
-    /// Number of further writes that are applied but not answered.
-    responses_to_drop: u32,
-    write_count: u64,
-    read_count: u64,
-    /// Number of watches so far, by kind of object.
-    watch_counts: BTreeMap<Name, u64>,
-}
+pub struct LostWrites(pub(super) Vec<((Name, Name), Option<Value>)>);
 
 impl FleetStore {
     /// Starts serving an empty store on a listener.
     pub fn start(listener: TcpListener) -> Self {
-        let tables = Tables {
-            era: 1,
-            revision: 1,
-            page_size: PAGE_SIZE,
-            ..Tables::default()
-        };
+        let tables = Tables::new(PAGE_SIZE);
         let store = Self {
             tables: Arc::new(Mutex::new(tables)),
             revision_sender: Arc::new(watch::Sender::new(1)),
@@ -138,6 +102,38 @@
         self.with_tables(|tables| tables.responses_to_drop = count);
     }
 
+    /// Sets whether calls that change objects get no answer and are kept, to be executed late.
+    pub fn set_writes_held(&self, are_held: bool) {
+        self.with_tables(|tables| tables.are_writes_held = are_held);
+    }
+
+    /// Returns the number of kept calls that remove an object of a kind.
+    pub fn held_removals(&self, kind: &str) -> usize {
+        let tables = self.tables.lock().expect("store lock");
+        tables.held_removals(kind)
+    }
+
+    /// Sets the kind whose objects are not replaced: the answers say so, and bring the object as it is.
+    pub fn ignore_replacements(&self, kind: Option<&str>) {
+        self.with_tables(|tables| tables.unchanging_kind = kind.map(Name::from));
+    }
+
+    /// Sets the time from the execution of a call that changes an object to its answer.
+    pub fn delay_write_answers(&self, delay: Duration) {
+        self.with_tables(|tables| tables.write_delay = delay);
+    }
+
+    /// Executes the calls that were kept, each if its condition still holds. Returns what became of them, in
+    /// the order of the calls.
+    pub fn execute_held_writes(&self) -> Vec<HeldWrite> {
+        self.with_tables(Tables::execute_held)
+    }
+
+    /// Sets how many calls that change objects the store accepts in a second. Further ones get 429.
+    pub fn limit_writes(&self, per_s: usize) {
+        self.with_tables(|tables| tables.write_rate.set_limit(per_s));
+    }
+
     /// Compacts the history: watches from earlier revisions are answered with 410.
     pub fn compact(&self) {
         self.with_tables(|tables| tables.compacted_revision = tables.revision);
@@ -305,49 +301,15 @@
         ))
     }
 
-    fn handle_write(&self, call: &Call, kind: &str, name: Option<&str>) -> Reply {
-        let body: Value = call.json().unwrap_or(Value::Null);
-        let expected_revision = body["metadata"]["revision"]
-            .as_u64()
-            .or_else(|| call.number("revision"));
-        let body_name = body["metadata"]["name"].as_str();
-        let Some(name) = name.or(body_name) else {
-            return reply::error(StatusCode::BAD_REQUEST, "no name");
+    async fn handle_write(&self, call: &Call, kind: &str, name: Option<&str>) -> Reply {
+        let write = match Write::of_call(call, kind, name) {
+            Ok(write) => write,
+            Err(message) => return reply::error(StatusCode::BAD_REQUEST, message),
         };
-        let key = (Name::from(kind), Name::from(name));
-        let mut drops_response = false;
-        let response = self.with_tables(|tables| {
-            tables.write_count += 1;
-            let current = tables.objects.get(&key).cloned();
-            let revision = current
-                .as_ref()
-                .map(|it| it["metadata"]["revision"].clone());
-            let is_create = call.method == Method::POST;
-            if is_create && current.is_some() {
-                return reply::json(StatusCode::CONFLICT, &current);
-            }
-            if !is_create && current.is_none() {
-                return reply::error(StatusCode::NOT_FOUND, "no such object");
-            }
-            if expected_revision.is_some()
-                && expected_revision != revision.and_then(|it| it.as_u64())
-            {
-                return reply::json(StatusCode::CONFLICT, &current);
-            }
-            drops_response = tables.responses_to_drop > 0;
-            tables.responses_to_drop = tables.responses_to_drop.saturating_sub(1);
-            if call.method == Method::DELETE {
-                tables.remove(kind, name);
-                return reply::ok(&current);
-            }
-            tables.write(kind, name, &body["spec"]);
-            reply::ok(&tables.objects[&key])
-        });
-        if drops_response {
-            Err(Closed)
-        } else {
-            response
-        }
+        let (answer, delay) =
+            self.with_tables(|tables| (tables.receive(write), tables.write_delay));
+        sleep(delay).await;
+        answer
     }
 
     fn list(&self, kind: &str, after: Option<&str>) -> Reply {
@@ -422,9 +384,11 @@
             return reply::error(StatusCode::SERVICE_UNAVAILABLE, "down");
         }
         if call.method != Method::GET {
-            return self.handle_write(&call, kind, name);
+            return self.handle_write(&call, kind, name).await;
+        }
+        if !self.tables.lock().expect("store lock").admit_read() {
+            return store_tables::too_many_calls();
         }
-        self.tables.lock().expect("store lock").read_count += 1;
         if let Some(since) = call.number("watch") {
             let wait_ms = call.number("waitMs").unwrap_or(0);
             self.count_watch(kind);
@@ -442,49 +406,3 @@
         }
     }
 }
-
-impl Tables {
-    fn writes_since(&self, copy: &StoreCopy) -> LostWrites {
-        let is_foreign = |key: &(Name, Name)| FOREIGN_KINDS.contains(&&*key.0);
-        let written = self.objects.iter().filter(|(key, object)| {
-            is_foreign(key)
-                && copy
-                    .objects
-                    .get(*key)
-                    .is_none_or(|it| it["spec"] != object["spec"])
-        });
-        let written = written.map(|(key, object)| (key.clone(), Some(object["spec"].clone())));
-        let removed = copy.objects.keys();
-        let removed = removed.filter(|key| is_foreign(key) && !self.objects.contains_key(*key));
-        let removed = removed.map(|key| (key.clone(), None));
-        LostWrites(written.chain(removed).collect())
-    }
-
-    fn write(&mut self, kind: &str, name: &str, spec: &Value) -> u64 {
-        self.revision += 1;
-        let revision = self.revision;
-        let object = json!({
-            "metadata": {
-                "name": name,
-                "revision": revision,
-                "created": revision,
-                "finalizers": [],
-                "deleting": false,
-            },
-            "spec": spec,
-            "status": null,
-        });
-        let event = json!({ "deleted": false, "object": object });
-        self.events.push((revision, kind.into(), event));
-        self.objects.insert((kind.into(), name.into()), object);
-        revision
-    }
-
-    fn remove(&mut self, kind: &str, name: &str) {
-        if let Some(object) = self.objects.remove(&(kind.into(), name.into())) {
-            self.revision += 1;
-            let event = json!({ "deleted": true, "object": object });
-            self.events.push((self.revision, kind.into(), event));
-        }
-    }
-}
