Name the replaced revision in the placer's record, so that claiming it again is a change

Cause: a placer that lost its links tries to remove its record. From then on it orders no more with its number, as the removal may be carried out late. If the links come back first, it writes its record again to get a larger number. The record had the same five fields, and the platform says: "A PUT that changes nothing does not increase the revision and produces no event." The number stayed, and the write came every 100 ms.

Ruled out: the era's offset and a late removal (the record stayed, the era was one).

Change: the record names the revision that it replaces. That is smaller than its own, so that no record equals the one before it, in any era and in any copy. The new number comes with the new revision, which is also the condition that a late removal no longer meets. Clearing the mark alone would have given only the first. Earlier builds skip the field, and records without it count as 0.

--- a/core/src/placer_record.rs
+++ b/core/src/placer_record.rs
@@ -32,6 +32,11 @@
     /// Era of the store in which it was written, as far as its writer knew.
     #[serde(default)]
     pub store_era: Option<u64>,
+    /// Revision of the record that it replaced; zero if there was none, and in records of earlier builds.
+    /// Smaller than its own revision, so that no record equals the one that it replaces: the store would
+    /// take such a write for no change and leave the revision as it is.
+    #[serde(default)]
+    pub replaced_revision: u64,
 }
 
 impl PlacerRecord {
@@ -66,6 +71,16 @@
     },
 }
 
+impl StoredRecord {
+    /// Revision of the object, the condition for replacing it; `None` without an object.
+    pub fn revision(self) -> Option<u64> {
+        match self {
+            Self::Unread | Self::Absent => None,
+            Self::Unreadable { revision } | Self::Present { revision, .. } => Some(revision),
+        }
+    }
+}
+
 /// Offset of fencing numbers from revisions.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Offset {
--- a/core/tests/placer_record.rs
+++ b/core/tests/placer_record.rs
@@ -23,6 +23,8 @@
 /// An instance that takes part in the election.
 #[derive(Clone, Debug, Default)]
 struct Instance {
+    /// Incarnation number of its process.
+    incarnation: u64,
     view: PlacerView,
     /// Era of the store that it knows; `None` before its first call.
     era: Option<u64>,
@@ -39,6 +41,13 @@
 }
 
 impl Instance {
+    fn start(incarnation: u64) -> Self {
+        Self {
+            incarnation,
+            ..Self::default()
+        }
+    }
+
     fn read(&mut self, store: &Store) -> Reading {
         self.era = Some(store.era);
         match &store.record {
@@ -54,6 +63,18 @@
     }
 }
 
+impl Store {
+    /// Writes the record. A write that changes nothing is no change.
+    fn write(&mut self, record: PlacerRecord) {
+        let stored = self.record.as_ref();
+        let is_change = stored.is_none_or(|(_, stored)| stored.as_ref() != Some(&record));
+        if is_change {
+            self.revision += 1;
+            self.record = Some((self.revision, Some(record)));
+        }
+    }
+}
+
 impl History {
     fn new() -> Self {
         let store = Store {
@@ -64,8 +85,8 @@
         Self {
             copies: vec![store.clone()],
             store,
-            instances: vec![Instance::default(); INSTANCES],
-            next_incarnation: 1,
+            instances: (1..).take(INSTANCES).map(Instance::start).collect(),
+            next_incarnation: 1 + INSTANCES as u64,
             used: Vec::new(),
         }
     }
@@ -87,7 +108,9 @@
     /// Starts an instance again. Before that it may remove the record, if it is its own.
     fn restart(&mut self, index: usize, u: &mut Unstructured<'_>) -> Result<()> {
         let resigns = u.arbitrary()?;
-        let instance = std::mem::take(&mut self.instances[index]);
+        let started = Instance::start(self.next_incarnation);
+        self.next_incarnation += 1;
+        let instance = std::mem::replace(&mut self.instances[index], started);
         let stored = self.store.record.as_ref();
         let stored = stored.and_then(|(_, record)| record.as_ref());
         let known = instance.view.record.as_ref().map(|(_, record)| record);
@@ -132,13 +155,12 @@
         let record = PlacerRecord {
             address: format!("10.0.0.{index}:1"),
             instance: format!("instance-{index}").into(),
-            incarnation: self.next_incarnation,
+            incarnation: instance.incarnation,
             fencing_offset: instance.view.next_offset(era, false),
             store_era: Some(era),
+            replaced_revision: instance.view.stored.revision().unwrap_or(0),
         };
-        self.next_incarnation += 1;
-        self.store.revision += 1;
-        self.store.record = Some((self.store.revision, Some(record)));
+        self.store.write(record);
         let reading = instance.read(&self.store);
         assert_eq!(reading, Reading::Newer, "its own record");
         self.used.push(instance.view.largest_number);
@@ -200,6 +222,17 @@
     assert_eq!(history.instances[0].read(&later), Reading::Lost);
 }
 
+/// Guards against a record that a later one equals, which the store would not take for a change.
+#[test]
+fn records_that_follow_each_other_differ() {
+    let mut history = History::new();
+    history.instances[0].read(&history.store);
+    history.claim(0);
+    history.claim(0);
+    history.claim(0);
+    assert_eq!(history.used, [2, 3, 4]);
+}
+
 /// View of a placer with number 7, which was last seen at 1 s.
 fn view_of_a_placer() -> PlacerView {
     let record = PlacerRecord {
@@ -208,6 +241,7 @@
         incarnation: 1,
         fencing_offset: 0,
         store_era: None,
+        replaced_revision: 0,
     };
     let mut view = PlacerView::default();
     assert_eq!(view.observe_record(&record, 7, None, 1_000), Reading::Newer);
--- a/daemon/src/gateway/election.rs
+++ b/daemon/src/gateway/election.rs
@@ -122,13 +122,9 @@
     let record = own_record(state, &view);
     let sent_in = state.store_era.known();
     let store = &state.store;
-    let written = match view.stored {
-        StoredRecord::Present { revision, .. } | StoredRecord::Unreadable { revision } => {
-            store.replace(kind, RECORD_NAME, revision, &record).await
-        }
-        StoredRecord::Absent | StoredRecord::Unread => {
-            store.create(kind, RECORD_NAME, &record).await
-        }
+    let written = match view.stored.revision() {
+        Some(revision) => store.replace(kind, RECORD_NAME, revision, &record).await,
+        None => store.create(kind, RECORD_NAME, &record).await,
     };
     handle_write(state, written, sent_in)
 }
@@ -412,6 +408,7 @@
     PlacerRecord {
         fencing_offset: view.next_offset(store_era.unwrap_or(0), state.settings().is_first_start),
         store_era,
+        replaced_revision: view.stored.revision().unwrap_or(0),
         address: state.settings().peer_address().to_string(),
         instance: state.settings().instance.clone(),
         incarnation: state.incarnation,
