Keep the successor that is known when the answer to a removal comes late

Callers saw: a placer that had given its role up took it back from a live successor, without waiting for any lease, so that two placers could order at once at servers that do not check fencing numbers; adapters were placed anew.

Cause: when the store had answered the removal, the former placer forgot "the placer", whoever that was by then. A successor that had been seen in the meantime was forgotten too, and its record, read again, has no larger number, so that it was never followed. As soon as the links were back, the instance replaced the record.

Evidence: with answers to writes 700 ms late, the log of the placer has placer_changed (11, the successor), 500 ms later placer_resigned, and 13 ms after links_regained its own claim, 12.

Change: only the placer that has resigned is forgotten. A removal first reads the record, and goes by what that brings: a record of another process ends the attempt, one of this process is removed with its own number. The newest known record is followed again if it was taken for removed by an answer that came late (a read without a record, a list or an event from before it was written).

--- a/core/src/placer_record.rs
+++ b/core/src/placer_record.rs
@@ -168,7 +168,7 @@
         };
         self.is_record_stale = false;
         self.absent_since_ms = None;
-        if fencing_number > self.largest_number {
+        if self.is_newer(fencing_number) {
             self.record = Some((fencing_number, record.clone()));
             self.record_era = store_era;
             self.largest_number = fencing_number;
@@ -184,6 +184,13 @@
         Reading::Lost
     }
 
+    /// Whether the record with a fencing number is newer than what is known. The newest one may have been
+    /// taken for removed, by an answer of the store that came late.
+    fn is_newer(&self, fencing_number: u64) -> bool {
+        let is_forgotten = self.record.is_none() && fencing_number == self.largest_number;
+        is_forgotten || fencing_number > self.largest_number
+    }
+
     /// Records that the record at a revision cannot be read. What was known counts.
     pub fn observe_unreadable(&mut self, revision: u64) {
         self.stored = StoredRecord::Unreadable { revision };
--- a/core/tests/placer_record.rs
+++ b/core/tests/placer_record.rs
@@ -222,6 +222,28 @@
     assert_eq!(history.instances[0].read(&later), Reading::Lost);
 }
 
+/// Guards against an instance without a placer: an answer that comes late takes the record for removed, and the
+/// record that is read next has no larger number.
+#[test]
+fn record_that_was_taken_for_removed_is_followed_again() {
+    let mut view = view_of_a_placer();
+    let (_, record) = view.record.clone().expect("a record");
+    assert_eq!(view.observe_absence(None), Reading::Removed);
+    assert_eq!(view.observe_record(&record, 7, None, 2_000), Reading::Newer);
+    assert_eq!(view.number(), Some(7));
+}
+
+/// Guards against following a placer again that another one has replaced.
+#[test]
+fn record_before_one_that_was_removed_is_not_followed_again() {
+    let mut view = view_of_a_placer();
+    let (_, record) = view.record.clone().expect("a record");
+    assert_eq!(view.observe_record(&record, 9, None, 2_000), Reading::Newer);
+    view.forget();
+    assert_eq!(view.observe_record(&record, 7, None, 3_000), Reading::Lost);
+    assert_eq!(view.number(), None);
+}
+
 /// Guards against a record that a later one equals, which the store would not take for a change.
 #[test]
 fn records_that_follow_each_other_differ() {
--- a/daemon/src/gateway/election.rs
+++ b/daemon/src/gateway/election.rs
@@ -172,39 +172,45 @@
 ///
 /// Those of the store. The removal may take effect late.
 async fn try_resign(state: &State) -> Result<(), Error> {
-    let view = state.link.placer_view();
-    let Some((number, record)) = &view.record else {
-        return Ok(());
-    };
-    if !state.link.names_this_process(record) {
+    if own_number(state).is_none() {
         return Ok(());
     }
     read_record(state).await?;
-    let view = state.link.placer_view();
-    let StoredRecord::Present { revision, .. } = view.stored else {
-        state.link.forget_placer();
+    // The reading may have brought a newer record, of this or of another process.
+    let Some(number) = own_number(state) else {
         return Ok(());
     };
-    if !state.link.is_stored_placer(*number) {
+    let stored = state.link.placer_view().stored;
+    let StoredRecord::Present { revision, .. } = stored else {
+        state.link.forget_placer(number);
+        return Ok(());
+    };
+    if !state.link.is_stored_placer(number) {
         info!(
             event = "placer_not_resigned",
             number,
             reason = "record lost or replaced"
         );
-        state.link.forget_placer();
+        state.link.forget_placer(number);
         return Ok(());
     }
     if let Some(placer) = state.link.local_placer() {
         placer.hold_orders(u64::MAX);
     }
-    state.order_permission.resign(*number).await;
+    state.order_permission.resign(number).await;
     let kind = wire_names::kind::PLACERS;
     state.store.delete(kind, RECORD_NAME, revision).await?;
     info!(event = "placer_resigned", revision);
-    state.link.forget_placer();
+    state.link.forget_placer(number);
     Ok(())
 }
 
+/// Fencing number of the known record, if it names this process.
+fn own_number(state: &State) -> Option<u64> {
+    let (number, record) = state.link.placer_view().record?;
+    state.link.names_this_process(&record).then_some(number)
+}
+
 fn next_step(state: &State) -> Step {
     let view = state.link.placer_view();
     if !view.is_read() || state.is_stopping() {
--- a/daemon/src/gateway/link.rs
+++ b/daemon/src/gateway/link.rs
@@ -154,13 +154,22 @@
                 info!(event = "placer_record_lost", store_era);
                 self.election_wake.notify_one();
             }
-            Reading::Removed => self.forget_placer(),
+            Reading::Removed => self.leave_placer(),
         }
     }
 
-    /// Forgets the placer, which has resigned.
-    pub(crate) fn forget_placer(&self) {
-        self.view.lock().expect("placer view lock").forget();
+    /// Forgets the placer with a fencing number, which has resigned, unless another one has followed it.
+    pub(crate) fn forget_placer(&self, number: u64) {
+        let mut view = self.view.lock().expect("placer view lock");
+        if view.number() != Some(number) {
+            return;
+        }
+        view.forget();
+        drop(view);
+        self.leave_placer();
+    }
+
+    fn leave_placer(&self) {
         self.target.send_replace(Target::None);
         self.election_wake.notify_one();
     }
--- a/daemon/tests/placer_record.rs
+++ b/daemon/tests/placer_record.rs
@@ -26,6 +26,8 @@
 const QUIET_TIME: Duration = Duration::from_millis(1_500);
 /// Largest number of writes in [`QUIET_TIME`].
 const MAX_QUIET_WRITES: u64 = 2;
+/// Time after which a slow store answers.
+const SLOW_ANSWER: Duration = Duration::from_millis(700);
 
 /// Why the store does not remove the record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -313,3 +315,27 @@
         }
     }
 }
+
+/// Guards against a former placer that forgets its successor because the answer to its removal comes late, and
+/// then takes the role back from it.
+#[test]
+fn placer_whose_removal_is_answered_late_follows_its_successor() {
+    block_on(async {
+        let site = start_site().await;
+        let placer = site.wait_placer().await;
+        assert_loaded_again(&site, "before", &all()).await;
+        site.store.delay_write_answers(SLOW_ANSWER);
+        site.instance_links[placer].lose(LinkLoss::Reset);
+        let successor = wait_for("a successor", async || {
+            site.placer_index().filter(|now| *now != placer)
+        })
+        .await;
+        sleep(2 * SLOW_ANSWER).await;
+        site.store.delay_write_answers(Duration::ZERO);
+        heal_links(&site, placer).await;
+        assert_loaded_again(&site, "after", &all()).await;
+        print_elections(&site, site.placer_index() != Some(successor));
+        assert_eq!(site.placer_index(), Some(successor));
+        assert_orders_in_turn(&site);
+    });
+}
