Pause an election step that brings no progress, and log it

Cause: a step that succeeds is followed by the next one after 100 ms, whatever it has changed.

Change: if the same step is due again and the stored record is what it was, `election_without_progress` is logged, the record is read again, and the election pauses for 300 ms as after a failed call. A record that has to be read again is read before a restarted instance claims the record of its earlier process: a claim that had met a conflict was repeated with the same revision.

Test: claim_without_progress_is_paused_and_logged, with a store that answers replacements and ignores them.

--- a/daemon/src/gateway/election.rs
+++ b/daemon/src/gateway/election.rs
@@ -97,9 +97,25 @@
             }
             step => step,
         };
-        if let Err(cause) = execute_step(&state, step, takeover).await {
-            warn!(event = "election_failed", %cause);
-            sleep(Duration::from_millis(FAILURE_PAUSE_MS)).await;
+        let before = state.link.placer_view().stored;
+        match execute_step(&state, step, takeover).await {
+            Ok(()) if !is_without_progress(&state, step, before) => continue,
+            Ok(()) => {
+                warn!(event = "election_without_progress", ?step, stored = ?before);
+                state.link.mark_record_stale();
+            }
+            Err(cause) => warn!(event = "election_failed", %cause),
+        }
+        sleep(Duration::from_millis(FAILURE_PAUSE_MS)).await;
+    }
+}
+
+/// Whether a step has succeeded and left everything as it was `before`, so that it is due again at once.
+fn is_without_progress(state: &State, step: Step, before: StoredRecord) -> bool {
+    match step {
+        Step::Wait | Step::QueryOthers => false,
+        Step::ReadRecord | Step::Start { .. } | Step::Claim => {
+            state.link.placer_view().stored == before && next_step(state) == step
         }
     }
 }
@@ -228,8 +244,8 @@
         Some((number, record)) if state.link.names_this_process(record) => {
             step_as_placer(state, view, *number)
         }
-        Some((_, record)) if state.link.names_this_instance(record) => Step::Claim,
         _ if view.is_record_stale => Step::ReadRecord,
+        Some((_, record)) if state.link.names_this_instance(record) => Step::Claim,
         Some(_) => step_with_remote_placer(state, view),
         None => step_without_record(state),
     }
--- a/daemon/tests/placer_record.rs
+++ b/daemon/tests/placer_record.rs
@@ -26,6 +26,8 @@
 const QUIET_TIME: Duration = Duration::from_millis(1_500);
 /// Largest number of writes in [`QUIET_TIME`].
 const MAX_QUIET_WRITES: u64 = 2;
+/// Largest number of claims in [`QUIET_TIME`]: there is a pause of 300 ms after each.
+const MAX_CLAIMS: u64 = 5;
 /// Time after which a slow store answers.
 const SLOW_ANSWER: Duration = Duration::from_millis(700);
 
@@ -300,6 +302,29 @@
     });
 }
 
+/// Guards against ten writes a second, without a line in the log, while the store answers a claim and leaves
+/// the record as it is.
+#[test]
+fn claim_without_progress_is_paused_and_logged() {
+    block_on(async {
+        let site = start_site().await;
+        let placer = site.wait_placer().await;
+        site.store.limit_writes(0);
+        lose_links(&site, placer).await;
+        site.store.ignore_replacements(Some(PLACERS));
+        heal_links(&site, placer).await;
+        site.store.limit_writes(ANY_RATE);
+        let without_progress = "election_without_progress";
+        wait_for_more(&site, placer, without_progress, 0).await;
+        let before = site.store.write_count();
+        sleep(QUIET_TIME).await;
+        let writes = site.store.write_count() - before;
+        assert!(writes <= MAX_CLAIMS, "{writes} writes");
+        site.store.ignore_replacements(None);
+        assert_loaded_again(&site, "after", &all()).await;
+    });
+}
+
 /// Prints what the instances logged of the placer and their links, for a failed test.
 fn print_elections(site: &FleetSite, is_wanted: bool) {
     if !is_wanted {
