Count a quarantine that was written as stored

Callers saw: a request or a part of a prompt whose quarantine had ended was refused again, for up to an hour, after all instances had started again or the placer that knew of the end was gone.

Cause: after a successful write the store of the quarantine still held what it had read before. If the quarantine later was what had been read, it counted as stored, and the end of the quarantine was not written.

Ruled out at the versions of the software (`version_store.rs`): it keeps what it has written.

Change: what was written is what is stored.

Test: quarantine::end_of_a_quarantine_is_stored: another request's quarantine is read, a request is interrupted at two engines whose links are cut, and its crashes are retracted as the links come back.

--- a/daemon/src/gateway/quarantine_store.rs
+++ b/daemon/src/gateway/quarantine_store.rs
@@ -146,6 +146,7 @@
                     refused,
                     revision = self.revision
                 );
+                self.stored = quarantine;
                 Ok(())
             }
             Err(cause) => {
--- a/daemon/tests/gateway/quarantine.rs
+++ b/daemon/tests/gateway/quarantine.rs
@@ -1,5 +1,7 @@
 //! Requests that crash the servers that run them.
 
+use std::time::{SystemTime, UNIX_EPOCH};
+
 use mimosabay_core::cases;
 use mimosabay_core::quarantine::Quarantine;
 use mimosabay_core::work::Fingerprint;
@@ -87,6 +89,88 @@
     });
 }
 
+/// Work that the stored quarantine refuses.
+fn stored_refused(site: &FleetSite) -> Option<usize> {
+    let spec = site.store.spec("quarantine", "cell-0")?;
+    let stored: Quarantine = serde_json::from_value(spec).expect("a quarantine");
+    Some(stored.quarantined().count())
+}
+
+/// A stored quarantine of a request that has crashed earlier starts of servers.
+fn quarantine_of_another_request() -> serde_json::Value {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let unix_ms = since_epoch.expect("a time after 1970").as_millis();
+    let unix_ms = u64::try_from(unix_ms).expect("a time that fits");
+    let crash = |server: &str| json!([{ "server": server, "boot": 0 }, unix_ms]);
+    let row = json!({
+        "fingerprint": "1f",
+        "crashes": [crash("engine-0"), crash("engine-1")],
+        "retracted": [],
+        "answered_unix_ms": null,
+    });
+    json!({ "evidence": [row] })
+}
+
+async fn wait_for_stored(site: &FleetSite, refused: usize) {
+    wait_for("the stored quarantine", async || {
+        (stored_refused(site)? == refused).then_some(())
+    })
+    .await;
+}
+
+/// Cuts the links to the engine at which a request runs, which looks like a crash; returns its index.
+async fn cut_running(site: &FleetSite) -> usize {
+    let index = wait_for("a request at an engine", async || {
+        let mut engines = site.engines.iter();
+        engines.position(|engine| engine.running_count() > 0)
+    })
+    .await;
+    site.server_relays[index].refuse();
+    wait_for("a request that has left the engine", async || {
+        (site.engines[index].running_count() == 0).then_some(())
+    })
+    .await;
+    index
+}
+
+/// Guards against a request that is refused again after a restart: the end of its quarantine was not stored,
+/// because what had been read before counted as stored.
+#[test]
+fn end_of_a_quarantine_is_stored() {
+    block_on(async {
+        let mut site = FleetSite::start(FleetOptions {
+            engines: 4,
+            has_relays: true,
+            ..FleetOptions::default()
+        })
+        .await;
+        let stored = quarantine_of_another_request();
+        site.store.put("quarantine", "cell-0", &stored);
+        for index in 0..site.instances.len() {
+            site.restart(index);
+        }
+        wait_for("a placer that has read the quarantine", async || {
+            let mut instances = site.instances.iter();
+            instances
+                .any(|it| it.has_logged("quarantine_read"))
+                .then_some(())
+        })
+        .await;
+        for engine in &site.engines {
+            engine.plan(Behaviour::Hang);
+        }
+        let caller = site.caller(0).deadline_ms(DEADLINE_MS);
+        let hanging = tokio::spawn(async move { caller.generate("/draft/x", "hanging", "").await });
+        let cut = [cut_running(&site).await, cut_running(&site).await];
+        wait_for_stored(&site, 2).await;
+        for index in cut {
+            site.server_relays[index].heal();
+        }
+        wait_for_stored(&site, 1).await;
+        hanging.abort();
+    });
+}
+
 /// Returns whether an instance knows version 2 of the configuration.
 fn knows_configuration(instance: &FleetInstance) -> bool {
     let log = instance.log().into_iter();
