--- a/daemon/tests/placer_record.rs
+++ b/daemon/tests/placer_record.rs
@@ -5,7 +5,8 @@
 
 use mimosabay_core::cases;
 use mimosabay_standin::fleet::{
-    CONTACT_MS, FleetOptions, FleetServer, FleetSite, HeldWrite, LinkLoss, WaitingWatches,
+    CONTACT_MS, FleetOptions, FleetServer, FleetSite, HeldWrite, LinkLoss, WRITES_PER_S,
+    WaitingWatches,
 };
 use mimosabay_standin::harness::{block_on, wait_for, wait_up_to};
 use tokio::time::sleep;
@@ -14,8 +15,6 @@
 const INSTANCES: usize = 3;
 /// Kind of the placer's record in the store.
 const PLACERS: &str = "placers";
-/// Calls that change objects and are accepted in a second by a store that refuses none, in practice.
-const ANY_RATE: usize = 400;
 /// Time within which adapters are loaded again once nothing is disturbed any more, in milliseconds.
 const LOADED_AGAIN_MS: u64 = CONTACT_MS;
 /// Longest time to wait for an event at an instance, in milliseconds.
@@ -122,7 +121,7 @@
 
     fn end(self, site: &FleetSite) {
         match self {
-            Self::Refused => site.store.limit_writes(ANY_RATE),
+            Self::Refused => site.store.limit_writes(WRITES_PER_S),
             Self::Down => site.store.set_down(false),
             Self::Unanswered => site.store.set_writes_held(false),
         }
@@ -313,7 +312,7 @@
         lose_links(&site, placer).await;
         site.store.ignore_replacements(Some(PLACERS));
         heal_links(&site, placer).await;
-        site.store.limit_writes(ANY_RATE);
+        site.store.limit_writes(WRITES_PER_S);
         let without_progress = "election_without_progress";
         wait_for_more(&site, placer, without_progress, 0).await;
         let before = site.store.write_count();
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -38,5 +38,5 @@
     DESK, ENGINES, FleetInstance, FleetOptions, FleetSite, HOST, KEY, Listener, MODEL, ORGANISATION,
 };
 pub use store::{FleetStore, LostWrites, StoreCopy, WaitingWatches};
-pub use store_tables::HeldWrite;
+pub use store_tables::{HeldWrite, WRITES_PER_S};
 pub use version::software_versions;
--- a/standin/src/fleet/store_tables.rs
+++ b/standin/src/fleet/store_tables.rs
@@ -1,6 +1,6 @@
 //! Objects of the simulated store, and the calls that change them.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use http::{Method, StatusCode};
@@ -13,8 +13,8 @@
 
 /// Kinds of objects that the operator and the servers write.
 const FOREIGN_KINDS: [&str; 4] = ["config", "evacuations", "servers", "versions"];
-/// Calls that change objects and are accepted in a second, unless it is set.
-const WRITES_PER_S: usize = 400;
+/// Calls that change objects and are accepted in a second, unless another limit is set.
+pub const WRITES_PER_S: usize = 400;
 /// Other calls that are accepted in a second.
 const READS_PER_S: usize = 2_000;
 /// Time over which calls are counted.
@@ -64,7 +64,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Rate {
     per_s: usize,
-    accepted: VecDeque<Instant>,
+    accepted: Vec<Instant>,
 }
 
 /// What a write does.
@@ -100,7 +100,7 @@
     fn new(per_s: usize) -> Self {
         Self {
             per_s,
-            accepted: VecDeque::new(),
+            accepted: Vec::new(),
         }
     }
 
@@ -112,16 +112,11 @@
     /// Counts a call; returns whether it is accepted.
     fn admit(&mut self) -> bool {
         let now = Instant::now();
-        while self
-            .accepted
-            .front()
-            .is_some_and(|at| now.duration_since(*at) > RATE_WINDOW)
-        {
-            self.accepted.pop_front();
-        }
+        self.accepted
+            .retain(|at| now.duration_since(*at) <= RATE_WINDOW);
         let is_accepted = self.accepted.len() < self.per_s;
         if is_accepted {
-            self.accepted.push_back(now);
+            self.accepted.push(now);
         }
         is_accepted
     }
--- a/standin/src/soak/crashing_part.rs
+++ b/standin/src/soak/crashing_part.rs
@@ -178,6 +178,8 @@
             Fault::StoreConnectionsSilent
             | Fault::StoreDown
             | Fault::StoreLosesAnswers
+            | Fault::StoreRefusesWrites
+            | Fault::StoreExecutesLate
             | Fault::StoreForgets
             | Fault::ServerLinkCut
             | Fault::ServerLinkSilent => true,
--- a/standin/src/soak/injector.rs
+++ b/standin/src/soak/injector.rs
@@ -5,13 +5,14 @@
 
 use serde_json::json;
 use tokio::task::JoinSet;
-use tokio::time::sleep_until;
+use tokio::time::{sleep, sleep_until};
 
 use super::checker::Violation;
 use super::crashing_part::start_crashing;
 use super::plan::{Fault, Strike};
 use crate::fleet::{
-    Behaviour, FleetServer, FleetSite, InstanceLinks, LinkLoss, StoreCopy, WaitingWatches,
+    Behaviour, FleetServer, FleetSite, InstanceLinks, LinkLoss, StoreCopy, WRITES_PER_S,
+    WaitingWatches,
 };
 use crate::harness::Relay;
 
@@ -29,6 +30,8 @@
 const COLD_MS: u64 = 2_000;
 /// Number of writes whose answers the store loses.
 const LOST_ANSWERS: u32 = 3;
+/// Time from the end of a fault until the store executes the writes that it has not answered.
+const LATE_WRITES: Duration = Duration::from_millis(1_200);
 /// Ways in which instances lose their links to the servers.
 const LINK_LOSSES: [LinkLoss; 3] = [LinkLoss::Reset, LinkLoss::NewRefused, LinkLoss::Hang];
 /// Limits that servers state, in requests a second.
@@ -136,6 +139,8 @@
             }
             Fault::StoreDown => site.store.set_down(true),
             Fault::StoreLosesAnswers => site.store.lose_answers(LOST_ANSWERS),
+            Fault::StoreRefusesWrites => site.store.limit_writes(0),
+            Fault::StoreExecutesLate => site.store.set_writes_held(true),
             Fault::StoreForgets => site.store.compact(),
             Fault::StoreReturnsOlder => self.store_copies.push_back(site.store.copy()),
             Fault::ServerLinkCut => self.server_link(injection).cut(),
@@ -170,6 +175,8 @@
             Fault::Freeze => self.site.instances[instance].process.thaw(),
             Fault::StoreLinkCut | Fault::StoreLinkSilent => self.site.store_relays[instance].heal(),
             Fault::StoreDown => self.site.store.set_down(false),
+            Fault::StoreRefusesWrites => self.site.store.limit_writes(WRITES_PER_S),
+            Fault::StoreExecutesLate => self.execute_late(),
             Fault::StoreReturnsOlder => self.return_from_copy(),
             Fault::ServerLinkCut | Fault::ServerLinkSilent => self.server_link(injection).heal(),
             Fault::ServerDrains => self.end_drain(injection),
@@ -182,6 +189,16 @@
         }
     }
 
+    /// Has the store answer writes again, and execute those without an answer some time later.
+    fn execute_late(&self) {
+        let store = self.site.store.clone();
+        store.set_writes_held(false);
+        tokio::spawn(async move {
+            sleep(LATE_WRITES).await;
+            store.execute_held_writes();
+        });
+    }
+
     /// Brings the store back from the oldest copy; the operator and the servers write again at once.
     fn return_from_copy(&mut self) {
         if let Some(copy) = self.store_copies.pop_front() {
@@ -217,6 +234,8 @@
 
     fn restore_all(&mut self) {
         self.site.store.set_down(false);
+        self.site.store.limit_writes(WRITES_PER_S);
+        self.execute_late();
         let links = self
             .site
             .store_relays
--- a/standin/src/soak/plan.rs
+++ b/standin/src/soak/plan.rs
@@ -31,6 +31,12 @@
 const STORE_RETURNS_GAP_MS: std::ops::Range<u64> = 1_500..5_000;
 /// Distinguishes the random numbers of the returns from older copies from those of the other faults.
 const STORE_RETURNS_SEED: u64 = 0x6f6c_6465_7200_0000;
+/// Range of the time between the beginnings of two refusals or two delays of writes, in milliseconds.
+const STORE_WRITES_GAP_MS: std::ops::Range<u64> = 1_000..6_000;
+/// Distinguishes the random numbers of the refused writes from those of the other faults.
+const REFUSED_WRITES_SEED: u64 = 0x7265_6675_7365_0000;
+/// Distinguishes the random numbers of the late writes from those of the other faults.
+const LATE_WRITES_SEED: u64 = 0x6c61_7465_0000_0000;
 /// Distinguishes the random numbers of the losses of links from those of the other faults.
 const LINKS_LOST_SEED: u64 = 0x6c69_6e6b_7300_0000;
 /// Range of the time between two evacuations, in milliseconds. An evacuation ends before the next one.
@@ -63,6 +69,10 @@
     StoreDown,
     /// Writes to the store take effect, but their answers are lost.
     StoreLosesAnswers,
+    /// The store refuses writes and answers reads.
+    StoreRefusesWrites,
+    /// The store does not answer writes, and executes them after the end, if their conditions still hold.
+    StoreExecutesLate,
     /// The store compacts its history of changes.
     StoreForgets,
     /// The store comes back at the end from a copy that it made at the beginning.
@@ -168,7 +178,7 @@
 /// Returns the faults of a soak, in the order in which they begin.
 ///
 /// They come in series, which overlap: pauses of sound servers, limits that servers state, losses of links,
-/// returns of the store from older copies, evacuations of a zone, and all others. Pauses and limits excuse no failure, so that they are also part of the planned work.
+/// returns of the store from older copies, refused and late writes, evacuations of a zone, and all others. Pauses and limits excuse no failure, so that they are also part of the planned work.
 pub fn plan_faults(options: &SoakOptions) -> Vec<Strike> {
     let mut injections = plan_series(options);
     injections.extend(plan_server_pauses(options));
@@ -176,6 +186,7 @@
     if options.mode.is_release() {
         injections.extend(plan_lost_links(options));
         injections.extend(plan_store_returns(options));
+        injections.extend(plan_store_writes(options));
     }
     if options.evacuates_zones() {
         injections.extend(plan_evacuations(options));
@@ -265,6 +276,20 @@
     )
 }
 
+/// Returns the times at which the store refuses writes, and those at which it executes them late.
+fn plan_store_writes(options: &SoakOptions) -> Vec<Strike> {
+    let series = [
+        (Fault::StoreRefusesWrites, REFUSED_WRITES_SEED),
+        (Fault::StoreExecutesLate, LATE_WRITES_SEED),
+    ];
+    let plan = |(fault, seed)| {
+        plan_server_series(options, fault, seed, STORE_WRITES_GAP_MS, |random| {
+            random.random_range(LENGTH_MS)
+        })
+    };
+    series.into_iter().flat_map(plan).collect()
+}
+
 fn plan_evacuations(options: &SoakOptions) -> Vec<Strike> {
     plan_server_series(
         options,
