--- a/daemon/src/gateway/election.rs
+++ b/daemon/src/gateway/election.rs
@@ -99,11 +99,11 @@
         };
         let before = state.link.placer_view().stored;
         match execute_step(&state, step, takeover).await {
-            Ok(()) if !is_without_progress(&state, step, before) => continue,
-            Ok(()) => {
+            Ok(()) if is_without_progress(&state, step, before) => {
                 warn!(event = "election_without_progress", ?step, stored = ?before);
                 state.link.mark_record_stale();
             }
+            Ok(()) => continue,
             Err(cause) => warn!(event = "election_failed", %cause),
         }
         sleep(Duration::from_millis(FAILURE_PAUSE_MS)).await;
