review: streams go on at another version once their placer was killed (ORDER)

Cause: a new placer relies on the first assignment of a stream that nobody reports as begun, while an instance that the store turns away has sent it to another server by itself and does not know the new placer.

--- a/review/site_3.py
+++ b/review/site_3.py
@@ -162,9 +162,17 @@
             self.revision += 1
             self._publish(kind, item, True)
 
-    async def _handle(self, reader, writer):
+    async def open_for_one(self, ip, gate):
+        """Opens another address, for one machine; no call there is answered once `gate` is set."""
+        async def handle(reader, writer):
+            await self._handle(reader, writer, gate)
+        return await Listener(handle).open(ip)
+
+    async def _handle(self, reader, writer, gate=None):
         while (request := await read_request(reader)) is not None:
             status, body = await self._answer(request)
+            if gate and gate.is_set():
+                await asyncio.sleep(3600)
             headers = [("Content-Type", "application/json"), ("Store-Era", "1")]
             writer.write(answer_bytes(status, headers, json.dumps(body).encode()))
             await writer.drain()
@@ -377,9 +385,10 @@
         self.settings = os.path.join(site.folder, f"machine-{number}.toml")
         self.front = (self.ip, site.port)
         self.starts = 0
+        self.store_address = None
 
     def write_settings(self, bootstrap):
-        store = self.site.store.address
+        store = self.store_address or self.site.store.address
         port = self.site.port
         with open(self.settings, "w", encoding="utf-8") as file:
             file.write(f"""nodeName = "edge-{self.number}"
