--- a/review/site_3.py
+++ b/review/site_3.py
@@ -641,9 +641,15 @@
     """Runs `play(trouble, record)`, which returns whether the rule held, within 115 seconds."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder)
+
+    async def bounded():
+        # On SIGTERM too, `play` ends the processes that it started.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        return await asyncio.wait_for(play(trouble, record), 115)
+
     try:
-        held = asyncio.run(asyncio.wait_for(play(trouble, record), 115))
-    except (SystemExit, RuntimeError, OSError, asyncio.TimeoutError) as cause:
+        held = asyncio.run(bounded())
+    except (SystemExit, RuntimeError, OSError, asyncio.TimeoutError, asyncio.CancelledError) as cause:
         record(f"the case could not run: {cause!r}")
         print(f"the case could not run: {cause!r}")
         sys.exit(2)
