review: the stand-ins lie in the folder of case 12

Change: site_3.py moved; any error of a script ends it with 2; ports are looked up; requests are recorded as they are sent; in case 12 the slow server takes four times as long as the others, only with the disruption, and the two machines are killed to end the connections.

--- a/review/12/play.py
+++ b/review/12/play.py
@@ -7,7 +7,7 @@
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.dirname(FOLDER))
+sys.path.insert(0, FOLDER)
 import site_3  # noqa: E402
 
 EVENTS = 80
@@ -15,6 +15,8 @@
 DEADLINE_MS = 15000
 MACHINES = 6
 STREAMS = 60
+FIRST_EVENT_S = 0.9
+SLOW_X = 4
 ADAPTER = "a9"
 
 
@@ -40,9 +42,9 @@
         id = request.header("x-attempt-id")
         after = int(request.header("last-event-id") or 0)
         record(f"server {server.id} ({server.version}) runs {id} after event {after}")
-        if server is slow and not after:
-            # It is slow, with and without the disruption.
-            await asyncio.sleep(7.0)
+        if not after:
+            # Time to the first event; the slow server takes four times as long.
+            await asyncio.sleep(FIRST_EVENT_S * (SLOW_X if trouble and server is slow else 1))
         head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
         head += [f"{name}: {value}" for name, value in server.seal(request)]
         writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
@@ -54,10 +56,11 @@
         writer.write(b"0\r\n\r\n")
         return True
 
-    site = site_3.Site("12", run)
+    site = site_3.Site("12", run, record)
 
     async def attempt(stream, machine, until):
         id = site.new_id()
+        record(f"client sends {id} (stream {stream.id}) to machine {machine.number}")
         lines = [
             "POST /talk/2f HTTP/1.1", f"Host: {site_3.HOST}", f"X-Attempt-Id: {id}",
             f"X-Deadline-Ms: {int((stream.deadline - site_3.now()) * 1000)}",
@@ -146,7 +149,7 @@
         break_at = site_3.now() + 6.0
         tasks = []
         for number in range(STREAMS):
-            tasks.append(asyncio.create_task(client(turned_away[number % 2], rest[number % 3], break_at)))
+            tasks.append(asyncio.create_task(client(turned_away[number % 2], rest[number % 3], break_at + (1 if trouble else 0))))
             await asyncio.sleep(0.01)
         await asyncio.sleep(0.3)
         if trouble:
@@ -155,6 +158,15 @@
             await asyncio.sleep(1.3)
             await first.process.wait()
             await first.start()
+            await asyncio.sleep(break_at - site_3.now())
+            for machine in turned_away:
+                record(f"machine {machine.number} is killed")
+                machine.process.send_signal(signal.SIGKILL)
+            await asyncio.sleep(0.5)
+            for machine in turned_away:
+                await machine.process.wait()
+                gates[machine.number].clear()
+                await machine.start()
         await asyncio.gather(*tasks)
     finally:
         await site.stop()
--- a/review/site_3.py
+++ b/review/12/site_3.py
@@ -12,11 +12,12 @@
 import random
 import shutil
 import signal
+import socket
 import sys
 import tempfile
 import time
 
-ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 PROGRAM = os.path.join(ROOT, "target/release/mimosabayd")
 HOST = "site.example"
 KEY = "key-of-the-office"
@@ -515,7 +516,8 @@
 class Site:
     """Everything together. `run` is called by a server for each request that it runs."""
 
-    def __init__(self, name, run):
+    def __init__(self, name, run, record=None):
+        self.record = record
         self.folder = tempfile.mkdtemp(prefix="mimosabay-review.")
         self.name = name
         self.run = run
@@ -523,12 +525,27 @@
         self.servers = []
         self.machines = []
         self.net = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
-        self.port = random.randint(12000, 30000)
+        self.port = self._free_ports()
         self.numbers = 0
 
     def ip(self, host):
         return f"{self.net}.{host}"
 
+    def _free_ports(self):
+        """Returns a port that is free at the machines' addresses, with those that follow from it."""
+        for _ in range(50):
+            port = random.randint(12000, 30000)
+            try:
+                for host in range(1, 9):
+                    for needed in (port, port + 1, port + 2, port + 10, 9464):
+                        with socket.socket() as probe:
+                            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                            probe.bind((self.ip(host), needed))
+                return port
+            except OSError:
+                self.net = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
+        raise OSError("no free ports")
+
     def new_id(self):
         self.numbers += 1
         return f"{random.getrandbits(32):08x}{self.numbers:08x}"
@@ -591,6 +608,8 @@
     async def send(self, machine, method, path, headers=(), body=b"", deadline_ms=5000, id=None, key=KEY):
         """Sends one request on a new connection."""
         id = id or self.new_id()
+        if self.record:
+            self.record(f"client sends {method} {path} {id} to machine {machine.number}")
         lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"X-Attempt-Id: {id}", f"X-Deadline-Ms: {deadline_ms}"]
         if key:
             lines.append(f"Authorization: Bearer {key}")
@@ -649,7 +668,7 @@
 
     try:
         held = asyncio.run(bounded())
-    except (SystemExit, RuntimeError, OSError, asyncio.TimeoutError, asyncio.CancelledError) as cause:
+    except BaseException as cause:  # Any error of the script itself: the case could not run.
         record(f"the case could not run: {cause!r}")
         print(f"the case could not run: {cause!r}")
         sys.exit(2)
--- a/review/13/play.py
+++ b/review/13/play.py
@@ -7,7 +7,7 @@
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.dirname(FOLDER))
+sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "12"))
 import site_3  # noqa: E402
 
 CONTACT_S = 3.0
@@ -51,7 +51,7 @@
         writer.write(b"0\r\n\r\n")
         return True
 
-    site = site_3.Site("13", run)
+    site = site_3.Site("13", run, record)
     started = {}
 
     def in_touch(machine):
@@ -60,6 +60,7 @@
     async def attempt(stream, machine, until=None):
         """One client attempt; returns its status and the number of events that it brought."""
         id = site.new_id()
+        record(f"client sends {id} (stream {stream.id}) to machine {machine.number}")
         lines = [
             "POST /talk/2f HTTP/1.1", f"Host: {site_3.HOST}", f"X-Attempt-Id: {id}",
             f"X-Deadline-Ms: {int((stream.deadline - site_3.now()) * 1000)}",
--- a/review/15/play.py
+++ b/review/15/play.py
@@ -5,7 +5,7 @@
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.dirname(FOLDER))
+sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "12"))
 import site_3  # noqa: E402
 
 CONTACT_S = 3.0
@@ -44,7 +44,7 @@
         record(f"server {server.id} has crashed")
         return False
 
-    site = site_3.Site("15", run)
+    site = site_3.Site("15", run, record)
     answers = {}
 
     async def send(number, is_poison):
