Begin a stream at the software version that its placer has noted

Cause: a placer notes the version of the server that it assigns, and the next one relies on the note. An instance without a placer sent a new stream to any server that holds the adapter, also after such an assignment; its report of the first event never reached the next placer. Likewise if the placer's answer was lost, and if a replaced placer that does not know it assigned the stream again. Evidence: logs of the new test on: placed at v2 by the placer, server_stalled, placed at v1 by the instance, first event of v1, taken up elsewhere and granted at v2 after 400 ms. placement_unanswered is logged now. Ruled out: a lost note (it was there, and wrong); the wait of 400 ms (no report was under way). Change: core::version_binding binds a new stream to the version of its first assignment. An assignment at a server whose entry shows another version is not used for new streams either. Why this works: the note stays true whoever is lost, so that relying on it is right. Refusing what nobody has reported would cost every stream that began within a report's time.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod stream_placement;
 pub mod stream_versions;
 pub mod takeover;
+pub mod version_binding;
 pub mod work;
 
 mod recent_answers;
--- a/daemon/src/gateway/engine_request.rs
+++ b/daemon/src/gateway/engine_request.rs
@@ -9,6 +9,7 @@
 use mimosabay_core::site::RetrySafety;
 use mimosabay_core::stream_placement::StreamPlacement;
 use mimosabay_core::stream_versions::StreamVersion;
+use mimosabay_core::version_binding::VersionBinding;
 use mimosabay_platform::ingress;
 use tracing::info;
 
@@ -45,6 +46,8 @@
     pub(super) is_trial: bool,
     /// The stream that it begins or goes on with.
     pub(super) stream: StreamPlacement,
+    /// The software version at which it begins, if it begins a stream.
+    pub(super) binding: VersionBinding,
 }
 
 impl EngineRequest {
@@ -65,6 +68,21 @@
         servers.push(server);
     }
 
+    /// Records that a server of a software version was assigned, by a placer or by this instance.
+    pub(super) fn record_assignment(&mut self, version: Option<&Name>, is_by_placer: bool) {
+        if self.stream == StreamPlacement::New {
+            self.binding.record_assignment(version, is_by_placer);
+        }
+    }
+
+    /// Records that a placer may have assigned a server and has not answered.
+    pub(super) fn record_unanswered(&mut self) {
+        if self.stream == StreamPlacement::New {
+            self.binding.record_unanswered();
+            info!(event = "placement_unanswered", id = %self.job.id, binding = ?self.binding);
+        }
+    }
+
     /// Records that the first event of its stream has arrived from a server with this software version.
     pub(super) fn record_begun(&mut self, state: &State, version: Option<&Name>) {
         let Some(stream) = self.stream.name(&self.job.id).cloned() else {
@@ -107,6 +125,7 @@
         failed_response: None,
         was_placed: false,
         is_trial: false,
+        binding: VersionBinding::default(),
     };
     match first_response_head(state, &mut request).await {
         Ok((head, run)) if request.job.route.is_stream() && head.status.is_success() => {
--- a/daemon/src/gateway/link.rs
+++ b/daemon/src/gateway/link.rs
@@ -45,6 +45,33 @@
     Remote(Peer),
 }
 
+/// What came of a request to the placer.
+pub(super) enum PlacerAnswer<T> {
+    /// Its answer.
+    Answered(T),
+    /// There is no placer, or it cannot have received the request.
+    NotAsked,
+    /// It may have received the request, but has not answered.
+    Unanswered,
+}
+
+impl<T> PlacerAnswer<T> {
+    fn answered(self) -> Option<T> {
+        match self {
+            Self::Answered(answer) => Some(answer),
+            Self::NotAsked | Self::Unanswered => None,
+        }
+    }
+
+    fn and_then<U>(self, convert: impl FnOnce(T) -> PlacerAnswer<U>) -> PlacerAnswer<U> {
+        match self {
+            Self::Answered(answer) => convert(answer),
+            Self::NotAsked => PlacerAnswer::NotAsked,
+            Self::Unanswered => PlacerAnswer::Unanswered,
+        }
+    }
+}
+
 /// State of the communication with the placer, and the data to send to it.
 pub(crate) struct Link {
     zone: Name,
@@ -248,16 +275,19 @@
         *view.absent_since_ms.get_or_insert(now_ms)
     }
 
-    /// Requests a placement; `None` if no placer answers.
-    pub(crate) async fn request_placement(
+    /// Requests a placement.
+    pub(super) async fn request_placement(
         &self,
         state: &State,
         request: PlacementRequest,
-    ) -> Option<PlacementResponse> {
+    ) -> PlacerAnswer<PlacementResponse> {
         let target = self.target.borrow().clone();
         match target {
-            Target::None => None,
-            Target::Local(placer) => placer.request_placement(request).await,
+            Target::None => PlacerAnswer::NotAsked,
+            Target::Local(placer) => match placer.request_placement(request).await {
+                Some(response) => PlacerAnswer::Answered(response),
+                None => PlacerAnswer::Unanswered,
+            },
             Target::Remote(peer) => self.request_remote_placement(state, &peer, request).await,
         }
     }
@@ -267,12 +297,13 @@
         state: &State,
         peer: &Peer,
         request: PlacementRequest,
-    ) -> Option<PlacementResponse> {
+    ) -> PlacerAnswer<PlacementResponse> {
         let message = Message::RequestPlacement(Box::new(request));
-        match self.ask_placer(state, peer, message).await? {
-            Reply::Placement(response) => Some(response),
-            _ => None,
-        }
+        let answer = self.ask_placer(state, peer, message).await;
+        answer.and_then(|reply| match reply {
+            Reply::Placement(response) => PlacerAnswer::Answered(response),
+            _ => PlacerAnswer::Unanswered,
+        })
     }
 
     /// Requests a permit to send a request to a plain server that states a limit; `None` if no placer
@@ -288,7 +319,7 @@
             Target::Local(placer) => placer.request_permit(request).await,
             Target::Remote(peer) => {
                 let message = Message::RequestPermit(request);
-                match self.ask_placer(state, &peer, message).await? {
+                match self.ask_placer(state, &peer, message).await.answered()? {
                     Reply::Permit(response) => Some(response),
                     _ => None,
                 }
@@ -296,30 +327,31 @@
         }
     }
 
-    /// Sends a message to the placer and waits for its reply as long as it is responsive. Returns
-    /// `None` if there is none, or if the receiver is not the placer.
-    async fn ask_placer(&self, state: &State, peer: &Peer, message: Message) -> Option<Reply> {
+    /// Sends a message to the placer and waits for its reply as long as it is responsive.
+    async fn ask_placer(
+        &self,
+        state: &State,
+        peer: &Peer,
+        message: Message,
+    ) -> PlacerAnswer<Reply> {
         if self.is_placer_unresponsive(state) {
-            return None;
+            return PlacerAnswer::NotAsked;
         }
         let envelope = envelope(state, message);
-        let exchange = async {
-            let mut replies = peer.call_streaming(&envelope).await.ok()?;
-            replies.next().await.ok()?
-        };
+        let exchange = first_reply(peer, &envelope);
         tokio::pin!(exchange);
         loop {
             tokio::select! {
-                reply = &mut exchange => return match reply? {
+                answer = &mut exchange => return answer.and_then(|reply| match reply {
                     Reply::NotPlacer => {
                         self.mark_record_stale();
-                        None
+                        PlacerAnswer::NotAsked
                     }
-                    reply => Some(reply),
-                },
+                    reply => PlacerAnswer::Answered(reply),
+                }),
                 () = sleep(Duration::from_millis(RESPONSE_CHECK_PERIOD_MS)) => {
                     if self.is_placer_unresponsive(state) {
-                        return None;
+                        return PlacerAnswer::Unanswered;
                     }
                 }
             }
@@ -443,6 +475,18 @@
     }
 }
 
+async fn first_reply(peer: &Peer, envelope: &Envelope) -> PlacerAnswer<Reply> {
+    let reply = match peer.call_streaming(envelope).await {
+        Ok(mut replies) => replies.next().await,
+        Err(cause) => Err(cause),
+    };
+    match reply {
+        Ok(Some(reply)) => PlacerAnswer::Answered(reply),
+        Err(cause) if !cause.may_have_run() => PlacerAnswer::NotAsked,
+        Ok(None) | Err(_) => PlacerAnswer::Unanswered,
+    }
+}
+
 /// Wraps a message with the identity of this process.
 pub(crate) fn envelope(state: &State, message: Message) -> Envelope {
     Envelope {
--- a/daemon/src/gateway/placement.rs
+++ b/daemon/src/gateway/placement.rs
@@ -15,8 +15,10 @@
 use tokio::time::{sleep, timeout};
 use tracing::info;
 
+use super::backends::Snapshot;
 use super::engine_request::{EngineRequest, NO_PLACER_RETRY_MS};
 use super::engine_run::{Forecast, Run};
+use super::link::PlacerAnswer;
 use super::quarantine_check::{self, Admitted};
 use super::state::State;
 use super::streams;
@@ -91,6 +93,7 @@
         } => {
             request.is_charged = true;
             request.was_placed = true;
+            request.record_assignment(software_version.as_ref(), is_placed);
             let backend = state.backend(&server);
             info!(
                 event = "placed",
@@ -137,7 +140,13 @@
     stream: &StreamPlacement,
 ) -> bool {
     let is_other_version = backend.software_version.as_ref() != software_version;
-    backend.is_ready() && !(stream.has_begun() && is_other_version)
+    let needs_version = match stream {
+        StreamPlacement::None => false,
+        // At an unknown version it begins at none that was noted, and is not taken for the noted one.
+        StreamPlacement::New => backend.software_version.is_some(),
+        StreamPlacement::Known { .. } | StreamPlacement::TakenUp { .. } => true,
+    };
+    backend.is_ready() && !(needs_version && is_other_version)
 }
 
 /// Checks the quarantine. Only the first attempt of a request may be a trial run.
@@ -157,7 +166,7 @@
 /// Returns the placement response, and whether it comes from the placer.
 async fn request_placement(
     state: &State,
-    request: &EngineRequest,
+    request: &mut EngineRequest,
     ticket: Ticket,
 ) -> (PlacementResponse, bool) {
     let give_up_ms = state.now_ms() + MAX_VERSION_WAIT_MS;
@@ -166,8 +175,9 @@
         let limit = Duration::from_millis(placement_request.left_ms);
         let response = state.link.request_placement(state, placement_request);
         match timeout(limit, response).await {
-            Ok(Some(response)) => return (response, true),
-            Ok(None) => {}
+            Ok(PlacerAnswer::Answered(response)) => return (response, true),
+            Ok(PlacerAnswer::NotAsked) => {}
+            Ok(PlacerAnswer::Unanswered) => request.record_unanswered(),
             Err(_) => return (timed_out_refusal(), true),
         }
         match required_version(state, request) {
@@ -183,17 +193,21 @@
     }
 }
 
+/// Returns the version of the server that this instance may choose by itself.
 fn required_version(state: &State, request: &EngineRequest) -> RequiredVersion {
     let software = state.backends.software_versions();
     let service = &request.job.service.name;
+    if request.stream == StreamPlacement::New && software.has_several(service, state.now_ms()) {
+        return request.binding.required_version();
+    }
     state
         .streams
         .required_version(&request.stream, service, &software)
 }
 
-/// Asks other instances for the version of a stream, or waits for a placer.
+/// Asks other instances for the version of a stream that is taken up, or waits for a placer.
 async fn find_version(state: &State, request: &EngineRequest) {
-    if let Some(stream) = request.stream.name(&request.job.id) {
+    if let StreamPlacement::TakenUp { stream } = &request.stream {
         streams::ask_instances(state, stream).await;
     }
     if required_version(state, request) == RequiredVersion::Unknown {
@@ -238,9 +252,32 @@
         });
         servers.extend(elsewhere.map(|backend| backend.id.clone()));
     }
+    servers.extend(servers_of_other_versions(&snapshot, request));
     servers
 }
 
+/// Servers at which a stream must not begin, because it was assigned to a server of another version before. A
+/// placer that has noted the version may change it once no other server has it.
+fn servers_of_other_versions(snapshot: &Snapshot, request: &EngineRequest) -> Vec<Name> {
+    let Some(bound) = request.binding.version() else {
+        return Vec::new();
+    };
+    if request.stream != StreamPlacement::New {
+        return Vec::new();
+    }
+    let has_bound = |backend: &Backend| backend.software_version.as_ref() == Some(bound);
+    let servers = snapshot.values();
+    let of_service = servers.filter(|backend| backend.service == request.job.service.name);
+    let (bound_servers, others): (Vec<&Arc<Backend>>, Vec<&Arc<Backend>>) =
+        of_service.partition(|backend| has_bound(backend));
+    let is_available =
+        |backend: &&Arc<Backend>| backend.is_ready() && !request.has_tried(&backend.id);
+    if request.binding.may_change() && !bound_servers.iter().any(is_available) {
+        return Vec::new();
+    }
+    others.iter().map(|backend| backend.id.clone()).collect()
+}
+
 fn unknown_version_refusal() -> PlacementResponse {
     PlacementResponse::Refused(Refusal {
         reason: RefusalReason::UnknownVersion,
--- a/daemon/tests/versions.rs
+++ b/daemon/tests/versions/main.rs
@@ -1,5 +1,7 @@
 //! Streams at engines of several software versions: what two versions write does not fit together.
 
+mod without_placer;
+
 use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
