Keep the streams that have begun in the store, for a site of which all instances end

Cause: the version at which a stream began was known to running processes only. A stream of unknown version is refused while several versions serve. Evidence: logs of the new test on: stream_taken_up without a version, refused with UnknownVersion after 400 ms at the new placer, which grants new streams. streams_read and streams_stored are logged now. Ruled out: the servers, the placer's start, the wait of 400 ms (nobody was left who could report). Change: while a service has several versions, the placer writes what has begun since its last write to one object of a ring of 32, at most once a second, and a placer that starts reads them (core::stream_segments, gateway::stream_store). Why this works: the version of a stream that has begun never changes, so that an old copy is true and a missing one costs a refusal. Nothing waits for the store, and no stream is dropped before its end.

--- a/core/src/cell/streams.rs
+++ b/core/src/cell/streams.rs
@@ -26,6 +26,9 @@
     waiting: BTreeMap<Ticket, WaitingStream>,
     /// Streams whose known version has changed since the last call of [`Cell::take_stream_changes`].
     changed: BTreeSet<Name>,
+    /// Streams that have begun since the last call of [`Cell::take_begun_streams`], of services that have several
+    /// versions.
+    begun: BTreeSet<Name>,
     /// Services of which all known streams have been reported as changes, because they have several
     /// versions.
     reported_services: BTreeSet<Name>,
@@ -74,9 +77,17 @@
     }
 
     fn record(&mut self, stream: &StreamVersion, now_ms: u64) {
-        if self.known.record(stream, now_ms) && self.reported_services.contains(&stream.service) {
+        let had_begun = self.known.has_begun(&stream.stream);
+        let is_changed = self.known.record(stream, now_ms);
+        if !self.reported_services.contains(&stream.service) {
+            return;
+        }
+        if is_changed {
             self.changed.insert(stream.stream.clone());
         }
+        if stream.has_begun && !had_begun {
+            self.begun.insert(stream.stream.clone());
+        }
     }
 
     /// Reports the streams of services that have several versions now.
@@ -85,6 +96,9 @@
         for stream in streams {
             let has_several = self.software.has_several(&stream.service, now_ms);
             if has_several && !self.reported_services.contains(&stream.service) {
+                if stream.has_begun {
+                    self.begun.insert(stream.stream.clone());
+                }
                 self.changed.insert(stream.stream);
             }
         }
@@ -124,6 +138,15 @@
             .collect()
     }
 
+    /// Returns the streams of services with several versions that have begun since the last call.
+    pub fn take_begun_streams(&mut self, now_ms: u64) -> Vec<StreamVersion> {
+        let begun = std::mem::take(&mut self.streams.begun);
+        let known = begun.iter();
+        known
+            .filter_map(|stream| self.streams.known.get(stream, now_ms))
+            .collect()
+    }
+
     pub(super) fn observe_software_versions(&mut self, now_ms: u64) {
         let backends = self.engines.values().map(|engine| &engine.backend);
         let changed = self.streams.software.observe(backends, now_ms);
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -59,6 +59,7 @@
 pub mod stated_limit;
 pub mod stream_log;
 pub mod stream_placement;
+pub mod stream_segments;
 pub mod stream_versions;
 pub mod takeover;
 pub mod version_binding;
--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -55,6 +55,7 @@
 mod state;
 mod stop;
 mod store_era;
+mod stream_store;
 mod streams;
 mod successor;
 mod suspects;
--- a/daemon/src/gateway/placer.rs
+++ b/daemon/src/gateway/placer.rs
@@ -12,6 +12,7 @@
 use mimosabay_core::site::Site;
 use mimosabay_core::slow_start::ServerAnswer;
 use mimosabay_core::stream_log::StreamLog;
+use mimosabay_core::stream_versions::StreamVersion;
 use mimosabay_core::work::Work;
 use mimosabay_platform::server::{OrderAuthority, ServerControl};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -25,6 +26,7 @@
 use super::quarantine_store::QuarantineStore;
 use super::server_connection;
 use super::state::State;
+use super::stream_store::StreamStore;
 use super::{election, order_permission};
 
 /// Longest time between two ticks of the cell, in milliseconds.
@@ -58,6 +60,7 @@
         cell.adopt_slow_starts(limits.starting(), state.now_ms());
         cell.adopt_versions(state.backends.software_versions(), state.now_ms());
         cell.record_streams(&state.streams.all(), state.now_ms());
+        let (begun_streams, begun) = mpsc::unbounded_channel();
         let driver = Driver {
             cell,
             responders: HashMap::new(),
@@ -66,12 +69,14 @@
             authority,
             inbox: placer.inbox.downgrade(),
             quarantine_changes: watch::Sender::new(()),
+            begun_streams,
             load: PlacerLoad::new(state.now_ms()),
             state,
         };
         driver.start_quarantine_log();
         driver.start_stream_log();
         driver.start_quarantine_store();
+        driver.start_stream_store(begun);
         driver.obtain_lease();
         tokio::spawn(driver.run(inputs));
         placer
@@ -134,6 +139,8 @@
     inbox: WeakInbox,
     /// Signals changes of the quarantine to its store. Dropping it ends the store's task.
     quarantine_changes: watch::Sender<()>,
+    /// Passes streams that have begun to their store. Dropping it ends the store's task.
+    begun_streams: mpsc::UnboundedSender<Vec<StreamVersion>>,
     load: PlacerLoad,
     state: Arc<State>,
 }
@@ -281,6 +288,7 @@
             }
             Input::HoldOrders { until_ms } => self.cell.hold_orders(until_ms),
             Input::MergeQuarantine(quarantine) => self.cell.merge_quarantine(&quarantine),
+            Input::RecordStreams(streams) => self.cell.record_streams(&streams, now_ms),
         }
     }
 
@@ -305,9 +313,27 @@
         *self.state.stream_log.lock().expect("stream log lock") = log;
     }
 
-    /// Reports changes of what is known of streams to the instances that keep them.
+    fn start_stream_store(&self, begun: mpsc::UnboundedReceiver<Vec<StreamVersion>>) {
+        let store = StreamStore::new(self.state.clone());
+        let inbox = self.inbox.clone();
+        let merge = move |streams| {
+            if let Some(inbox) = inbox.upgrade() {
+                // A placer that has stopped does not need the streams.
+                let _ = inbox.send(Input::RecordStreams(streams));
+            }
+        };
+        tokio::spawn(store.run(begun, merge));
+    }
+
+    /// Reports changes of what is known of streams to the instances that keep them, and the streams that have
+    /// begun to the store.
     fn publish_streams(&mut self) {
         let now_ms = self.state.now_ms();
+        let begun = self.cell.take_begun_streams(now_ms);
+        if !begun.is_empty() {
+            // The store's task ends with this placer.
+            let _ = self.begun_streams.send(begun);
+        }
         let changed = self.cell.take_stream_changes(now_ms);
         if changed.is_empty() {
             return;
--- a/daemon/src/gateway/placer_inbox.rs
+++ b/daemon/src/gateway/placer_inbox.rs
@@ -6,6 +6,7 @@
 use mimosabay_core::name::Name;
 use mimosabay_core::quarantine::Quarantine;
 use mimosabay_core::slow_start::ServerAnswer;
+use mimosabay_core::stream_versions::StreamVersion;
 use mimosabay_core::work::Work;
 use tokio::sync::{mpsc, oneshot};
 
@@ -82,6 +83,7 @@
     RecordServerAnswers(Vec<ServerAnswer>),
     HoldOrders { until_ms: u64 },
     MergeQuarantine(Quarantine),
+    RecordStreams(Vec<StreamVersion>),
 }
 
 /// What came of the request for a server's report.
--- a/daemon/tests/versions/main.rs
+++ b/daemon/tests/versions/main.rs
@@ -1,5 +1,6 @@
 //! Streams at engines of several software versions: what two versions write does not fit together.
 
+mod all_killed;
 mod without_placer;
 
 use std::collections::BTreeSet;
