Guard against assigning a stream at another version than before

A placer that was replaced and does not know it assigned the stream a second time, at another version than the one that its successor relied on. Since the instance names the servers of other versions as unusable, so that a later assignment keeps to the version while another server has it. Ruled out: the successor's wait of 400 ms; the instance follows the earlier placer and cannot report to it.

--- a/daemon/tests/versions/without_placer.rs
+++ b/daemon/tests/versions/without_placer.rs
@@ -3,6 +3,7 @@
 //! The store does not answer the instance, so that it does not hear of the next placer, and the next
 //! placer knows of its streams only what the one before noted.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use mimosabay_core::cases;
@@ -121,6 +122,34 @@
     }
 }
 
+/// Guards against assigning a stream to a server of another version than before. A placer that was replaced and
+/// does not know it can tell nobody.
+#[test]
+fn stream_is_assigned_again_at_the_version_of_before() {
+    block_on(async {
+        let site = FleetSite::start(FleetOptions {
+            engines: ENGINES,
+            new_engines: ENGINES,
+            ..FleetOptions::default()
+        })
+        .await;
+        let silent = &site.engines[ENGINES];
+        for _ in 0..STREAMS {
+            silent.plan(Behaviour::AnswerAfter(SILENT_MS));
+        }
+        let mut open = JoinSet::new();
+        let until = Instant::now() + Duration::from_millis(BEGIN_MS);
+        open_streams(&site, 0, until, &mut open);
+        let begun: Vec<BrokenStream> = open.join_all().await.into_iter().flatten().collect();
+        let assigned: Vec<String> = silent.requests().into_iter().map(|it| it.id).collect();
+        let again = begun.iter().filter(|it| assigned.contains(&it.began_as));
+        let versions: Vec<_> = again.map(|stream| stream.versions.clone()).collect();
+        assert!(versions.len() >= 3, "{} began elsewhere", versions.len());
+        let of_silent = BTreeSet::from([silent.software_version().to_string()]);
+        assert!(versions.iter().all(|it| *it == of_silent), "{versions:?}");
+    });
+}
+
 /// Guards against streams that an instance begins by itself, while a placer may have assigned them to a
 /// server of another version: its answers are lost, its notes are not.
 #[test]
