Count every shared part of a prompt as what may crash servers

Cause: Work::new kept the first 32 parts and dropped the rest without a word. Evidence: logs of the new test on: crash_observed at each crash, never a refused part. Ruled out: crashes that are not observed; answers that excuse the part. Change: all parts but the last have a fingerprint. The bounds behind it hold prompts that fill a head, or defer instead of dropping; what is dropped is logged (evidence_dropped) and counted. Eviction, removal of answered parts, own evidence and merging no longer take time in the square of the number of parts. Why this works: a part counts at any place, and no bound can push out what is at several crashes before what is at one. A wrong test is replaced: prompt_with_many_parts_has_a_bounded_number_of_fingerprints required less than 100 fingerprints of 10,000 parts, which is the fault; each_shared_part_of_a_long_prompt_has_a_fingerprint requires all 9,999.

--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -30,6 +30,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 use crate::backend::Backend;
+use crate::dropped_evidence::DroppedEvidence;
 use crate::name::Name;
 use crate::prompt::Prompt;
 use crate::quarantine::{self, Quarantine};
@@ -389,6 +390,11 @@
         self.suspects.take_changes()
     }
 
+    /// Takes the counts of what was dropped of the evidence of crashes since the last call.
+    pub fn take_dropped_evidence(&mut self) -> DroppedEvidence {
+        self.suspects.take_dropped()
+    }
+
     /// Records that an instance has been in contact.
     pub fn record_contact(&mut self, entry: u64, now_ms: u64) {
         self.entries_last_seen_ms.insert(entry, now_ms);
--- a/core/src/cell/suspects.rs
+++ b/core/src/cell/suspects.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+use crate::dropped_evidence::DroppedEvidence;
 use crate::name::Name;
 use crate::quarantine::{Crash, Quarantine, QuarantineStatus};
 use crate::recent_answers::RecentAnswers;
@@ -29,6 +30,8 @@
     reported_answers: BTreeMap<Fingerprint, Option<u64>>,
     /// Trial runs of requests under quarantine.
     trials: Trials,
+    /// What was dropped since the last call of [`Suspects::take_dropped`].
+    dropped: DroppedEvidence,
     /// Time from which on [`Suspects::expire`] has something to do, in milliseconds.
     expiry_due_ms: u64,
     /// Unix time at time 0 of `now_ms`, in milliseconds.
@@ -66,8 +69,9 @@
         let recent = broken.iter().filter(|request| is_recent(request, now_ms));
         for request in recent {
             let unix_ms = self.epoch_unix_ms + request.broke_ms;
-            self.quarantine
-                .record_crash(&crash, request.work.fingerprints(), unix_ms);
+            self.dropped.fingerprints +=
+                self.quarantine
+                    .record_crash(&crash, request.work.fingerprints(), unix_ms);
             for fingerprint in request.work.fingerprints() {
                 self.answers.add_to(&mut self.quarantine, fingerprint);
                 self.changed.insert(fingerprint);
@@ -75,6 +79,13 @@
         }
     }
 
+    /// Takes the counts of what was dropped since the last call.
+    pub(super) fn take_dropped(&mut self) -> DroppedEvidence {
+        let mut dropped = std::mem::take(&mut self.dropped);
+        dropped.answers += self.answers.take_dropped();
+        dropped
+    }
+
     /// Removes crashes that have expired.
     pub(super) fn expire(&mut self, now_ms: u64) {
         if now_ms < self.expiry_due_ms {
@@ -107,7 +118,7 @@
 
     /// Merges evidence of an instance or of an earlier placer.
     pub(super) fn merge(&mut self, quarantine: &Quarantine) {
-        self.quarantine.merge(quarantine);
+        self.dropped.fingerprints += self.quarantine.merge(quarantine).evicted;
         for fingerprint in quarantine.fingerprints() {
             self.answers.add_to(&mut self.quarantine, fingerprint);
             self.changed.insert(fingerprint);
--- a/core/src/crash_observer.rs
+++ b/core/src/crash_observer.rs
@@ -4,11 +4,14 @@
 //! the evidence, because a new placer knows only what instances send to it. What an instance knows
 //! grows by merging: a placer that knows less takes nothing away.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
+use crate::dropped_evidence::DroppedEvidence;
 use crate::name::Name;
 use crate::quarantine::{Assessment, Crash, Quarantine, QuarantineStatus};
 use crate::quarantine_log::QuarantineChanges;
+use crate::recency::Recency;
 use crate::recent_answers::RecentAnswers;
 use crate::work::{AnswerTimes, Fingerprint, Work};
 
@@ -25,10 +28,14 @@
 /// Largest number of decided crashes that may still be retracted; the oldest are dropped first.
 const MAX_RETRACTABLE: usize = 512;
 /// Largest number of broken requests that are kept; the oldest are dropped first.
-const MAX_BROKEN: usize = 512;
+const MAX_BROKEN: usize = 4_096;
+/// Largest number of fingerprints of broken requests that are kept.
+const MAX_BROKEN_FINGERPRINTS: usize = 524_288;
 /// Largest number of fingerprints of own evidence that are kept; those whose evidence changed the
 /// longest ago are dropped first.
-const MAX_OWN: usize = 2_048;
+const MAX_OWN: usize = 16_384;
+/// Largest number of fingerprints in one update of the placer. More are part of the next ones.
+pub const MAX_SENT: usize = 2_048;
 
 /// Shortest time between two requests for a trial run of the same request, in milliseconds.
 const TRIAL_REQUEST_PERIOD_MS: u64 = 1_000;
@@ -43,8 +50,8 @@
     /// All evidence that this instance knows, its own and that received from placers.
     known: Quarantine,
     /// Work to whose evidence in `known` this instance has added, the latest last.
-    own: VecDeque<Fingerprint>,
-    /// The part of `own` that the placer does not know yet.
+    own: Recency<Fingerprint>,
+    /// Work whose evidence the placer does not know yet.
     unsent: BTreeSet<Fingerprint>,
     /// The latest answers of this instance.
     answers: RecentAnswers,
@@ -54,6 +61,8 @@
     version: u64,
     /// Time of the last call of [`CrashObserver::check_servers`], in milliseconds.
     checked_ms: u64,
+    /// What was dropped since the last call of [`CrashObserver::take_dropped`].
+    dropped: DroppedEvidence,
 }
 
 /// A request that a server may have begun to run and did not answer.
@@ -134,7 +143,26 @@
             broke_unix_ms: unix_ms,
             listed_ms: 0,
         });
-        truncate_front(&mut self.broken, MAX_BROKEN);
+        self.drop_excess_broken();
+    }
+
+    fn drop_excess_broken(&mut self) {
+        let sizes = self.broken.iter().map(|request| request.work.size());
+        let mut fingerprints: usize = sizes.sum();
+        while self.broken.len() > MAX_BROKEN || fingerprints > MAX_BROKEN_FINGERPRINTS {
+            let Some(oldest) = self.broken.pop_front() else {
+                return;
+            };
+            fingerprints -= oldest.work.size();
+            self.dropped.broken_requests += 1;
+        }
+    }
+
+    /// Takes the counts of what was dropped since the last call.
+    pub fn take_dropped(&mut self) -> DroppedEvidence {
+        let mut dropped = std::mem::take(&mut self.dropped);
+        dropped.answers += self.answers.take_dropped();
+        dropped
     }
 
     /// Records that a server answered a request, which proves that neither the request nor the parts
@@ -201,14 +229,18 @@
             .collect()
     }
 
-    /// Takes the own evidence that the placer does not know yet: all of it if the placer is new.
+    /// Takes the own evidence that the placer does not know yet, at most [`MAX_SENT`] fingerprints, those with
+    /// the most crashes first. A new placer knows none.
     pub fn take_evidence(&mut self, is_new_placer: bool) -> Quarantine {
-        let unsent = std::mem::take(&mut self.unsent);
         if is_new_placer {
-            self.known.part(self.own.iter().copied())
-        } else {
-            self.known.part(unsent)
+            self.unsent.extend(self.own.keys());
         }
+        let mut unsent: Vec<Fingerprint> = std::mem::take(&mut self.unsent).into_iter().collect();
+        if unsent.len() > MAX_SENT {
+            unsent.sort_by_cached_key(|it| Reverse(self.known.assessment(*it).crashes));
+            self.unsent.extend(unsent.drain(MAX_SENT..));
+        }
+        self.known.part(unsent)
     }
 
     /// Adds evidence that did not reach the placer to what is sent next.
@@ -224,7 +256,7 @@
     /// Merges changes received from a placer.
     pub fn apply(&mut self, changes: &QuarantineChanges) {
         self.version = changes.version;
-        self.known.merge(&changes.table);
+        self.dropped.fingerprints += self.known.merge(&changes.table).evicted;
         for fingerprint in changes.table.fingerprints() {
             if let Some(unix_ms) = self.answers.last_unix_ms(fingerprint) {
                 self.report_answer(fingerprint, unix_ms);
@@ -273,7 +305,7 @@
     /// Removes what has expired.
     pub fn expire(&mut self, unix_ms: u64) {
         self.known.expire(unix_ms);
-        self.own.retain(|it| self.known.contains(*it));
+        self.own.retain(|it| self.known.contains(it));
         let known = &self.known;
         self.trial_requested_ms.retain(|request_hash, _| {
             known.status(Fingerprint::Request(*request_hash)) == QuarantineStatus::Quarantined
@@ -282,8 +314,9 @@
 
     fn record_crash(&mut self, request: &BrokenRequest, was_registered: bool, now_ms: u64) {
         let running = request.work.fingerprints();
-        self.known
-            .record_crash(&request.crash, running, request.broke_unix_ms);
+        self.dropped.fingerprints +=
+            self.known
+                .record_crash(&request.crash, running, request.broke_unix_ms);
         for fingerprint in request.work.fingerprints() {
             self.answers.add_to(&mut self.known, fingerprint);
             self.mark_own(fingerprint);
@@ -306,7 +339,10 @@
             crash.was_registered &= before.was_registered;
         }
         self.retractable.push_back(crash);
-        truncate_front(&mut self.retractable, MAX_RETRACTABLE);
+        while self.retractable.len() > MAX_RETRACTABLE {
+            self.retractable.pop_front();
+            self.dropped.retractable_crashes += 1;
+        }
     }
 
     /// Adds time in which the list of servers was current to the crashes that may be retracted, and
@@ -355,9 +391,11 @@
 
     fn mark_own(&mut self, fingerprint: Fingerprint) {
         self.unsent.insert(fingerprint);
-        self.own.retain(|it| *it != fingerprint);
-        self.own.push_back(fingerprint);
-        truncate_front(&mut self.own, MAX_OWN);
+        self.own.touch(fingerprint);
+        while self.own.len() > MAX_OWN {
+            self.own.pop_oldest();
+            self.dropped.own_fingerprints += 1;
+        }
     }
 }
 
@@ -371,9 +409,3 @@
         }
     }
 }
-
-fn truncate_front<T>(list: &mut VecDeque<T>, max: usize) {
-    while list.len() > max {
-        list.pop_front();
-    }
-}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod crash_observer;
 pub mod date;
 pub mod demand;
+pub mod dropped_evidence;
 pub mod evacuations;
 pub mod freshness;
 pub mod handle;
@@ -65,6 +66,7 @@
 pub mod version_binding;
 pub mod work;
 
+mod recency;
 mod recent_answers;
 mod rounding;
 mod trial;
--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -16,6 +16,7 @@
 //! retracted crashes. Merging is commutative, associative and idempotent, so that a lost answer of
 //! the store or a repeated message between instances is harmless.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::name::Name;
@@ -43,7 +44,7 @@
 pub const ANSWER_VALIDITY_MS: u64 = 600_000;
 /// Maximum number of fingerprints in a table. Those with the fewest counted crashes are evicted
 /// first, and among these the ones whose last crash is the oldest.
-pub const MAX_FINGERPRINTS: usize = 5_000;
+pub const MAX_FINGERPRINTS: usize = 20_000;
 
 crate::key_record! {
     /// One crash of one backend server. All instances that observe the crash build an equal value.
@@ -100,6 +101,15 @@
     }
 }
 
+/// What came of merging a table into another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Merged {
+    /// Whether the table has changed.
+    pub is_changed: bool,
+    /// Number of fingerprints that were evicted although crashes count against them.
+    pub evicted: usize,
+}
+
 impl Crash {
     /// Names the end of one start of a backend server.
     pub fn new(server: &Name, boot: u64) -> Self {
@@ -137,30 +147,54 @@
         self.crashes.values().copied().max().unwrap_or_default()
     }
 
-    fn merge(&mut self, other: &Evidence) {
+    /// Adds the evidence of another table; returns whether that has changed this one.
+    fn merge(&mut self, other: &Evidence) -> bool {
+        let mut is_changed = self.answered_unix_ms < other.answered_unix_ms;
         for (crash, unix_ms) in &other.crashes {
-            let known_ms = self.crashes.entry(crash.clone()).or_insert(*unix_ms);
-            *known_ms = (*known_ms).min(*unix_ms);
+            let known_ms = self.crashes.get(crash);
+            if known_ms.is_none_or(|known_ms| unix_ms < known_ms) {
+                self.crashes.insert(crash.clone(), *unix_ms);
+                is_changed = true;
+            }
+        }
+        for crash in &other.retracted {
+            is_changed |= self.retracted.insert(crash.clone());
         }
-        self.retracted.extend(other.retracted.iter().cloned());
         self.answered_unix_ms = self.answered_unix_ms.max(other.answered_unix_ms);
+        is_changed
+    }
+
+    /// Returns the number of crashes that count in a table that holds any of these, no retraction, and
+    /// `answered_unix_ms` as the time of the latest answer, in Unix milliseconds.
+    fn most_counted(&self, fingerprint: Fingerprint, answered_unix_ms: Option<u64>) -> usize {
+        let after = |unix_ms: Option<u64>| {
+            let times = self.crashes.values();
+            times.filter(|at| Some(**at) > unix_ms).count()
+        };
+        let after_answer = after(answered_unix_ms);
+        if after_answer >= max_crashes_after_answer(fingerprint) {
+            after_answer
+        } else {
+            after(answered_unix_ms.map(|it| it + ANSWER_VALIDITY_MS))
+        }
     }
 }
 
 impl Quarantine {
-    /// Records a crash of a server while the work in `running` ran on it.
+    /// Records a crash of a server while the work in `running` ran on it. Returns the number of fingerprints
+    /// that were evicted although crashes count against them.
     pub fn record_crash(
         &mut self,
         crash: &Crash,
         running: impl IntoIterator<Item = Fingerprint>,
         unix_ms: u64,
-    ) {
+    ) -> usize {
         for fingerprint in running {
             let evidence = self.evidence.entry(fingerprint).or_default();
             let known_ms = evidence.crashes.entry(crash.clone()).or_insert(unix_ms);
             *known_ms = (*known_ms).min(unix_ms);
         }
-        self.evict_excess();
+        self.evict_excess()
     }
 
     /// Records that a server answered work of which the table holds a crash. Returns whether the table has changed.
@@ -291,17 +325,17 @@
         }
     }
 
-    /// Merges the table of another instance or of the store. Returns whether this table has changed.
-    pub fn merge(&mut self, other: &Quarantine) -> bool {
-        if other.is_empty() {
-            return false;
-        }
-        let before = self.clone();
+    /// Merges the table of another instance or of the store.
+    pub fn merge(&mut self, other: &Quarantine) -> Merged {
+        let mut is_changed = false;
         for (fingerprint, theirs) in &other.evidence {
-            self.evidence.entry(*fingerprint).or_default().merge(theirs);
+            let evidence = self.evidence.entry(*fingerprint).or_default();
+            is_changed |= evidence.merge(theirs);
+        }
+        Merged {
+            is_changed,
+            evicted: self.evict_excess(),
         }
-        self.evict_excess();
-        *self != before
     }
 
     /// Removes crashes that were observed longer ago than [`CRASH_TTL_MS`].
@@ -320,10 +354,13 @@
 
     /// Returns the fingerprints of quarantined work.
     pub fn quarantined(&self) -> impl Iterator<Item = Fingerprint> {
-        self.evidence
-            .keys()
-            .copied()
-            .filter(|fingerprint| self.status(*fingerprint) == QuarantineStatus::Quarantined)
+        let with_enough = self
+            .evidence
+            .iter()
+            .filter(|(fingerprint, evidence)| evidence.crashes.len() >= max_crashes(**fingerprint));
+        with_enough
+            .map(|(fingerprint, _)| *fingerprint)
+            .filter(|it| self.status(*it) == QuarantineStatus::Quarantined)
     }
 
     /// Returns the fingerprints of all work of which the table holds a crash.
@@ -348,12 +385,7 @@
         let Some(evidence) = self.evidence.get(&fingerprint) else {
             return false;
         };
-        let known = Evidence {
-            crashes: evidence.crashes.clone(),
-            retracted: BTreeSet::new(),
-            answered_unix_ms,
-        };
-        known.counted_crashes(fingerprint).count() >= max_crashes(fingerprint)
+        evidence.most_counted(fingerprint, answered_unix_ms) >= max_crashes(fingerprint)
     }
 
     /// Returns the part of the table that concerns some work.
@@ -368,12 +400,12 @@
         }
     }
 
-    /// Returns the part of the table that concerns quarantined work: at most `max` fingerprints,
-    /// those with the latest crashes.
+    /// Returns the part of the table that concerns quarantined work: at most `max` fingerprints, those with the
+    /// most crashes, and among these the ones whose last crash is the latest.
     #[must_use]
-    pub fn latest_quarantined(&self, max: usize) -> Quarantine {
+    pub fn most_quarantined(&self, max: usize) -> Quarantine {
         let mut fingerprints: Vec<Fingerprint> = self.quarantined().collect();
-        fingerprints.sort_by_key(|it| std::cmp::Reverse(self.evidence[it].last_unix_ms()));
+        fingerprints.sort_by_cached_key(|it| Reverse(Self::rank(*it, &self.evidence[it])));
         fingerprints.truncate(max);
         self.part(fingerprints)
     }
@@ -383,22 +415,30 @@
         self.evidence.is_empty()
     }
 
-    /// Evicts fingerprints above [`MAX_FINGERPRINTS`].
-    fn evict_excess(&mut self) {
-        while self.evidence.len() > MAX_FINGERPRINTS {
-            let oldest = self
-                .evidence
-                .iter()
-                .min_by_key(|(fingerprint, evidence)| {
-                    let counted = evidence.counted_crashes(**fingerprint).count();
-                    (counted, evidence.last_unix_ms())
-                })
-                .map(|(fingerprint, _)| *fingerprint);
-            let Some(oldest) = oldest else {
-                return;
-            };
-            self.evidence.remove(&oldest);
+    /// Returns the number of crashes that count against work, and the time of its last one in Unix
+    /// milliseconds.
+    fn rank(fingerprint: Fingerprint, evidence: &Evidence) -> (usize, u64) {
+        let counted = evidence.counted_crashes(fingerprint).count();
+        (counted, evidence.last_unix_ms())
+    }
+
+    /// Evicts fingerprints above [`MAX_FINGERPRINTS`]. Returns the number of those against which crashes count.
+    fn evict_excess(&mut self) -> usize {
+        let excess = self.evidence.len().saturating_sub(MAX_FINGERPRINTS);
+        if excess == 0 {
+            return 0;
+        }
+        let rows = self.evidence.iter();
+        let mut ranked: Vec<((usize, u64), Fingerprint)> = rows
+            .map(|(fingerprint, evidence)| (Self::rank(*fingerprint, evidence), *fingerprint))
+            .collect();
+        ranked.select_nth_unstable(excess - 1);
+        ranked.truncate(excess);
+        for (_, fingerprint) in &ranked {
+            self.evidence.remove(fingerprint);
         }
+        let counted = ranked.iter().filter(|((counted, _), _)| *counted > 0);
+        counted.count()
     }
 }
 
--- a/core/src/recent_answers.rs
+++ b/core/src/recent_answers.rs
@@ -1,21 +1,24 @@
 //! The work that was answered last, with the times up to which the answers count.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 
-use crate::quarantine::Quarantine;
+use crate::quarantine::{ANSWER_VALIDITY_MS, Quarantine};
+use crate::recency::Recency;
 use crate::work::{AnswerTimes, Fingerprint, Work};
 
 /// Maximum number of requests whose answers are kept.
 const MAX_REQUESTS: usize = 2_048;
 /// Maximum number of parts of prompts whose answers are kept. Requests share them, so that they have
 /// a bound of their own: there are more requests than parts.
-const MAX_PARTS: usize = 8_192;
+const MAX_PARTS: usize = 32_768;
 
 /// The latest answers to requests and to requests with a part in their prompts.
 #[derive(Debug)]
 pub(crate) struct RecentAnswers {
     requests: LatestAnswers,
     parts: LatestAnswers,
+    /// Number of answers that were dropped while they proved work sound.
+    dropped: usize,
 }
 
 /// The latest answers. Those that are the longest ago are dropped first.
@@ -23,18 +26,10 @@
 struct LatestAnswers {
     /// Maximum number of `answers`.
     max: usize,
-    answers: HashMap<Fingerprint, RecordedAnswer>,
-    /// The keys of `answers` by the number of the record. Invariant: one entry for each of them.
-    order: BTreeMap<u64, Fingerprint>,
-    /// Number of the next record.
-    next: u64,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct RecordedAnswer {
-    unix_ms: u64,
-    /// Number of the record, which orders records.
-    number: u64,
+    /// Times of the answers, in Unix milliseconds.
+    answers: HashMap<Fingerprint, u64>,
+    /// The keys of `answers`.
+    recency: Recency<Fingerprint>,
 }
 
 impl Default for RecentAnswers {
@@ -42,6 +37,7 @@
         Self {
             requests: LatestAnswers::new(MAX_REQUESTS),
             parts: LatestAnswers::new(MAX_PARTS),
+            dropped: 0,
         }
     }
 }
@@ -51,13 +47,22 @@
     pub(crate) fn record(&mut self, work: &Work, times: AnswerTimes) {
         for fingerprint in work.fingerprints() {
             let unix_ms = times.proven_unix_ms(fingerprint);
-            match fingerprint {
+            let dropped_ms = match fingerprint {
                 Fingerprint::Request(_) => self.requests.record(fingerprint, unix_ms),
                 Fingerprint::PromptPart(_) => self.parts.record(fingerprint, unix_ms),
-            }
+            };
+            let is_valid = |it: u64| times.arrived_unix_ms < it + ANSWER_VALIDITY_MS;
+            // Each request is new, so that their answers are dropped all the time.
+            let is_part = matches!(fingerprint, Fingerprint::PromptPart(_));
+            self.dropped += usize::from(is_part && dropped_ms.is_some_and(is_valid));
         }
     }
 
+    /// Takes the number of answers to parts that were dropped while they proved them sound.
+    pub(crate) fn take_dropped(&mut self) -> usize {
+        std::mem::take(&mut self.dropped)
+    }
+
     /// Adds the latest answer to work to the evidence against it.
     pub(crate) fn add_to(&self, quarantine: &mut Quarantine, fingerprint: Fingerprint) {
         if let Some(unix_ms) = self.last_unix_ms(fingerprint) {
@@ -71,8 +76,7 @@
             Fingerprint::Request(_) => &self.requests,
             Fingerprint::PromptPart(_) => &self.parts,
         };
-        let answer = answers.answers.get(&fingerprint)?;
-        Some(answer.unix_ms)
+        answers.answers.get(&fingerprint).copied()
     }
 }
 
@@ -81,27 +85,19 @@
         Self {
             max,
             answers: HashMap::new(),
-            order: BTreeMap::new(),
-            next: 0,
+            recency: Recency::default(),
         }
     }
 
-    fn record(&mut self, fingerprint: Fingerprint, unix_ms: u64) {
-        let number = self.next;
-        self.next += 1;
-        let known_ms = self.answers.get(&fingerprint).map_or(0, |it| it.unix_ms);
-        let answer = RecordedAnswer {
-            unix_ms: unix_ms.max(known_ms),
-            number,
-        };
-        if let Some(before) = self.answers.insert(fingerprint, answer) {
-            self.order.remove(&before.number);
-        }
-        self.order.insert(number, fingerprint);
-        if self.order.len() > self.max
-            && let Some((_, oldest)) = self.order.pop_first()
-        {
-            self.answers.remove(&oldest);
+    /// Records an answer. Returns the time of the one that is dropped for it, in Unix milliseconds.
+    fn record(&mut self, fingerprint: Fingerprint, unix_ms: u64) -> Option<u64> {
+        let latest_ms = self.answers.entry(fingerprint).or_default();
+        *latest_ms = (*latest_ms).max(unix_ms);
+        self.recency.touch(fingerprint);
+        if self.recency.len() <= self.max {
+            return None;
         }
+        let oldest = self.recency.pop_oldest()?;
+        self.answers.remove(&oldest)
     }
 }
--- a/core/src/work.rs
+++ b/core/src/work.rs
@@ -30,8 +30,6 @@
     }
 }
 
-/// Maximum number of parts of one prompt that identify work; later ones do not.
-const MAX_PARTS: usize = 32;
 /// Time with data from a server after which it no longer begins to answer, in milliseconds.
 const BEGIN_MS: u64 = 1_000;
 /// Maximum number of parts in a log line.
@@ -54,18 +52,18 @@
     /// The work of one request.
     pub struct Work {
         request_hash: u64,
-        /// Identifiers of the parts of the prompt but the last. Invariant: sorted, without
-        /// duplicates, at most [`MAX_PARTS`].
+        /// Identifiers of the parts of the prompt but the last. Invariant: sorted, without duplicates.
         parts: Vec<u64>,
     }
 }
 
 impl Work {
     /// Returns the work of a request with this hash of path, organisation and body. The last part of
-    /// a prompt belongs to the request itself or to its session.
+    /// a prompt belongs to the request itself or to its session. Each other one may be what crashes servers, so
+    /// that all count: their number is bounded by the size of a request's head.
     pub fn new(request_hash: u64, prompt: Option<&Prompt>) -> Self {
         let parts = prompt.map_or(&[][..], |prompt| &prompt.parts);
-        let shared = parts.iter().rev().skip(1).rev().take(MAX_PARTS);
+        let shared = parts.iter().rev().skip(1).rev();
         let mut parts: Vec<u64> = shared.map(|part| part.id).collect();
         parts.sort_unstable();
         parts.dedup();
@@ -114,13 +112,22 @@
     pub fn contains(&self, fingerprint: Fingerprint) -> bool {
         match fingerprint {
             Fingerprint::Request(hash) => self.request_hash == hash,
-            Fingerprint::PromptPart(id) => self.parts.contains(&id),
+            Fingerprint::PromptPart(id) => self.parts.binary_search(&id).is_ok(),
         }
     }
 
+    /// Returns the number of fingerprints.
+    pub fn size(&self) -> usize {
+        1 + self.parts.len()
+    }
+
     /// Removes the parts that the other work has as well.
     pub fn remove_parts_of(&mut self, other: &Work) {
-        self.parts.retain(|id| !other.parts.contains(id));
+        let mut others = other.parts.iter().peekable();
+        self.parts.retain(|id| {
+            while others.next_if(|other| *other < id).is_some() {}
+            others.peek() != Some(&id)
+        });
     }
 
     /// Returns the identifiers of the first parts in hexadecimal, separated by commas, for logs.
--- a/core/tests/cell/prompt_parts.rs
+++ b/core/tests/cell/prompt_parts.rs
@@ -31,6 +31,8 @@
 /// Distance of the numbers of first and second attempts.
 const RETRY_NUMBERS: u64 = 1_000_000;
 const POISON_PART: u64 = 0x666;
+/// Identifier of the first part that only one prompt has.
+const FIRST_NEW_PART: u64 = 1_000_000;
 
 /// What happens in a day, in milliseconds.
 #[derive(Clone, Copy, Default)]
@@ -46,6 +48,10 @@
     is_retried: bool,
     /// Time at which another placer takes over.
     placer_replaced_ms: Option<u64>,
+    /// Number of parts that all prompts share, beside the first one.
+    common_parts: u64,
+    /// Number of parts that no other prompt has, beside the last one.
+    new_parts: u64,
 }
 
 struct Run {
@@ -77,6 +83,11 @@
     sound: Vec<(u64, bool)>,
 }
 
+fn has_poison(request: &PlacementRequest) -> bool {
+    let mut parts = request.prompt.parts.iter();
+    parts.any(|part| part.id == POISON_PART)
+}
+
 fn server_name(index: usize) -> String {
     format!("engine-{index}")
 }
@@ -146,7 +157,12 @@
         };
         let part = |id| PromptPart { id, tokens: 200 };
         let mut request = placement_request(number, "");
-        request.prompt.parts = vec![part(7), part(second), part(1_000_000 + number)];
+        let mut parts = vec![part(7)];
+        parts.extend((0..self.day.common_parts).map(|index| part(10_000 + index)));
+        parts.push(part(second));
+        let first_new = FIRST_NEW_PART + number * (self.day.new_parts + 1);
+        parts.extend((0..=self.day.new_parts).map(|index| part(first_new + index)));
+        request.prompt.parts = parts;
         let instance = usize::try_from(self.random(INSTANCES as u64)).expect("an index");
         let is_placed = self.start(instance, request);
         if !has_poison {
@@ -165,7 +181,7 @@
                 .end_run(&ended(number, RunOutcome::Unreachable), self.now_ms);
             return true;
         }
-        if request.prompt.parts[1].id == POISON_PART {
+        if has_poison(&request) {
             self.poison_sent_ms.push(self.now_ms);
         }
         let begins_ms = self.now_ms + BEGIN_MS;
@@ -203,7 +219,7 @@
         let now_ms = self.now_ms;
         let is_harmful = now_ms >= self.day.poison_from_ms;
         let begun = self.runs.values().filter(|run| run.begins_ms == now_ms);
-        let poison = begun.filter(|run| run.request.prompt.parts[1].id == POISON_PART);
+        let poison = begun.filter(|run| has_poison(&run.request));
         let crashes: Vec<Crash> = poison.map(|run| run.crash.clone()).collect();
         for crash in crashes {
             if is_harmful && !self.down.contains_key(&crash.server) {
@@ -344,7 +360,17 @@
 /// Guards against sending on requests that share one part after it has crashed five servers, and
 /// against refusing the others that share the caller's parts.
 fn only_the_part_that_crashes_servers_is_refused(day: Day) {
-    for seed in 1..=20 {
+    check_days(day, 20);
+}
+
+/// Guards against a part that crashes servers without end, because bounds on the number of parts hide it, and
+/// against refusing sound requests for their many parts. The prompts fill a head of 16,384 bytes.
+fn part_of_long_prompts_is_refused(day: Day) {
+    check_days(day, 2);
+}
+
+fn check_days(day: Day, seeds: u64) {
+    for seed in 1..=seeds {
         let mut world = World::new(Day { seed, ..day });
         world.play();
         let mut first_crashes = world.crashes_ms.iter().take(FIFTH_CRASH);
@@ -370,6 +396,8 @@
     poison_from_ms: 0,
     is_retried: false,
     placer_replaced_ms: None,
+    common_parts: 0,
+    new_parts: 0,
 };
 
 cases! {
@@ -385,3 +413,16 @@
     part_that_was_answered_before: (Day { poison_from_ms: 10_000, ..DAY },);
     part_under_two_placers: (Day { poison_every_ms: 1_000, placer_replaced_ms: Some(4_000), ..DAY },);
 }
+
+cases! {
+    part_of_long_prompts_is_refused;
+    behind_many_shared_parts: (Day { common_parts: 1_150, ..DAY },);
+    beside_many_new_parts: (Day { common_parts: 600, new_parts: 550, ..DAY },);
+    beside_many_new_parts_under_two_placers: (Day {
+        common_parts: 600,
+        new_parts: 550,
+        poison_every_ms: 1_000,
+        placer_replaced_ms: Some(4_000),
+        ..DAY
+    },);
+}
--- a/core/tests/crash_observer.rs
+++ b/core/tests/crash_observer.rs
@@ -1,6 +1,8 @@
 //! Crashes that one instance observes, and the quarantine that it knows.
 
-use mimosabay_core::crash_observer::{Admission, CrashObserver, Decision, ServerList, Verdict};
+use mimosabay_core::crash_observer::{
+    Admission, CrashObserver, Decision, MAX_SENT, ServerList, Verdict,
+};
 use mimosabay_core::name::Name;
 use mimosabay_core::prompt::{Prompt, PromptPart};
 use mimosabay_core::quarantine::{ANSWER_VALIDITY_MS, Crash, Quarantine, QuarantineStatus};
@@ -390,3 +392,64 @@
     check(&mut observer, None, 600);
     assert_eq!(observer.refused_by(&poison()), Some(POISON));
 }
+
+/// The work of a request with a prompt of many parts that no other request has.
+fn long_work(request_hash: u64, parts: u64) -> Work {
+    let first = 10_000_000 * request_hash;
+    let part = |index| PromptPart {
+        id: first + index,
+        tokens: 1,
+    };
+    let prompt = Prompt {
+        model: "base".into(),
+        adapter: None,
+        prompt_tokens: 100,
+        answer_tokens: 10,
+        parts: (0..=parts).map(part).collect(),
+    };
+    Work::new(request_hash, Some(&prompt))
+}
+
+/// Guards against evidence that the placer never receives, because one crash brings more than an update holds.
+#[test]
+fn evidence_beyond_one_update_is_part_of_the_next_ones() {
+    let mut observer = CrashObserver::default();
+    let works: Vec<Work> = (1..=5).map(|number| long_work(number, 1_200)).collect();
+    for work in &works {
+        observer.record_broken(work.clone(), crash(1), 0, 0);
+    }
+    observer.record_refused_connections(&crash(1), 300);
+    let mut received = Quarantine::default();
+    for is_new_placer in [false, true] {
+        received = Quarantine::default();
+        let mut is_new_placer = is_new_placer;
+        for _ in 0..10 {
+            let update = observer.take_evidence(is_new_placer);
+            assert!(update.fingerprints().count() <= MAX_SENT);
+            received.merge(&update);
+            is_new_placer = false;
+        }
+        let mut fingerprints = works.iter().flat_map(Work::fingerprints);
+        assert!(fingerprints.all(|it| received.contains(it)));
+    }
+    assert!(received.fingerprints().count() > 2 * MAX_SENT);
+    assert!(observer.take_dropped().is_empty());
+}
+
+/// Guards against evidence that is dropped without a word.
+#[test]
+fn what_is_dropped_is_counted() {
+    let mut observer = CrashObserver::default();
+    for number in 1..=1_000 {
+        observer.record_broken(long_work(number, 1_200), crash(1), 0, 0);
+    }
+    let dropped = observer.take_dropped();
+    assert!(dropped.broken_requests > 0);
+    observer.record_refused_connections(&crash(1), 300);
+    let dropped = observer.take_dropped();
+    assert!(
+        dropped.fingerprints > 0 && dropped.own_fingerprints > 0,
+        "{dropped:?}"
+    );
+    assert!(observer.take_dropped().is_empty());
+}
--- a/core/tests/quarantine.rs
+++ b/core/tests/quarantine.rs
@@ -62,7 +62,7 @@
     table.record_crash(&crash(1), [NEIGHBOUR], 0);
     let late = table.clone();
     table.record_answer(NEIGHBOUR, 1);
-    assert!(!table.merge(&late));
+    assert!(!table.merge(&late).is_changed);
     assert_eq!(table.status(NEIGHBOUR), QuarantineStatus::Clear);
 }
 
--- a/core/tests/work.rs
+++ b/core/tests/work.rs
@@ -43,14 +43,25 @@
     assert_eq!(fingerprints, [Fingerprint::Request(9)]);
 }
 
+/// Guards against a part that crashes servers and is never refused, because others stand before it.
 #[test]
-fn prompt_with_many_parts_has_a_bounded_number_of_fingerprints() {
-    let ids: Vec<u64> = (0..10_000).collect();
+fn each_shared_part_of_a_long_prompt_has_a_fingerprint() {
+    let ids: Vec<u64> = (0..10_000).rev().collect();
     let work = Work::new(9, Some(&prompt(&ids)));
-    assert!(work.fingerprints().count() < 100);
+    assert_eq!(work.parts().count(), 9_999);
+    assert!((1..10_000).all(|id| work.contains(Fingerprint::PromptPart(id))));
+    assert!(!work.contains(Fingerprint::PromptPart(0)));
     assert!(work.parts_text().len() < 200);
 }
 
+#[test]
+fn parts_of_other_work_are_removed() {
+    let mut work = Work::new(9, Some(&prompt(&[5, 1, 8, 3, 9, 0])));
+    work.remove_parts_of(&Work::new(7, Some(&prompt(&[2, 3, 8, 11, 0]))));
+    let left: Vec<_> = work.parts().collect();
+    assert_eq!(left, [1, 5, 9].map(Fingerprint::PromptPart));
+}
+
 fn suspects_parts(streamed_ms: u64, expected: bool) {
     let work = Work::new(9, Some(&prompt(&[1, 2]))).interrupted_after(streamed_ms);
     assert!(work.contains(Fingerprint::Request(9)));
--- a/daemon/src/gateway/metrics.rs
+++ b/daemon/src/gateway/metrics.rs
@@ -89,6 +89,7 @@
     placer_engines: Gauge,
     placer_engines_confirmed: Gauge,
     store_eras: Counter,
+    dropped_evidence: Counter,
     evacuated_zones: Gauge,
     starting_servers: Gauge,
     answer_s: Histogram,
@@ -114,6 +115,7 @@
             placer_engines: Gauge::default(),
             placer_engines_confirmed: Gauge::default(),
             store_eras: Counter::default(),
+            dropped_evidence: Counter::default(),
             evacuated_zones: Gauge::default(),
             starting_servers: Gauge::default(),
             answer_s: latency_histogram(),
@@ -171,6 +173,11 @@
             "Times that the store came back from an older copy",
             self.store_eras.clone(),
         );
+        registry.register(
+            "dropped_evidence",
+            "Requests, crashes, answers and fingerprints that were dropped because a bound was reached",
+            self.dropped_evidence.clone(),
+        );
         registry.register(
             "evacuated_zones",
             "Availability zones that operators have evacuated",
@@ -231,6 +238,10 @@
         self.store_eras.inc();
     }
 
+    pub(crate) fn count_dropped_evidence(&self, dropped: usize) {
+        self.dropped_evidence.inc_by(dropped as u64);
+    }
+
     pub(crate) fn set_evacuated_zones(&self, zones: usize) {
         set(&self.evacuated_zones, zones);
     }
--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod engine_run;
 mod evacuations;
 mod events;
+mod evidence_bounds;
 mod exchange;
 mod freeze;
 mod head_limit;
--- a/daemon/src/gateway/placer.rs
+++ b/daemon/src/gateway/placer.rs
@@ -20,6 +20,7 @@
 use tracing::{debug, info, warn};
 
 use super::backends::Snapshot;
+use super::evidence_bounds::{self, Holder};
 use super::metrics::PlacerGauges;
 use super::placer_inbox::{Inbox, Input, Reported, SentInput, WeakInbox};
 use super::placer_load::PlacerLoad;
@@ -224,6 +225,8 @@
         if !self.load.is_due(self.state.now_ms()) {
             return;
         }
+        let dropped = self.cell.take_dropped_evidence();
+        evidence_bounds::report(&self.state, Holder::Placer, dropped);
         let status = self.cell.status();
         let is_behind = self.load.log(&self.state, &status, waiting_inputs);
         let since_last_ms = self.state.order_permission.since_resigned_ms();
--- a/daemon/src/gateway/quarantine_store.rs
+++ b/daemon/src/gateway/quarantine_store.rs
@@ -117,7 +117,7 @@
 
     fn latest_quarantine(&self) -> Quarantine {
         let log = self.state.quarantine.lock().expect("quarantine lock");
-        log.table().latest_quarantined(MAX_STORED)
+        log.table().most_quarantined(MAX_STORED)
     }
 
     async fn write(&mut self) -> Result<(), Error> {
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -16,6 +16,7 @@
 use tracing::{debug, info};
 use tracing_appender::non_blocking::ErrorCounter;
 
+use super::evidence_bounds::{self, Holder};
 use super::listener::listen;
 use super::signals::Signals;
 use super::state::State;
@@ -120,6 +121,8 @@
         state
             .suspects
             .check_servers(&snapshot, is_current, heartbeat_ms);
+        let dropped = state.suspects.take_dropped();
+        evidence_bounds::report(&state, Holder::Instance, dropped);
         state.pool.remove_expired(|id| snapshot.contains_key(id));
         let mut plain = state.plain.lock().expect("plain lock");
         plain.retain(|id| snapshot.contains_key(id));
--- a/daemon/src/gateway/suspects.rs
+++ b/daemon/src/gateway/suspects.rs
@@ -5,6 +5,7 @@
 
 use mimosabay_core::backend::Backend;
 use mimosabay_core::crash_observer::{Admission, CrashObserver, Decision, ServerList, Verdict};
+use mimosabay_core::dropped_evidence::DroppedEvidence;
 use mimosabay_core::name::Name;
 use mimosabay_core::quarantine::{Crash, Quarantine};
 use mimosabay_core::quarantine_log::QuarantineChanges;
@@ -127,6 +128,11 @@
         self.observer().admit(work, now_ms)
     }
 
+    /// Takes the counts of what was dropped since the last call.
+    pub(crate) fn take_dropped(&self) -> DroppedEvidence {
+        self.observer().take_dropped()
+    }
+
     /// All evidence that this instance knows.
     pub(crate) fn known(&self) -> Quarantine {
         self.observer().known().clone()
--- a/daemon/tests/poison_part.rs
+++ b/daemon/tests/poison_part.rs
@@ -16,13 +16,48 @@
 const SOUND_PART: u64 = 0x91bd_3f06;
 /// Parts that crash servers.
 const POISON_PARTS: [u64; 2] = [0xe440_2b7d, 0xe440_2b7e];
-/// Shared parts of prompts with each poison part.
-const POISON_PROMPTS: [&[u64]; 2] = [
-    &[FIRST_PART, POISON_PARTS[0]],
-    &[POISON_PARTS[1], SOUND_PART],
-];
-/// Shared parts of sound prompts.
-const SOUND_PROMPTS: [&[u64]; 2] = [&[FIRST_PART], &[FIRST_PART, SOUND_PART]];
+/// Number of shared parts of a long prompt. With the other headers it fills a head of 16,384 bytes.
+const LONG_PARTS: usize = 1_150;
+/// Place of the part that crashes servers in a long prompt.
+const LONG_PLACE: usize = 1_100;
+const LONG_POISON: [u64; LONG_PARTS] = long_prompt(POISON_PARTS[0]);
+const LONG_SOUND: [u64; LONG_PARTS] = long_prompt(SOUND_PART);
+
+/// Shared parts of the prompts of a test, by identifier.
+#[derive(Debug)]
+struct Prompts {
+    /// Prompts that crash servers.
+    poisons: &'static [&'static [u64]],
+    sound: [&'static [u64]; 2],
+}
+
+const PROMPTS: Prompts = Prompts {
+    poisons: &[&[FIRST_PART, POISON_PARTS[0]]],
+    sound: [&[FIRST_PART], &[FIRST_PART, SOUND_PART]],
+};
+const SEVERAL_POISONS: Prompts = Prompts {
+    poisons: &[
+        &[FIRST_PART, POISON_PARTS[0]],
+        &[POISON_PARTS[1], SOUND_PART],
+    ],
+    ..PROMPTS
+};
+const LONG_PROMPTS: Prompts = Prompts {
+    poisons: &[&LONG_POISON],
+    sound: [&[FIRST_PART], &LONG_SOUND],
+};
+
+const fn long_prompt(part: u64) -> [u64; LONG_PARTS] {
+    let mut parts = [part; LONG_PARTS];
+    let mut index = 0;
+    while index < LONG_PARTS {
+        if index != LONG_PLACE {
+            parts[index] = FIRST_PART + index as u64;
+        }
+        index += 1;
+    }
+    parts
+}
 
 /// Number of crashes after which a part must be known.
 const MAX_CRASHES: usize = 5;
@@ -95,16 +130,57 @@
     }
 }
 
+/// Guards against a part that crashes servers without end, because it stands behind many others.
+mod part_behind_many_others_is_sent_on {
+    use mimosabay_core::cases;
+    use mimosabay_standin::fleet::AnswerStart::{HalfEvent, Head};
+    use mimosabay_standin::fleet::ConnectionEnd::Broken;
+    use mimosabay_standin::fleet::{Condition, CrashEnd, RestartId};
+
+    use super::{LONG_PROMPTS, Route, poison_part_of_prompts_reaches_few_servers};
+
+    const AT_EVENT: CrashEnd = CrashEnd::AtAnswer {
+        start: HalfEvent,
+        connections: Broken,
+    };
+    const AT_HEAD: CrashEnd = CrashEnd::AtAnswer {
+        start: Head,
+        connections: Broken,
+    };
+
+    cases! {
+        poison_part_of_prompts_reaches_few_servers;
+        draft: (&LONG_PROMPTS, Route::Draft, AT_EVENT, RestartId::New, Condition::Calm);
+        once: (&LONG_PROMPTS, Route::DraftOnce, AT_HEAD, RestartId::Same, Condition::Calm);
+        draft_placer_killed: (&LONG_PROMPTS, Route::Draft, AT_EVENT, RestartId::New, Condition::PlacerKilledTwice);
+        draft_all_restarted: (&LONG_PROMPTS, Route::Draft, AT_EVENT, RestartId::New, Condition::AllRestartedTwice);
+    }
+}
+
 fn poison_part_reaches_few_servers_after_its_fifth_crash(
     route: Route,
     end: CrashEnd,
     restart: RestartId,
     condition: Condition,
+) {
+    let prompts = match condition {
+        Condition::SeveralPoisons => &SEVERAL_POISONS,
+        _ => &PROMPTS,
+    };
+    poison_part_of_prompts_reaches_few_servers(prompts, route, end, restart, condition);
+}
+
+fn poison_part_of_prompts_reaches_few_servers(
+    prompts: &'static Prompts,
+    route: Route,
+    end: CrashEnd,
+    restart: RestartId,
+    condition: Condition,
 ) {
     block_on(async {
         let trigger = CrashTrigger::PromptPart(&POISON_PARTS);
         let mut site = start_crashing_site(trigger, end, restart).await;
-        let mut load = Load::new(route, condition);
+        let mut load = Load::new(route, prompts);
         let mut disturber = Disturber::start(condition, &site);
         while load.is_needed(&site, disturber.advance()) {
             load.send(&site, &disturber);
@@ -113,14 +189,14 @@
         }
         load.finish().await;
         check(&site, &load);
-        check_sound_requests(&site, route, &disturber.live_instances(&site)).await;
+        check_sound_requests(&site, &load, &disturber.live_instances(&site)).await;
     });
 }
 
 /// Sends poison and sound requests to the instances in turn, and does not wait for the answers.
 struct Load {
     route: Route,
-    poisons: &'static [&'static [u64]],
+    prompts: &'static Prompts,
     number: usize,
     poison: JoinSet<()>,
     sound: JoinSet<SoundRequest>,
@@ -137,14 +213,10 @@
 }
 
 impl Load {
-    fn new(route: Route, condition: Condition) -> Self {
-        let poisons = match condition {
-            Condition::SeveralPoisons => &POISON_PROMPTS[..],
-            _ => &POISON_PROMPTS[..1],
-        };
+    fn new(route: Route, prompts: &'static Prompts) -> Self {
         Self {
             route,
-            poisons,
+            prompts,
             number: 0,
             poison: JoinSet::new(),
             sound: JoinSet::new(),
@@ -155,7 +227,7 @@
 
     /// Whether more requests are needed to judge the service of the sound ones.
     fn is_needed(&self, site: &FleetSite, now_ms: u64) -> bool {
-        let judged_from = judged_from(site, self.poisons.len());
+        let judged_from = judged_from(site, self.prompts.poisons.len());
         let judged = self.sound_sent.iter().filter(|at| **at >= judged_from);
         now_ms < POISON_TIME_MS || (judged.count() < MIN_JUDGED && now_ms < MAX_POISON_TIME_MS)
     }
@@ -163,7 +235,7 @@
     fn send(&mut self, site: &FleetSite, disturber: &Disturber) {
         self.number += 1;
         let instances = site.instances.len();
-        for (index, parts) in self.poisons.iter().enumerate() {
+        for (index, parts) in self.prompts.poisons.iter().enumerate() {
             let instance = (self.number + index) % instances;
             if disturber.is_in_contact(instance) {
                 self.send_poison(&site.caller(instance), parts, index);
@@ -187,7 +259,7 @@
 
     fn send_sound(&mut self, caller: &FleetCaller) {
         let path = self.route.path();
-        for (index, parts) in SOUND_PROMPTS.into_iter().enumerate() {
+        for (index, parts) in self.prompts.sound.into_iter().enumerate() {
             let caller = caller.clone().deadline_ms(DEADLINE_MS).prompt_parts(parts);
             let id = format!("sound-{index}-{}", self.number);
             let sent = Instant::now();
@@ -271,12 +343,12 @@
 /// Checks how often each part reached servers once the instances must have known its fifth crash, and
 /// that sound requests were served from then on.
 fn check(site: &FleetSite, load: &Load) {
-    let judged_from = judged_from(site, load.poisons.len());
+    let judged_from = judged_from(site, load.prompts.poisons.len());
     let judged = load.ended.iter().filter(|it| it.sent >= judged_from);
     let judged: Vec<bool> = judged.map(|it| it.is_answered).collect();
     let answered = judged.iter().filter(|is_answered| **is_answered).count();
     let sound = format!("{answered} of {} sound requests answered", judged.len());
-    for part in POISON_PARTS.iter().take(load.poisons.len()) {
+    for part in POISON_PARTS.iter().take(load.prompts.poisons.len()) {
         let arrivals = arrivals(site, *part);
         let crashes = crashes(site, *part);
         assert!(crashes.len() >= 2, "part {part:x} crashed too few servers");
@@ -302,12 +374,12 @@
     );
 }
 
-async fn check_sound_requests(site: &FleetSite, route: Route, instances: &[usize]) {
+async fn check_sound_requests(site: &FleetSite, load: &Load, instances: &[usize]) {
     for index in instances {
-        for parts in SOUND_PROMPTS {
+        for parts in load.prompts.sound {
             wait_for("sound requests are answered", async || {
                 let caller = site.caller(*index).prompt_parts(parts);
-                is_answered(&caller, route.path(), "sound")
+                is_answered(&caller, load.route.path(), "sound")
                     .await
                     .then_some(())
             })
--- a/standin/src/fleet/caller.rs
+++ b/standin/src/fleet/caller.rs
@@ -15,8 +15,8 @@
 /// Time after which a caller stops waiting for a response, in milliseconds.
 const RESPONSE_TIMEOUT_MS: u64 = 20_000;
 
-/// Length of each shared part of a prompt, in tokens.
-const SHARED_PART_TOKENS: u64 = 100;
+/// Length of all shared parts of a prompt together, in tokens.
+const SHARED_TOKENS: usize = 200;
 /// Length of the last part of a prompt with shared parts, in tokens.
 const OWN_PART_TOKENS: u64 = 100;
 /// Identifier of the last part of the next prompt with shared parts.
@@ -221,10 +221,9 @@
     /// Adds a prompt that begins with the shared parts and is not sent again.
     fn with_own_prompt(&self, call: Call) -> Call {
         let own_part = NEXT_OWN_PART.fetch_add(1, Ordering::Relaxed);
+        let tokens = (SHARED_TOKENS / self.shared_parts.len()).max(1);
         let shared = self.shared_parts.iter();
-        let mut parts: Vec<String> = shared
-            .map(|id| format!("{id:x}:{SHARED_PART_TOKENS}"))
-            .collect();
+        let mut parts: Vec<String> = shared.map(|id| format!("{id:x}:{tokens}")).collect();
         parts.push(format!("{own_part:x}:{OWN_PART_TOKENS}"));
         call.body(format!("{} {own_part:x}", self.prompt))
             .header("x-prompt-prefix", &parts.join(","))
