--- a/daemon/tests/poison_part.rs
+++ b/daemon/tests/poison_part.rs
@@ -4,7 +4,7 @@
 
 use mimosabay_standin::fleet::{
     CONTACT_MS, Condition, CrashEnd, CrashTrigger, Disturber, FleetCaller, FleetServer, FleetSite,
-    ReceivedRequest, RestartId, quarantine_log, start_crashing_site,
+    PartSpelling, ReceivedRequest, RestartId, has_part, quarantine_log, start_crashing_site,
 };
 use mimosabay_standin::harness::{block_on, wait_for};
 use tokio::task::JoinSet;
@@ -29,11 +29,13 @@
     /// Prompts that crash servers.
     poisons: &'static [&'static [u64]],
     sound: [&'static [u64]; 2],
+    spelling: PartSpelling,
 }
 
 const PROMPTS: Prompts = Prompts {
     poisons: &[&[FIRST_PART, POISON_PARTS[0]]],
     sound: [&[FIRST_PART], &[FIRST_PART, SOUND_PART]],
+    spelling: PartSpelling::Short,
 };
 const SEVERAL_POISONS: Prompts = Prompts {
     poisons: &[
@@ -45,8 +47,16 @@
 const LONG_PROMPTS: Prompts = Prompts {
     poisons: &[&LONG_POISON],
     sound: [&[FIRST_PART], &LONG_SOUND],
+    spelling: PartSpelling::Short,
 };
 
+const fn spelled(spelling: PartSpelling) -> Prompts {
+    Prompts {
+        spelling,
+        ..PROMPTS
+    }
+}
+
 const fn long_prompt(part: u64) -> [u64; LONG_PARTS] {
     let mut parts = [part; LONG_PARTS];
     let mut index = 0;
@@ -157,6 +167,34 @@
     }
 }
 
+/// Guards against a part that crashes servers without end, because an identifier in the prompt is larger than 64
+/// bits, or is spelled in several ways.
+mod part_beside_odd_identifiers_is_sent_on {
+    use mimosabay_core::cases;
+    use mimosabay_standin::fleet::AnswerStart::HalfEvent;
+    use mimosabay_standin::fleet::ConnectionEnd::Broken;
+    use mimosabay_standin::fleet::{Condition, CrashEnd, PartSpelling, RestartId};
+
+    use super::{Prompts, Route, poison_part_of_prompts_reaches_few_servers, spelled};
+
+    const AT_EVENT: CrashEnd = CrashEnd::AtAnswer {
+        start: HalfEvent,
+        connections: Broken,
+    };
+    const LONG_OWN: Prompts = spelled(PartSpelling::LongOwn);
+    const LONG: Prompts = spelled(PartSpelling::Long);
+    const MIXED: Prompts = spelled(PartSpelling::Mixed);
+
+    cases! {
+        poison_part_of_prompts_reaches_few_servers;
+        long_own: (&LONG_OWN, Route::Draft, AT_EVENT, RestartId::New, Condition::Calm);
+        long_own_once: (&LONG_OWN, Route::DraftOnce, AT_EVENT, RestartId::Same, Condition::Calm);
+        long: (&LONG, Route::Draft, AT_EVENT, RestartId::New, Condition::Calm);
+        long_placer_killed: (&LONG, Route::Draft, AT_EVENT, RestartId::New, Condition::PlacerKilledTwice);
+        mixed: (&MIXED, Route::DraftOnce, AT_EVENT, RestartId::New, Condition::Calm);
+    }
+}
+
 fn poison_part_reaches_few_servers_after_its_fifth_crash(
     route: Route,
     end: CrashEnd,
@@ -248,7 +286,7 @@
     }
 
     fn send_poison(&mut self, caller: &FleetCaller, parts: &'static [u64], index: usize) {
-        let caller = caller.clone().deadline_ms(DEADLINE_MS).prompt_parts(parts);
+        let caller = self.caller(caller, parts);
         let path = self.route.path();
         let id = format!("poison-{index}-{}", self.number);
         self.poison.spawn(async move {
@@ -260,7 +298,7 @@
     fn send_sound(&mut self, caller: &FleetCaller) {
         let path = self.route.path();
         for (index, parts) in self.prompts.sound.into_iter().enumerate() {
-            let caller = caller.clone().deadline_ms(DEADLINE_MS).prompt_parts(parts);
+            let caller = self.caller(caller, parts);
             let id = format!("sound-{index}-{}", self.number);
             let sent = Instant::now();
             self.sound_sent.push(sent);
@@ -273,6 +311,12 @@
         }
     }
 
+    fn caller(&self, caller: &FleetCaller, parts: &'static [u64]) -> FleetCaller {
+        let caller = caller.clone().deadline_ms(DEADLINE_MS);
+        let caller = caller.part_spelling(self.prompts.spelling);
+        caller.prompt_parts(parts)
+    }
+
     async fn finish(&mut self) {
         while self.poison.join_next().await.is_some() {}
         while let Some(ended) = self.sound.join_next().await {
@@ -298,14 +342,12 @@
 
 fn arrivals_at(server: &FleetServer, part: u64) -> Vec<Instant> {
     let requests = server.requests().into_iter();
-    let requests = requests.filter(|it| it.has_run && has_part(it, part));
+    let requests = requests.filter(|it| it.has_run && is_with_part(it, part));
     requests.map(|it| it.arrived).collect()
 }
 
-fn has_part(request: &ReceivedRequest, part: u64) -> bool {
-    let parts = request.header("x-prompt-prefix").unwrap_or_default();
-    let start = format!("{part:x}:");
-    parts.split(',').any(|it| it.starts_with(&start))
+fn is_with_part(request: &ReceivedRequest, part: u64) -> bool {
+    has_part(request.header("x-prompt-prefix").unwrap_or_default(), part)
 }
 
 /// Returns the times at which servers ended while they ran requests with a part, in order.
@@ -378,7 +420,7 @@
     for index in instances {
         for parts in load.prompts.sound {
             wait_for("sound requests are answered", async || {
-                let caller = site.caller(*index).prompt_parts(parts);
+                let caller = load.caller(&site.caller(*index), parts);
                 is_answered(&caller, load.route.path(), "sound")
                     .await
                     .then_some(())
--- a/standin/src/fleet/caller.rs
+++ b/standin/src/fleet/caller.rs
@@ -10,6 +10,7 @@
 use mimosabay_http::{Call, Client, Error};
 use tokio::time::{Instant, timeout_at};
 
+use super::prompt_part::PartSpelling;
 use super::site::{HOST, MODEL};
 
 /// Time after which a caller stops waiting for a response, in milliseconds.
@@ -32,6 +33,7 @@
     prompt: &'static str,
     /// Identifiers of the parts that prompts share; empty if all prompts are the same.
     shared_parts: &'static [u64],
+    spelling: PartSpelling,
     /// The stream that is taken up.
     taken_up: Option<TakenUpStream>,
 }
@@ -75,6 +77,7 @@
             deadline_ms: 4_000,
             prompt: "a prompt",
             shared_parts: &[],
+            spelling: PartSpelling::default(),
             taken_up: None,
         }
     }
@@ -108,6 +111,13 @@
         self
     }
 
+    /// Sets how the identifiers of parts are spelled.
+    #[must_use]
+    pub fn part_spelling(mut self, spelling: PartSpelling) -> Self {
+        self.spelling = spelling;
+        self
+    }
+
     /// Sends the requests to the instance of another caller.
     #[must_use]
     pub fn at_instance_of(mut self, other: &Self) -> Self {
@@ -223,8 +233,10 @@
         let own_part = NEXT_OWN_PART.fetch_add(1, Ordering::Relaxed);
         let tokens = (SHARED_TOKENS / self.shared_parts.len()).max(1);
         let shared = self.shared_parts.iter();
-        let mut parts: Vec<String> = shared.map(|id| format!("{id:x}:{tokens}")).collect();
-        parts.push(format!("{own_part:x}:{OWN_PART_TOKENS}"));
+        let spelled = shared.map(|id| self.spelling.shared(*id, own_part));
+        let mut parts: Vec<String> = spelled.map(|id| format!("{id}:{tokens}")).collect();
+        let own = self.spelling.own(own_part);
+        parts.push(format!("{own}:{OWN_PART_TOKENS}"));
         call.body(format!("{} {own_part:x}", self.prompt))
             .header("x-prompt-prefix", &parts.join(","))
     }
--- a/standin/src/fleet/crash.rs
+++ b/standin/src/fleet/crash.rs
@@ -3,12 +3,12 @@
 use std::time::{Duration, Instant};
 
 use mimosabay_core::name::Name;
-use mimosabay_platform::ingress;
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
 use super::behaviour::StreamFault;
 use super::framing::{Framing, cut_inside_piece};
+use super::prompt_part::has_part;
 use super::server::{EVENT_INTERVAL_MS, FleetServer};
 use crate::reply::Reply;
 use crate::server::Call;
@@ -214,6 +214,6 @@
 }
 
 fn has_prompt_part(call: &Call, ids: &[u64]) -> bool {
-    let prompt = ingress::prompt(&call.headers);
-    prompt.is_some_and(|prompt| prompt.parts.iter().any(|part| ids.contains(&part.id)))
+    let prompt = call.header("x-prompt-prefix");
+    ids.iter().any(|id| has_part(prompt, *id))
 }
