Compare versions of new streams only where two are known, and split two files

The check that a new stream is sent to a server of the assigned version also failed while one of the two versions is unknown, as after a restart under the same name, and cost an attempt for nothing: a stream at an unknown version goes on nowhere anyway. Servers of other versions were named as unusable although the last one of the version was paused or leaving, and while services have one version. Change: both conditions; the stream store reads again after each change of the era, as the quarantine's does. What came of a request to the placer, and the rows of the quarantine, have files of their own.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -66,6 +66,7 @@
 pub mod version_binding;
 pub mod work;
 
+mod quarantine_rows;
 mod recency;
 mod recent_answers;
 mod rounding;
--- a/daemon/src/gateway/link.rs
+++ b/daemon/src/gateway/link.rs
@@ -21,6 +21,7 @@
 use tracing::{info, warn};
 
 use super::placer::Placer;
+use super::placer_answer::PlacerAnswer;
 use super::runs::RunTable;
 use super::state::State;
 
@@ -45,33 +46,6 @@
     Remote(Peer),
 }
 
-/// What came of a request to the placer.
-pub(super) enum PlacerAnswer<T> {
-    /// Its answer.
-    Answered(T),
-    /// There is no placer, or it cannot have received the request.
-    NotAsked,
-    /// It may have received the request, but has not answered.
-    Unanswered,
-}
-
-impl<T> PlacerAnswer<T> {
-    fn answered(self) -> Option<T> {
-        match self {
-            Self::Answered(answer) => Some(answer),
-            Self::NotAsked | Self::Unanswered => None,
-        }
-    }
-
-    fn and_then<U>(self, convert: impl FnOnce(T) -> PlacerAnswer<U>) -> PlacerAnswer<U> {
-        match self {
-            Self::Answered(answer) => convert(answer),
-            Self::NotAsked => PlacerAnswer::NotAsked,
-            Self::Unanswered => PlacerAnswer::Unanswered,
-        }
-    }
-}
-
 /// State of the communication with the placer, and the data to send to it.
 pub(crate) struct Link {
     zone: Name,
--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -31,6 +31,7 @@
 mod order_permission;
 mod placement;
 mod placer;
+mod placer_answer;
 mod placer_inbox;
 mod placer_load;
 mod plain_attempt;
--- a/daemon/src/gateway/placement.rs
+++ b/daemon/src/gateway/placement.rs
@@ -18,7 +18,7 @@
 use super::backends::Snapshot;
 use super::engine_request::{EngineRequest, NO_PLACER_RETRY_MS};
 use super::engine_run::{Forecast, Run};
-use super::link::PlacerAnswer;
+use super::placer_answer::PlacerAnswer;
 use super::quarantine_check::{self, Admitted};
 use super::state::State;
 use super::streams;
@@ -139,14 +139,18 @@
     software_version: Option<&Name>,
     stream: &StreamPlacement,
 ) -> bool {
-    let is_other_version = backend.software_version.as_ref() != software_version;
-    let needs_version = match stream {
-        StreamPlacement::None => false,
-        // At an unknown version it begins at none that was noted, and is not taken for the noted one.
-        StreamPlacement::New => backend.software_version.is_some(),
-        StreamPlacement::Known { .. } | StreamPlacement::TakenUp { .. } => true,
+    let version = backend.software_version.as_ref();
+    let has_version = match stream {
+        StreamPlacement::None => true,
+        // A stream that may have begun at an unknown version goes on nowhere.
+        StreamPlacement::New => {
+            version.is_none() || software_version.is_none() || version == software_version
+        }
+        StreamPlacement::Known { .. } | StreamPlacement::TakenUp { .. } => {
+            version == software_version
+        }
     };
-    backend.is_ready() && !(needs_version && is_other_version)
+    backend.is_ready() && has_version
 }
 
 /// Checks the quarantine. Only the first attempt of a request may be a trial run.
@@ -252,13 +256,19 @@
         });
         servers.extend(elsewhere.map(|backend| backend.id.clone()));
     }
-    servers.extend(servers_of_other_versions(&snapshot, request));
+    if state.backends.have_several_versions(state.now_ms()) {
+        servers.extend(servers_of_other_versions(&snapshot, request, &servers));
+    }
     servers
 }
 
 /// Servers at which a stream must not begin, because it was assigned to a server of another version before. A
-/// placer that has noted the version may change it once no other server has it.
-fn servers_of_other_versions(snapshot: &Snapshot, request: &EngineRequest) -> Vec<Name> {
+/// placer that has noted the version may change it once no other server that is usable has it.
+fn servers_of_other_versions(
+    snapshot: &Snapshot,
+    request: &EngineRequest,
+    unusable: &[Name],
+) -> Vec<Name> {
     let Some(bound) = request.binding.version() else {
         return Vec::new();
     };
@@ -270,9 +280,10 @@
     let of_service = servers.filter(|backend| backend.service == request.job.service.name);
     let (bound_servers, others): (Vec<&Arc<Backend>>, Vec<&Arc<Backend>>) =
         of_service.partition(|backend| has_bound(backend));
-    let is_available =
-        |backend: &&Arc<Backend>| backend.is_ready() && !request.has_tried(&backend.id);
-    if request.binding.may_change() && !bound_servers.iter().any(is_available) {
+    let is_usable = |backend: &&Arc<Backend>| {
+        backend.is_ready() && !request.has_tried(&backend.id) && !unusable.contains(&backend.id)
+    };
+    if request.binding.may_change() && !bound_servers.iter().any(is_usable) {
         return Vec::new();
     }
     others.iter().map(|backend| backend.id.clone()).collect()
--- a/daemon/src/gateway/stream_store.rs
+++ b/daemon/src/gateway/stream_store.rs
@@ -70,9 +70,8 @@
                 return;
             }
             if self.eras.has_changed().unwrap_or(false) {
-                // The first era is no change.
-                let is_known = self.eras.borrow_and_update().is_some();
-                self.is_unread |= is_known;
+                self.eras.mark_unchanged();
+                self.is_unread = true;
             }
         }
     }
