Check a request against the quarantine in one pass over the table

What callers saw: sound requests with 1,150 parts were not answered in time, beside a part that crashes servers. Cause: refused_by went through the whole table again for each part of a request that is under quarantine, and shared parts that nobody has answered yet are, so that one check took seconds. Ruled out: evidence that is dropped or late; what is refused is the same before and after. Change: the other work under quarantine is collected once for a request.

--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -245,16 +245,31 @@
     /// quarantine is no reason if other work, which the request does not have, is under quarantine
     /// and ran at nearly all its crashes.
     pub fn refused_by(&self, work: &Work) -> Option<Fingerprint> {
-        let quarantined = |it: &Fingerprint| self.status(*it) == QuarantineStatus::Quarantined;
-        let mut quarantined = work.fingerprints().filter(quarantined);
-        quarantined.find(|it| self.is_refused(*it, work))
+        let request = work.request();
+        if self.status(request) == QuarantineStatus::Quarantined {
+            return Some(request);
+        }
+        self.refused_by_part(work)
     }
 
     /// Returns the part of a prompt for which a request is refused, `None` if no part is a reason.
     pub fn refused_by_part(&self, work: &Work) -> Option<Fingerprint> {
         let quarantined = |it: &Fingerprint| self.status(*it) == QuarantineStatus::Quarantined;
-        let mut parts = work.parts().filter(quarantined);
-        parts.find(|it| self.is_refused(*it, work))
+        let mut parts = work.parts().filter(quarantined).peekable();
+        parts.peek()?;
+        let others = self.quarantined().filter(|it| !work.contains(*it));
+        let others: Vec<BTreeSet<&Crash>> = others
+            .map(|other| self.counted_crashes(other).collect())
+            .collect();
+        parts.find(|part| {
+            let without = |other: &BTreeSet<&Crash>| {
+                let crashes = self.counted_crashes(*part);
+                crashes.filter(|crash| !other.contains(crash)).count()
+            };
+            others
+                .iter()
+                .all(|other| without(other) >= MIN_CRASHES_WITHOUT_OTHER)
+        })
     }
 
     /// Returns whether a request under quarantine may be run once to find out whether it crashes
@@ -282,19 +297,6 @@
         CrashHistory::new(self.counted_crashes(fingerprint).filter_map(time_of))
     }
 
-    /// Returns whether work is refused for this fingerprint of it, which is under quarantine.
-    fn is_refused(&self, fingerprint: Fingerprint, work: &Work) -> bool {
-        match fingerprint {
-            Fingerprint::Request(_) => true,
-            Fingerprint::PromptPart(_) => {
-                let mut others = self.quarantined().filter(|it| !work.contains(*it));
-                others.all(|other| {
-                    self.counted_crashes_without(fingerprint, other) >= MIN_CRASHES_WITHOUT_OTHER
-                })
-            }
-        }
-    }
-
     /// Returns the number of crashes that count against work and not against the other.
     fn counted_crashes_without(&self, fingerprint: Fingerprint, other: Fingerprint) -> usize {
         let counted: BTreeSet<&Crash> = self.counted_crashes(fingerprint).collect();
