Keep to a noted version although the instance knows one version only

What callers would see: a stream with events of two versions (ORDER). Cause: applied the binding only while the instance itself knows several versions. One that the store does not answer may know one version, while the placer that assigned the stream knew another and noted it. Change: the version of an earlier assignment always holds.

--- a/core/src/version_binding.rs
+++ b/core/src/version_binding.rs
@@ -42,11 +42,12 @@
         }
     }
 
-    /// Returns the version that a server must have which the instance assigns by itself.
-    pub fn required_version(&self) -> RequiredVersion {
+    /// Returns the version that a server must have which the instance assigns by itself. `has_several` tells
+    /// whether it knows several versions of the service; a placer may know one that it does not.
+    pub fn required_version(&self, has_several: bool) -> RequiredVersion {
         match self {
-            Self::Unbound => RequiredVersion::Any,
-            Self::InDoubt => RequiredVersion::Unknown,
+            Self::InDoubt if has_several => RequiredVersion::Unknown,
+            Self::Unbound | Self::InDoubt => RequiredVersion::Any,
             Self::Noted(version) | Self::Own(version) => RequiredVersion::Version(version.clone()),
         }
     }
--- a/core/tests/version_binding.rs
+++ b/core/tests/version_binding.rs
@@ -38,7 +38,7 @@
 }
 
 fn required_after(steps: &[Step], expected: &RequiredVersion) {
-    assert_eq!(binding_after(steps).required_version(), *expected);
+    assert_eq!(binding_after(steps).required_version(true), *expected);
 }
 
 mod instance_keeps_to_the_version_that_was_noted {
@@ -60,6 +60,15 @@
     }
 }
 
+/// Guards against beginning a stream elsewhere, because the instance does not know the version that was noted.
+#[test]
+fn noted_version_holds_though_the_instance_knows_one_version() {
+    let noted = binding_after(&[Step::ByPlacer("v2")]);
+    assert_eq!(noted.required_version(false), version("v2"));
+    let in_doubt = binding_after(&[Step::Unanswered]);
+    assert_eq!(in_doubt.required_version(false), RequiredVersion::Any);
+}
+
 #[test]
 fn placer_may_change_only_what_a_placer_has_noted() {
     assert!(binding_after(&[Step::ByPlacer("v2")]).may_change());
--- a/daemon/src/gateway/placement.rs
+++ b/daemon/src/gateway/placement.rs
@@ -201,8 +201,9 @@
 fn required_version(state: &State, request: &EngineRequest) -> RequiredVersion {
     let software = state.backends.software_versions();
     let service = &request.job.service.name;
-    if request.stream == StreamPlacement::New && software.has_several(service, state.now_ms()) {
-        return request.binding.required_version();
+    if request.stream == StreamPlacement::New {
+        let has_several = software.has_several(service, state.now_ms());
+        return request.binding.required_version(has_several);
     }
     state
         .streams
